--- /dev/null
+++ b/process/timeline/event.go
@@ -0,0 +1,75 @@
+package timeline
+
+import (
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// Kind names what happened. The list is closed.
+type Kind string
+
+// The kinds of event.
+const (
+	RequestAdmitted Kind = "request-admitted"
+	RequestRefused  Kind = "request-refused"
+	RequestEnded    Kind = "request-ended"
+	RequestAttached Kind = "request-attached"
+	RequestOrphaned Kind = "request-orphaned"
+	Superseded      Kind = "superseded"
+
+	AttemptStarted Kind = "attempt-started"
+	AttemptBegan   Kind = "attempt-began"
+	AttemptFailed  Kind = "attempt-failed"
+	AttemptEnded   Kind = "attempt-ended"
+	FirstToken     Kind = "first-token"
+	Resumed        Kind = "resumed"
+	Hedged         Kind = "hedged"
+
+	TargetUp        Kind = "target-up"
+	TargetDown      Kind = "target-down"
+	TargetSuspected Kind = "target-suspected"
+	TargetTrusted   Kind = "target-trusted"
+	TargetLeaving   Kind = "target-leaving"
+
+	RevisionInForce Kind = "revision-in-force"
+	RevisionStale   Kind = "revision-stale"
+
+	OrderGiven   Kind = "order-given"
+	OrderRefused Kind = "order-refused"
+	OrderDone    Kind = "order-done"
+	OrderFailed  Kind = "order-failed"
+
+	CallReserved Kind = "call-reserved"
+	CallPassed   Kind = "call-passed"
+	CallSealed   Kind = "call-sealed"
+	CallSettled  Kind = "call-settled"
+
+	ProcessStarted  Kind = "process-started"
+	ProcessDraining Kind = "process-draining"
+	ProcessStopped  Kind = "process-stopped"
+)
+
+// Event is one thing that happened in a process. Fields that do not apply are zero.
+type Event struct {
+	Stamp    Stamp                 `json:"stamp"`
+	Process  string                `json:"process"`
+	Kind     Kind                  `json:"kind"`
+	Request  request.ID            `json:"request,omitempty"`
+	Attempt  request.AttemptNumber `json:"attempt,omitempty"`
+	Target   request.TargetID      `json:"target,omitempty"`
+	Revision int64                 `json:"revision,omitempty"`
+	// Position is the next token of the answer at the event.
+	Position int `json:"position,omitempty"`
+	// Error is the stable name of the error kind.
+	Error string `json:"error,omitempty"`
+	// Detail is a short free text.
+	Detail string `json:"detail,omitempty"`
+}
+
+// ErrorName returns the name of kind for Event.Error, empty for None.
+func ErrorName(kind fault.Kind) string {
+	if kind == fault.None {
+		return ""
+	}
+	return kind.String()
+}
