--- a/command/root.go
+++ b/command/root.go
@@ -19,6 +19,6 @@
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	root.PersistentFlags().AddGoFlagSet(flags)
-	root.AddCommand(newKeys())
+	root.AddCommand(newKeys(), newSchema(), newValidate())
 	return root
 }
--- a/version/document.go
+++ b/version/document.go
@@ -14,6 +14,23 @@
 	Workspaces map[string]Workspace `json:"workspaces"`
 	// Profiles maps the name of a profile to its declaration.
 	Profiles map[string]Profile `json:"profiles"`
+	// Regions maps the name of a region to its failure domains.
+	Regions map[string]Region `json:"regions,omitempty"`
+	// Draining maps the name of a target to its drain. It takes no new work
+	// while it is listed.
+	Draining map[string]Drain `json:"draining,omitempty"`
+}
+
+// Region declares the failure domains of one region.
+type Region struct {
+	// FailureDomains lists them by name; a name belongs to one region.
+	FailureDomains []string `json:"failureDomains"`
+}
+
+// Drain declares that a target takes no new work.
+type Drain struct {
+	// Reason is shown to operators.
+	Reason string `json:"reason"`
 }
 
 // ServiceKind tells model services from application services.
@@ -30,6 +47,10 @@
 	Kind ServiceKind `json:"kind"`
 	// Profile names the profile that the service runs under.
 	Profile string `json:"profile"`
+	// Replicas is how many targets the service is expected to have; zero leaves it open.
+	Replicas int `json:"replicas,omitempty"`
+	// Regions lists the regions that the targets run in; empty means all.
+	Regions []string `json:"regions,omitempty"`
 	// ChecksFencing says that the targets refuse an order with an old fencing number.
 	ChecksFencing bool `json:"checksFencing"`
 	// Model is set for model services.
@@ -50,6 +71,14 @@
 	MaxTokens int `json:"maxTokens"`
 	// MinReplicas is how many targets a rollout must leave in service.
 	MinReplicas int `json:"minReplicas,omitempty"`
+	// Preload lists versions that targets load besides Version, before a rollout
+	// makes one of them the version of new generations.
+	Preload []string `json:"preload,omitempty"`
+	// LoadsPerMinute paces the loads that are ordered, to the weight store's
+	// rate; zero means that targets are given no orders.
+	LoadsPerMinute float64 `json:"loadsPerMinute,omitempty"`
+	// Role is the role that targets are ordered to take; empty leaves it alone.
+	Role string `json:"role,omitempty"`
 }
 
 // Application declares how the calls of an application service are treated.
--- /dev/null
+++ b/version/files/files.go
@@ -0,0 +1,50 @@
+// Package files reads a configuration that is split over the JSON files of a directory.
+package files
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// Load reads the configuration at path, a JSON file or a directory of JSON files
+// that are merged. The error is of type version.DocumentErrors when the files could be
+// read and are not valid.
+func Load(path string) (version.Document, error) {
+	parts, err := read(path)
+	if err != nil {
+		return version.Document{}, err
+	}
+	document, problems := version.Merge(parts)
+	problems = append(problems, version.Validate(document)...)
+	return document, problems.Err()
+}
+
+func read(path string) ([]version.Part, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	names := []string{path}
+	if info.IsDir() {
+		names, err = filepath.Glob(filepath.Join(path, "*.json"))
+		if err == nil && len(names) == 0 {
+			err = errors.Errorf("%s holds no .json file", path)
+		}
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	parts := make([]version.Part, 0, len(names))
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "configuration")
+		}
+		parts = append(parts, version.Part{Name: filepath.Base(name), Data: data})
+	}
+	return parts, nil
+}
