Give the stand-ins exact accounts, a silent host and planned restarts

Load experiments need to know what each engine did for each request, and to bring about a host that vanishes without a word and a planned restart.

The engine keeps a record of every generation when asked, stops computing at the instant it is killed and resets its connections, so that its work stays exact; a leaving engine refuses new work and finishes the running. A UDP relay before an agent drops every packet on demand. The fleet can silence a host, take the key-value service out, and restart a member as planned.

A handler of a killed engine used to wait for ever on its token channel; it now ends with its request.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -11,6 +11,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +29,7 @@
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/hosts"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
@@ -46,6 +50,9 @@
 	Engine engine.Config
 	// HostLag is how late the host list shows changes.
 	HostLag time.Duration
+	// Relayed lists the engines whose agents stand behind a relay, so that
+	// SilenceHost can cut them off.
+	Relayed []int
 }
 
 // Member is one engine with its agent.
@@ -53,6 +60,8 @@
 	Placement platform.Placement
 	Engine    *engine.Server
 	Agent     *agent.Agent
+
+	relay *network.Relay
 }
 
 // Fleet is a running fleet.
@@ -66,6 +75,9 @@
 	keys      *keys.Authority
 	directory string
 	platform  *httptest.Server
+	storeOut  atomic.Bool
+	// mu guards Members once the fleet runs.
+	mu sync.Mutex
 }
 
 // Start starts a fleet and waits until every entry has a link to every agent.
@@ -108,18 +120,27 @@
 func (f *Fleet) domain(i int) string { return f.Layout.Domains[i%len(f.Layout.Domains)] }
 
 func (f *Fleet) addMember(ctx context.Context, i int) error {
+	member, err := f.newMember(ctx, i)
+	if member != nil {
+		f.Members = append(f.Members, member)
+	}
+	return err
+}
+
+// newMember starts the engine and the agent of place i. With an error, the member
+// holds what was started, or is nil.
+func (f *Fleet) newMember(ctx context.Context, i int) (*Member, error) {
 	config := f.Layout.Engine
 	config.Seed += uint64(i)
 	server, err := engine.Serve(config, loopback)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	name := fmt.Sprintf("%s-%d", f.Layout.Service, i)
 	member := &Member{Engine: server}
-	f.Members = append(f.Members, member)
 	files, err := f.keys.Issue(keys.RoleAgent, "agent-"+name)
 	if err != nil {
-		return err
+		return member, err
 	}
 	member.Agent = agent.New(settings.Agent{
 		Name: "agent-" + name, Host: "host-" + name, FailureDomain: f.domain(i),
@@ -127,13 +148,20 @@
 		Links: loopback, Operators: loopback, Keys: files, Engine: server.URL(),
 	})
 	if err := member.Agent.Start(ctx); err != nil {
-		return err
+		return member, err
 	}
 	member.Placement = platform.Placement{
 		Target: request.TargetID(name), Service: f.Layout.Service, Host: "host-" + name,
 		FailureDomain: f.domain(i), Agent: member.Agent.Address(), State: platform.HostLive,
 	}
-	return nil
+	if !slices.Contains(f.Layout.Relayed, i) {
+		return member, nil
+	}
+	member.relay, err = network.NewRelay(member.Agent.Address())
+	if err == nil {
+		member.Placement.Agent = member.relay.Address()
+	}
+	return member, err
 }
 
 func (f *Fleet) startPlatform() {
@@ -143,7 +171,7 @@
 	}
 	f.Hosts = hosts.New(f.Layout.HostLag, placements)
 	mux := http.NewServeMux()
-	mux.Handle("/v3/", f.Store.Handler())
+	mux.Handle("/v3/", f.refuseInOutage(f.Store.Handler()))
 	mux.Handle("GET /hosts", f.Hosts)
 	f.platform = httptest.NewServer(mux)
 }
@@ -221,10 +249,7 @@
 		e.Kill()
 	}
 	for _, member := range f.Members {
-		if member.Agent != nil {
-			member.Agent.Kill()
-		}
-		member.Engine.Kill()
+		member.kill()
 	}
 	if f.platform != nil {
 		f.platform.CloseClientConnections()
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -30,6 +30,8 @@
 	Jitter float64 `json:"jitter"`
 	// Seed drives the jitter.
 	Seed uint64 `json:"seed"`
+	// Records keeps a record of every generation in memory.
+	Records bool `json:"records"`
 }
 
 // CacheBlockTokens is the number of tokens in one block of the prefix cache.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -25,6 +25,7 @@
 
 // sequence is one generation in the batch or the queue.
 type sequence struct {
+	id        string
 	ctx       context.Context
 	model     string
 	prompt    []request.TokenID
@@ -36,6 +37,7 @@
 	prefillLeft int
 	oracle      *oracle.Sequence
 	out         chan []request.TokenID
+	record      *Record
 }
 
 // Engine is one stand-in engine. Run drives it; Serve puts it on HTTP.
@@ -53,6 +55,9 @@
 	lagged   []loadSample
 	faults   faults
 	wake     chan struct{}
+	records  []*Record
+	// dead says that the engine was killed.
+	dead bool
 }
 
 type loadSample struct {
@@ -84,11 +89,15 @@
 	e.mu.Lock()
 	e.arrivals++
 	s.arrival = e.arrivals
+	s.record = &Record{RequestID: s.id, Arrived: time.Now(), PromptTokens: len(s.prompt)}
 	s.prefillLeft = -1
 	s.oracle = oracle.NewSequence(e.config.Salt, s.model)
 	s.oracle.Push(s.prompt...)
 	s.out = make(chan []request.TokenID, s.max+1)
 	e.waiting = append(e.waiting, s)
+	if e.config.Records {
+		e.records = append(e.records, s.record)
+	}
 	e.mu.Unlock()
 	select {
 	case e.wake <- struct{}{}:
@@ -124,6 +133,9 @@
 func (e *Engine) beginStep() (pause time.Duration, busy bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return 0, false
+	}
 	e.dropCancelled()
 	e.admit()
 	e.sampleLoad()
@@ -145,6 +157,7 @@
 		if s.ctx.Err() == nil {
 			return false
 		}
+		s.record.Ended = true
 		close(s.out)
 		return true
 	}
@@ -166,6 +179,8 @@
 		cached := min(e.cache.match(s.prompt), len(s.prompt)-1)
 		e.work.CachedTokens += int64(cached)
 		s.prefillLeft = len(s.prompt) - cached
+		s.record.Admitted = time.Now()
+		s.record.CachedTokens = cached
 		e.running = append(e.running, s)
 	}
 }
@@ -176,6 +191,7 @@
 	for _, s := range e.running {
 		part := min(s.prefillLeft, left)
 		s.prefillLeft -= part
+		s.record.PrefillTokens += part
 		left -= part
 		if part > 0 && s.prefillLeft == 0 {
 			e.cache.insert(s.prompt)
@@ -190,6 +206,9 @@
 func (e *Engine) endStep() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return
+	}
 	e.running = slices.DeleteFunc(e.running, func(s *sequence) bool {
 		if s.prefillLeft > 0 || s.ctx.Err() != nil {
 			return false
@@ -203,11 +222,16 @@
 	s.oracle.Push(token)
 	s.generated = append(s.generated, token)
 	e.work.DecodedTokens++
+	s.record.DecodedTokens++
+	if s.record.FirstToken.IsZero() {
+		s.record.FirstToken = time.Now()
+	}
 	s.out <- []request.TokenID{token}
 	if len(s.generated) < s.max {
 		return false
 	}
 	e.cache.insert(append(slices.Clone(s.prompt), s.generated...))
+	s.record.Ended = true
 	close(s.out)
 	return true
 }
@@ -233,3 +257,14 @@
 	defer e.mu.Unlock()
 	return slices.Contains(e.models, model)
 }
+
+// next waits for the next tokens; ok is false after the last ones and when the
+// request was cancelled.
+func (s *sequence) next() (tokens []request.TokenID, ok bool) {
+	select {
+	case tokens, ok = <-s.out:
+		return tokens, ok
+	case <-s.ctx.Done():
+		return nil, false
+	}
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,200 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/standin/oracle"
+)
+
+const (
+	salt  = "engine-test"
+	model = "trial-lm-v1"
+)
+
+func serve(t *testing.T, change func(*engine.Config)) *engine.Server {
+	t.Helper()
+	config := engine.DefaultConfig(salt, model)
+	config.StepTime = 2 * time.Millisecond
+	config.Records = true
+	if change != nil {
+		change(&config)
+	}
+	server, err := engine.Serve(config, "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(server.Kill)
+	return server
+}
+
+type completion struct {
+	Model     string            `json:"model"`
+	Prompt    []request.TokenID `json:"prompt"`
+	MaxTokens int               `json:"max_tokens"`
+	Priority  int               `json:"priority"`
+	RequestID string            `json:"request_id"`
+}
+
+func ask(id string, tokens int) completion {
+	return completion{Model: model, Prompt: oracle.Tokenize("a survey of " + strings.Repeat("the dew pond ", 8)), MaxTokens: tokens, RequestID: id}
+}
+
+func post(t *testing.T, server *engine.Server, body completion) (*http.Response, error) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	post, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL()+"/v1/completions", bytes.NewReader(data))
+	assert.NilError(t, err)
+	return http.DefaultClient.Do(post)
+}
+
+// read returns the tokens of a stream and whether it ended well.
+func read(response *http.Response) (tokens []request.TokenID, whole bool) {
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return tokens, true
+		}
+		var event struct {
+			Choices []struct {
+				TokenIDs []request.TokenID `json:"token_ids"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &event) != nil {
+			return tokens, false
+		}
+		tokens = append(tokens, event.Choices[0].TokenIDs...)
+	}
+	return tokens, false
+}
+
+func TestTokensAreTheOracles(t *testing.T) {
+	server := serve(t, nil)
+	body := ask("r1", 20)
+	response, err := post(t, server, body)
+	assert.NilError(t, err)
+	tokens, whole := read(response)
+	assert.Assert(t, whole)
+	assert.DeepEqual(t, tokens, oracle.Continue(salt, model, body.Prompt, 20))
+}
+
+func TestWorkIsCountedPerRequest(t *testing.T) {
+	server := serve(t, nil)
+	body := ask("r1", 20)
+	for range 2 {
+		response, err := post(t, server, body)
+		assert.NilError(t, err)
+		_, whole := read(response)
+		assert.Assert(t, whole)
+	}
+	records := server.Records()
+	assert.Equal(t, len(records), 2)
+	assert.Equal(t, records[0].PrefillTokens, len(body.Prompt))
+	assert.Equal(t, records[0].DecodedTokens, 20)
+	assert.Equal(t, records[1].PrefillTokens+records[1].CachedTokens, len(body.Prompt))
+	assert.Assert(t, records[1].CachedTokens >= len(body.Prompt)-engine.CacheBlockTokens)
+	work := server.Work()
+	assert.Equal(t, work.PrefillTokens, int64(records[0].PrefillTokens+records[1].PrefillTokens))
+	assert.Equal(t, work.DecodedTokens, int64(40))
+}
+
+func TestKillBreaksTheStreamAndKeepsItsWork(t *testing.T) {
+	server := serve(t, nil)
+	response, err := post(t, server, ask("r1", 100_000))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.Work().DecodedTokens > 5 {
+			return poll.Success()
+		}
+		return poll.Continue("no tokens yet")
+	})
+	server.Kill()
+	work := server.Work()
+	tokens, whole := read(response)
+	assert.Assert(t, !whole)
+	active := server.Active()
+	assert.Equal(t, len(active), 1)
+	assert.Equal(t, int64(active[0].DecodedTokens), work.DecodedTokens)
+	assert.Assert(t, len(tokens) <= active[0].DecodedTokens)
+	assert.Equal(t, server.Work(), work)
+	_, err = post(t, server, ask("r2", 1))
+	assert.Assert(t, err != nil)
+}
+
+func TestLeavingEngineFinishesAndRefuses(t *testing.T) {
+	server := serve(t, nil)
+	response, err := post(t, server, ask("r1", 300))
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		refused, err := post(t, server, ask("r2", 1))
+		if err != nil {
+			return poll.Success()
+		}
+		defer func() { _ = refused.Body.Close() }()
+		if refused.StatusCode == http.StatusServiceUnavailable {
+			return poll.Success()
+		}
+		return poll.Continue("status %d", refused.StatusCode)
+	})
+	tokens, whole := read(response)
+	assert.Assert(t, whole)
+	assert.Equal(t, len(tokens), 300)
+	assert.NilError(t, <-ended)
+}
+
+func TestPausedEngineGoesOnWhereItStopped(t *testing.T) {
+	server := serve(t, nil)
+	body := ask("r1", 50)
+	response, err := post(t, server, body)
+	assert.NilError(t, err)
+	server.SetFault(engine.Fault{Pause: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		before := server.Work()
+		time.Sleep(20 * time.Millisecond)
+		if server.Work() == before {
+			return poll.Success()
+		}
+		return poll.Continue("still working")
+	})
+	server.SetFault(engine.Fault{})
+	tokens, whole := read(response)
+	assert.Assert(t, whole)
+	assert.DeepEqual(t, tokens, oracle.Continue(salt, model, body.Prompt, 50))
+}
+
+func TestLowerPriorityValueRunsFirst(t *testing.T) {
+	server := serve(t, func(c *engine.Config) { c.Batch = 1 })
+	first, err := post(t, server, ask("running", 100_000))
+	assert.NilError(t, err)
+	late := ask("late", 1)
+	late.Priority = 5
+	second, err := post(t, server, late)
+	assert.NilError(t, err)
+	urgent, err := post(t, server, ask("urgent", 1))
+	assert.NilError(t, err)
+	assert.NilError(t, first.Body.Close())
+	for _, response := range []*http.Response{second, urgent} {
+		_, whole := read(response)
+		assert.Assert(t, whole)
+	}
+	records := server.Records()
+	assert.Equal(t, records[1].RequestID, "late")
+	assert.Assert(t, records[2].Admitted.Before(records[1].Admitted))
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +22,9 @@
 	listener net.Listener
 	server   *http.Server
 	cancel   context.CancelFunc
+	draining atomic.Bool
+
+	connections sync.Map
 }
 
 // Serve starts the engine at an IP address and TCP port.
@@ -34,6 +39,7 @@
 		Handler:           s.handler(),
 		ReadHeaderTimeout: 5 * time.Second,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnState:         s.track,
 	}
 	go s.Run(ctx)
 	go func() { _ = s.server.Serve(listener) }()
@@ -43,14 +49,32 @@
 // URL returns the base URL of the engine.
 func (s *Server) URL() string { return "http://" + s.listener.Addr().String() }
 
-// Kill ends the engine at once, as when its process dies.
+// track keeps the set of open connections.
+func (s *Server) track(connection net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.connections.Delete(connection)
+		return
+	}
+	s.connections.Store(connection, true)
+}
+
+// Kill ends the engine at once and resets its connections, as when its process
+// dies. No token is computed after it returns.
 func (s *Server) Kill() {
+	s.stop()
+	s.connections.Range(func(connection, _ any) bool {
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return true
+	})
 	s.cancel()
 	_ = s.server.Close()
 }
 
-// Shutdown ends the engine after its running requests.
+// Shutdown refuses new generations and ends the engine after the running ones.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
 	err := s.server.Shutdown(ctx)
 	s.cancel()
 	return errors.Wrap(err, "shutdown")
@@ -163,6 +187,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.draining.Load() {
+		http.Error(w, "the engine is leaving", http.StatusServiceUnavailable)
+		return
+	}
 	if !s.loaded(ask.Model) {
 		http.Error(w, "no such model", http.StatusNotFound)
 		return
@@ -171,7 +199,7 @@
 		http.Error(w, "max_tokens and prompt must be set", http.StatusBadRequest)
 		return
 	}
-	generation := &sequence{ctx: r.Context(), model: ask.Model, prompt: ask.Prompt, max: ask.MaxTokens, priority: ask.Priority}
+	generation := &sequence{id: ask.RequestID, ctx: r.Context(), model: ask.Model, prompt: ask.Prompt, max: ask.MaxTokens, priority: ask.Priority}
 	s.submit(generation)
 	id := ask.RequestID
 	if s.takeCross() {
@@ -187,7 +215,11 @@
 	flusher := w.(http.Flusher)
 	flusher.Flush()
 	sent := 0
-	for tokens := range generation.out {
+	for {
+		tokens, ok := generation.next()
+		if !ok {
+			break
+		}
 		ids, _ := json.Marshal(tokens)
 		sent += len(tokens)
 		finish := "null"
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,21 @@
 	l.changes = append(l.changes, change{at: time.Now(), list: list})
 }
 
+// Put adds a placement, or replaces the one of the same target.
+func (l *List) Put(placement platform.Placement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := l.changes[len(l.changes)-1].list
+	list := slices.Clone(latest)
+	same := func(p platform.Placement) bool { return p.Target == placement.Target }
+	if i := slices.IndexFunc(list, same); i >= 0 {
+		list[i] = placement
+	} else {
+		list = append(list, placement)
+	}
+	l.changes = append(l.changes, change{at: time.Now(), list: list})
+}
+
 // Visible returns the list as it shows now.
 func (l *List) Visible() []platform.Placement {
 	l.mu.Lock()
