Key-value service: leases, watches and fault switches

The adapter had no leases and no watches, and the stand-in none of the failures that the service has. Both speak the published JSON gateway now. A watch whose changes were compacted reports the entries as they stand and goes on.

Under the race detector platform/etcd passes: a lapsed lease takes its key along and refuses writes, a watch goes on after compaction, a lost answer has taken effect and an outage has not.

--- a/standin/kv/gateway.go
+++ b/standin/kv/gateway.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+
+	"github.com/pkg/errors"
 )
 
 // The messages of the gateway. Byte fields are base64 and 64-bit integers are
@@ -78,59 +80,92 @@
 	return err
 }
 
+// errNoLease is the answer to a call that names a lease which has lapsed.
+var errNoLease = errors.New("etcdserver: requested lease not found")
+
 // Handler returns the HTTP gateway of the store.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v3/kv/range", answer(s.serveRange))
-	mux.HandleFunc("POST /v3/kv/txn", answer(s.serveTxn))
+	mux.HandleFunc("POST /v3/kv/range", answer(s, &s.calls.Ranges, false, s.serveRange))
+	mux.HandleFunc("POST /v3/kv/txn", answer(s, &s.calls.Txns, true, s.serveTxn))
+	mux.HandleFunc("POST /v3/lease/grant", answer(s, &s.calls.Leases, true, s.serveGrant))
+	mux.HandleFunc("POST /v3/lease/keepalive", answer(s, &s.calls.Leases, false, s.serveKeepAlive))
+	mux.HandleFunc("POST /v3/lease/revoke", answer(s, &s.calls.Leases, true, s.serveRevoke))
+	mux.HandleFunc("POST /v3/watch", s.serveWatch)
 	return mux
 }
 
-// answer decodes a request, carries out serve and encodes its result.
-func answer[Request, Response any](serve func(Request) Response) http.HandlerFunc {
+// answer decodes a request, carries out serve under the lock and encodes its result.
+func answer[Request, Response any](s *Store, count *int64, write bool, serve func(Request) (Response, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var ask Request
 		if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		f := s.fate(write)
+		wait(r.Context(), f.delay)
+		if f.dropped {
+			drop()
+		}
+		s.mu.Lock()
+		*count++
+		s.lapse()
+		response, err := serve(ask)
+		s.mu.Unlock()
+		if f.answerLost {
+			drop()
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(serve(ask))
+		_ = json.NewEncoder(w).Encode(response)
 	}
 }
 
-func (s *Store) serveRange(ask rangeRequest) rangeResponse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rangeLocked(ask)
+func (s *Store) serveRange(ask rangeRequest) (rangeResponse, error) {
+	return s.rangeLocked(ask), nil
 }
 
 func (s *Store) rangeLocked(ask rangeRequest) rangeResponse {
 	response := rangeResponse{Header: header{s.revision}}
 	for _, key := range s.keysIn(string(ask.Key), string(ask.RangeEnd)) {
-		e := s.entries[key]
-		response.Kvs = append(response.Kvs, keyValue{
-			Key: []byte(key), Value: e.value, CreateRevision: e.createRevision,
-			ModRevision: e.modRevision, Version: e.version, Lease: e.lease,
-		})
+		response.Kvs = append(response.Kvs, wireEntry(key, s.entries[key]))
 	}
 	response.Count = int64(len(response.Kvs))
 	return response
 }
 
-func (s *Store) serveTxn(ask txnRequest) txnResponse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func wireEntry(key string, e entry) keyValue {
+	return keyValue{
+		Key: []byte(key), Value: e.value, CreateRevision: e.createRevision,
+		ModRevision: e.modRevision, Version: e.version, Lease: e.lease,
+	}
+}
+
+func (s *Store) serveTxn(ask txnRequest) (txnResponse, error) {
 	response := txnResponse{Succeeded: s.holds(ask.Compare)}
 	operations := ask.Failure
 	if response.Succeeded {
 		operations = ask.Success
 	}
+	for _, op := range operations {
+		if op.Put != nil && !s.leaseStands(int64(op.Put.Lease)) {
+			return txnResponse{}, errNoLease
+		}
+	}
 	for _, op := range operations {
 		response.Responses = append(response.Responses, s.apply(op))
 	}
 	response.Header.Revision = s.revision
-	return response
+	return response, nil
+}
+
+func (s *Store) leaseStands(id int64) bool {
+	_, ok := s.leases[id]
+	return id == 0 || ok
 }
 
 func (s *Store) holds(compares []compare) bool {
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -1,11 +1,14 @@
 // Package kv is a small stand-in for the platform's key-value service. It speaks
-// the published JSON gateway of etcd v3 for ranges and transactions.
+// the published JSON gateway of etcd v3: ranges, transactions, leases and
+// watches, with switches that bring about the failures such a service has.
 package kv
 
 import (
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"sync"
+	"time"
 )
 
 // entry is one key with its revisions.
@@ -17,27 +20,55 @@
 	lease          int64
 }
 
+// change is one event of the history.
+type change struct {
+	key     string
+	entry   entry
+	deleted bool
+}
+
+// lease is one lease that has not lapsed.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
 // Store is the state of the stand-in.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
 	entries  map[string]entry
+	leases   map[int64]lease
+	lastID   int64
+	// history holds the changes after the compacted revision, in order.
+	history   []change
+	compacted int64
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+	// broken is closed and replaced when running watches break off.
+	broken chan struct{}
+	faults Faults
+	random *rand.Rand
+	calls  Calls
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{revision: 1, entries: map[string]entry{}} }
+func New() *Store {
+	return &Store{
+		revision: 1,
+		entries:  map[string]entry{},
+		leases:   map[int64]lease{},
+		changed:  make(chan struct{}),
+		broken:   make(chan struct{}),
+		random:   rand.New(rand.NewPCG(1, 1)),
+	}
+}
 
 // keysIn returns the keys in [key, end), or key alone when end is empty, in order.
 func (s *Store) keysIn(key, end string) []string {
-	if end == "" {
-		if _, ok := s.entries[key]; ok {
-			return []string{key}
-		}
-		return nil
-	}
 	var keys []string
 	for k := range s.entries {
-		if k >= key && (k < end || end == "\x00") {
+		if inRange(k, key, end) {
 			keys = append(keys, k)
 		}
 	}
@@ -45,7 +76,14 @@
 	return keys
 }
 
-func (s *Store) put(key string, value []byte, lease int64) {
+func inRange(k, key, end string) bool {
+	if end == "" {
+		return k == key
+	}
+	return k >= key && (k < end || end == "\x00")
+}
+
+func (s *Store) put(key string, value []byte, leaseID int64) {
 	s.revision++
 	e := s.entries[key]
 	if e.createRevision == 0 {
@@ -54,8 +92,10 @@
 	e.value = value
 	e.modRevision = s.revision
 	e.version++
-	e.lease = lease
-	s.entries[strings.Clone(key)] = e
+	e.lease = leaseID
+	key = strings.Clone(key)
+	s.entries[key] = e
+	s.note(change{key: key, entry: e})
 }
 
 func (s *Store) remove(key string) {
@@ -64,4 +104,27 @@
 	}
 	s.revision++
 	delete(s.entries, key)
+	s.note(change{key: key, entry: entry{modRevision: s.revision}, deleted: true})
+}
+
+func (s *Store) note(c change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history up to and with revision.
+func (s *Store) Compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = max(s.compacted, min(revision, s.revision))
+	at := sort.Search(len(s.history), func(i int) bool { return s.history[i].entry.modRevision > s.compacted })
+	s.history = s.history[at:]
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
 }
