Demonstration with separate processes; two faults that it found

Reading the code showed a third: a loss between the last token and the end resumed with nothing left to generate. Change: no opening frame without a prompt; readiness waits for a target; an answer of the length asked for is complete whatever becomes of its attempt.

--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,8 @@
 type Arrival struct {
 	At     time.Time
 	Tokens int
+	// Target is where the tokens were made.
+	Target request.TargetID
 }
 
 // Caller sends requests to one entry after another.
@@ -183,8 +186,17 @@
 			a.Prompt = choice.PromptTokenIDs
 		}
 		if n := len(choice.TokenIDs); n > 0 {
-			a.Arrivals = append(a.Arrivals, Arrival{At: time.Now(), Tokens: n})
+			a.Arrivals = append(a.Arrivals, Arrival{At: time.Now(), Tokens: n, Target: targetOf(a.LastEventID)})
 		}
 	}
 	return nil
 }
+
+// targetOf returns the target that an event id names.
+func targetOf(eventID string) request.TargetID {
+	parts := strings.Split(eventID, "/")
+	if len(parts) < 2 {
+		return ""
+	}
+	return request.TargetID(parts[1])
+}
--- /dev/null
+++ b/bench/demo/fault.go
@@ -0,0 +1,80 @@
+package demo
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// Fault is one fault that was brought about.
+type Fault struct {
+	// After is how long after the start it was due.
+	After time.Duration `json:"after"`
+	// Process is the name of the process.
+	Process string `json:"process"`
+	// Kind is "kill" or "pause".
+	Kind string `json:"kind"`
+	// Target is the target that was lost to callers, or empty.
+	Target request.TargetID `json:"target,omitempty"`
+	// For is how long a pause lasts.
+	For time.Duration `json:"for,omitempty"`
+
+	at time.Time
+}
+
+const (
+	kindKill  = "kill"
+	kindPause = "pause"
+)
+
+// faultPlan is what befalls the demonstration: two engines die, one pauses and
+// comes back, an agent and an entry die. Two targets stay whole.
+func faultPlan() []Fault {
+	return []Fault{
+		{After: 3 * time.Second, Process: "engine-1", Kind: kindKill, Target: "engine-1"},
+		{After: 6 * time.Second, Process: "engine-2", Kind: kindPause, Target: "engine-2", For: 4 * time.Second},
+		{After: 9 * time.Second, Process: "agent-3", Kind: kindKill, Target: "engine-3"},
+		{After: 12 * time.Second, Process: "entry-1", Kind: kindKill},
+		{After: 15 * time.Second, Process: "engine-4", Kind: kindKill, Target: "engine-4"},
+	}
+}
+
+// signaller sends signals to processes by the ids that the script wrote down.
+type signaller struct{ directory string }
+
+func (s signaller) pid(name string) (int, error) {
+	data, err := os.ReadFile(filepath.Join(s.directory, "pids", name))
+	if err != nil {
+		return 0, errors.Wrap(err, "pid")
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	return pid, errors.Wrap(err, "pid")
+}
+
+func (s signaller) send(name string, signal syscall.Signal) error {
+	pid, err := s.pid(name)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(syscall.Kill(pid, signal), "signal %s", name)
+}
+
+// bring brings about a fault and says when it took effect.
+func (s signaller) bring(fault Fault) (time.Time, error) {
+	at := time.Now()
+	if fault.Kind == kindKill {
+		return at, s.send(fault.Process, syscall.SIGKILL)
+	}
+	if err := s.send(fault.Process, syscall.SIGSTOP); err != nil {
+		return at, err
+	}
+	time.AfterFunc(fault.For, func() { _ = s.send(fault.Process, syscall.SIGCONT) })
+	return at, nil
+}
--- /dev/null
+++ b/bench/demo/prepare.go
@@ -0,0 +1,169 @@
+// Package demo prepares and drives the demonstration: the real daemons and the
+// stand-ins as separate processes, real text prompts, and faults by signals. A
+// script starts the processes; this package writes what they need, sends the
+// requests and checks every answer.
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
+	"github.com/mulberrylane/mulberrylane/connection/keys"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/settings"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+const (
+	entryCount  = 2
+	engineCount = 6
+	salt        = "demo"
+	fileMode    = 0o600
+	dirMode     = 0o700
+)
+
+var domains = []string{"naxos", "paros", "syros"}
+
+// Plan says where the processes of a demonstration are.
+type Plan struct {
+	// Entries and Engines are base URLs.
+	Entries []string `json:"entries"`
+	Engines []string `json:"engines"`
+	// Targets holds the target of each engine.
+	Targets []request.TargetID `json:"targets"`
+	// Operators holds the operator addresses of all daemons.
+	Operators []string `json:"operators"`
+}
+
+// preparer writes the files of one demonstration.
+type preparer struct {
+	directory string
+	authority *keys.Authority
+	platform  string
+	plan      Plan
+	hosts     []platform.Placement
+	// processes holds one command line each, first the name of the process.
+	processes []string
+	err       error
+}
+
+// Prepare writes keys, settings and the list of processes into directory.
+func Prepare(directory string) error {
+	for _, name := range []string{"keys", "pids", "log"} {
+		if err := os.MkdirAll(filepath.Join(directory, name), dirMode); err != nil {
+			return errors.Wrap(err, "prepare")
+		}
+	}
+	authority, err := keys.NewAuthority(filepath.Join(directory, "keys"))
+	if err != nil {
+		return err
+	}
+	p := &preparer{directory: directory, authority: authority}
+	p.platform = p.address()
+	for i := range engineCount {
+		p.addTarget(i)
+	}
+	for i := range entryCount {
+		p.addEntry(i)
+	}
+	p.addPlatform()
+	p.write("plan.json", p.plan)
+	p.writeProcesses()
+	return p.err
+}
+
+func (p *preparer) address() string {
+	address, err := fleet.FreeAddress()
+	p.note(err)
+	return address
+}
+
+func (p *preparer) note(err error) {
+	if p.err == nil {
+		p.err = err
+	}
+}
+
+func (p *preparer) path(name string) string { return filepath.Join(p.directory, name) }
+
+func (p *preparer) write(name string, value any) string {
+	data, err := json.MarshalIndent(value, "", "  ")
+	p.note(errors.Wrap(err, name))
+	p.note(errors.Wrap(os.WriteFile(p.path(name), data, fileMode), name))
+	return p.path(name)
+}
+
+func (p *preparer) issue(role keys.Role, name string) keys.Files {
+	files, err := p.authority.Issue(role, name)
+	p.note(err)
+	return files
+}
+
+func (p *preparer) start(format string, args ...any) {
+	p.processes = append(p.processes, fmt.Sprintf(format, args...))
+}
+
+func (p *preparer) services() settings.Platform {
+	return settings.Platform{
+		Store:         []string{"http://" + p.platform},
+		HostList:      "http://" + p.platform + "/hosts",
+		HostListEvery: version.Duration(500 * time.Millisecond),
+	}
+}
+
+// addTarget adds one engine with its agent.
+func (p *preparer) addTarget(i int) {
+	name := fmt.Sprintf("engine-%d", i)
+	config := engine.DefaultConfig(salt, fleet.TrialVersion)
+	config.Seed = uint64(i)
+	address := p.address()
+	p.start("%s mlctl standin engine --address %s --config %s", name, address, p.write(name+".json", config))
+
+	agentName := fmt.Sprintf("agent-%d", i)
+	s := settings.Agent{
+		Name: agentName, Host: "host-" + name, FailureDomain: domains[i%len(domains)],
+		Target: name, Service: fleet.TrialService, Links: p.address(), Operators: p.address(),
+		Keys: p.issue(keys.RoleAgent, agentName), Platform: p.services(), Engine: "http://" + address,
+	}
+	p.start("%s mlagent --settings %s", agentName, p.write(agentName+".json", s))
+	p.hosts = append(p.hosts, platform.Placement{
+		Target: request.TargetID(name), Service: s.Service, Host: s.Host,
+		FailureDomain: s.FailureDomain, Agent: s.Links, State: platform.HostLive,
+	})
+	p.plan.Engines = append(p.plan.Engines, s.Engine)
+	p.plan.Targets = append(p.plan.Targets, request.TargetID(name))
+	p.plan.Operators = append(p.plan.Operators, s.Operators)
+}
+
+func (p *preparer) addEntry(i int) {
+	name := fmt.Sprintf("entry-%d", i)
+	s := settings.Entry{
+		Name: name, FailureDomain: domains[i%len(domains)], Callers: p.address(), Operators: p.address(),
+		Keys: p.issue(keys.RoleEntry, name), Platform: p.services(),
+	}
+	p.start("%s mlentry --settings %s", name, p.write(name+".json", s))
+	p.plan.Entries = append(p.plan.Entries, "http://"+s.Callers)
+	p.plan.Operators = append(p.plan.Operators, s.Operators)
+}
+
+func (p *preparer) addPlatform() {
+	hosts := p.write("hosts.json", p.hosts)
+	document := p.write("document.json", fleet.TrialDocument())
+	p.start("platform mlctl standin platform --address %s --hosts %s --document %s --lag 2s", p.platform, hosts, document)
+}
+
+func (p *preparer) writeProcesses() {
+	var text string
+	for _, line := range p.processes {
+		text += line + "\n"
+	}
+	p.note(errors.Wrap(os.WriteFile(p.path("processes"), []byte(text), fileMode), "processes"))
+}
--- /dev/null
+++ b/command/standin.go
@@ -0,0 +1,135 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/revision"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/standin/hosts"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+)
+
+// readHeaderTimeout bounds how long a stand-in waits for request headers.
+const readHeaderTimeout = 5 * time.Second
+
+func newStandin() *cobra.Command {
+	command := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for trials"}
+	command.AddCommand(newStandinEngine(), newStandinPlatform())
+	return command
+}
+
+func newStandinEngine() *cobra.Command {
+	var address, configPath string
+	command := &cobra.Command{
+		Use:     "engine",
+		Short:   "Run a stand-in model engine",
+		Example: "  mlctl standin engine --address 127.0.0.1:8000 --config engine.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var config engine.Config
+			if err := readJSON(configPath, &config); err != nil {
+				return err
+			}
+			server, err := engine.Serve(config, address)
+			if err != nil {
+				return err
+			}
+			awaitSignal(cmd.Context())
+			return server.Shutdown(context.WithoutCancel(cmd.Context()))
+		},
+	}
+	command.Flags().StringVar(&address, "address", "", "IP address and TCP port")
+	command.Flags().StringVar(&configPath, "config", "", "JSON file with the engine's description")
+	markRequired(command, "address", "config")
+	return command
+}
+
+func newStandinPlatform() *cobra.Command {
+	var address, hostsPath, documentPath string
+	var lag time.Duration
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a stand-in key-value service and host list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			handler, err := platformHandler(hostsPath, documentPath, lag)
+			if err != nil {
+				return err
+			}
+			return serveUntilSignal(cmd.Context(), address, handler)
+		},
+	}
+	command.Flags().StringVar(&address, "address", "", "IP address and TCP port")
+	command.Flags().StringVar(&hostsPath, "hosts", "", "JSON file with the placements of the host list")
+	command.Flags().StringVar(&documentPath, "document", "", "JSON file with the configuration in force from the start")
+	command.Flags().DurationVar(&lag, "lag", 0, "how late the host list shows changes")
+	markRequired(command, "address", "hosts")
+	return command
+}
+
+func platformHandler(hostsPath, documentPath string, lag time.Duration) (http.Handler, error) {
+	var placements []platform.Placement
+	if err := readJSON(hostsPath, &placements); err != nil {
+		return nil, err
+	}
+	store := kv.New()
+	if documentPath != "" {
+		document, err := os.ReadFile(documentPath)
+		if err != nil {
+			return nil, errors.Wrap(err, "document")
+		}
+		store.Put(revision.DocumentKey, document)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v3/", store.Handler())
+	mux.Handle("GET /hosts", hosts.New(lag, placements))
+	return mux, nil
+}
+
+// readJSON reads a JSON file strictly into target.
+func readJSON(path string, target any) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open")
+	}
+	defer func() { _ = file.Close() }()
+	decoder := json.NewDecoder(file)
+	decoder.DisallowUnknownFields()
+	return errors.Wrap(decoder.Decode(target), path)
+}
+
+func serveUntilSignal(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe() }()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+		return errors.Wrap(server.Close(), "close")
+	}
+}
+
+func awaitSignal(ctx context.Context) {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+}
+
+func markRequired(command *cobra.Command, flags ...string) {
+	for _, flag := range flags {
+		_ = command.MarkFlagRequired(flag)
+	}
+}
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// writeBegan waits for the prompt and sends the opening frame.
+// writeBegan waits for the prompt and sends the opening frame, unless the attempt
+// failed before the prompt was known.
 func (a *Agent) writeBegan(stream *link.Stream, r *record) bool {
 	v := r.since(0)
 	for v.prompt == nil && v.end == nil {
@@ -136,6 +137,9 @@
 		}
 		v = r.since(0)
 	}
+	if v.prompt == nil {
+		return true
+	}
 	began := wire.Began{
 		Request:     r.generation.ID,
 		Attempt:     r.attempt,
--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -117,7 +117,9 @@
 	g.Key = c.GetHeader(KeyHeader)
 	g.Chat = len(prompt.Messages) > 0
 	g.BodyDigest = digestOf(body)
-	return g, recoveryPolicy(profile, time.Now()), nil
+	policy := recoveryPolicy(profile, time.Now())
+	policy.MaxTokens = g.Sampling.MaxTokens
+	return g, policy, nil
 }
 
 // vocabularyOf returns the vocabulary of a model service; validation made sure
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -165,9 +165,10 @@
 	c.Next()
 }
 
-// ready says whether the entry has a configuration and takes new requests.
+// ready says whether the entry has a configuration, knows a target, and takes new
+// requests.
 func (e *Entry) ready(c *gin.Context) {
-	if e.draining.Load() || e.revisions.Current().Revision == 0 {
+	if e.draining.Load() || !e.Ready(1) {
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -87,6 +87,9 @@
 	ResumeWithin time.Duration
 	// Hedge starts a second attempt on suspicion, before the first is given up.
 	Hedge bool
+	// MaxTokens is the length asked for; an answer that has it is complete even
+	// when the end of its attempt was lost. Zero means not known.
+	MaxTokens int
 	// MaxAttempts ends a request that fails again and again; zero means no limit.
 	MaxAttempts int
 }
@@ -275,6 +278,10 @@
 	r.lastKind = kind
 	r.avoid = append(r.avoid, r.running[i].target)
 	r.running = slices.Delete(r.running, i, i+1)
+	if r.complete() {
+		r.end(fault.None, FinishLength)
+		return
+	}
 	if final(kind) {
 		r.end(kind, "")
 		return
@@ -290,6 +297,10 @@
 	r.pick()
 }
 
+func (r *Recovery) complete() bool {
+	return r.policy.MaxTokens > 0 && r.answer.Len() >= r.policy.MaxTokens
+}
+
 // final says whether no other target can do better than the one that failed with kind.
 func final(kind fault.Kind) bool {
 	switch kind {
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -128,3 +128,10 @@
 	defer s.mu.Unlock()
 	return s.revision
 }
+
+// Put writes a key, whatever stood there.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
