Calls that may not be repeated: pages, gate, driver and HTTP route

Cause: application services were declared but not served; a repeated booking had nothing that keeps it from running twice.

Change: any method and path under /v1/services/<service>/ is served. A call that is not declared as idempotent is reserved on a call page by compare-and-swap (group commit, one goroutine per page), passed by the agent's gate at most once per reservation, and its outcome is committed before the caller is told. Repeats get the committed reply; another body under the key is a conflict; a lost answer of the store is settled by reading the page back. Idempotent calls are retried and hedged within the service's retry budget. The fleet gets application members with a stand-in that counts executions per key, and bench/calls a client that makes bookings with repeats (Client.Do) and checks them against that count, for use by the demo.

Result: go test ./bench/calls: 20 keys submitted 3 times each over two entries: each ran once, all repeats identical; a store outage is told as not run to a marked first try only; idempotent calls go on through it.

--- /dev/null
+++ b/bench/calls/book_test.go
@@ -0,0 +1,85 @@
+package calls_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/bench/calls"
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+func startFleet(t *testing.T, layout fleet.Layout) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	layout.Document = fleet.TrialCallsDocument(20 * time.Second)
+	layout.Service = fleet.TrialService
+	layout.Domains = []string{"naxos", "paros", "syros"}
+	layout.Applications.Service = fleet.TrialApplication
+	f, err := fleet.Start(ctx, layout)
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func booking(key, body string) calls.Ask {
+	return calls.Ask{
+		Service: fleet.TrialApplication, Method: "POST", Path: "/bookings",
+		Token: fleet.TrialToken, Key: key, Body: []byte(body),
+	}
+}
+
+func submit(t *testing.T, url string, ask calls.Ask) calls.Told {
+	t.Helper()
+	told, err := calls.NewClient(http.DefaultClient).Submit(t.Context(), url, ask)
+	assert.NilError(t, err)
+	return told
+}
+
+func TestRepeatsGetTheSameOutcome(t *testing.T) {
+	f := startFleet(t, fleet.Layout{Entries: 2, Applications: fleet.Applications{Count: 3}})
+	verdict, err := calls.NewClient(http.DefaultClient).Do(t.Context(), calls.Errand{
+		Entries: []string{f.URL(0), f.URL(1)}, Application: f.ApplicationMembers()[0].Server.URL(),
+		Service: fleet.TrialApplication, Token: fleet.TrialToken, Path: "/bookings",
+		Keys: 20, Repeats: 2, Parallel: 10,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, verdict.OK(), "%s", verdict)
+	assert.Equal(t, verdict.Ran, 20)
+	assert.Equal(t, verdict.Unknown+verdict.NotRun+verdict.Silent, 0)
+}
+
+func TestAnotherBodyUnderTheKeyIsRefused(t *testing.T) {
+	f := startFleet(t, fleet.Layout{Entries: 1, Applications: fleet.Applications{Count: 1}})
+	key := uuid.Must(uuid.NewV7()).String()
+	first := submit(t, f.URL(0), booking(key, `{"pond":1}`))
+	assert.Equal(t, first.Status, http.StatusCreated)
+	second := submit(t, f.URL(0), booking(key, `{"pond":2}`))
+	assert.Equal(t, second.Status, http.StatusUnprocessableEntity)
+	assert.Equal(t, second.Outcome.Error, "key_conflict")
+	assert.Equal(t, second.Outcome.WasRun, request.RunYes)
+	assert.Equal(t, f.Ledger.Count(key), 1)
+}
+
+func TestStoreOutageIsRefusedAsNotRunOnlyOnTheFirstTry(t *testing.T) {
+	f := startFleet(t, fleet.Layout{Entries: 1, Applications: fleet.Applications{Count: 1}})
+	f.SetStoreOutage(true)
+	ask := booking(uuid.Must(uuid.NewV7()).String(), `{}`)
+	again := submit(t, f.URL(0), ask)
+	assert.Equal(t, again.Outcome.WasRun, request.RunUnknown)
+	ask.First = true
+	first := submit(t, f.URL(0), ask)
+	assert.Equal(t, first.Outcome.WasRun, request.RunNo)
+	status := submit(t, f.URL(0), calls.Ask{Service: fleet.TrialApplication, Method: "GET", Path: "/status/7", Token: fleet.TrialToken})
+	assert.Equal(t, status.Status, http.StatusOK)
+	f.SetStoreOutage(false)
+	ask.First = false
+	assert.Equal(t, submit(t, f.URL(0), ask).Outcome.WasRun, request.RunYes)
+	assert.Equal(t, f.Ledger.Count(ask.Key), 1)
+}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -26,6 +26,7 @@
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/application"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/hosts"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
@@ -50,6 +51,8 @@
 	Engine engine.Config
 	// HostLag is how late the host list shows changes.
 	HostLag time.Duration
+	// Applications describes the application targets beside the engines.
+	Applications Applications
 	// Relayed lists the engines whose agents stand behind a relay, so that
 	// SilenceHost can cut them off.
 	Relayed []int
@@ -71,6 +74,10 @@
 	Hosts   *hosts.List
 	Members []*Member
 	Entries []*entry.Entry
+	// Ledger counts what the application targets ran.
+	Ledger *application.Ledger
+
+	applications []*ApplicationMember
 
 	keys      *keys.Authority
 	directory string
@@ -86,7 +93,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "directory")
 	}
-	f := &Fleet{Layout: layout, Store: kv.New(), directory: directory}
+	f := &Fleet{Layout: layout, Store: kv.New(), Ledger: application.NewLedger(), directory: directory}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -105,6 +112,9 @@
 			return err
 		}
 	}
+	if err := f.addApplications(ctx); err != nil {
+		return err
+	}
 	f.startPlatform()
 	if err := f.Apply(ctx, f.Layout.Document); err != nil {
 		return err
@@ -169,6 +179,9 @@
 	for _, member := range f.Members {
 		placements = append(placements, member.Placement)
 	}
+	for _, member := range f.applications {
+		placements = append(placements, member.Placement)
+	}
 	f.Hosts = hosts.New(f.Layout.HostLag, placements)
 	mux := http.NewServeMux()
 	mux.Handle("/v3/", f.refuseInOutage(f.Store.Handler()))
@@ -232,7 +245,7 @@
 
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	for _, e := range f.Entries {
-		for !e.Ready(f.Layout.Engines) {
+		for !e.Ready(f.Layout.Engines + f.Layout.Applications.Count) {
 			select {
 			case <-ctx.Done():
 				return errors.Wrap(ctx.Err(), "the fleet did not become ready")
@@ -251,6 +264,9 @@
 	for _, member := range f.Members {
 		member.kill()
 	}
+	for _, member := range f.ApplicationMembers() {
+		member.kill()
+	}
 	if f.platform != nil {
 		f.platform.CloseClientConnections()
 		f.platform.Close()
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -21,6 +21,8 @@
 type ClientFrame struct {
 	Run    *Run    `cbor:"1,keyasint,omitempty"`
 	Attach *Attach `cbor:"2,keyasint,omitempty"`
+	Call   *Call   `cbor:"10,keyasint,omitempty"`
+	Seal   *Seal   `cbor:"11,keyasint,omitempty"`
 }
 
 // Run asks an agent to run one attempt of a generation.
@@ -50,6 +52,8 @@
 	Began  *Began  `cbor:"1,keyasint,omitempty"`
 	Tokens *Tokens `cbor:"2,keyasint,omitempty"`
 	End    *End    `cbor:"3,keyasint,omitempty"`
+	// CallReply is the only frame in reply to Call and Seal.
+	CallReply *CallReply `cbor:"10,keyasint,omitempty"`
 }
 
 // Began opens the reply to Run or Attach.
--- a/core_test.go
+++ b/core_test.go
@@ -16,7 +16,7 @@
 // clocks and global chance out of them, this test goroutines and channels.
 var corePackages = []string{
 	"request", "version", "connection/detector", "process/routing",
-	"process/admission", "process/membership", "process/callpage", "process/order",
+	"process/admission", "process/membership", "process/callpage", "process/gate", "process/order",
 }
 
 func TestCoreStartsNoGoroutine(t *testing.T) {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/platform/application"
 	"github.com/mulberrylane/mulberrylane/platform/openai"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -25,23 +26,29 @@
 	settings    settings.Agent
 	incarnation request.Incarnation
 	engine      platform.Engine
-	journal     *journal
-	status      *engineStatus
-	leaving     atomic.Bool
-	listener    *link.Listener
-	cancel      context.CancelFunc
-	tasks       sync.WaitGroup
+	// calls is set when the target is an application, else nil.
+	calls    *callGate
+	journal  *journal
+	status   *engineStatus
+	leaving  atomic.Bool
+	listener *link.Listener
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
 }
 
 // New returns an agent that serves nothing until Start.
 func New(s settings.Agent) *Agent {
-	return &Agent{
+	a := &Agent{
 		settings:    s,
 		incarnation: request.Incarnation(time.Now().UnixNano()),
 		engine:      openai.NewEngine(s.Engine, engineClient()),
 		journal:     newJournal(),
 		status:      &engineStatus{},
 	}
+	if s.Application != "" {
+		a.calls = newCallGate(a.incarnation, application.NewTarget(s.Application))
+	}
+	return a
 }
 
 // maxEngineConnections bounds the connections to one engine.
@@ -88,7 +95,7 @@
 const idlePoll = 20 * time.Millisecond
 
 func (a *Agent) awaitIdle(ctx context.Context) {
-	for a.journal.running() > 0 {
+	for a.running() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -97,6 +104,15 @@
 	}
 }
 
+// running counts the attempts and calls that have not ended.
+func (a *Agent) running() int {
+	count := a.journal.running()
+	if a.calls != nil {
+		count += a.calls.count()
+	}
+	return count
+}
+
 // Kill ends the agent at once.
 func (a *Agent) Kill() {
 	if a.cancel == nil {
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -69,7 +69,7 @@
 	return &wire.Heartbeat{
 		EngineAlive:   alive,
 		Leaving:       a.leaving.Load(),
-		Running:       a.journal.running(),
+		Running:       a.running(),
 		EngineRunning: load.Running,
 		EngineWaiting: load.Waiting,
 		LoadAgeMillis: int(age.Milliseconds()),
@@ -86,6 +86,10 @@
 	switch {
 	case frame.Run != nil:
 		a.serveRun(ctx, l, stream, *frame.Run)
+	case frame.Call != nil:
+		a.serveCall(ctx, stream, *frame.Call)
+	case frame.Seal != nil:
+		a.serveSeal(stream, *frame.Seal)
 	default:
 		refuse(stream, wire.End{Kind: fault.BadRequest, Message: "the frame asks for nothing known"})
 	}
--- a/process/agent/status.go
+++ b/process/agent/status.go
@@ -57,6 +57,10 @@
 func (a *Agent) askEngine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
+	if a.calls != nil {
+		a.askApplication(ctx)
+		return
+	}
 	load, err := a.engine.Load(ctx)
 	if err != nil {
 		a.status.set(false, load, nil)
@@ -65,3 +69,10 @@
 	models, err := a.engine.Models(ctx)
 	a.status.set(err == nil, load, models)
 }
+
+// askApplication asks an application target, which serves its service and nothing else.
+func (a *Agent) askApplication(ctx context.Context) {
+	load, err := a.calls.application.Load(ctx)
+	reported := platform.EngineLoad{Running: load.Running, Waiting: load.Waiting}
+	a.status.set(err == nil, reported, []string{a.settings.Service})
+}
--- /dev/null
+++ b/process/entry/calls.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/callpage"
+	"github.com/mulberrylane/mulberrylane/process/calls"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+const (
+	// FirstTryHeader marks the first submission of an idempotency key with "true".
+	FirstTryHeader = "X-Mulberrylane-First-Try"
+	// retryCountHeader is how OpenAI client libraries number their submissions.
+	retryCountHeader = "X-Stainless-Retry-Count"
+
+	defaultCallDeadline = 30 * time.Second
+	defaultPatience     = 2 * time.Second
+	defaultPages        = 16
+	defaultRetention    = 24 * time.Hour
+	defaultMaxCallBody  = 1 << 20
+)
+
+// startCalls makes the driver of calls, which works until ctx ends.
+func (e *Entry) startCalls(ctx context.Context) {
+	e.pages = calls.NewPages(ctx, e.store, calls.PageOptions{})
+	e.calls = calls.NewDriver(e.pages, callTargets{e})
+}
+
+// CallStats returns the traffic of the call pages.
+func (e *Entry) CallStats() calls.PageStats { return e.pages.Stats() }
+
+func (e *Entry) routeCalls(router *gin.Engine) {
+	router.Any("/v1/services/:service/*path", e.serveCall)
+}
+
+// serveCall serves one call to an application service.
+func (e *Entry) serveCall(c *gin.Context) {
+	call, err := e.admittedCall(c)
+	outcome := request.Outcome{Request: call.ID, WasRun: request.RunNo}
+	snapshot := e.revisions.Current()
+	outcome.Revision = int64(snapshot.Revision)
+	outcome.Profile, _ = snapshot.ProfileOf(call.Service)
+	if err != nil {
+		if !call.First {
+			outcome.WasRun = request.RunUnknown
+		}
+		writeError(c, err, outcome)
+		return
+	}
+	answer := e.calls.Submit(c.Request.Context(), call)
+	outcome.Request = answer.Request
+	outcome.WasRun = answer.WasRun
+	outcome.Attempts = answer.Attempts
+	outcome.Digest = answer.Digest
+	c.Header(RequestHeader, string(answer.Request))
+	if answer.Err != nil {
+		writeError(c, answer.Err, outcome)
+		return
+	}
+	writeCallReply(c, *answer.Reply, outcome)
+}
+
+func writeCallReply(c *gin.Context, reply request.CallReply, outcome request.Outcome) {
+	setOutcomeHeader(c, outcome)
+	for _, field := range reply.Header {
+		c.Header(field.Name, field.Value)
+	}
+	c.Status(reply.Status)
+	_, _ = c.Writer.Write(reply.Body)
+}
+
+// admittedCall checks a call against the configuration. With an error, First says
+// whether nothing can have run under the key.
+func (e *Entry) admittedCall(c *gin.Context) (calls.Call, error) {
+	now := time.Now()
+	call := calls.Call{
+		Service: c.Param("service"),
+		Name:    callpage.Name{Key: c.GetHeader(KeyHeader)},
+		First:   firstTry(c.Request.Header),
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return call, fault.Wrap(fault.Internal, err, "request id")
+	}
+	call.ID = request.ID(id.String())
+	if call.Name.Key == "" {
+		call.Name.Key = string(call.ID)
+		call.First = true
+	}
+	snapshot := e.revisions.Current()
+	workspace, ok := snapshot.WorkspaceOf(strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer "))
+	if !ok {
+		return call, fault.New(fault.Unauthenticated, "")
+	}
+	call.Name.Workspace = workspace
+	service, ok := snapshot.Document.Services[call.Service]
+	if !ok || service.Application == nil {
+		return call, fault.New(fault.NotFound, "there is no application service %q", call.Service)
+	}
+	if len(call.Name.Key) > callpage.MaxKeyBytes {
+		return call, fault.New(fault.BadRequest, "%s: longer than %d bytes", KeyHeader, callpage.MaxKeyBytes)
+	}
+	_, profile := snapshot.ProfileOf(call.Service)
+	fillCall(&call, *service.Application, profile, now)
+	call.Body, err = callBody(c, call.Name.Key, call.MaxReplyBytes)
+	call.Repeatable = service.Application.Allows(c.Request.Method, c.Param("path"))
+	return call, err
+}
+
+// firstTry says that the caller marked this as its first submission of the key.
+func firstTry(header http.Header) bool {
+	return header.Get(FirstTryHeader) == "true" || header.Get(retryCountHeader) == "0"
+}
+
+func fillCall(call *calls.Call, application version.Application, profile version.Profile, now time.Time) {
+	call.Deadline = now.Add(orDefault(profile.Deadline.Std(), defaultCallDeadline))
+	call.Patience = orDefault(profile.ResumeWithin.Std(), defaultPatience)
+	call.Pages = orDefault(application.Pages, defaultPages)
+	call.Retention = orDefault(application.KeyRetention.Std(), defaultRetention)
+	call.MaxReplyBytes = orDefault(application.MaxBodyBytes, defaultMaxCallBody)
+	call.RetryBudget = profile.RetryBudget
+	call.Hedge = profile.Hedge == version.HedgeOnSuspicion
+}
+
+func orDefault[T int | int64 | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// callHeaders are the headers of a call that are passed on.
+var callHeaders = []string{"Content-Type", "Accept", "Accept-Language", "If-Match", "If-None-Match"}
+
+func callBody(c *gin.Context, key string, limit int64) (request.CallBody, error) {
+	body := request.CallBody{Method: c.Request.Method, Path: c.Param("path")}
+	if query := c.Request.URL.RawQuery; query != "" {
+		body.Path += "?" + query
+	}
+	for _, name := range callHeaders {
+		if value := c.GetHeader(name); value != "" {
+			body.Header = append(body.Header, request.HeaderField{Name: name, Value: value})
+		}
+	}
+	body.Header = append(body.Header, request.HeaderField{Name: KeyHeader, Value: key})
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return body, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return body, fault.Wrap(fault.CallerGone, err, "the body broke off")
+	}
+	body.Body = data
+	return body, nil
+}
--- /dev/null
+++ b/process/entry/calltargets.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/mulberrylane/mulberrylane/connection/link"
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/calls"
+	"github.com/mulberrylane/mulberrylane/process/routing"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// callTargets chooses application targets by the routing table and reaches them
+// over the entry's links. It implements calls.Targets.
+type callTargets struct{ entry *Entry }
+
+// Pick implements calls.Targets.
+func (t callTargets) Pick(ctx context.Context, service string, avoid []request.TargetID) (calls.Target, error) {
+	e := t.entry
+	need := routing.Need{Service: service, Avoid: avoid, FailureDomain: e.settings.FailureDomain}
+	reply := make(chan request.Event, 1)
+	e.control.pick(ctx, need, reply)
+	var event request.Event
+	select {
+	case event = <-reply:
+	case <-e.control.done:
+		return calls.Target{}, fault.New(fault.Draining, "")
+	case <-ctx.Done():
+		e.control.unpick(reply)
+		return calls.Target{}, fault.New(fault.NoTarget, "")
+	}
+	if event.Type != request.EventPicked {
+		return calls.Target{}, fault.New(event.Kind, "")
+	}
+	gate, ok := t.Find(event.Target)
+	if !ok {
+		t.release(event.Target)
+		return calls.Target{}, fault.New(fault.NoTarget, "")
+	}
+	return calls.Target{ID: event.Target, Gate: gate, Release: func() { t.release(event.Target) }}, nil
+}
+
+func (t callTargets) release(target request.TargetID) {
+	t.entry.control.do(context.Background(), func() { t.entry.control.table.Release(target) })
+}
+
+// Find implements calls.Targets.
+func (t callTargets) Find(target request.TargetID) (calls.Gate, bool) {
+	t.entry.peers.mu.Lock()
+	found, ok := t.entry.peers.byTarget[target]
+	t.entry.peers.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	if found.link == nil {
+		return nil, false
+	}
+	return linkGate{link: found.link, incarnation: found.incarnation}, true
+}
+
+// linkGate is the gate at the other end of one link. A link never reaches another
+// life of the agent.
+type linkGate struct {
+	link        *link.Link
+	incarnation request.Incarnation
+}
+
+// Incarnation implements calls.Gate.
+func (g linkGate) Incarnation() request.Incarnation { return g.incarnation }
+
+// Call implements calls.Gate.
+func (g linkGate) Call(ctx context.Context, call wire.Call) (wire.CallReply, bool, error) {
+	stream, err := g.link.Open(ctx)
+	if err != nil {
+		return wire.CallReply{}, false, err
+	}
+	reply, err := g.exchange(ctx, stream, wire.ClientFrame{Call: &call})
+	if err == nil && (reply.Nonce != call.Nonce || reply.Request != call.Request) {
+		err = fault.New(fault.Crossed, "")
+	}
+	return reply, true, err
+}
+
+// Seal implements calls.Gate.
+func (g linkGate) Seal(ctx context.Context, seal wire.Seal) (wire.CallReply, error) {
+	stream, err := g.link.Open(ctx)
+	if err != nil {
+		return wire.CallReply{}, err
+	}
+	reply, err := g.exchange(ctx, stream, wire.ClientFrame{Seal: &seal})
+	if err == nil && reply.Nonce != seal.Nonce {
+		err = fault.New(fault.Crossed, "")
+	}
+	return reply, err
+}
+
+// exchange writes one frame and reads its only reply.
+func (g linkGate) exchange(ctx context.Context, stream *link.Stream, frame wire.ClientFrame) (wire.CallReply, error) {
+	stop := context.AfterFunc(ctx, stream.Cancel)
+	defer stop()
+	defer stream.Cancel()
+	if err := stream.Write(frame); err != nil {
+		return wire.CallReply{}, fault.Wrap(fault.TargetLost, err, "the agent did not take the call")
+	}
+	_ = stream.Finish()
+	var reply wire.ServerFrame
+	if err := stream.Read(&reply); err != nil {
+		if ctx.Err() != nil {
+			return wire.CallReply{}, ctx.Err()
+		}
+		return wire.CallReply{}, fault.Wrap(fault.TargetLost, err, "the agent did not answer")
+	}
+	switch {
+	case reply.CallReply != nil:
+		return *reply.CallReply, nil
+	case reply.End != nil:
+		return wire.CallReply{}, fault.New(reply.End.Kind, "%s", reply.End.Message)
+	default:
+		return wire.CallReply{}, fault.New(fault.Crossed, "")
+	}
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -43,6 +44,9 @@
 	follower  *revision.Follower
 	control   *control
 	peers     peers
+	store     calls.Store
+	calls     *calls.Driver
+	pages     *calls.Pages
 	dialer    *link.Dialer
 	listener  net.Listener
 	server    *http.Server
@@ -63,6 +67,7 @@
 		hosts:     hostlist.New(s.Platform.HostList, client),
 		revisions: revisions,
 		follower:  revision.NewFollower(store, revisions),
+		store:     store,
 		control:   newControl(random, revisions),
 		peers:     peers{byTarget: map[request.TargetID]*peer{}},
 	}
@@ -93,6 +98,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	e.startCalls(ctx)
 	e.tasks.Go(func() { e.control.run(ctx) })
 	e.tasks.Go(func() { e.follower.Run(ctx) })
 	e.tasks.Go(func() { e.followHosts(ctx) })
@@ -135,6 +141,7 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.draining.Store(true)
 	err := e.server.Shutdown(ctx)
+	e.calls.Drain(ctx)
 	e.Kill()
 	return errors.Wrap(err, "shutdown")
 }
@@ -157,6 +164,7 @@
 	v1.GET("/models", e.listModels)
 	v1.POST("/completions", e.completions)
 	v1.POST("/chat/completions", e.chatCompletions)
+	e.routeCalls(router)
 	return router
 }
 
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -26,6 +26,8 @@
 
 	mu   sync.Mutex
 	link *link.Link
+	// incarnation is the life of the agent at the other end of link.
+	incarnation request.Incarnation
 }
 
 func (p *peer) current() *link.Link {
@@ -34,10 +36,11 @@
 	return p.link
 }
 
-func (p *peer) set(l *link.Link) {
+func (p *peer) set(l *link.Link, incarnation request.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = l
+	p.incarnation = incarnation
 }
 
 // peers holds the peer of every target.
@@ -130,9 +133,9 @@
 	}
 	defer l.Close()
 	e.control.linkUp(ctx, hello)
-	p.set(l)
+	p.set(l, hello.Incarnation)
 	defer func() {
-		p.set(nil)
+		p.set(nil, 0)
 		e.control.linkDown(ctx, hello.Target)
 	}()
 	stop := context.AfterFunc(ctx, l.Close)
