Time line and metrics of entries and agents

Cause: operators could not see which attempt served which part of an answer. Change: every request records its attempts, losses, resumes and outcome; stamps of the hybrid clock go along with Run, Began and End; entries count both of the users' measures. Both daemons serve /timeline and /metrics.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -32,6 +32,8 @@
 	Prompt     request.Prompt        `cbor:"3,keyasint"`
 	// Accepted is the prefix of the answer that the caller already has.
 	Accepted []request.TokenID `cbor:"4,keyasint,omitempty"`
+	// Sent is the hybrid logical clock of the sender.
+	Sent uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Attach asks an agent to go on with a generation from its journal.
@@ -68,6 +70,8 @@
 	Generation *request.Generation `cbor:"6,keyasint,omitempty"`
 	// Prefix is set in reply to Attach: the tokens before the position asked for.
 	Prefix []request.TokenID `cbor:"7,keyasint,omitempty"`
+	// Sent is the hybrid logical clock of the sender.
+	Sent uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Tokens carries the next tokens of an attempt.
@@ -86,6 +90,8 @@
 	Finish   request.FinishReason  `cbor:"4,keyasint,omitempty"`
 	Kind     fault.Kind            `cbor:"5,keyasint,omitempty"`
 	Message  string                `cbor:"6,keyasint,omitempty"`
+	// Sent is the hybrid logical clock of the sender.
+	Sent uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ControlFrame travels both ways on the control stream of a link. Any of its
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -17,7 +17,9 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/application"
 	"github.com/mulberrylane/mulberrylane/platform/openai"
+	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -29,6 +31,7 @@
 	// calls is set when the target is an application, else nil.
 	calls    *callGate
 	journal  *journal
+	observer *observe.Observer
 	status   *engineStatus
 	leaving  atomic.Bool
 	listener *link.Listener
@@ -43,6 +46,7 @@
 		incarnation: request.Incarnation(time.Now().UnixNano()),
 		engine:      openai.NewEngine(s.Engine, engineClient()),
 		journal:     newJournal(),
+		observer:    observe.New(s.Name, s.Operators, s.OperatorDigests),
 		status:      &engineStatus{},
 	}
 	if s.Application != "" {
@@ -71,8 +75,12 @@
 	if err != nil {
 		return errors.Wrap(err, "links")
 	}
+	if err := a.observer.Operators.Start(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
+	a.observer.Record(timeline.Event{Kind: timeline.ProcessStarted, Target: a.target()})
 	a.goTask(func() { a.watchEngine(ctx) })
 	a.goTask(func() { a.acceptLinks(ctx) })
 	klog.InfoS("agent started", "name", a.settings.Name, "target", a.settings.Target,
@@ -83,10 +91,14 @@
 // Address returns the address that links are accepted at.
 func (a *Agent) Address() string { return a.listener.Address() }
 
+// Operators returns the address that operators are served at.
+func (a *Agent) Operators() string { return a.observer.Operators.Address() }
+
 // Stop ends the agent: it refuses new work, waits for the running work until ctx
 // ends, and closes its links.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.leaving.Store(true)
+	a.observer.Record(timeline.Event{Kind: timeline.ProcessDraining, Target: a.target()})
 	a.awaitIdle(ctx)
 	a.Kill()
 	return nil
@@ -120,6 +132,7 @@
 	}
 	a.cancel()
 	_ = a.listener.Close()
+	a.observer.Operators.Close()
 	a.tasks.Wait()
 }
 
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -37,16 +38,32 @@
 
 // run drives the engine for one record and retires the record later.
 func (a *Agent) run(ctx context.Context, r *record, run wire.Run) {
+	a.observer.Timeline.Observe(timeline.Stamp(run.Sent))
+	a.record(r, timeline.AttemptBegan)
 	err := a.generate(ctx, r, run)
 	if err != nil {
 		klog.InfoS("attempt failed", "request", run.Generation.ID, "attempt", run.Attempt,
 			"target", a.settings.Target, "kind", fault.KindOf(err), "err", err)
 		r.finish(wire.End{Kind: fault.KindOf(err), Message: err.Error()})
 	}
+	a.record(r, timeline.AttemptEnded)
 	r.cancel()
 	time.AfterFunc(journalRetention, func() { a.journal.remove(r) })
 }
 
+// record adds an event about an attempt to the time line.
+func (a *Agent) record(r *record, kind timeline.Kind) {
+	event := timeline.Event{
+		Kind: kind, Request: r.generation.ID, Attempt: r.attempt, Target: a.target(),
+		Revision: r.generation.Revision, Position: r.accepted,
+	}
+	if end := r.since(0).end; end != nil {
+		event.Position = end.Position
+		event.Error = timeline.ErrorName(end.Kind)
+	}
+	a.observer.Record(event)
+}
+
 func (a *Agent) generate(ctx context.Context, r *record, run wire.Run) error {
 	model := modelName(run.Generation)
 	prompt, err := a.engine.Tokenize(ctx, model, run.Prompt)
@@ -146,6 +163,7 @@
 		Incarnation: a.incarnation,
 		Target:      a.target(),
 		Prompt:      v.prompt,
+		Sent:        uint64(a.observer.Timeline.Now()),
 	}
 	return stream.Write(wire.ServerFrame{Began: &began}) == nil
 }
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -70,6 +71,7 @@
 			heard = now
 			e.control.heard(ctx, target, now)
 		}
+		e.observeStamp(frame)
 		event, err := eventOf(run, frame)
 		if err != nil {
 			stream.Cancel()
@@ -125,3 +127,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// observeStamp takes note of the agent's clock.
+func (e *Entry) observeStamp(frame wire.ServerFrame) {
+	if frame.Began != nil {
+		e.observer.Timeline.Observe(timeline.Stamp(frame.Began.Sent))
+	}
+	if frame.End != nil {
+		e.observer.Timeline.Observe(timeline.Stamp(frame.End.Sent))
+	}
+}
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,8 +11,10 @@
 	"github.com/mulberrylane/mulberrylane/connection/detector"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/routing"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -36,18 +39,22 @@
 type control struct {
 	commands chan func()
 	// done is closed when the control goroutine has ended.
-	done      chan struct{}
+	done chan struct{}
+	// busy counts the nanoseconds that the control goroutine worked.
+	busy      atomic.Int64
 	revisions *revision.Holder
+	observer  *observe.Observer
 	table     *routing.Table
 	detectors map[request.TargetID]*detector.Detector
 	running   map[request.TargetID]map[runKey]*generationDriver
 }
 
-func newControl(random *rand.Rand, revisions *revision.Holder) *control {
+func newControl(random *rand.Rand, revisions *revision.Holder, observer *observe.Observer) *control {
 	return &control{
 		commands:  make(chan func(), commandBuffer),
 		done:      make(chan struct{}),
 		revisions: revisions,
+		observer:  observer,
 		table:     routing.NewTable(random),
 		detectors: map[request.TargetID]*detector.Detector{},
 		running:   map[request.TargetID]map[runKey]*generationDriver{},
@@ -63,13 +70,20 @@
 		case <-ctx.Done():
 			return
 		case command := <-c.commands:
-			command()
+			c.timed(command)
 		case now := <-ticker.C:
-			c.checkSilence(now)
+			c.timed(func() { c.checkSilence(now) })
 		}
 	}
 }
 
+// timed runs work and counts the time that it takes.
+func (c *control) timed(work func()) {
+	begin := time.Now()
+	work()
+	c.busy.Add(int64(time.Since(begin)))
+}
+
 // do runs command on the control goroutine, without waiting for it.
 func (c *control) do(ctx context.Context, command func()) {
 	select {
@@ -148,6 +162,7 @@
 		target.Incarnation = hello.Incarnation
 		target.Up = true
 		c.detectors[hello.Target] = detector.New(time.Now(), c.bounds(hello.Service))
+		c.observer.Record(timeline.Event{Kind: timeline.TargetUp, Target: hello.Target})
 		klog.InfoS("target up", "target", hello.Target, "incarnation", hello.Incarnation)
 	})
 }
@@ -186,6 +201,7 @@
 			target.Up = false
 		}
 		delete(c.detectors, id)
+		c.observer.Record(timeline.Event{Kind: timeline.TargetDown, Target: id})
 		c.tell(id, request.Event{Type: request.EventFailed, Kind: fault.TargetLost})
 	})
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -22,8 +22,10 @@
 	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/platform/hostlist"
 	"github.com/mulberrylane/mulberrylane/process/calls"
+	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -41,6 +43,7 @@
 	settings  settings.Entry
 	hosts     platform.HostList
 	revisions *revision.Holder
+	observer  *observe.Observer
 	follower  *revision.Follower
 	control   *control
 	peers     peers
@@ -62,13 +65,15 @@
 	revisions := revision.NewHolder()
 	store := etcd.NewStore(s.Platform.Store, client)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	observer := observe.New(s.Name, s.Operators, s.OperatorDigests)
 	return &Entry{
 		settings:  s,
 		hosts:     hostlist.New(s.Platform.HostList, client),
 		revisions: revisions,
+		observer:  observer,
 		follower:  revision.NewFollower(store, revisions),
 		store:     store,
-		control:   newControl(random, revisions),
+		control:   newControl(random, revisions, observer),
 		peers:     peers{byTarget: map[request.TargetID]*peer{}},
 	}
 }
@@ -96,9 +101,13 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	if err := e.observer.Operators.Start(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.startCalls(ctx)
+	e.observer.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	e.tasks.Go(func() { e.control.run(ctx) })
 	e.tasks.Go(func() { e.follower.Run(ctx) })
 	e.tasks.Go(func() { e.followHosts(ctx) })
@@ -136,10 +145,14 @@
 // Address returns the address that callers are accepted at.
 func (e *Entry) Address() string { return e.listener.Addr().String() }
 
+// Operators returns the address that operators are served at.
+func (e *Entry) Operators() string { return e.observer.Operators.Address() }
+
 // Stop ends the entry: it takes no new request, and waits for the running ones
 // until ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.draining.Store(true)
+	e.observer.Record(timeline.Event{Kind: timeline.ProcessDraining})
 	err := e.server.Shutdown(ctx)
 	e.calls.Drain(ctx)
 	e.Kill()
@@ -151,6 +164,7 @@
 	e.cancel()
 	_ = e.server.Close()
 	_ = e.dialer.Close()
+	e.observer.Operators.Close()
 	e.tasks.Wait()
 }
 
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -43,6 +43,7 @@
 	kind     fault.Kind
 	finish   request.FinishReason
 	seen     bool
+	watch    *requestWatch
 }
 
 type runningAttempt struct {
@@ -64,6 +65,7 @@
 		picked:     make(chan request.Event, 1),
 		attempts:   map[request.AttemptNumber]*runningAttempt{},
 		timer:      time.NewTimer(time.Hour),
+		watch:      newRequestWatch(e.observer, g),
 	}
 }
 
@@ -78,6 +80,7 @@
 // run drives the request to its end and returns its outcome.
 func (d *generationDriver) run(ctx context.Context) request.Outcome {
 	defer d.stop()
+	d.watch.admitted()
 	d.step(ctx, request.Event{Type: request.EventStart})
 	for !d.recovery.Ended() {
 		select {
@@ -93,7 +96,9 @@
 			d.step(ctx, request.Event{Type: request.EventTick})
 		}
 	}
-	return d.outcome()
+	outcome := d.outcome()
+	d.watch.ended(outcome)
+	return outcome
 }
 
 func (d *generationDriver) stop() {
@@ -115,6 +120,14 @@
 	}
 }
 
+// targetOf returns the target of a running attempt, or an empty one.
+func (d *generationDriver) targetOf(number request.AttemptNumber) request.TargetID {
+	if running, ok := d.attempts[number]; ok {
+		return running.target
+	}
+	return ""
+}
+
 // onBegan keeps the prompt as tokens, so that a resume runs on exactly these.
 func (d *generationDriver) onBegan(began wire.Began) {
 	if running, ok := d.attempts[began.Attempt]; ok {
@@ -129,6 +142,7 @@
 }
 
 func (d *generationDriver) step(ctx context.Context, event request.Event) {
+	d.watch.event(event, d.targetOf(event.Attempt))
 	for _, action := range d.recovery.Step(time.Now(), event) {
 		d.do(ctx, action)
 	}
@@ -171,6 +185,8 @@
 }
 
 func (d *generationDriver) start(ctx context.Context, action request.Action) {
+	position := d.recovery.Answer().Len()
+	stamp := d.watch.started(action.Attempt, action.Target, position, len(d.prompt.Tokens), len(d.attempts))
 	attemptCtx, cancel := context.WithCancel(ctx)
 	d.attempts[action.Attempt] = &runningAttempt{target: action.Target, cancel: cancel}
 	d.entry.control.started(ctx, action.Target, d.key(action.Attempt), d)
@@ -179,6 +195,7 @@
 		Attempt:    action.Attempt,
 		Prompt:     d.prompt,
 		Accepted:   d.recovery.Answer().Tokens(),
+		Sent:       uint64(stamp),
 	}
 	go d.entry.runAttempt(attemptCtx, action.Target, run, d.events)
 }
@@ -204,6 +221,7 @@
 		from = running.began
 	}
 	position := d.recovery.Answer().Len() - len(action.Tokens)
+	d.watch.delivered(action.Attempt, from.Target, position)
 	if err := d.sink.tokens(position, action.Tokens, from); err != nil {
 		d.notify(request.Event{Type: request.EventCallerLeft})
 	}
