Failure detection from any sign of life, adaptive to the cadence seen

Cause: a target was suspected after the profile's longest silence, whatever its cadence; an agent that lived beside a silent engine went on vouching for it for two seconds; heartbeats went out ten times a second on every link. Change: the detector waits for twice the longest recent gap, within the bounds of the profile; heartbeats say how long ago the target itself gave a sign of life and for how long its streams have stood still; a closed port is told at once; tokens count as signs of life, so heartbeats fill silences of 50 ms on links with work and of 1 s on others; a pause of the entry itself is not held against targets.

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,11 +53,38 @@
 type Stream struct {
 	*wire.Reader
 	*wire.Writer
-	raw *quic.Stream
+	raw     *quic.Stream
+	traffic *traffic
+	// control is set on the control stream, whose reads are no sign of the target.
+	control bool
 }
 
-func newStream(raw *quic.Stream) *Stream {
-	return &Stream{Reader: wire.NewReader(raw), Writer: wire.NewWriter(raw), raw: raw}
+// traffic holds when a link last carried a frame, in Unix nanoseconds.
+type traffic struct{ sent, heard atomic.Int64 }
+
+func newStream(raw *quic.Stream, t *traffic) *Stream {
+	return &Stream{Reader: wire.NewReader(raw), Writer: wire.NewWriter(raw), raw: raw, traffic: t}
+}
+
+// MarkControl makes s the control stream: what it reads does not count for Heard.
+func (s *Stream) MarkControl() { s.control = true }
+
+// Read decodes the next frame into frame, a pointer.
+func (s *Stream) Read(frame any) error {
+	err := s.Reader.Read(frame)
+	if err == nil && !s.control {
+		s.traffic.heard.Store(time.Now().UnixNano())
+	}
+	return err
+}
+
+// Write encodes frame and sends it.
+func (s *Stream) Write(frame any) error {
+	err := s.Writer.Write(frame)
+	if err == nil {
+		s.traffic.sent.Store(time.Now().UnixNano())
+	}
+	return err
 }
 
 // Finish says that nothing more will be written.
@@ -75,7 +103,23 @@
 func (s *Stream) Context() context.Context { return s.raw.Context() }
 
 // Link is one connection.
-type Link struct{ connection *quic.Conn }
+type Link struct {
+	connection *quic.Conn
+	traffic    traffic
+}
+
+// Heard returns when a frame was last read from a request stream; zero means never.
+func (l *Link) Heard() time.Time { return instant(l.traffic.heard.Load()) }
+
+// Sent returns when a frame was last written to any stream; zero means never.
+func (l *Link) Sent() time.Time { return instant(l.traffic.sent.Load()) }
+
+func instant(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
 
 // Open opens a request stream.
 func (l *Link) Open(ctx context.Context) (*Stream, error) {
@@ -83,7 +127,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open stream")
 	}
-	return newStream(raw), nil
+	return newStream(raw, &l.traffic), nil
 }
 
 // Accept waits for a stream that the peer opens.
@@ -92,7 +136,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "accept stream")
 	}
-	return newStream(raw), nil
+	return newStream(raw, &l.traffic), nil
 }
 
 // Context ends when the link is over.
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"io"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -136,8 +137,28 @@
 	Models []string `cbor:"7,keyasint,omitempty"`
 	// CacheUsage is the used part of the prefix cache, in thousandths.
 	CacheUsage int `cbor:"8,keyasint,omitempty"`
+	// SilentMillis is how long ago the target last gave a sign of life: a token
+	// or an answer to a probe.
+	SilentMillis int `cbor:"20,keyasint,omitempty"`
+	// StalledMillis is how long no stream that had begun has moved; zero when one
+	// moves or none had begun.
+	StalledMillis int `cbor:"21,keyasint,omitempty"`
+	// PendingTokens counts the tokens that the running attempts of all entries
+	// may still generate.
+	PendingTokens int `cbor:"22,keyasint,omitempty"`
+	// Entries counts the entries that have a link to the agent.
+	Entries int `cbor:"23,keyasint,omitempty"`
+	// ModelsUnchanged says that Models is as in the heartbeat before.
+	ModelsUnchanged bool `cbor:"24,keyasint,omitempty"`
 }
 
+// The silence that an agent promises not to exceed on a link: with work on it, and
+// without.
+const (
+	BusySilence = 50 * time.Millisecond
+	IdleSilence = time.Second
+)
+
 var decoding = mustDecMode()
 
 func mustDecMode() cbor.DecMode {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -34,6 +34,9 @@
 	observer *observe.Observer
 	status   *engineStatus
 	leaving  atomic.Bool
+	// active counts the streams that are served, entries the links of entries.
+	active   atomic.Int32
+	entries  atomic.Int32
 	listener *link.Listener
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -47,7 +50,7 @@
 		engine:      openai.NewEngine(s.Engine, engineClient()),
 		journal:     newJournal(),
 		observer:    observe.New(s.Name, s.Operators, s.OperatorDigests),
-		status:      &engineStatus{},
+		status:      newEngineStatus(),
 	}
 	if s.Application != "" {
 		a.calls = newCallGate(a.incarnation, application.NewTarget(s.Application))
@@ -97,13 +100,19 @@
 // Stop ends the agent: it refuses new work, waits for the running work until ctx
 // ends, and closes its links.
 func (a *Agent) Stop(ctx context.Context) error {
-	a.leaving.Store(true)
+	a.leave()
 	a.observer.Record(timeline.Event{Kind: timeline.ProcessDraining, Target: a.target()})
 	a.awaitIdle(ctx)
 	a.Kill()
 	return nil
 }
 
+// leave makes the agent refuse new work and tells all entries at once.
+func (a *Agent) leave() {
+	a.leaving.Store(true)
+	a.status.signal()
+}
+
 const idlePoll = 20 * time.Millisecond
 
 func (a *Agent) awaitIdle(ctx context.Context) {
--- a/process/agent/journal.go
+++ b/process/agent/journal.go
@@ -133,3 +133,17 @@
 	}
 	return count
 }
+
+// pendingTokens counts the tokens that the records which have not ended may still
+// generate.
+func (j *journal) pendingTokens() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	pending := 0
+	for _, r := range j.records {
+		if v := r.since(0); v.end == nil {
+			pending += max(0, r.generation.Sampling.MaxTokens-len(v.tokens))
+		}
+	}
+	return pending
+}
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -42,6 +42,7 @@
 	a.record(r, timeline.AttemptBegan)
 	err := a.generate(ctx, r, run)
 	if err != nil {
+		a.status.lost(err)
 		klog.InfoS("attempt failed", "request", run.Generation.ID, "attempt", run.Attempt,
 			"target", a.settings.Target, "kind", fault.KindOf(err), "err", err)
 		r.finish(wire.End{Kind: fault.KindOf(err), Message: err.Error()})
@@ -83,6 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, "generate")
 	}
+	stream = a.status.watch(stream)
 	defer func() { _ = stream.Close() }()
 	return relay(r, stream)
 }
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 )
 
-// heartbeatEvery is the period of heartbeats on a link.
-const heartbeatEvery = 100 * time.Millisecond
-
 // serveLink serves one link: its first stream is the control stream, all others
 // carry one request each.
 func (a *Agent) serveLink(ctx context.Context, l *link.Link) {
@@ -22,36 +19,34 @@
 	if err != nil {
 		return
 	}
-	a.goTask(func() { a.serveControl(ctx, l, control) })
+	control.MarkControl()
+	work := newLinkWork()
+	a.goTask(func() { a.serveControl(ctx, l, control, work) })
 	for {
 		stream, err := l.Accept(ctx)
 		if err != nil {
 			return
 		}
-		a.goTask(func() { a.serveStream(ctx, l, stream) })
+		a.goTask(func() {
+			a.beginWork(work)
+			defer a.endWork(work)
+			a.serveStream(ctx, l, stream)
+		})
 	}
 }
 
-func (a *Agent) serveControl(ctx context.Context, l *link.Link, control *link.Stream) {
+func (a *Agent) serveControl(ctx context.Context, l *link.Link, control *link.Stream, work *linkWork) {
 	var hello wire.ControlFrame
 	if err := control.Read(&hello); err != nil || hello.Hello == nil {
 		l.Close()
 		return
 	}
 	klog.V(1).InfoS("link opened", "peer", hello.Hello.Process)
-	frame := wire.ControlFrame{Hello: a.hello(), Heartbeat: a.heartbeat()}
-	ticker := time.NewTicker(heartbeatEvery)
-	defer ticker.Stop()
-	for control.Write(frame) == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.Context().Done():
-			return
-		case <-ticker.C:
-		}
-		frame = wire.ControlFrame{Heartbeat: a.heartbeat()}
+	if l.PeerRole() == keys.RoleEntry {
+		a.entries.Add(1)
+		defer a.entries.Add(-1)
 	}
+	a.sendHeartbeats(ctx, l, control, work)
 }
 
 func (a *Agent) hello() *wire.Hello {
@@ -64,19 +59,6 @@
 	}
 }
 
-func (a *Agent) heartbeat() *wire.Heartbeat {
-	alive, load, models, age := a.status.get()
-	return &wire.Heartbeat{
-		EngineAlive:   alive,
-		Leaving:       a.leaving.Load(),
-		Running:       a.running(),
-		EngineRunning: load.Running,
-		EngineWaiting: load.Waiting,
-		LoadAgeMillis: int(age.Milliseconds()),
-		Models:        models,
-	}
-}
-
 func (a *Agent) serveStream(ctx context.Context, l *link.Link, stream *link.Stream) {
 	var frame wire.ClientFrame
 	if err := stream.Read(&frame); err != nil {
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,9 +20,6 @@
 	began *wire.Began
 }
 
-// heardEvery bounds how often one attempt reports signs of life.
-const heardEvery = 10 * time.Millisecond
-
 // runAttempt opens a stream to the target, sends the attempt and reads its reply
 // until it ends. It sends exactly one EventEnded or EventFailed, unless ctx ends.
 func (e *Entry) runAttempt(ctx context.Context, target request.TargetID, run wire.Run, events chan<- attemptEvent) {
@@ -57,20 +53,15 @@
 	if err := stream.Write(wire.ClientFrame{Run: &run}); err != nil {
 		return err
 	}
-	return e.readFrames(ctx, target, run, stream, events)
+	return e.readFrames(ctx, run, stream, events)
 }
 
-func (e *Entry) readFrames(ctx context.Context, target request.TargetID, run wire.Run, stream *link.Stream, events chan<- attemptEvent) error {
-	var heard time.Time
+func (e *Entry) readFrames(ctx context.Context, run wire.Run, stream *link.Stream, events chan<- attemptEvent) error {
 	for {
 		var frame wire.ServerFrame
 		if err := stream.Read(&frame); err != nil {
 			return brokenStream(err)
 		}
-		if now := time.Now(); now.Sub(heard) >= heardEvery {
-			heard = now
-			e.control.heard(ctx, target, now)
-		}
 		e.observeStamp(frame)
 		event, err := eventOf(run, frame)
 		if err != nil {
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -6,15 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/mulberrylane/mulberrylane/connection/detector"
-	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/routing"
-	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -45,8 +41,10 @@
 	revisions *revision.Holder
 	observer  *observe.Observer
 	table     *routing.Table
-	detectors map[request.TargetID]*detector.Detector
-	running   map[request.TargetID]map[runKey]*generationDriver
+	watches   map[request.TargetID]*watch
+	// checked is when the silences were last looked at.
+	checked time.Time
+	running map[request.TargetID]map[runKey]*generationDriver
 }
 
 func newControl(random *rand.Rand, revisions *revision.Holder, observer *observe.Observer) *control {
@@ -56,7 +54,7 @@
 		revisions: revisions,
 		observer:  observer,
 		table:     routing.NewTable(random),
-		detectors: map[request.TargetID]*detector.Detector{},
+		watches:   map[request.TargetID]*watch{},
 		running:   map[request.TargetID]map[runKey]*generationDriver{},
 	}
 }
@@ -71,8 +69,8 @@
 			return
 		case command := <-c.commands:
 			c.timed(command)
-		case now := <-ticker.C:
-			c.timed(func() { c.checkSilence(now) })
+		case <-ticker.C:
+			c.timed(func() { c.checkSilence(time.Now()) })
 		}
 	}
 }
@@ -126,6 +124,7 @@
 			c.running[target] = runs
 		}
 		runs[key] = driver
+		c.noteBusy(target)
 	})
 }
 
@@ -134,36 +133,7 @@
 	c.do(context.Background(), func() {
 		c.table.Release(target)
 		delete(c.running[target], key)
-	})
-}
-
-// heard notes a sign of life of a target.
-func (c *control) heard(ctx context.Context, target request.TargetID, now time.Time) {
-	c.do(ctx, func() { c.noteHeard(target, now) })
-}
-
-func (c *control) noteHeard(id request.TargetID, now time.Time) {
-	watch, ok := c.detectors[id]
-	if !ok {
-		return
-	}
-	watch.Heard(now)
-	if target := c.table.Get(id); target != nil {
-		target.Up = true
-	}
-}
-
-// linkUp notes the first control frame on a new link.
-func (c *control) linkUp(ctx context.Context, hello wire.Hello) {
-	c.do(ctx, func() {
-		target := c.table.Upsert(hello.Target)
-		target.Service = hello.Service
-		target.FailureDomain = hello.FailureDomain
-		target.Incarnation = hello.Incarnation
-		target.Up = true
-		c.detectors[hello.Target] = detector.New(time.Now(), c.bounds(hello.Service))
-		c.observer.Record(timeline.Event{Kind: timeline.TargetUp, Target: hello.Target})
-		klog.InfoS("target up", "target", hello.Target, "incarnation", hello.Incarnation)
+		c.noteBusy(target)
 	})
 }
 
@@ -175,52 +145,6 @@
 	return detector.Bounds{Min: profile.SuspectAfter.Min.Std(), Max: profile.SuspectAfter.Max.Std()}
 }
 
-// heartbeat notes the state that an agent reports.
-func (c *control) heartbeat(ctx context.Context, id request.TargetID, beat wire.Heartbeat) {
-	now := time.Now()
-	c.do(ctx, func() {
-		target := c.table.Get(id)
-		if target == nil {
-			return
-		}
-		if beat.EngineAlive {
-			c.noteHeard(id, now)
-		}
-		target.Leaving = beat.Leaving
-		target.Running = beat.EngineRunning
-		target.Waiting = beat.EngineWaiting
-		target.Reported = now.Add(-time.Duration(beat.LoadAgeMillis) * time.Millisecond)
-		target.Models = beat.Models
-	})
-}
-
-// linkDown notes that the link to a target is over.
-func (c *control) linkDown(ctx context.Context, id request.TargetID) {
-	c.do(ctx, func() {
-		if target := c.table.Get(id); target != nil {
-			target.Up = false
-		}
-		delete(c.detectors, id)
-		c.observer.Record(timeline.Event{Kind: timeline.TargetDown, Target: id})
-		c.tell(id, request.Event{Type: request.EventFailed, Kind: fault.TargetLost})
-	})
-}
-
-func (c *control) checkSilence(now time.Time) {
-	for id, watch := range c.detectors {
-		target := c.table.Get(id)
-		switch watch.State(now) {
-		case detector.Trusted:
-		case detector.Suspected:
-			target.Up = false
-			c.tell(id, request.Event{Type: request.EventSuspected, Target: id})
-		case detector.Failed:
-			target.Up = false
-			c.tell(id, request.Event{Type: request.EventFailed, Kind: fault.TargetLost})
-		}
-	}
-}
-
 // tell sends an event to every attempt that runs on a target.
 func (c *control) tell(id request.TargetID, event request.Event) {
 	for key, driver := range c.running[id] {
--- /dev/null
+++ b/process/entry/control_watch.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberrylane/mulberrylane/connection/detector"
+	"github.com/mulberrylane/mulberrylane/connection/link"
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// idleSilence is the silence that is suspicious on a link without work.
+	idleSilence = 3 * wire.IdleSilence
+	// ownPause is how late a check may come before the lateness is taken for a
+	// pause of this process.
+	ownPause = 3 * checkEvery
+	// tellEvery is the period at which a lasting suspicion is told again, since
+	// an attempt may have started in between.
+	tellEvery = 50 * time.Millisecond
+)
+
+// watch is what the control goroutine keeps for the link to one target.
+type watch struct {
+	detector *detector.Detector
+	link     *link.Link
+	state    detector.State
+	// dead says that the agent found the port of its target closed.
+	dead bool
+	told time.Time
+}
+
+// stateEvents gives the event of each new state of a target.
+var stateEvents = map[detector.State]timeline.Kind{
+	detector.Trusted:   timeline.TargetTrusted,
+	detector.Suspected: timeline.TargetSuspected,
+	detector.Failed:    timeline.TargetDown,
+}
+
+// linkUp notes the first control frame on a new link.
+func (c *control) linkUp(ctx context.Context, hello wire.Hello, l *link.Link) {
+	c.do(ctx, func() {
+		now := time.Now()
+		target := c.table.Upsert(hello.Target)
+		target.Service = hello.Service
+		target.FailureDomain = hello.FailureDomain
+		target.Incarnation = hello.Incarnation
+		target.Up = true
+		c.watches[hello.Target] = &watch{
+			detector: detector.New(now, c.bounds(hello.Service), idleSilence),
+			link:     l,
+		}
+		c.observer.Record(timeline.Event{Kind: timeline.TargetUp, Target: hello.Target})
+		klog.InfoS("target up", "target", hello.Target, "incarnation", hello.Incarnation)
+	})
+}
+
+// linkDown notes that the link l to a target is over.
+func (c *control) linkDown(ctx context.Context, id request.TargetID, l *link.Link) {
+	c.do(ctx, func() {
+		w, ok := c.watches[id]
+		if !ok || w.link != l {
+			return
+		}
+		if target := c.table.Get(id); target != nil {
+			target.Up = false
+		}
+		delete(c.watches, id)
+		c.observer.Record(timeline.Event{Kind: timeline.TargetDown, Target: id})
+		c.tell(id, request.Event{Type: request.EventFailed, Kind: fault.TargetLost})
+	})
+}
+
+// heartbeat notes the state that an agent reports.
+func (c *control) heartbeat(ctx context.Context, id request.TargetID, beat wire.Heartbeat) {
+	now := time.Now()
+	c.do(ctx, func() {
+		target := c.table.Get(id)
+		w := c.watches[id]
+		if target == nil || w == nil {
+			return
+		}
+		w.dead = !beat.EngineAlive
+		w.detector.Heard(now.Add(-time.Duration(beat.SilentMillis) * time.Millisecond))
+		w.detector.Stalled(time.Duration(beat.StalledMillis) * time.Millisecond)
+		target.Leaving = beat.Leaving
+		target.Running = beat.EngineRunning
+		target.Waiting = beat.EngineWaiting
+		target.Reported = now.Add(-time.Duration(beat.LoadAgeMillis) * time.Millisecond)
+		if !beat.ModelsUnchanged {
+			target.Models = beat.Models
+		}
+		c.judge(now, id, w)
+	})
+}
+
+// noteBusy tells the detector of a target whether work runs there.
+func (c *control) noteBusy(id request.TargetID) {
+	if w, ok := c.watches[id]; ok {
+		w.detector.SetBusy(time.Now(), len(c.running[id]) > 0)
+	}
+}
+
+// checkSilence looks at all targets. When the check itself comes late, this
+// process was paused, and its own silence is no sign of the targets.
+func (c *control) checkSilence(now time.Time) {
+	late := now.Sub(c.checked) - checkEvery
+	paused := !c.checked.IsZero() && late > ownPause
+	c.checked = now
+	for id, w := range c.watches {
+		if paused {
+			w.detector.Forgive(late)
+		}
+		c.judge(now, id, w)
+	}
+}
+
+// judge acts on what the detector of a target believes.
+func (c *control) judge(now time.Time, id request.TargetID, w *watch) {
+	w.detector.Heard(w.link.Heard())
+	state := w.detector.State(now)
+	if w.dead {
+		state = detector.Failed
+	}
+	if state != w.state {
+		c.turn(id, w, state)
+	}
+	if state == detector.Trusted || now.Sub(w.told) < tellEvery {
+		return
+	}
+	w.told = now
+	event := request.Event{Type: request.EventSuspected, Target: id}
+	if state == detector.Failed {
+		event = request.Event{Type: request.EventFailed, Kind: fault.TargetLost}
+	}
+	c.tell(id, event)
+}
+
+// turn notes a change of what is believed of a target.
+func (c *control) turn(id request.TargetID, w *watch, state detector.State) {
+	klog.InfoS("target state", "target", id, "from", w.state, "to", state, "dead", w.dead, "attempts", len(c.running[id]))
+	w.state = state
+	w.told = time.Time{}
+	c.observer.Record(timeline.Event{Kind: stateEvents[state], Target: id})
+	if target := c.table.Get(id); target != nil {
+		target.Up = state == detector.Trusted
+	}
+}
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -127,16 +127,20 @@
 // serveLink dials once and reads the control stream until it ends. It says
 // whether the link came up.
 func (e *Entry) serveLink(ctx context.Context, p *peer) bool {
-	l, control, hello := e.dial(ctx, p)
+	l, control, first := e.dial(ctx, p)
 	if l == nil {
 		return false
 	}
 	defer l.Close()
-	e.control.linkUp(ctx, hello)
+	hello := *first.Hello
+	e.control.linkUp(ctx, hello, l)
+	if first.Heartbeat != nil {
+		e.control.heartbeat(ctx, hello.Target, *first.Heartbeat)
+	}
 	p.set(l, hello.Incarnation)
 	defer func() {
 		p.set(nil, 0)
-		e.control.linkDown(ctx, hello.Target)
+		e.control.linkDown(ctx, hello.Target, l)
 	}()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
@@ -151,27 +155,29 @@
 	}
 }
 
-// dial opens the link and its control stream and reads the agent's hello.
-func (e *Entry) dial(ctx context.Context, p *peer) (*link.Link, *link.Stream, wire.Hello) {
+// dial opens the link and its control stream and reads the agent's first frame,
+// which has its hello.
+func (e *Entry) dial(ctx context.Context, p *peer) (*link.Link, *link.Stream, wire.ControlFrame) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	l, err := e.dialer.Dial(ctx, p.placement.Agent)
 	if err != nil {
 		klog.V(1).InfoS("link not opened", "target", p.placement.Target, "err", err)
-		return nil, nil, wire.Hello{}
+		return nil, nil, wire.ControlFrame{}
 	}
 	control, err := l.Open(ctx)
 	if err != nil {
 		l.Close()
-		return nil, nil, wire.Hello{}
+		return nil, nil, wire.ControlFrame{}
 	}
+	control.MarkControl()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	hello := wire.Hello{Process: e.settings.Name, FailureDomain: e.settings.FailureDomain}
 	var reply wire.ControlFrame
 	if control.Write(wire.ControlFrame{Hello: &hello}) != nil || control.Read(&reply) != nil || reply.Hello == nil {
 		l.Close()
-		return nil, nil, wire.Hello{}
+		return nil, nil, wire.ControlFrame{}
 	}
-	return l, control, *reply.Hello
+	return l, control, reply
 }
