Failure detection: answers of 200 tokens in the tests of losses

Cause: an answer of 100 tokens ends 2 s after its start, which a starved test could miss. Change: 200 tokens; a condition written plainly, as the linter asks.

--- a/bench/fleet/loss_test.go
+++ b/bench/fleet/loss_test.go
@@ -63,7 +63,7 @@
 
 func longAsk() caller.Ask {
 	ask := trialAsk()
-	ask.MaxTokens = 100
+	ask.MaxTokens = 200
 	return ask
 }
 
--- a/process/agent/status.go
+++ b/process/agent/status.go
@@ -207,7 +207,7 @@
 		}
 		a.status.setWork(a.running(), a.journal.pendingTokens())
 		now := time.Now()
-		if asking || !(lost || a.probeDue(now, asked)) {
+		if asking || (!lost && !a.probeDue(now, asked)) {
 			continue
 		}
 		asking = true
