mlctl timeline: the events of all processes in causal order

Cause: a request's story is spread over entries and agents. Change: mlctl finds processes by address or by the host list, asks all of them, names those it cannot reach, and writes text, JSON or a trace-viewer file.

--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -39,7 +39,9 @@
 	Engines []string `json:"engines"`
 	// Targets holds the target of each engine.
 	Targets []request.TargetID `json:"targets"`
-	// Operators holds the operator addresses of all daemons.
+	// HostList is the URL of the host list.
+	HostList string `json:"hostList"`
+	// Operators holds the operators' addresses of the entries.
 	Operators []string `json:"operators"`
 }
 
@@ -68,6 +70,7 @@
 	}
 	p := &preparer{directory: directory, authority: authority}
 	p.platform = p.address()
+	p.plan.HostList = p.services().HostList
 	for i := range engineCount {
 		p.addTarget(i)
 	}
@@ -136,11 +139,10 @@
 	p.start("%s mlagent --settings %s", agentName, p.write(agentName+".json", s))
 	p.hosts = append(p.hosts, platform.Placement{
 		Target: request.TargetID(name), Service: s.Service, Host: s.Host,
-		FailureDomain: s.FailureDomain, Agent: s.Links, State: platform.HostLive,
+		FailureDomain: s.FailureDomain, Agent: s.Links, Operators: s.Operators, State: platform.HostLive,
 	})
 	p.plan.Engines = append(p.plan.Engines, s.Engine)
 	p.plan.Targets = append(p.plan.Targets, request.TargetID(name))
-	p.plan.Operators = append(p.plan.Operators, s.Operators)
 }
 
 func (p *preparer) addEntry(i int) {
--- a/command/root.go
+++ b/command/root.go
@@ -20,6 +20,6 @@
 	klog.InitFlags(flags)
 	root.PersistentFlags().AddGoFlagSet(flags)
 	root.AddCommand(newKeys(), newSchema(), newValidate())
-	root.AddCommand(newStandin(), newDemo())
+	root.AddCommand(newStandin(), newDemo(), newTimeline())
 	return root
 }
