Spread of revisions over links, operators' endpoints and changes by compare-and-swap

Every entry polled the store and agents knew no configuration at all, so the store's load grew with the fleet. Three entries, chosen by rendezvous hash among those that reach the store, watch it now; the rest hear the number on their links and ask for the body. A process that starts while the store is down takes the highest revision of its peers and its status says so. A stored record carries author, time, nonce and sequence; a change is a compare-and-swap on the revision that it was planned on, a lost answer is settled by the nonce, and a replaced record is kept in a ring of 64 slots by the writer that replaces it.

Under the race detector: with 5 entries 3 watch; 2 agents made no store call and took the new revision; an entry started during an outage took its peers' revision; nine changes with lost calls and answers were accepted once each.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,8 +21,8 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/process/agent"
+	"github.com/mulberrylane/mulberrylane/process/configuration"
 	"github.com/mulberrylane/mulberrylane/process/entry"
-	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/application"
@@ -34,6 +33,9 @@
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
+// OperatorToken is the operators' token at all processes of a fleet.
+const OperatorToken = "trial-operator"
+
 // loopback is the address that all parts listen at; they choose free ports.
 const loopback = "127.0.0.1:0"
 
@@ -155,7 +157,7 @@
 	member.Agent = agent.New(settings.Agent{
 		Name: "agent-" + name, Host: "host-" + name, FailureDomain: f.domain(i),
 		Target: name, Service: f.Layout.Service,
-		Links: loopback, Operators: loopback, Keys: files, Engine: server.URL(),
+		Links: loopback, Operators: loopback, OperatorDigests: operatorDigests(), Keys: files, Engine: server.URL(),
 	})
 	if err := member.Agent.Start(ctx); err != nil {
 		return member, err
@@ -189,6 +191,8 @@
 	f.platform = httptest.NewServer(mux)
 }
 
+func operatorDigests() []string { return []string{version.TokenDigest(OperatorToken)} }
+
 // Platform returns the settings by which processes reach the platform.
 func (f *Fleet) Platform() settings.Platform {
 	return settings.Platform{
@@ -205,19 +209,12 @@
 
 // Apply writes a configuration document to the store, whatever stood there.
 func (f *Fleet) Apply(ctx context.Context, document version.Document) error {
-	data, err := json.Marshal(document)
-	if err != nil {
-		return errors.Wrap(err, "encode")
-	}
-	store := f.StoreClient()
-	current, err := store.Get(ctx, revision.DocumentKey)
+	client := configuration.NewClient(f.StoreClient())
+	current, err := client.Current(ctx)
 	if err != nil {
 		return err
 	}
-	_, swapped, err := store.CompareAndSwap(ctx, platform.Swap{Key: revision.DocumentKey, Value: data, Expected: current.ModRevision})
-	if err == nil && !swapped {
-		err = errors.New("another writer changed the configuration")
-	}
+	_, err = client.Apply(ctx, configuration.Change{Author: "fleet", Base: current, Document: document})
 	return err
 }
 
@@ -228,7 +225,7 @@
 		return err
 	}
 	e := entry.New(settings.Entry{
-		Name: name, FailureDomain: f.domain(i), Callers: loopback, Operators: loopback,
+		Name: name, FailureDomain: f.domain(i), Callers: loopback, Operators: loopback, OperatorDigests: operatorDigests(),
 		Keys: files, Platform: f.Platform(),
 	})
 	if err := e.Start(ctx); err != nil {
@@ -238,6 +235,14 @@
 	return nil
 }
 
+// AddEntry starts one more entry.
+func (f *Fleet) AddEntry(ctx context.Context) (*entry.Entry, error) {
+	if err := f.addEntry(ctx, len(f.Entries)); err != nil {
+		return nil, err
+	}
+	return f.Entries[len(f.Entries)-1], nil
+}
+
 // URL returns the base URL of entry i.
 func (f *Fleet) URL(i int) string { return "http://" + f.Entries[i].Address() }
 
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -110,6 +111,8 @@
 	Document []byte `cbor:"5,keyasint,omitempty"`
 	// WantDocument asks for the body of the peer's revision.
 	WantDocument bool `cbor:"6,keyasint,omitempty"`
+	// Spread is set whenever Revision is.
+	Spread *Spread `cbor:"16,keyasint,omitempty"`
 }
 
 // Hello names the sender.
@@ -183,8 +186,9 @@
 // Read decodes the next frame into frame, a pointer. It returns io.EOF at a clean end.
 func (r *Reader) Read(frame any) error { return r.decoder.Decode(frame) }
 
-// Writer writes frames to a stream. It is not safe for concurrent use.
+// Writer writes frames to a stream. It is safe for concurrent use.
 type Writer struct {
+	mu      sync.Mutex
 	buffer  *bufio.Writer
 	encoder *cbor.Encoder
 }
@@ -197,6 +201,8 @@
 
 // Write encodes frame and flushes it.
 func (w *Writer) Write(frame any) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if err := w.encoder.Encode(frame); err != nil {
 		return err
 	}
--- a/core_test.go
+++ b/core_test.go
@@ -17,6 +17,7 @@
 var corePackages = []string{
 	"request", "version", "connection/detector", "process/routing",
 	"process/admission", "process/membership", "process/callpage", "process/gate", "process/order",
+	"process/spread",
 }
 
 func TestCoreStartsNoGoroutine(t *testing.T) {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -38,19 +38,22 @@
 	active   atomic.Int32
 	entries  atomic.Int32
 	listener *link.Listener
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
+	// configuration is what the agent hears of revisions.
+	configuration *configuration
+	cancel        context.CancelFunc
+	tasks         sync.WaitGroup
 }
 
 // New returns an agent that serves nothing until Start.
 func New(s settings.Agent) *Agent {
 	a := &Agent{
-		settings:    s,
-		incarnation: request.Incarnation(time.Now().UnixNano()),
-		engine:      openai.NewEngine(s.Engine, engineClient()),
-		journal:     newJournal(),
-		observer:    observe.New(s.Name, s.Operators, s.OperatorDigests),
-		status:      newEngineStatus(),
+		settings:      s,
+		incarnation:   request.Incarnation(time.Now().UnixNano()),
+		engine:        openai.NewEngine(s.Engine, engineClient()),
+		journal:       newJournal(),
+		observer:      observe.New(s.Name, s.Operators, s.OperatorDigests),
+		status:        newEngineStatus(),
+		configuration: newConfiguration(s),
 	}
 	if s.Application != "" {
 		a.calls = newCallGate(a.incarnation, application.NewTarget(s.Application))
@@ -78,12 +81,14 @@
 	if err != nil {
 		return errors.Wrap(err, "links")
 	}
+	a.observer.Operators.HandleStatus(a.Status)
 	if err := a.observer.Operators.Start(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.observer.Record(timeline.Event{Kind: timeline.ProcessStarted, Target: a.target()})
+	a.goTask(func() { a.configuration.spreader.Run(ctx) })
 	a.goTask(func() { a.watchEngine(ctx) })
 	a.goTask(func() { a.acceptLinks(ctx) })
 	klog.InfoS("agent started", "name", a.settings.Name, "target", a.settings.Target,
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -47,7 +47,7 @@
 func (a *Agent) sendHeartbeats(ctx context.Context, l *link.Link, control *link.Stream, work *linkWork) {
 	changed := a.status.changed()
 	beat := a.heartbeat()
-	frame := wire.ControlFrame{Hello: a.hello(), Heartbeat: &beat}
+	frame := wire.ControlFrame{Heartbeat: &beat}
 	for control.Write(frame) == nil {
 		if !a.awaitHeartbeat(ctx, l, work, beat.PendingTokens, changed) {
 			return
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -9,6 +9,8 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/revision"
+	"github.com/mulberrylane/mulberrylane/process/spread"
 )
 
 // serveLink serves one link: its first stream is the control stream, all others
@@ -42,13 +44,30 @@
 		return
 	}
 	klog.V(1).InfoS("link opened", "peer", hello.Hello.Process)
+	if control.Write(wire.ControlFrame{Hello: a.hello()}) != nil {
+		return
+	}
 	if l.PeerRole() == keys.RoleEntry {
 		a.entries.Add(1)
 		defer a.entries.Add(-1)
+		session := a.configuration.spreader.Join(hello.Hello.Process, spread.Entry, control.Write)
+		defer session.Leave()
+		a.goTask(func() { readControl(control, session) })
 	}
 	a.sendHeartbeats(ctx, l, control, work)
 }
 
+// readControl takes in the control frames of an entry until its link is over.
+func readControl(control *link.Stream, session *revision.Session) {
+	for {
+		var frame wire.ControlFrame
+		if control.Read(&frame) != nil {
+			return
+		}
+		session.Heard(frame)
+	}
+}
+
 func (a *Agent) hello() *wire.Hello {
 	return &wire.Hello{
 		Process:       a.settings.Name,
--- /dev/null
+++ b/process/configuration/client_test.go
@@ -0,0 +1,82 @@
+package configuration_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/process/configuration"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+func start(t *testing.T) (*kv.Store, *configuration.Client, context.Context) {
+	t.Helper()
+	state := kv.New()
+	server := httptest.NewServer(state.Handler())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(func() { cancel(); server.Close() })
+	return state, configuration.NewClient(etcd.NewStore([]string{server.URL}, server.Client())), ctx
+}
+
+func shares(share int) version.Document {
+	return version.Document{Workspaces: map[string]version.Workspace{"crew": {Share: share}}}
+}
+
+func apply(ctx context.Context, t *testing.T, c *configuration.Client, author string, base configuration.Entry, share int) configuration.Entry {
+	t.Helper()
+	entry, err := c.Apply(ctx, configuration.Change{Author: author, Base: base, Document: shares(share)})
+	assert.NilError(t, err)
+	return entry
+}
+
+func TestLoserOfARaceIsToldWhoWon(t *testing.T) {
+	_, client, ctx := start(t)
+	first := apply(ctx, t, client, "ana", configuration.Entry{}, 1)
+	second := apply(ctx, t, client, "ioana", first, 2)
+	_, err := client.Apply(ctx, configuration.Change{Author: "ana", Base: first, Document: shares(3)})
+	var conflict *configuration.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Winner.Author, "ioana")
+	assert.Equal(t, conflict.Winner.Revision, second.Revision)
+	history, err := client.History(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[1].Revision, first.Revision)
+	kept, err := client.At(ctx, first.Revision)
+	assert.NilError(t, err)
+	assert.Equal(t, kept.Document.Workspaces["crew"].Share, 1)
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	state, client, ctx := start(t)
+	base := apply(ctx, t, client, "ana", configuration.Entry{}, 1)
+	for seed := range uint64(8) {
+		state.SetFaults(kv.Faults{LoseAnswer: 0.5, LoseWrite: 0.3, Seed: seed})
+		base = apply(ctx, t, client, "ana", base, int(seed))
+	}
+	state.SetFaults(kv.Faults{})
+	current, err := client.Current(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, current.Revision, base.Revision)
+	assert.Equal(t, current.Sequence, int64(9))
+}
+
+func TestHistoryKeepsItsSlots(t *testing.T) {
+	_, client, ctx := start(t)
+	var base configuration.Entry
+	for i := range configuration.HistorySlots + 10 {
+		base = apply(ctx, t, client, "ana", base, i)
+	}
+	history, err := client.History(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), configuration.HistorySlots+1)
+	for i, entry := range history {
+		assert.Equal(t, entry.Sequence, base.Sequence-int64(i))
+	}
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
+	"github.com/mulberrylane/mulberrylane/process/spread"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -45,6 +46,8 @@
 	revisions *revision.Holder
 	observer  *observe.Observer
 	follower  *revision.Follower
+	spreader  *revision.Spreader
+	etcd      *etcd.Store
 	control   *control
 	peers     peers
 	store     calls.Store
@@ -66,12 +69,15 @@
 	store := etcd.NewStore(s.Platform.Store, client)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	observer := observe.New(s.Name, s.Operators, s.OperatorDigests)
+	spreader := revision.NewSpreader(s.Name, spread.Entry, revisions)
 	return &Entry{
 		settings:  s,
 		hosts:     hostlist.New(s.Platform.HostList, client),
 		revisions: revisions,
 		observer:  observer,
-		follower:  revision.NewFollower(store, revisions),
+		follower:  revision.NewFollower(store, spreader),
+		spreader:  spreader,
+		etcd:      store,
 		store:     store,
 		control:   newControl(random, revisions, observer),
 		peers:     peers{byTarget: map[request.TargetID]*peer{}},
@@ -101,6 +107,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.observer.Operators.HandleStatus(e.Status)
 	if err := e.observer.Operators.Start(); err != nil {
 		return err
 	}
@@ -109,6 +116,7 @@
 	e.startCalls(ctx)
 	e.observer.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	e.tasks.Go(func() { e.control.run(ctx) })
+	e.tasks.Go(func() { e.spreader.Run(ctx) })
 	e.tasks.Go(func() { e.follower.Run(ctx) })
 	e.tasks.Go(func() { e.followHosts(ctx) })
 	e.tasks.Go(func() { _ = e.server.Serve(e.listener) })
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/spread"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -144,11 +145,14 @@
 	}()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
+	session := e.spreader.Join(hello.Process, spread.Agent, control.Write)
+	defer session.Leave()
 	for {
 		var frame wire.ControlFrame
 		if err := control.Read(&frame); err != nil {
 			return true
 		}
+		session.Heard(frame)
 		if frame.Heartbeat != nil {
 			e.control.heartbeat(ctx, hello.Target, *frame.Heartbeat)
 		}
--- a/process/revision/follower.go
+++ b/process/revision/follower.go
@@ -2,69 +2,133 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/version"
 )
 
-// DocumentKey is the key of the configuration document in the store.
+// DocumentKey is the key of the record in force in the store.
 const DocumentKey = "mulberrylane/configuration"
 
-// pollEvery is the period at which the store is asked for a newer revision.
-const pollEvery = time.Second
+const (
+	// confirmEvery is the period at which a watching process reads the store, so
+	// that a watch that fell silent is noticed.
+	confirmEvery = 2 * time.Second
+	// retryMin and retryMax bound the pauses between tries to reach the store.
+	retryMin = 250 * time.Millisecond
+	retryMax = 4 * time.Second
+	// readTimeout bounds one read.
+	readTimeout = 2 * time.Second
+)
 
-// getter is the part of platform.Store that a follower needs.
-type getter interface {
+// watchStore is the part of platform.Store that a follower needs.
+type watchStore interface {
 	Get(ctx context.Context, key string) (platform.KeyValue, error)
+	Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Watched, error)
 }
 
-// Follower offers newer revisions of the store to a holder.
+// Follower watches the store while its spreader says that this process should.
 type Follower struct {
-	store  getter
-	holder *Holder
+	store    watchStore
+	spreader *Spreader
 }
 
 // NewFollower returns a follower that does nothing until Run.
-func NewFollower(store getter, holder *Holder) *Follower {
-	return &Follower{store: store, holder: holder}
+func NewFollower(store watchStore, spreader *Spreader) *Follower {
+	return &Follower{store: store, spreader: spreader}
 }
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollEvery)
-	defer ticker.Stop()
-	for {
-		if err := f.Refresh(ctx); err != nil && ctx.Err() == nil {
-			klog.InfoS("configuration not read", "err", err)
+	pause := retryMin
+	for ctx.Err() == nil {
+		if !f.spreader.watches.Load() {
+			f.await(ctx, confirmEvery)
+			continue
+		}
+		if f.follow(ctx) {
+			pause = retryMin
 		}
+		f.await(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+func (f *Follower) await(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.spreader.turned:
+	case <-time.After(pause):
+	}
+}
+
+// follow reads the store and watches it until either fails or another process
+// watches instead. It says whether the store answered.
+func (f *Follower) follow(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	revision, err := f.Refresh(ctx)
+	if err != nil {
+		return false
+	}
+	changes, err := f.store.Watch(ctx, DocumentKey, revision)
+	if err != nil {
+		f.fail(ctx, err)
+		return false
+	}
+	ticker := time.NewTicker(confirmEvery)
+	defer ticker.Stop()
+	for f.spreader.watches.Load() {
 		select {
 		case <-ctx.Done():
-			return
+			return true
+		case change, open := <-changes:
+			if !open {
+				return true
+			}
+			f.take(change)
 		case <-ticker.C:
+			if _, err := f.Refresh(ctx); err != nil {
+				return true
+			}
 		}
 	}
+	return true
+}
+
+func (f *Follower) take(change platform.Watched) {
+	if change.Deleted || change.Key != DocumentKey {
+		return
+	}
+	if err := f.spreader.fromStore(time.Now(), change.ModRevision, change.Value); err != nil {
+		klog.InfoS("configuration not taken", "revision", change.ModRevision, "err", err)
+	}
 }
 
-// Refresh reads the store once.
-func (f *Follower) Refresh(ctx context.Context) error {
+// Refresh reads the store once and returns the revision that it holds.
+func (f *Follower) Refresh(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asked := time.Now()
 	kv, err := f.store.Get(ctx, DocumentKey)
 	if err != nil {
-		return errors.Wrap(err, "read configuration")
-	}
-	if kv.ModRevision <= int64(f.holder.Current().Revision) {
-		return nil
+		f.fail(ctx, err)
+		return 0, errors.Wrap(err, "read configuration")
 	}
-	var document version.Document
-	if err := json.Unmarshal(kv.Value, &document); err != nil {
-		return errors.Wrap(err, "decode configuration")
+	if kv.ModRevision == 0 {
+		return 0, nil
 	}
-	if f.holder.Offer(version.Compile(version.Revision(kv.ModRevision), document)) {
-		klog.InfoS("configuration in force", "revision", kv.ModRevision)
+	return kv.ModRevision, f.spreader.fromStore(asked, kv.ModRevision, kv.Value)
+}
+
+func (f *Follower) fail(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
 	}
-	return nil
+	klog.InfoS("configuration not read", "err", err)
+	f.spreader.storeFailed()
 }
--- /dev/null
+++ b/process/revision/spreader.go
@@ -0,0 +1,253 @@
+package revision
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/process/spread"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+const (
+	// tickEvery is the period at which the core looks for what is due.
+	tickEvery = 250 * time.Millisecond
+	// commandBuffer is how many commands may wait for the goroutine of the state.
+	commandBuffer = 256
+	// frameBuffer is how many frames may wait for one link.
+	frameBuffer = 16
+)
+
+// Spreader spreads revisions over the links of a process. One goroutine owns its
+// state.
+type Spreader struct {
+	holder   *Holder
+	commands chan func(now time.Time) []spread.Action
+	done     chan struct{}
+	state    *spread.State
+	sessions map[spread.LinkID]*Session
+	lastLink atomic.Uint64
+	watches  atomic.Bool
+	// turned is signalled when watches changed.
+	turned chan struct{}
+}
+
+// NewSpreader returns a spreader that does nothing until Run.
+func NewSpreader(process string, role spread.Role, holder *Holder) *Spreader {
+	s := &Spreader{
+		holder:   holder,
+		commands: make(chan func(time.Time) []spread.Action, commandBuffer),
+		done:     make(chan struct{}),
+		state:    spread.New(process, role),
+		sessions: map[spread.LinkID]*Session{},
+		turned:   make(chan struct{}, 1),
+	}
+	s.watches.Store(s.state.Watches())
+	return s
+}
+
+// Run owns the state until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	defer close(s.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-s.commands:
+			s.perform(command(time.Now()))
+		case now := <-ticker.C:
+			s.perform(s.state.Tick(now))
+		}
+		s.publish()
+	}
+}
+
+func (s *Spreader) do(command func(now time.Time) []spread.Action) {
+	select {
+	case s.commands <- command:
+	case <-s.done:
+	}
+}
+
+func (s *Spreader) perform(actions []spread.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			s.send(*action.Send)
+		case action.Adopt != nil:
+			s.adopt(*action.Adopt)
+		}
+	}
+}
+
+func (s *Spreader) send(send spread.Send) {
+	session, ok := s.sessions[send.Link]
+	if !ok {
+		return
+	}
+	select {
+	case session.frames <- encode(send.Frame, time.Now()):
+	default:
+		// The link does not drain; what is due is repeated later.
+	}
+}
+
+func (s *Spreader) adopt(adopt spread.Adopt) {
+	taken, err := s.holder.Put(version.Revision(adopt.Revision), adopt.Document, adopt.From)
+	if err != nil {
+		klog.InfoS("configuration not taken", "revision", adopt.Revision, "from", adopt.From, "err", err)
+		return
+	}
+	if taken {
+		klog.InfoS("configuration in force", "revision", adopt.Revision, "from", adopt.From)
+		s.perform(s.state.InForce(time.Now(), adopt.Revision, adopt.Document))
+	}
+}
+
+func (s *Spreader) publish() {
+	s.holder.confirm(s.state.Confirmed())
+	if s.watches.Swap(s.state.Watches()) != s.watches.Load() {
+		select {
+		case s.turned <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// fromStore takes in what the store holds, read at the given time.
+func (s *Spreader) fromStore(at time.Time, revision int64, body []byte) error {
+	taken, err := s.holder.Put(version.Revision(revision), body, SourceStore)
+	if err != nil {
+		return err
+	}
+	if taken {
+		klog.InfoS("configuration in force", "revision", revision, "from", SourceStore)
+	}
+	s.do(func(now time.Time) []spread.Action {
+		actions := s.state.InForce(now, revision, body)
+		return append(actions, s.state.StoreAnswered(now, at)...)
+	})
+	return nil
+}
+
+func (s *Spreader) storeFailed() {
+	s.do(func(now time.Time) []spread.Action { return s.state.StoreFailed(now) })
+}
+
+// View is what a process knows of the spread of revisions.
+type View struct {
+	Watches bool
+	Peers   []spread.Peer
+	Others  []spread.Presence
+}
+
+// View returns what is known now.
+func (s *Spreader) View() View {
+	reply := make(chan View, 1)
+	s.do(func(time.Time) []spread.Action {
+		reply <- View{Watches: s.state.Watches(), Peers: s.state.Peers(), Others: s.state.Others()}
+		return nil
+	})
+	select {
+	case view := <-reply:
+		return view
+	case <-s.done:
+		return View{}
+	}
+}
+
+// Session is the spread of revisions over one link.
+type Session struct {
+	spreader *Spreader
+	link     spread.LinkID
+	frames   chan wire.ControlFrame
+	left     chan struct{}
+}
+
+// Join begins a session with the process at the other end of a link. The frames
+// for it are passed to write until that fails or the session is left.
+func (s *Spreader) Join(process string, role spread.Role, write func(frame any) error) *Session {
+	session := &Session{
+		spreader: s,
+		link:     spread.LinkID(s.lastLink.Add(1)),
+		frames:   make(chan wire.ControlFrame, frameBuffer),
+		left:     make(chan struct{}),
+	}
+	go session.pump(write)
+	s.do(func(now time.Time) []spread.Action {
+		s.sessions[session.link] = session
+		return s.state.LinkUp(now, session.link, process, role)
+	})
+	return session
+}
+
+func (s *Session) pump(write func(frame any) error) {
+	for {
+		select {
+		case frame := <-s.frames:
+			if write(frame) != nil {
+				return
+			}
+		case <-s.left:
+			return
+		case <-s.spreader.done:
+			return
+		}
+	}
+}
+
+// Heard takes in a control frame of the peer.
+func (s *Session) Heard(frame wire.ControlFrame) {
+	if frame.Spread == nil {
+		return
+	}
+	s.spreader.do(func(now time.Time) []spread.Action {
+		return s.spreader.state.Heard(now, s.link, decode(frame, now))
+	})
+}
+
+// Leave ends the session.
+func (s *Session) Leave() {
+	close(s.left)
+	s.spreader.do(func(now time.Time) []spread.Action {
+		delete(s.spreader.sessions, s.link)
+		return s.spreader.state.LinkDown(now, s.link)
+	})
+}
+
+func encode(frame spread.Frame, now time.Time) wire.ControlFrame {
+	message := &wire.Spread{StoreFails: frame.StoreFails}
+	if !frame.Confirmed.IsZero() {
+		message.ConfirmedAgeMillis = 1 + max(0, now.Sub(frame.Confirmed).Milliseconds())
+	}
+	for _, e := range frame.Entries {
+		message.Entries = append(message.Entries, wire.EntryPresence(e))
+	}
+	return wire.ControlFrame{
+		Revision:     frame.Revision,
+		Document:     frame.Document,
+		WantDocument: frame.WantDocument,
+		Spread:       message,
+	}
+}
+
+func decode(message wire.ControlFrame, now time.Time) spread.Frame {
+	frame := spread.Frame{
+		Revision:     message.Revision,
+		Document:     message.Document,
+		WantDocument: message.WantDocument,
+		StoreFails:   message.Spread.StoreFails,
+	}
+	if age := message.Spread.ConfirmedAgeMillis; age > 0 {
+		frame.Confirmed = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	for _, e := range message.Spread.Entries {
+		frame.Entries = append(frame.Entries, spread.Presence(e))
+	}
+	return frame
+}
