Routing by expected tokens, cached prefix, failure domain and slow start

Cause: the choice counted attempts, so a generation of minutes weighed as much as one of a second; resumes could land beside the lost target; a returned target got its whole share at once; the three documents written from one note were prefilled on three targets. Change: targets are compared by the tokens their attempts may still generate: the entry's own as they are now, the others' from the agent's report, discounted by its age. A remembered prefix is followed while its target's load is within 1.25 of the mean. Resumes keep away from the lost failure domain and go before new work in the engine's queue. A target that came back gets a tenth of its share, growing over 10 s. Two targets are drawn and compared, so that entries with old reports don't all choose the same.

--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -78,7 +78,7 @@
 		Model:     model,
 		Prompt:    append(prompt[:len(prompt):len(prompt)], run.Accepted...),
 		Sampling:  sampling,
-		Priority:  run.Generation.Priority,
+		Priority:  enginePriority(run),
 		RequestID: string(run.Generation.ID),
 	})
 	if err != nil {
@@ -89,6 +89,17 @@
 	return relay(r, stream)
 }
 
+// resumePriority is by how much a resume goes before new work of its profile.
+const resumePriority = 1
+
+// enginePriority is the priority of an attempt on the engine, where lower runs first.
+func enginePriority(run wire.Run) int {
+	if len(run.Accepted) > 0 {
+		return run.Generation.Priority - resumePriority
+	}
+	return run.Generation.Priority
+}
+
 // relay copies the engine's chunks into the record.
 func relay(r *record, stream platform.Stream) error {
 	for {
--- a/process/entry/calltargets.go
+++ b/process/entry/calltargets.go
@@ -27,7 +27,7 @@
 	case <-e.control.done:
 		return calls.Target{}, fault.New(fault.Draining, "")
 	case <-ctx.Done():
-		e.control.unpick(reply)
+		e.control.unpick(reply, 0)
 		return calls.Target{}, fault.New(fault.NoTarget, "")
 	}
 	if event.Type != request.EventPicked {
@@ -42,7 +42,7 @@
 }
 
 func (t callTargets) release(target request.TargetID) {
-	t.entry.control.do(context.Background(), func() { t.entry.control.table.Release(target) })
+	t.entry.control.do(context.Background(), func() { t.entry.control.table.Release(target, 0) })
 }
 
 // Find implements calls.Targets.
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -30,6 +30,16 @@
 	attempt request.AttemptNumber
 }
 
+// attemptLoad is the load of one running attempt.
+type attemptLoad struct {
+	driver *generationDriver
+	// expected bounds the tokens of the attempt, counted is how many of them were
+	// taken off its target's load.
+	expected, counted int
+	// produced counts the tokens delivered so far.
+	produced atomic.Int64
+}
+
 // control owns the routing table, the failure detectors and the list of running
 // attempts. One goroutine runs all commands, so nothing in it is locked.
 type control struct {
@@ -42,9 +52,10 @@
 	observer  *observe.Observer
 	table     *routing.Table
 	watches   map[request.TargetID]*watch
-	// checked is when the silences were last looked at.
-	checked time.Time
-	running map[request.TargetID]map[runKey]*generationDriver
+	// checked is when the silences were last looked at, swept when the progress
+	// of the running attempts was.
+	checked, swept time.Time
+	running        map[request.TargetID]map[runKey]*attemptLoad
 }
 
 func newControl(random *rand.Rand, revisions *revision.Holder, observer *observe.Observer) *control {
@@ -55,7 +66,7 @@
 		observer:  observer,
 		table:     routing.NewTable(random),
 		watches:   map[request.TargetID]*watch{},
-		running:   map[request.TargetID]map[runKey]*generationDriver{},
+		running:   map[request.TargetID]map[runKey]*attemptLoad{},
 	}
 }
 
@@ -104,34 +115,35 @@
 	})
 }
 
-// unpick gives back a pick that nobody took from reply.
-func (c *control) unpick(reply <-chan request.Event) {
+// unpick gives back a pick for tokens that nobody took from reply.
+func (c *control) unpick(reply <-chan request.Event, tokens int) {
 	c.do(context.Background(), func() {
 		select {
 		case event := <-reply:
-			c.table.Release(event.Target)
+			c.table.Release(event.Target, tokens)
 		default:
 		}
 	})
 }
 
-// started registers a running attempt, so that it hears of suspicions.
-func (c *control) started(ctx context.Context, target request.TargetID, key runKey, driver *generationDriver) {
+// started registers a running attempt, so that it hears of suspicions and its
+// progress is taken off the load of its target.
+func (c *control) started(ctx context.Context, target request.TargetID, key runKey, run *attemptLoad) {
 	c.do(ctx, func() {
 		runs := c.running[target]
 		if runs == nil {
-			runs = map[runKey]*generationDriver{}
+			runs = map[runKey]*attemptLoad{}
 			c.running[target] = runs
 		}
-		runs[key] = driver
+		runs[key] = run
 		c.noteBusy(target)
 	})
 }
 
 // ended removes a running attempt.
-func (c *control) ended(target request.TargetID, key runKey) {
+func (c *control) ended(target request.TargetID, key runKey, run *attemptLoad) {
 	c.do(context.Background(), func() {
-		c.table.Release(target)
+		c.table.Release(target, run.expected-run.counted)
 		delete(c.running[target], key)
 		c.noteBusy(target)
 	})
@@ -147,9 +159,9 @@
 
 // tell sends an event to every attempt that runs on a target.
 func (c *control) tell(id request.TargetID, event request.Event) {
-	for key, driver := range c.running[id] {
+	for key, run := range c.running[id] {
 		event.Attempt = key.attempt
-		driver.notify(event)
+		run.driver.notify(event)
 	}
 }
 
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/routing"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -23,6 +24,8 @@
 	// tellEvery is the period at which a lasting suspicion is told again, since
 	// an attempt may have started in between.
 	tellEvery = 50 * time.Millisecond
+	// sweepEvery is the period at which progress is taken off the load of targets.
+	sweepEvery = 100 * time.Millisecond
 )
 
 // watch is what the control goroutine keeps for the link to one target.
@@ -50,7 +53,7 @@
 		target.Service = hello.Service
 		target.FailureDomain = hello.FailureDomain
 		target.Incarnation = hello.Incarnation
-		target.Up = true
+		target.Returned(now)
 		c.watches[hello.Target] = &watch{
 			detector: detector.New(now, c.bounds(hello.Service), idleSilence),
 			link:     l,
@@ -89,9 +92,12 @@
 		w.detector.Heard(now.Add(-time.Duration(beat.SilentMillis) * time.Millisecond))
 		w.detector.Stalled(time.Duration(beat.StalledMillis) * time.Millisecond)
 		target.Leaving = beat.Leaving
-		target.Running = beat.EngineRunning
-		target.Waiting = beat.EngineWaiting
-		target.Reported = now.Add(-time.Duration(beat.LoadAgeMillis) * time.Millisecond)
+		target.SetReport(now, routing.Report{
+			Attempts: beat.Running,
+			Pending:  beat.PendingTokens,
+			Running:  beat.EngineRunning,
+			Waiting:  beat.EngineWaiting,
+		})
 		if !beat.ModelsUnchanged {
 			target.Models = beat.Models
 		}
@@ -112,6 +118,10 @@
 	late := now.Sub(c.checked) - checkEvery
 	paused := !c.checked.IsZero() && late > ownPause
 	c.checked = now
+	if now.Sub(c.swept) >= sweepEvery {
+		c.swept = now
+		c.sweep()
+	}
 	for id, w := range c.watches {
 		if paused {
 			w.detector.Forgive(late)
@@ -120,6 +130,17 @@
 	}
 }
 
+// sweep takes the progress of all running attempts off the load of their targets.
+func (c *control) sweep() {
+	for id, runs := range c.running {
+		for _, run := range runs {
+			produced := int(run.produced.Load())
+			c.table.Produced(id, produced-run.counted)
+			run.counted = produced
+		}
+	}
+}
+
 // judge acts on what the detector of a target believes.
 func (c *control) judge(now time.Time, id request.TargetID, w *watch) {
 	w.detector.Heard(w.link.Heard())
@@ -128,7 +149,7 @@
 		state = detector.Failed
 	}
 	if state != w.state {
-		c.turn(id, w, state)
+		c.turn(now, id, w, state)
 	}
 	if state == detector.Trusted || now.Sub(w.told) < tellEvery {
 		return
@@ -142,12 +163,20 @@
 }
 
 // turn notes a change of what is believed of a target.
-func (c *control) turn(id request.TargetID, w *watch, state detector.State) {
+func (c *control) turn(now time.Time, id request.TargetID, w *watch, state detector.State) {
 	klog.InfoS("target state", "target", id, "from", w.state, "to", state, "dead", w.dead, "attempts", len(c.running[id]))
+	failed := w.state == detector.Failed
 	w.state = state
 	w.told = time.Time{}
 	c.observer.Record(timeline.Event{Kind: stateEvents[state], Target: id})
-	if target := c.table.Get(id); target != nil {
-		target.Up = state == detector.Trusted
+	target := c.table.Get(id)
+	switch {
+	case target == nil:
+	case state != detector.Trusted:
+		target.Up = false
+	case failed:
+		target.Returned(now)
+	default:
+		target.Up = true
 	}
 }
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -37,7 +37,10 @@
 	events     chan attemptEvent
 	notices    chan request.Event
 	// picked brings the answer to the pick that is under way, if any.
-	picked   chan request.Event
+	picked chan request.Event
+	// need is what any attempt needs of a target, wanted the tokens of the last pick.
+	need     routing.Need
+	wanted   int
 	attempts map[request.AttemptNumber]*runningAttempt
 	timer    *time.Timer
 	kind     fault.Kind
@@ -48,6 +51,7 @@
 
 type runningAttempt struct {
 	target request.TargetID
+	load   *attemptLoad
 	cancel context.CancelFunc
 	began  wire.Began
 }
@@ -63,6 +67,7 @@
 		events:     make(chan attemptEvent, eventBuffer),
 		notices:    make(chan request.Event, noticeBuffer),
 		picked:     make(chan request.Event, 1),
+		need:       e.needOf(g, prompt),
 		attempts:   map[request.AttemptNumber]*runningAttempt{},
 		timer:      time.NewTimer(time.Hour),
 		watch:      newRequestWatch(e.observer, g),
@@ -106,7 +111,7 @@
 	for number := range d.attempts {
 		d.drop(number)
 	}
-	d.entry.control.unpick(d.picked)
+	d.entry.control.unpick(d.picked, d.wanted)
 }
 
 func (d *generationDriver) onAttempt(ctx context.Context, event attemptEvent) {
@@ -168,13 +173,28 @@
 
 // pick asks the control goroutine for a target; the answer comes on picked.
 func (d *generationDriver) pick(ctx context.Context, action request.Action) {
-	d.entry.control.pick(ctx, routing.Need{
-		Service:       d.generation.Service,
-		Model:         modelOf(d.generation),
-		Avoid:         slices.Clone(action.Avoid),
-		FailureDomain: d.entry.settings.FailureDomain,
-		Resume:        action.Resume,
-	}, d.picked)
+	d.wanted = d.generation.Sampling.MaxTokens - d.recovery.Answer().Len()
+	need := d.need
+	need.Avoid = slices.Clone(action.Avoid)
+	need.Resume = action.Resume
+	need.Tokens = d.wanted
+	d.entry.control.pick(ctx, need, d.picked)
+}
+
+// needOf describes the targets that can serve a generation.
+func (e *Entry) needOf(g request.Generation, prompt request.Prompt) routing.Need {
+	_, profile := e.revisions.Current().ProfileOf(g.Service)
+	parts := []string{g.Version, prompt.Text}
+	for _, message := range prompt.Messages {
+		parts = append(parts, message.Role, message.Content)
+	}
+	return routing.Need{
+		Service:       g.Service,
+		Model:         modelOf(g),
+		FailureDomain: e.settings.FailureDomain,
+		Spread:        profile.Spread,
+		Prefix:        routing.PrefixDigests(parts...),
+	}
 }
 
 func modelOf(g request.Generation) string {
@@ -188,8 +208,9 @@
 	position := d.recovery.Answer().Len()
 	stamp := d.watch.started(action.Attempt, action.Target, position, len(d.prompt.Tokens), len(d.attempts))
 	attemptCtx, cancel := context.WithCancel(ctx)
-	d.attempts[action.Attempt] = &runningAttempt{target: action.Target, cancel: cancel}
-	d.entry.control.started(ctx, action.Target, d.key(action.Attempt), d)
+	load := &attemptLoad{driver: d, expected: d.wanted}
+	d.attempts[action.Attempt] = &runningAttempt{target: action.Target, load: load, cancel: cancel}
+	d.entry.control.started(ctx, action.Target, d.key(action.Attempt), load)
 	run := wire.Run{
 		Generation: d.generation,
 		Attempt:    action.Attempt,
@@ -212,13 +233,14 @@
 	}
 	running.cancel()
 	delete(d.attempts, number)
-	d.entry.control.ended(running.target, d.key(number))
+	d.entry.control.ended(running.target, d.key(number), running.load)
 }
 
 func (d *generationDriver) deliver(action request.Action) {
 	var from wire.Began
 	if running, ok := d.attempts[action.Attempt]; ok {
 		from = running.began
+		running.load.produced.Add(int64(len(action.Tokens)))
 	}
 	position := d.recovery.Answer().Len() - len(action.Tokens)
 	d.watch.delivered(action.Attempt, from.Target, position)
--- a/process/routing/table.go
+++ b/process/routing/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/version"
 )
 
 // Target is what a process knows of one target.
@@ -23,11 +24,30 @@
 	Leaving bool
 	// InFlight counts the attempts this process has running there.
 	InFlight int
-	// Running and Waiting are the target's last report, made at Reported.
-	Running, Waiting int
-	Reported         time.Time
+	// Expected counts the tokens that those attempts may still generate.
+	Expected int
+	// Report is the target's last report, made at Reported.
+	Report   Report
+	Reported time.Time
 	// Models lists what is loaded.
 	Models []string
+
+	// capacity is how many attempts run at once there, zero while unknown.
+	capacity int
+	// since is when the target came or came back.
+	since time.Time
+	// inFlightThen and expectedThen are InFlight and Expected at Reported.
+	inFlightThen, expectedThen int
+	prefixes                   *prefixMemory
+}
+
+// Report is the load of a target over all entries, as its agent gives it.
+type Report struct {
+	// Attempts counts the attempts at the agent, Pending the tokens they may
+	// still generate.
+	Attempts, Pending int
+	// Running and Waiting are the engine's own figures; they lag further.
+	Running, Waiting int
 }
 
 // Need describes the attempt that a target is wanted for.
@@ -37,10 +57,15 @@
 	Model string
 	// Avoid lists targets that are used only when there is no other.
 	Avoid []request.TargetID
-	// FailureDomain is that of the process, kept apart from the target when possible.
+	// FailureDomain is that of the process, kept apart from the target as Spread says.
 	FailureDomain string
+	Spread        version.SpreadPolicy
 	// Resume says that the answer already has tokens.
 	Resume bool
+	// Tokens bounds the tokens still to be generated.
+	Tokens int
+	// Prefix holds the digests of the prompt's blocks.
+	Prefix []uint64
 }
 
 // Table holds the targets of all services.
@@ -60,7 +85,7 @@
 	if target, ok := t.targets[id]; ok {
 		return target
 	}
-	target := &Target{ID: id}
+	target := &Target{ID: id, prefixes: newPrefixMemory()}
 	t.targets[id] = target
 	at, _ := slices.BinarySearch(t.order, id)
 	t.order = slices.Insert(t.order, at, id)
@@ -87,59 +112,91 @@
 	return list
 }
 
+// Returned notes that a target came up at now: its caches are taken to be empty
+// and it gets its share of the work over slowStart.
+func (t *Target) Returned(now time.Time) {
+	t.Up = true
+	t.since = now
+	t.prefixes = newPrefixMemory()
+}
+
+// SetReport notes a report made at the instant at. Attempts that run while others
+// wait show how many the target runs at once.
+func (t *Target) SetReport(at time.Time, report Report) {
+	t.Report = report
+	t.Reported = at
+	t.inFlightThen = t.InFlight
+	t.expectedThen = t.Expected
+	switch {
+	case report.Waiting > 0 && report.Running > 0:
+		t.capacity = report.Running
+	case t.capacity > 0 && report.Running > t.capacity:
+		t.capacity = report.Running
+	}
+}
+
+// attempts estimates how many attempts of all entries are on the target.
+func (t *Target) attempts() int {
+	return max(t.InFlight, t.Report.Attempts+t.InFlight-t.inFlightThen)
+}
+
 // Pick chooses a target for need and counts the attempt in flight there; Release
 // ends that. The error has kind VersionGone when targets are up but none has the
 // model, else NoTarget.
-func (t *Table) Pick(_ time.Time, need Need) (*Target, error) {
-	var candidates, avoided []*Target
+func (t *Table) Pick(now time.Time, need Need) (*Target, error) {
+	candidates, kind := t.candidates(need)
+	if len(candidates) == 0 {
+		return nil, fault.New(kind, "no target of %s can take the request", need.Service)
+	}
+	chosen := t.choose(now, candidates, need)
+	chosen.InFlight++
+	chosen.Expected += need.Tokens
+	chosen.prefixes.add(need.Prefix)
+	return chosen, nil
+}
+
+// candidates returns the targets that may take need, those to avoid only when
+// there is no other. A strict spread binds new answers, not resumes: an answer
+// that a caller has begun to read is not given up for it.
+func (t *Table) candidates(need Need) ([]*Target, fault.Kind) {
+	var apart, avoided []*Target
 	kind := fault.NoTarget
 	for _, id := range t.order {
 		target := t.targets[id]
-		if target.Service != need.Service || !target.Up || target.Leaving {
-			continue
-		}
-		if need.Model != "" && !slices.Contains(target.Models, need.Model) {
+		switch {
+		case target.Service != need.Service || !target.Up || target.Leaving:
+		case need.Model != "" && !slices.Contains(target.Models, need.Model):
 			kind = fault.VersionGone
-			continue
-		}
-		if slices.Contains(need.Avoid, id) {
+		case need.Spread == version.SpreadRequire && !need.Resume && target.FailureDomain == need.FailureDomain:
+		case slices.Contains(need.Avoid, id):
 			avoided = append(avoided, target)
-			continue
+		default:
+			apart = append(apart, target)
 		}
-		candidates = append(candidates, target)
 	}
-	if len(candidates) == 0 {
-		candidates = avoided
+	if len(apart) == 0 {
+		return avoided, kind
 	}
-	if len(candidates) == 0 {
-		return nil, fault.New(kind, "no target of %s can take the request", need.Service)
-	}
-	chosen := t.better(candidates, need)
-	chosen.InFlight++
-	return chosen, nil
+	return apart, kind
 }
 
-// better compares two random candidates.
-func (t *Table) better(candidates []*Target, need Need) *Target {
-	first := candidates[t.random.IntN(len(candidates))]
-	second := candidates[t.random.IntN(len(candidates))]
-	if cost(second, need) < cost(first, need) {
-		return second
+// Release notes that an attempt at the target is over, which might still have
+// generated left tokens.
+func (t *Table) Release(id request.TargetID, left int) {
+	target, ok := t.targets[id]
+	if !ok || target.InFlight == 0 {
+		return
 	}
-	return first
-}
-
-func cost(target *Target, need Need) int {
-	load := 2 * target.InFlight
-	if target.FailureDomain == need.FailureDomain {
-		load++
+	target.InFlight--
+	target.Expected = max(0, target.Expected-left)
+	if target.InFlight == 0 {
+		target.Expected = 0
 	}
-	return load
 }
 
-// Release notes that an attempt at the target is over.
-func (t *Table) Release(id request.TargetID) {
-	if target, ok := t.targets[id]; ok && target.InFlight > 0 {
-		target.InFlight--
+// Produced notes that attempts at the target generated tokens.
+func (t *Table) Produced(id request.TargetID, tokens int) {
+	if target, ok := t.targets[id]; ok {
+		target.Expected = max(0, target.Expected-tokens)
 	}
 }
