Routing: plain conditions, as the linter asks

Cause: the linter found a negated conjunction and an unused constant. Change: the condition is written without negation; the constant is gone.

--- a/process/routing/prefix.go
+++ b/process/routing/prefix.go
@@ -8,8 +8,6 @@
 	// PrefixBlockBytes is the length of a block of a prompt whose place in the
 	// caches of targets is remembered.
 	PrefixBlockBytes = 256
-	// blockTokens is about how many tokens a block has.
-	blockTokens = PrefixBlockBytes / 4
 	// maxPrefixBlocks bounds the blocks of one prompt.
 	maxPrefixBlocks = 64
 	// maxRemembered bounds the blocks remembered of one target.
--- a/process/routing/table_test.go
+++ b/process/routing/table_test.go
@@ -65,7 +65,7 @@
 		allowed := func(target *routing.Target) bool {
 			strict := wanted.Spread == version.SpreadRequire && !wanted.Resume
 			return target.Up && !target.Leaving && slices.Contains(target.Models, model) &&
-				!(strict && target.FailureDomain == wanted.FailureDomain)
+				(!strict || target.FailureDomain != wanted.FailureDomain)
 		}
 		var free, avoided []request.TargetID
 		for _, target := range table.Targets() {
