Figures of links, store calls and control time on /metrics

Change: open links and their bytes on the network, packets, store calls, busy time of the control goroutine, processor time and resident memory are gauges of every process; instruments that nothing fed are gone.

--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/application"
 	"github.com/mulberrylane/mulberrylane/platform/openai"
+	"github.com/mulberrylane/mulberrylane/process/metrics"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
@@ -37,6 +38,7 @@
 	// active counts the streams that are served, entries the links of entries.
 	active   atomic.Int32
 	entries  atomic.Int32
+	links    link.Registry
 	listener *link.Listener
 	// configuration is what the agent hears of revisions.
 	configuration *configuration
@@ -55,6 +57,7 @@
 		status:        newEngineStatus(),
 		configuration: newConfiguration(s),
 	}
+	a.observer.Gauges(metrics.LinkGauges(&a.links)...)
 	if s.Application != "" {
 		a.calls = newCallGate(a.incarnation, application.NewTarget(s.Application))
 	}
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -17,6 +17,8 @@
 // carry one request each.
 func (a *Agent) serveLink(ctx context.Context, l *link.Link) {
 	defer l.Close()
+	a.links.Add(l)
+	defer a.links.Remove(l)
 	control, err := l.Accept(ctx)
 	if err != nil {
 		return
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -54,6 +54,7 @@
 	calls     *calls.Driver
 	pages     *calls.Pages
 	dialer    *link.Dialer
+	links     link.Registry
 	listener  net.Listener
 	server    *http.Server
 	draining  atomic.Bool
@@ -70,7 +71,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	observer := observe.New(s.Name, s.Operators, s.OperatorDigests)
 	spreader := revision.NewSpreader(s.Name, spread.Entry, revisions)
-	return &Entry{
+	e := &Entry{
 		settings:  s,
 		hosts:     hostlist.New(s.Platform.HostList, client),
 		revisions: revisions,
@@ -82,6 +83,8 @@
 		control:   newControl(random, revisions, observer),
 		peers:     peers{byTarget: map[request.TargetID]*peer{}},
 	}
+	observer.Gauges(e.gauges(store)...)
+	return e
 }
 
 func withDefaults(s *settings.Entry) {
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -133,6 +133,8 @@
 		return false
 	}
 	defer l.Close()
+	e.links.Add(l)
+	defer e.links.Remove(l)
 	hello := *first.Hello
 	e.control.linkUp(ctx, hello, l)
 	if first.Heartbeat != nil {
--- /dev/null
+++ b/process/metrics/links.go
@@ -0,0 +1,16 @@
+package metrics
+
+import "github.com/mulberrylane/mulberrylane/connection/link"
+
+// LinkGauges returns the figures of the links of a process.
+func LinkGauges(links *link.Registry) []Gauge {
+	return []Gauge{
+		{Name: "mulberrylane.links", Description: "Open links", Read: func() int64 { return int64(links.Len()) }},
+		{Name: "mulberrylane.links.bytes", Description: "Bytes on the network of all links, packet headers included", Read: func() int64 {
+			return int64(links.Traffic().WireBytes())
+		}},
+		{Name: "mulberrylane.links.packets", Description: "Packets of all links", Read: func() int64 {
+			return int64(links.Traffic().Packets)
+		}},
+	}
+}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
@@ -37,14 +38,12 @@
 	tokens        metric.Int64Counter
 	refusals      metric.Int64Counter
 	outcomes      metric.Int64Counter
-	storeCalls    metric.Int64Counter
-	controlBytes  metric.Int64Counter
-	controlCPU    metric.Float64Counter
 }
 
 // New returns the instruments of the named process.
 func New(process string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "exporter")
@@ -64,9 +63,6 @@
 	m.tokens = b.counter("mulberrylane.tokens", "Tokens delivered to callers")
 	m.refusals = b.counter("mulberrylane.refusals", "Requests refused or failed, by error kind")
 	m.outcomes = b.counter("mulberrylane.outcomes", "Requests ended, by whether they were run")
-	m.storeCalls = b.counter("mulberrylane.store.calls", "Calls of the key-value service, by operation")
-	m.controlBytes = b.counter("mulberrylane.control.bytes", "Bytes of control frames, by direction")
-	m.controlCPU = b.float("mulberrylane.control.cpu", "Time that the control goroutine was busy", "s")
 	b.gauge("mulberrylane.memory", "Memory obtained from the system", "By", heldMemory)
 	return b.err
 }
@@ -103,12 +99,6 @@
 	return instrument
 }
 
-func (b *builder) float(name, description, unit string) metric.Float64Counter {
-	instrument, err := b.meter.Float64Counter(name, metric.WithDescription(description), metric.WithUnit(unit))
-	b.note(err)
-	return instrument
-}
-
 func (b *builder) gauge(name, description, unit string, read func() int64) {
 	_, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit),
 		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
@@ -118,13 +108,21 @@
 	b.note(err)
 }
 
-// Gauge adds a gauge that is read at each collection.
-func (m *Metrics) Gauge(name, description string, read func() int64) error {
+// Gauge is a figure that is read at each collection.
+type Gauge struct {
+	Name, Description string
+	Read              func() int64
+}
+
+// Gauges adds gauges.
+func (m *Metrics) Gauges(gauges ...Gauge) error {
 	if m == nil {
 		return nil
 	}
 	b := builder{meter: m.provider.Meter(meterName)}
-	b.gauge(name, description, "", read)
+	for _, gauge := range gauges {
+		b.gauge(gauge.Name, gauge.Description, "", gauge.Read)
+	}
 	return b.err
 }
 
@@ -179,20 +177,3 @@
 		m.refusals.Add(background, 1, metric.WithAttributes(attribute.String("kind", kind.String())))
 	}
 }
-
-// StoreCall counts a call of the key-value service.
-func (m *Metrics) StoreCall(operation string) {
-	if m != nil {
-		m.storeCalls.Add(background, 1, metric.WithAttributes(attribute.String("operation", operation)))
-	}
-}
-
-// Control adds bytes of control frames and busy time of the control goroutine.
-func (m *Metrics) Control(sent, received int64, busy time.Duration) {
-	if m == nil {
-		return
-	}
-	m.controlBytes.Add(background, sent, metric.WithAttributes(attribute.String("direction", "sent")))
-	m.controlBytes.Add(background, received, metric.WithAttributes(attribute.String("direction", "received")))
-	m.controlCPU.Add(background, busy.Seconds())
-}
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -38,3 +38,10 @@
 
 // Record adds an event to the time line.
 func (o *Observer) Record(event timeline.Event) timeline.Stamp { return o.Timeline.Record(event) }
+
+// Gauges adds gauges to the metrics. It must be called before the process starts.
+func (o *Observer) Gauges(gauges ...metrics.Gauge) {
+	if err := o.Metrics.Gauges(gauges...); err != nil {
+		klog.ErrorS(err, "gauges not available")
+	}
+}
