--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -145,7 +145,6 @@
 // PeerRole returns the role of the peer.
 func (l *Link) PeerRole() keys.Role { return keys.PeerRole(l.connection.ConnectionState().TLS) }
 
-
 // Close ends the link as planned.
 func (l *Link) Close() { _ = l.connection.CloseWithError(CodeClosed, "") }
 
