--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -31,6 +31,8 @@
 	Key string
 	// LastEventID asks to go on with an answer, or is empty.
 	LastEventID string
+	// Seen, when set, is called after each event with the count of tokens so far.
+	Seen func(tokens int)
 }
 
 // Answer is what came of one request.
@@ -101,7 +103,7 @@
 	if response.StatusCode != http.StatusOK {
 		return readRefusal(response.Body, answer)
 	}
-	return readEvents(response.Body, answer)
+	return readEvents(response.Body, answer, ask.Seen)
 }
 
 func (c *Caller) post(ctx context.Context, base string, ask Ask) (*http.Response, error) {
@@ -141,7 +143,7 @@
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
-func readEvents(body io.Reader, answer *Answer) error {
+func readEvents(body io.Reader, answer *Answer, seen func(int)) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
@@ -161,6 +163,9 @@
 		if err := answer.add(data); err != nil {
 			return err
 		}
+		if seen != nil {
+			seen(len(answer.Tokens))
+		}
 	}
 	if answer.Outcome != nil {
 		return nil
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -21,9 +21,10 @@
 const (
 	// keepAlive is the period of QUIC's own keep-alive; the failure detector
 	// works on heartbeats, this only keeps address translations open.
-	keepAlive = 5 * time.Second
-	// maxIdle is when QUIC gives up a silent connection.
-	maxIdle = 30 * time.Second
+	keepAlive = 4 * time.Second
+	// maxIdle is when QUIC gives up a silent connection; an agent learns by it
+	// that an entry died without a word.
+	maxIdle = 10 * time.Second
 	// streamCredit is how many bytes a request stream may be ahead of its reader.
 	streamCredit = 256 << 10
 	// maxStreams bounds the requests in flight on one link.
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -25,6 +25,8 @@
 	Attach *Attach `cbor:"2,keyasint,omitempty"`
 	Call   *Call   `cbor:"10,keyasint,omitempty"`
 	Seal   *Seal   `cbor:"11,keyasint,omitempty"`
+	// Directory asks for the agent's part of the soft directory.
+	Directory *Directory `cbor:"3,keyasint,omitempty"`
 }
 
 // Run asks an agent to run one attempt of a generation.
@@ -36,6 +38,8 @@
 	Accepted []request.TokenID `cbor:"4,keyasint,omitempty"`
 	// Sent is the hybrid logical clock of the sender.
 	Sent uint64 `cbor:"5,keyasint,omitempty"`
+	// Epoch is that of the attachment on whose behalf the entry runs the attempt.
+	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Attach asks an agent to go on with a generation from its journal.
@@ -47,8 +51,11 @@
 	Position int `cbor:"3,keyasint"`
 	// Epoch orders attachments: a newer one supersedes older ones.
 	Epoch uint64 `cbor:"4,keyasint"`
-	// Key finds the request by its idempotency key when Request is empty.
-	Key string `cbor:"5,keyasint,omitempty"`
+	// Digest is request.Answer.Sum of the tokens before Position, which the caller
+	// has. A journal with other tokens there refuses.
+	Digest uint64 `cbor:"6,keyasint,omitempty"`
+	// BodyDigest must be that of the generation.
+	BodyDigest string `cbor:"7,keyasint,omitempty"`
 }
 
 // ServerFrame is what an agent sends on a request stream. Exactly one field is set.
@@ -58,6 +65,8 @@
 	End    *End    `cbor:"3,keyasint,omitempty"`
 	// CallReply is the only frame in reply to Call and Seal.
 	CallReply *CallReply `cbor:"10,keyasint,omitempty"`
+	// Found answers Directory.Find.
+	Found *Found `cbor:"4,keyasint,omitempty"`
 }
 
 // Began opens the reply to Run or Attach.
@@ -94,6 +103,8 @@
 	Message  string                `cbor:"6,keyasint,omitempty"`
 	// Sent is the hybrid logical clock of the sender.
 	Sent uint64 `cbor:"7,keyasint,omitempty"`
+	// Epoch is that of the newest attachment, told with Superseded.
+	Epoch uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ControlFrame travels both ways on the control stream of a link. Any of its
--- a/core_test.go
+++ b/core_test.go
@@ -18,6 +18,7 @@
 	"request", "version", "connection/detector", "process/routing",
 	"process/admission", "process/membership", "process/callpage", "process/gate", "process/order",
 	"process/spread",
+	"process/directory",
 }
 
 func TestCoreStartsNoGoroutine(t *testing.T) {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -30,11 +30,12 @@
 	incarnation request.Incarnation
 	engine      platform.Engine
 	// calls is set when the target is an application, else nil.
-	calls    *callGate
-	journal  *journal
-	observer *observe.Observer
-	status   *engineStatus
-	leaving  atomic.Bool
+	calls     *callGate
+	journal   *journal
+	directory *directoryPart
+	observer  *observe.Observer
+	status    *engineStatus
+	leaving   atomic.Bool
 	// active counts the streams that are served, entries the links of entries.
 	active   atomic.Int32
 	entries  atomic.Int32
@@ -56,6 +57,7 @@
 		observer:      observe.New(s.Name, s.Operators, s.OperatorDigests),
 		status:        newEngineStatus(),
 		configuration: newConfiguration(s),
+		directory:     newDirectoryPart(),
 	}
 	a.observer.Gauges(metrics.LinkGauges(&a.links)...)
 	if s.Application != "" {
--- /dev/null
+++ b/process/agent/directory.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/connection/link"
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/process/directory"
+)
+
+// directoryPart is the agent's part of the soft directory.
+type directoryPart struct {
+	mu    sync.Mutex
+	table *directory.Table
+}
+
+func newDirectoryPart() *directoryPart { return &directoryPart{table: directory.NewTable()} }
+
+// serve answers one question to the directory.
+func (d *directoryPart) serve(stream *link.Stream, ask wire.Directory) {
+	found := d.do(time.Now(), ask)
+	if ask.Find != nil {
+		_ = stream.Write(wire.ServerFrame{Found: &found})
+	}
+	_ = stream.Finish()
+}
+
+func (d *directoryPart) do(now time.Time, ask wire.Directory) (found wire.Found) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ask.Put != nil {
+		d.table.Put(now, *ask.Put)
+	}
+	if ask.Find == nil {
+		return found
+	}
+	if place, ok := d.table.Find(now, *ask.Find); ok {
+		found.Place = &place
+	}
+	return found
+}
--- a/process/agent/journal.go
+++ b/process/agent/journal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -17,7 +18,9 @@
 	attempt    request.AttemptNumber
 	cancel     func()
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// epoch is that of the newest attachment; readers of older ones are superseded.
+	epoch  uint64
 	prompt []request.TokenID
 	// accepted counts the leading tokens that came with the Run.
 	accepted int
@@ -33,6 +36,7 @@
 		generation: run.Generation,
 		attempt:    run.Attempt,
 		cancel:     cancel,
+		epoch:      run.Epoch,
 		accepted:   len(run.Accepted),
 		tokens:     append([]request.TokenID(nil), run.Accepted...),
 		changed:    make(chan struct{}),
@@ -82,45 +86,135 @@
 	tokens  []request.TokenID
 	end     *wire.End
 	changed <-chan struct{}
+	epoch   uint64
 }
 
 // since returns the record from position on.
 func (r *record) since(position int) view {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := view{prompt: r.prompt, end: r.end, changed: r.changed}
+	v := view{prompt: r.prompt, end: r.end, changed: r.changed, epoch: r.epoch}
 	if position < len(r.tokens) {
 		v.tokens = r.tokens[position:len(r.tokens):len(r.tokens)]
 	}
 	return v
 }
 
+// newestEpoch returns the epoch of the newest attachment.
+func (r *record) newestEpoch() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch
+}
+
+// attach makes the asker the newest reader of the record, and returns the
+// tokens before the position it asks for.
+func (r *record) attach(ask wire.Attach) ([]request.TokenID, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case ask.Workspace != r.generation.Workspace:
+		return nil, errUnknownRequest()
+	case ask.BodyDigest != r.generation.BodyDigest:
+		return nil, fault.New(fault.KeyConflict, "")
+	case ask.Position > len(r.tokens) || request.SumOf(r.tokens[:ask.Position]) != ask.Digest:
+		return nil, fault.New(fault.NotFound, "the journal does not hold what the caller has")
+	case ask.Epoch <= r.epoch:
+		return nil, fault.New(fault.Superseded, "")
+	}
+	r.epoch = ask.Epoch
+	r.signal()
+	return r.tokens[:ask.Position:ask.Position], nil
+}
+
+func errUnknownRequest() error { return fault.New(fault.NotFound, "there is no such request") }
+
+// size is the memory that the record takes, in tokens.
+func (r *record) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.prompt) + len(r.tokens)
+}
+
+const (
+	// journalRetention is how long an ended record stays for a reconnecting caller.
+	journalRetention = 30 * time.Second
+	// maxRetainedTokens bounds the ended records of one agent, at 4 bytes a token.
+	maxRetainedTokens = 4 << 20
+)
+
 // journal holds the records of one agent by request.
 type journal struct {
 	mu      sync.Mutex
 	records map[request.ID]*record
+	// retired lists ended records, oldest first, and retained sums their sizes.
+	retired  []retiredRecord
+	retained int
+}
+
+type retiredRecord struct {
+	record *record
+	size   int
+	until  time.Time
 }
 
 func newJournal() *journal { return &journal{records: map[request.ID]*record{}} }
 
-// add stores a record and returns the one it replaces, if any.
-func (j *journal) add(r *record) (replaced *record) {
+// add stores a record and returns the one it replaces, if any. A run of an older
+// attachment or attempt than the one known is refused.
+func (j *journal) add(r *record) (replaced *record, err error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	replaced = j.records[r.generation.ID]
+	if replaced != nil {
+		epoch := replaced.newestEpoch()
+		if epoch > r.epoch || epoch == r.epoch && replaced.attempt >= r.attempt {
+			return nil, fault.New(fault.Superseded, "")
+		}
+	}
 	j.records[r.generation.ID] = r
-	return replaced
+	return replaced, nil
+}
+
+// get returns the record of a request, or nil.
+func (j *journal) get(id request.ID) *record {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.records[id]
 }
 
-// remove drops a record unless a newer one took its place.
-func (j *journal) remove(r *record) {
+// retire keeps an ended record for its retention and drops those that are over
+// theirs or over the bound.
+func (j *journal) retire(r *record, now time.Time) {
+	size := r.size()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.records[r.generation.ID] == r {
-		delete(j.records, r.generation.ID)
+	j.retired = append(j.retired, retiredRecord{record: r, size: size, until: now.Add(journalRetention)})
+	j.retained += size
+	j.trim(now)
+}
+
+func (j *journal) trim(now time.Time) {
+	for len(j.retired) > 0 {
+		oldest := j.retired[0]
+		if j.retained <= maxRetainedTokens && now.Before(oldest.until) {
+			return
+		}
+		j.retired = j.retired[1:]
+		j.retained -= oldest.size
+		if id := oldest.record.generation.ID; j.records[id] == oldest.record {
+			delete(j.records, id)
+		}
 	}
 }
 
+// sweep drops ended records that are over their retention.
+func (j *journal) sweep(now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.trim(now)
+}
+
 // running counts the records that have not ended.
 func (j *journal) running() int {
 	j.mu.Lock()
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -16,9 +16,6 @@
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
-// journalRetention is how long an ended record stays for a reconnecting caller.
-const journalRetention = 30 * time.Second
-
 func (a *Agent) target() request.TargetID { return request.TargetID(a.settings.Target) }
 
 // serveRun runs one attempt and relays its record to the entry that asked.
@@ -29,11 +26,17 @@
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	r := newRecord(run, cancel)
-	if replaced := a.journal.add(r); replaced != nil {
+	replaced, err := a.journal.add(r)
+	if err != nil {
+		cancel()
+		refuse(stream, wire.End{Request: run.Generation.ID, Attempt: run.Attempt, Kind: fault.KindOf(err)})
+		return
+	}
+	if replaced != nil {
 		replaced.cancel()
 	}
 	a.goTask(func() { a.run(runCtx, r, run) })
-	a.follow(l, stream, r, r.accepted)
+	a.follow(l, stream, reader{record: r, epoch: run.Epoch, position: r.accepted})
 }
 
 // run drives the engine for one record and retires the record later.
@@ -49,7 +52,7 @@
 	}
 	a.record(r, timeline.AttemptEnded)
 	r.cancel()
-	time.AfterFunc(journalRetention, func() { a.journal.remove(r) })
+	a.journal.retire(r, time.Now())
 }
 
 // record adds an event about an attempt to the time line.
@@ -127,79 +130,3 @@
 	}
 	return g.Version
 }
-
-// follow relays a record from position on until its end. When the entry cancels,
-// so is the run; when the link breaks, the run goes on for its orphan grace.
-func (a *Agent) follow(l *link.Link, stream *link.Stream, r *record, position int) {
-	if !a.writeBegan(stream, r) {
-		a.abandon(l, r)
-		return
-	}
-	for {
-		v := r.since(position)
-		if !writeView(stream, r, v, position) {
-			a.abandon(l, r)
-			return
-		}
-		position += len(v.tokens)
-		if v.end != nil {
-			_ = stream.Finish()
-			return
-		}
-		select {
-		case <-v.changed:
-		case <-stream.Context().Done():
-			a.abandon(l, r)
-			return
-		}
-	}
-}
-
-// writeBegan waits for the prompt and sends the opening frame, unless the attempt
-// failed before the prompt was known.
-func (a *Agent) writeBegan(stream *link.Stream, r *record) bool {
-	v := r.since(0)
-	for v.prompt == nil && v.end == nil {
-		select {
-		case <-v.changed:
-		case <-stream.Context().Done():
-			return false
-		}
-		v = r.since(0)
-	}
-	if v.prompt == nil {
-		return true
-	}
-	began := wire.Began{
-		Request:     r.generation.ID,
-		Attempt:     r.attempt,
-		Incarnation: a.incarnation,
-		Target:      a.target(),
-		Prompt:      v.prompt,
-		Sent:        uint64(a.observer.Timeline.Now()),
-	}
-	return stream.Write(wire.ServerFrame{Began: &began}) == nil
-}
-
-func writeView(stream *link.Stream, r *record, v view, position int) bool {
-	if len(v.tokens) > 0 {
-		tokens := wire.Tokens{Request: r.generation.ID, Attempt: r.attempt, Position: position, Tokens: v.tokens}
-		if stream.Write(wire.ServerFrame{Tokens: &tokens}) != nil {
-			return false
-		}
-	}
-	if v.end == nil {
-		return true
-	}
-	return stream.Write(wire.ServerFrame{End: v.end}) == nil
-}
-
-// abandon ends a run that nobody follows: at once when the entry cancelled it,
-// after the orphan grace when the link was lost.
-func (a *Agent) abandon(l *link.Link, r *record) {
-	if l.Context().Err() == nil {
-		r.cancel()
-		return
-	}
-	time.AfterFunc(r.generation.OrphanGrace, r.cancel)
-}
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -93,6 +93,10 @@
 		a.serveCall(ctx, stream, *frame.Call)
 	case frame.Seal != nil:
 		a.serveSeal(stream, *frame.Seal)
+	case frame.Attach != nil:
+		a.serveAttach(l, stream, *frame.Attach)
+	case frame.Directory != nil:
+		a.directory.serve(stream, *frame.Directory)
 	default:
 		refuse(stream, wire.End{Kind: fault.BadRequest, Message: "the frame asks for nothing known"})
 	}
--- a/process/agent/status.go
+++ b/process/agent/status.go
@@ -204,6 +204,7 @@
 		case <-a.status.probe:
 			lost = true
 		case <-ticker.C:
+			a.journal.sweep(time.Now())
 		}
 		a.status.setWork(a.running(), a.journal.pendingTokens())
 		now := time.Now()
--- a/process/entry/answer.go
+++ b/process/entry/answer.go
@@ -47,8 +47,14 @@
 
 func (w *answerWriter) began(began wire.Began) { w.prompt = began.Prompt }
 
+// resume prepares the writer for an answer whose first tokens the caller has.
+func (w *answerWriter) resume(prefix []request.TokenID) {
+	w.detokenizer.Next(prefix)
+	w.roleSent = len(prefix) > 0
+}
+
 // tokens implements sink.
-func (w *answerWriter) tokens(position int, tokens []request.TokenID, from wire.Began) error {
+func (w *answerWriter) tokens(tokens []request.TokenID, next eventID) error {
 	text := w.detokenizer.Next(tokens)
 	if !w.ask.Stream {
 		w.text = append(w.text, text...)
@@ -56,12 +62,7 @@
 		return nil
 	}
 	event := w.event(w.choice(string(text), tokens, nil))
-	return w.writeEvent(eventID(from, position+len(tokens)), event)
-}
-
-// eventID names the next position wanted and where its journal is.
-func eventID(from wire.Began, next int) string {
-	return fmt.Sprintf("%s/%s/%d/%d", from.Request, from.Target, from.Incarnation, next)
+	return w.writeEvent(string(next.append(nil)), event)
 }
 
 func (w *answerWriter) choice(text string, tokens []request.TokenID, finish *request.FinishReason) choice {
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -23,7 +23,18 @@
 // runAttempt opens a stream to the target, sends the attempt and reads its reply
 // until it ends. It sends exactly one EventEnded or EventFailed, unless ctx ends.
 func (e *Entry) runAttempt(ctx context.Context, target request.TargetID, run wire.Run, events chan<- attemptEvent) {
-	err := e.readAttempt(ctx, target, run, events)
+	reportLoss(ctx, run, e.readAttempt(ctx, target, run, events), events)
+}
+
+// followAttempt reads the reply to an attachment as runAttempt does.
+func (e *Entry) followAttempt(ctx context.Context, from attachment, events chan<- attemptEvent) {
+	stop := context.AfterFunc(ctx, from.stream.Cancel)
+	defer stop()
+	run := wire.Run{Generation: *from.began.Generation, Attempt: from.began.Attempt}
+	reportLoss(ctx, run, e.readFrames(ctx, run, from.stream, events), events)
+}
+
+func reportLoss(ctx context.Context, run wire.Run, err error, events chan<- attemptEvent) {
 	if err == nil || ctx.Err() != nil {
 		return
 	}
--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -86,13 +86,62 @@
 		writeError(c, err, outcome)
 		return
 	}
+	arrived, err := e.arrivalOf(c, ask, g)
+	if err != nil {
+		writeError(c, err, outcome)
+		return
+	}
+	taken, err := e.reattach(c.Request.Context(), arrived)
+	if err != nil {
+		outcome.WasRun = request.RunUnknown
+		writeError(c, err, outcome)
+		return
+	}
+	if taken != nil {
+		g = *taken.began.Generation
+		policy = e.policyOf(snapshotOf(c), g, policy)
+		arrived.epoch = taken.epoch
+	}
 	c.Header(RequestHeader, string(g.ID))
 	words := vocabularyOf(snapshotOf(c), g.Service)
 	writer := newAnswerWriter(c, g, ask, words, e.settings.Limits.SlowCaller.Std())
 	driver := newGenerationDriver(e, g, prompt, policy, writer)
+	driver.epoch = arrived.epoch
+	if taken != nil {
+		driver.taken = taken
+		writer.resume(taken.began.Prefix)
+	}
 	writer.finish(driver.run(c.Request.Context()))
 }
 
+// arrivalOf reads what the caller has of the answer already.
+func (e *Entry) arrivalOf(c *gin.Context, ask completionAsk, g request.Generation) (arrival, error) {
+	a := arrival{generation: g, epoch: uint64(e.observer.Timeline.Now()), whole: !ask.Stream}
+	text := c.GetHeader(EventHeader)
+	if text == "" {
+		return a, nil
+	}
+	last, err := parseEventID(text)
+	if err != nil {
+		return a, err
+	}
+	a.last = &last
+	return a, nil
+}
+
+// policyOf returns the policy of a request that was taken over: its profile in
+// force here and the deadline it began with.
+func (e *Entry) policyOf(snapshot *version.Snapshot, g request.Generation, fallback request.Policy) request.Policy {
+	policy := fallback
+	if profile, ok := snapshot.Document.Profiles[g.Profile]; ok {
+		policy = recoveryPolicy(profile, time.Now())
+	}
+	if g.Deadline > 0 {
+		policy.Deadline = time.UnixMilli(g.Deadline)
+	}
+	return policy
+}
+
 // admitted checks the request against the configuration and gives it its identity.
 func (e *Entry) admitted(c *gin.Context, ask completionAsk, prompt request.Prompt, body []byte) (request.Generation, request.Policy, error) {
 	snapshot := snapshotOf(c)
@@ -138,7 +187,9 @@
 	g.Profile = profileName
 	g.Priority = profile.Priority
 	g.OrphanGrace = profile.OrphanGrace.Std()
-	g.Deadline = time.Now().Add(profile.Deadline.Std()).UnixMilli()
+	if profile.Deadline > 0 {
+		g.Deadline = time.Now().Add(profile.Deadline.Std()).UnixMilli()
+	}
 }
 
 func recoveryPolicy(profile version.Profile, now time.Time) request.Policy {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -172,9 +172,9 @@
 
 // Kill ends the entry at once.
 func (e *Entry) Kill() {
+	_ = e.dialer.Close()
 	e.cancel()
 	_ = e.server.Close()
-	_ = e.dialer.Close()
 	e.observer.Operators.Close()
 	e.tasks.Wait()
 }
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -23,8 +23,8 @@
 type sink interface {
 	// began is called once, when the first agent has taken the request.
 	began(wire.Began)
-	// tokens is called with the tokens from position on and where they were made.
-	tokens(position int, tokens []request.TokenID, from wire.Began) error
+	// tokens is called with the next tokens and the id of the event they go out in.
+	tokens(tokens []request.TokenID, next eventID) error
 }
 
 // generationDriver carries out the actions of one Recovery.
@@ -47,6 +47,10 @@
 	finish   request.FinishReason
 	seen     bool
 	watch    *requestWatch
+	// epoch is that of the caller's arrival or attachment.
+	epoch uint64
+	// taken is set when the request was taken over from its journal.
+	taken *attachment
 }
 
 type runningAttempt struct {
@@ -85,8 +89,7 @@
 // run drives the request to its end and returns its outcome.
 func (d *generationDriver) run(ctx context.Context) request.Outcome {
 	defer d.stop()
-	d.watch.admitted()
-	d.step(ctx, request.Event{Type: request.EventStart})
+	d.begin(ctx)
 	for !d.recovery.Ended() {
 		select {
 		case <-ctx.Done():
@@ -106,6 +109,31 @@
 	return outcome
 }
 
+func (d *generationDriver) begin(ctx context.Context) {
+	if d.taken == nil {
+		d.watch.admitted()
+		d.step(ctx, request.Event{Type: request.EventStart})
+		return
+	}
+	d.watch.attached(*d.taken)
+	began := d.taken.began
+	target := d.taken.target
+	d.recovery.Answer().Offer(0, began.Prefix)
+	d.step(ctx, request.Event{Type: request.EventAttached, Attempt: began.Attempt, Target: target})
+	attemptCtx, cancel := context.WithCancel(ctx)
+	d.attempts[began.Attempt] = &runningAttempt{target: target, cancel: cancel}
+	d.entry.control.adopt(ctx, target)
+	d.entry.control.started(ctx, target, d.key(began.Attempt), d)
+	d.onBegan(began)
+	d.putPlace(ctx, began.Attempt, target)
+	go d.entry.followAttempt(attemptCtx, *d.taken, d.events)
+}
+
+// putPlace tells the soft directory where an attempt runs.
+func (d *generationDriver) putPlace(ctx context.Context, number request.AttemptNumber, target request.TargetID) {
+	d.entry.putPlace(ctx, d.generation, wire.Place{Target: target, Epoch: d.epoch, Attempt: number})
+}
+
 func (d *generationDriver) stop() {
 	d.timer.Stop()
 	for number := range d.attempts {
@@ -142,7 +170,9 @@
 		return
 	}
 	d.seen = true
-	d.prompt = request.Prompt{Tokens: began.Prompt}
+	if began.Prompt != nil {
+		d.prompt = request.Prompt{Tokens: began.Prompt}
+	}
 	d.sink.began(began)
 }
 
@@ -217,7 +247,9 @@
 		Prompt:     d.prompt,
 		Accepted:   d.recovery.Answer().Tokens(),
 		Sent:       uint64(stamp),
+		Epoch:      d.epoch,
 	}
+	d.putPlace(ctx, action.Attempt, action.Target)
 	go d.entry.runAttempt(attemptCtx, action.Target, run, d.events)
 }
 
@@ -242,9 +274,13 @@
 		from = running.began
 		running.load.produced.Add(int64(len(action.Tokens)))
 	}
-	position := d.recovery.Answer().Len() - len(action.Tokens)
-	d.watch.delivered(action.Attempt, from.Target, position)
-	if err := d.sink.tokens(position, action.Tokens, from); err != nil {
+	answer := d.recovery.Answer()
+	next := eventID{
+		request: d.generation.ID, target: from.Target, incarnation: from.Incarnation,
+		position: answer.Len(), digest: answer.Sum(),
+	}
+	d.watch.delivered(action.Attempt, from.Target, answer.Len()-len(action.Tokens))
+	if err := d.sink.tokens(action.Tokens, next); err != nil {
 		d.notify(request.Event{Type: request.EventCallerLeft})
 	}
 }
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -34,6 +34,15 @@
 	w.record(timeline.Event{Kind: timeline.RequestAdmitted, Revision: w.revision})
 }
 
+// attached notes that a request was taken over from its journal. Its first token
+// is one that the caller waited for already.
+func (w *requestWatch) attached(from attachment) {
+	w.record(timeline.Event{
+		Kind: timeline.RequestAttached, Revision: w.revision, Attempt: from.began.Attempt,
+		Target: from.target, Position: len(from.began.Prefix),
+	})
+}
+
 // started notes that an attempt begins at position and returns the stamp that
 // goes along with it. Running counts the attempts that run already.
 func (w *requestWatch) started(number request.AttemptNumber, target request.TargetID, position, prompt, running int) timeline.Stamp {
--- a/request/answer.go
+++ b/request/answer.go
@@ -74,9 +74,19 @@
 	a.tokens = append(a.tokens, token)
 }
 
-// Digest identifies the accepted tokens, in hexadecimal.
+// Sum identifies the accepted tokens.
+func (a *Answer) Sum() uint64 { return a.digest.Sum64() }
+
+// Digest is Sum in hexadecimal.
 func (a *Answer) Digest() string {
 	var sum [8]byte
-	binary.BigEndian.PutUint64(sum[:], a.digest.Sum64())
+	binary.BigEndian.PutUint64(sum[:], a.Sum())
 	return hexDigest(sum)
 }
+
+// SumOf returns what Sum of an answer with the given tokens is.
+func SumOf(tokens []TokenID) uint64 {
+	answer := NewAnswer(0)
+	answer.Offer(0, tokens)
+	return answer.Sum()
+}
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -33,6 +33,9 @@
 	EventTick
 	// EventMove asks that Target be left because it drains by moving its work.
 	EventMove
+	// EventAttached begins the request in place of EventStart with Attempt, which
+	// runs on Target already. The answer holds the tokens before it.
+	EventAttached
 )
 
 // Event is one thing that happened to a request.
@@ -187,6 +190,8 @@
 		r.end(fault.CallerGone, "")
 	case EventTick:
 		r.onTick(now)
+	case EventAttached:
+		r.onAttached(event)
 	}
 }
 
@@ -202,6 +207,14 @@
 	r.pick()
 }
 
+func (r *Recovery) onAttached(event Event) {
+	if !r.policy.Deadline.IsZero() {
+		r.wakeAt(r.policy.Deadline)
+	}
+	r.started = event.Attempt
+	r.running = append(r.running, attempt{number: event.Attempt, target: event.Target})
+}
+
 func (r *Recovery) onPicked(target TargetID) {
 	r.picking = false
 	r.started++
