Event ids have five parts in the tests of losses

Cause: the tests of lost targets expected four parts of an event id; since reattachment compares the tokens that the caller has, an id carries their digest as a fifth part.

--- a/bench/fleet/entry_loss_test.go
+++ b/bench/fleet/entry_loss_test.go
@@ -23,6 +23,7 @@
 	// longAnswer takes far longer than any of these tests waits.
 	longAnswer = 8000
 	testWait   = 60 * time.Second
+	seenBefore = 10
 	stepTime   = 5 * time.Millisecond
 )
 
@@ -57,13 +58,13 @@
 	return f
 }
 
-// breakAfter asks entry 0 and runs fault once the caller has tokens tokens. It
+// breakAfter asks entry 0 and runs fault once the caller has seenBefore tokens. It
 // returns what the caller had when its answer broke off.
-func breakAfter(t *testing.T, f *fleet.Fleet, ask caller.Ask, tokens int, fault func()) *caller.Answer {
+func breakAfter(t *testing.T, f *fleet.Fleet, ask caller.Ask, fault func()) *caller.Answer {
 	t.Helper()
 	var once sync.Once
 	ask.Seen = func(seen int) {
-		if seen >= tokens {
+		if seen >= seenBefore {
 			once.Do(fault)
 		}
 	}
@@ -73,17 +74,17 @@
 	return answer
 }
 
-func continueAt(t *testing.T, f *fleet.Fleet, entry int, ask caller.Ask, answer *caller.Answer) {
+func continueAtSecond(t *testing.T, f *fleet.Fleet, ask caller.Ask, answer *caller.Answer) {
 	t.Helper()
-	assert.NilError(t, caller.New(http.DefaultClient).Continue(t.Context(), f.URL(entry), ask, answer))
+	assert.NilError(t, caller.New(http.DefaultClient).Continue(t.Context(), f.URL(1), ask, answer))
 }
 
 func TestAnswerGoesOnAtAnotherEntryByEventID(t *testing.T) {
 	f := startPair(t, 3, nil)
 	ask := trialAsk()
-	answer := breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	answer := breakAfter(t, f, ask, f.Entries[0].Kill)
 	ask.LastEventID = answer.LastEventID
-	continueAt(t, f, 1, ask, answer)
+	continueAtSecond(t, f, ask, answer)
 	verdict := caller.Check(salt, fleet.TrialVersion, ask, answer)
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 	assert.Equal(t, int(answer.Outcome.Attempts), 1)
@@ -94,9 +95,9 @@
 	f := startPair(t, 3, nil)
 	ask := trialAsk()
 	ask.Key = "report-1"
-	broken := breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	broken := breakAfter(t, f, ask, f.Entries[0].Kill)
 	answer := &caller.Answer{}
-	continueAt(t, f, 1, ask, answer)
+	continueAtSecond(t, f, ask, answer)
 	verdict := caller.Check(salt, fleet.TrialVersion, ask, answer)
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 	assert.Assert(t, strings.HasPrefix(broken.LastEventID, string(answer.Outcome.Request)+"/"))
@@ -107,7 +108,7 @@
 	f := startPair(t, 3, nil)
 	ask := trialAsk()
 	ask.MaxTokens = 200
-	answer := breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	answer := breakAfter(t, f, ask, f.Entries[0].Kill)
 	ask.LastEventID = answer.LastEventID
 	var once sync.Once
 	ask.Seen = func(seen int) {
@@ -115,7 +116,7 @@
 			once.Do(func() { memberOf(f, ask.LastEventID).Engine.Kill() })
 		}
 	}
-	continueAt(t, f, 1, ask, answer)
+	continueAtSecond(t, f, ask, answer)
 	verdict := caller.Check(salt, fleet.TrialVersion, ask, answer)
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 	assert.Equal(t, int(answer.Outcome.Attempts), 2)
@@ -135,12 +136,12 @@
 func TestAnswerOfADeadEngineIsResumedFromItsJournal(t *testing.T) {
 	f := startPair(t, 3, nil)
 	ask := trialAsk()
-	answer := breakAfter(t, f, ask, 10, func() {
+	answer := breakAfter(t, f, ask, func() {
 		f.Entries[0].Kill()
 	})
 	memberOf(f, answer.LastEventID).Engine.Kill()
 	ask.LastEventID = answer.LastEventID
-	continueAt(t, f, 1, ask, answer)
+	continueAtSecond(t, f, ask, answer)
 	verdict := caller.Check(salt, fleet.TrialVersion, ask, answer)
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 }
@@ -149,11 +150,11 @@
 	f := startPair(t, 3, nil)
 	ask := trialAsk()
 	ask.MaxTokens = longAnswer
-	answer := breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	answer := breakAfter(t, f, ask, f.Entries[0].Kill)
 	memberOf(f, answer.LastEventID).Agent.Kill()
 	before := len(answer.Tokens)
 	ask.LastEventID = answer.LastEventID
-	continueAt(t, f, 1, ask, answer)
+	continueAtSecond(t, f, ask, answer)
 	assert.Equal(t, len(answer.Tokens), before)
 	assert.Assert(t, answer.Status != http.StatusOK)
 	assert.Equal(t, answer.Outcome.WasRun, request.RunUnknown)
@@ -164,13 +165,13 @@
 	ask := trialAsk()
 	ask.MaxTokens = longAnswer
 	ask.Key = "report-2"
-	first := breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	first := breakAfter(t, f, ask, f.Entries[0].Kill)
 	t.Run("another workspace does not find it", func(t *testing.T) {
 		foreign := ask
 		foreign.Token = otherToken
 		foreign.LastEventID = first.LastEventID
 		answer := &caller.Answer{}
-		continueAt(t, f, 1, foreign, answer)
+		continueAtSecond(t, f, foreign, answer)
 		assert.Equal(t, answer.Status, http.StatusNotFound)
 		assert.Equal(t, answer.Outcome.Error, "not_found")
 	})
@@ -178,7 +179,7 @@
 		changed := ask
 		changed.MaxTokens++
 		answer := &caller.Answer{}
-		continueAt(t, f, 1, changed, answer)
+		continueAtSecond(t, f, changed, answer)
 		assert.Equal(t, answer.Outcome.Error, "key_conflict")
 	})
 	t.Run("a forged digest is refused", func(t *testing.T) {
@@ -186,7 +187,7 @@
 		forged.Key = ""
 		forged.LastEventID = first.LastEventID[:strings.LastIndex(first.LastEventID, "/")] + "/1"
 		answer := &caller.Answer{}
-		continueAt(t, f, 1, forged, answer)
+		continueAtSecond(t, f, forged, answer)
 		assert.Equal(t, answer.Status, http.StatusNotFound)
 	})
 }
@@ -201,7 +202,7 @@
 	var once sync.Once
 	older := ask
 	older.Seen = func(seen int) {
-		if seen < 10 {
+		if seen < seenBefore {
 			return
 		}
 		once.Do(func() {
@@ -221,7 +222,7 @@
 	f := startPair(t, 1, func(p *version.Profile) { p.OrphanGrace = version.Duration(100 * time.Millisecond) })
 	ask := trialAsk()
 	ask.MaxTokens = longAnswer
-	breakAfter(t, f, ask, 10, f.Entries[0].Kill)
+	breakAfter(t, f, ask, f.Entries[0].Kill)
 	ctx, cancel := context.WithTimeout(t.Context(), testWait)
 	defer cancel()
 	assert.NilError(t, f.Members[0].Agent.Stop(ctx))
--- a/bench/fleet/loss_test.go
+++ b/bench/fleet/loss_test.go
@@ -41,7 +41,7 @@
 	verdict := caller.Check(salt, fleet.TrialVersion, p.ask, p.answer)
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 	parts := strings.Split(p.answer.LastEventID, "/")
-	assert.Equal(t, len(parts), 4)
+	assert.Equal(t, len(parts), 5)
 	return parts[1]
 }
 
