Attempts that were taken over count in the load of their target

Cause: routing now counts expected tokens; an attached attempt was never picked, so its release would have taken off load that was not there.

Change: an attachment adds the attempt and its expected tokens.

--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -121,9 +121,11 @@
 	d.recovery.Answer().Offer(0, began.Prefix)
 	d.step(ctx, request.Event{Type: request.EventAttached, Attempt: began.Attempt, Target: target})
 	attemptCtx, cancel := context.WithCancel(ctx)
-	d.attempts[began.Attempt] = &runningAttempt{target: target, cancel: cancel}
-	d.entry.control.adopt(ctx, target)
-	d.entry.control.started(ctx, target, d.key(began.Attempt), d)
+	d.wanted = d.generation.Sampling.MaxTokens - len(began.Prefix)
+	load := &attemptLoad{driver: d, expected: d.wanted}
+	d.attempts[began.Attempt] = &runningAttempt{target: target, load: load, cancel: cancel}
+	d.entry.control.adopt(ctx, target, d.wanted)
+	d.entry.control.started(ctx, target, d.key(began.Attempt), load)
 	d.onBegan(began)
 	d.putPlace(ctx, began.Attempt, target)
 	go d.entry.followAttempt(attemptCtx, *d.taken, d.events)
--- a/process/entry/reattach.go
+++ b/process/entry/reattach.go
@@ -145,10 +145,11 @@
 }
 
 // adopt counts an attempt in flight that was not picked here.
-func (c *control) adopt(ctx context.Context, id request.TargetID) {
+func (c *control) adopt(ctx context.Context, id request.TargetID, tokens int) {
 	c.do(ctx, func() {
 		if target := c.table.Get(id); target != nil {
 			target.InFlight++
+			target.Expected += tokens
 		}
 	})
 }
