mlctl: plan, apply, get, history, rollback, status and drain

Operators had validate alone. A drain is declared in the configuration, so that it outlives restarts, and the agent tells its entries at once. Exit codes are documented, settings come from flags, environment or a file. Entries refuse under a configuration that the profile calls too old. The stand-in platform stored a bare document, which processes no longer read; it stores a record now.

--- a/cmd/mlctl/main.go
+++ b/cmd/mlctl/main.go
@@ -11,6 +11,6 @@
 func main() {
 	if err := command.NewRoot().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
-		os.Exit(1)
+		os.Exit(int(command.ExitCodeOf(err)))
 	}
 }
--- a/command/root.go
+++ b/command/root.go
@@ -19,7 +19,9 @@
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	root.PersistentFlags().AddGoFlagSet(flags)
+	addSettingsFile(root)
 	root.AddCommand(newKeys(), newSchema(), newValidate())
+	root.AddCommand(newPlan(), newApply(), newGet(), newHistory(), newRollback(), newStatus(), newDrain())
 	root.AddCommand(newStandin(), newDemo(), newTimeline())
 	return root
 }
--- /dev/null
+++ b/command/settings.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	settingsVariable = "MLCTL_SETTINGS"
+	storeVariable    = "MLCTL_STORE"
+	authorVariable   = "MLCTL_AUTHOR"
+)
+
+// fileSettings is the settings file of mlctl. A flag goes before the environment,
+// and the environment before the file.
+type fileSettings struct {
+	// Store lists the base URLs of the key-value service.
+	Store []string `json:"store,omitempty"`
+	// Processes lists operators' addresses, HostList is the URL of the host list.
+	Processes []string `json:"processes,omitempty"`
+	HostList  string   `json:"hostList,omitempty"`
+	Token     string   `json:"token,omitempty"`
+	Author    string   `json:"author,omitempty"`
+}
+
+// addSettingsFile lets every command take its flags from a file.
+func addSettingsFile(root *cobra.Command) {
+	path := root.PersistentFlags().String("settings", os.Getenv(settingsVariable),
+		"JSON file with store, processes, hostList, token and author (or "+settingsVariable+")")
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		if *path == "" {
+			return nil
+		}
+		return applySettings(cmd, *path)
+	}
+}
+
+func applySettings(cmd *cobra.Command, path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	var s fileSettings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return errors.Wrapf(err, "settings %s", path)
+	}
+	for _, setting := range []struct{ flag, variable, value string }{
+		{"store", storeVariable, strings.Join(s.Store, ",")},
+		{"process", processesVariable, strings.Join(s.Processes, ",")},
+		{"host-list", hostListVariable, s.HostList},
+		{"token", tokenVariable, s.Token},
+		{"author", authorVariable, s.Author},
+	} {
+		flag := cmd.Flags().Lookup(setting.flag)
+		if flag == nil || flag.Changed || os.Getenv(setting.variable) != "" || setting.value == "" {
+			continue
+		}
+		if err := flag.Value.Set(setting.value); err != nil {
+			return errors.Wrapf(err, "settings %s: %s", path, setting.flag)
+		}
+	}
+	return nil
+}
--- a/command/standin.go
+++ b/command/standin.go
@@ -17,6 +17,8 @@
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/hosts"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/version"
+	"github.com/mulberrylane/mulberrylane/version/files"
 )
 
 // readHeaderTimeout bounds how long a stand-in waits for request headers.
@@ -84,11 +86,9 @@
 	}
 	store := kv.New()
 	if documentPath != "" {
-		document, err := os.ReadFile(documentPath)
-		if err != nil {
-			return nil, errors.Wrap(err, "document")
+		if err := putDocument(store, documentPath); err != nil {
+			return nil, err
 		}
-		store.Put(revision.DocumentKey, document)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v3/", store.Handler())
@@ -96,6 +96,21 @@
 	return mux, nil
 }
 
+// putDocument puts the configuration at path in force.
+func putDocument(store *kv.Store, path string) error {
+	document, err := files.Load(path)
+	if err != nil {
+		return err
+	}
+	record := version.Record{Author: "standin", Time: time.Now(), Sequence: 1, Document: document}
+	body, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	store.Put(revision.DocumentKey, body)
+	return nil
+}
+
 // readJSON reads a JSON file strictly into target.
 func readJSON(path string, target any) error {
 	file, err := os.Open(path)
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -94,6 +94,7 @@
 	a.cancel = cancel
 	a.observer.Record(timeline.Event{Kind: timeline.ProcessStarted, Target: a.target()})
 	a.goTask(func() { a.configuration.spreader.Run(ctx) })
+	a.goTask(func() { a.followDrain(ctx) })
 	a.goTask(func() { a.watchEngine(ctx) })
 	a.goTask(func() { a.acceptLinks(ctx) })
 	klog.InfoS("agent started", "name", a.settings.Name, "target", a.settings.Target,
--- a/process/agent/calls.go
+++ b/process/agent/calls.go
@@ -117,7 +117,7 @@
 		a.serveRepeatable(stream, call)
 		return
 	}
-	verdict := a.calls.admit(call, !a.leaving.Load())
+	verdict := a.calls.admit(call, !a.isLeaving())
 	if verdict.Pass {
 		a.goTask(func() { a.calls.pass(ctx, call) })
 	}
@@ -154,7 +154,7 @@
 // serveRepeatable passes an idempotent call on, as long as its entry waits.
 func (a *Agent) serveRepeatable(stream *link.Stream, call wire.Call) {
 	reply := wire.CallReply{Request: call.Request, State: request.GateSealed}
-	if a.leaving.Load() {
+	if a.isLeaving() {
 		reply.Kind = fault.Draining
 		writeCallReply(stream, reply)
 		return
--- a/process/agent/configuration.go
+++ b/process/agent/configuration.go
@@ -1,9 +1,13 @@
 package agent
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/process/operator"
 	"github.com/mulberrylane/mulberrylane/process/revision"
@@ -19,6 +23,8 @@
 type configuration struct {
 	revisions *revision.Holder
 	spreader  *revision.Spreader
+	// drained says that the configuration drains the target.
+	drained atomic.Bool
 	// store is nil when the settings name none.
 	store *etcd.Store
 }
@@ -32,6 +38,27 @@
 	return c
 }
 
+// isLeaving says that the target takes no new work: the agent stops, or the
+// configuration drains the target.
+func (a *Agent) isLeaving() bool { return a.leaving.Load() || a.configuration.drained.Load() }
+
+// followDrain keeps drained as the configuration in force says, until ctx ends.
+func (a *Agent) followDrain(ctx context.Context) {
+	for {
+		changed := a.configuration.revisions.Changed()
+		drain, drained := a.configuration.revisions.Current().Document.Draining[a.settings.Target]
+		if a.configuration.drained.Swap(drained) != drained {
+			klog.InfoS("drain changed", "target", a.settings.Target, "drained", drained, "reason", drain.Reason)
+			a.status.signal()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // Status returns what the agent tells operators of itself.
 func (a *Agent) Status() operator.Status {
 	who := operator.Identity{Process: a.settings.Name, Role: spread.Agent, FailureDomain: a.settings.FailureDomain}
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -118,7 +118,7 @@
 	report := a.status.report(time.Now())
 	return wire.Heartbeat{
 		EngineAlive:   report.alive,
-		Leaving:       a.leaving.Load(),
+		Leaving:       a.isLeaving(),
 		Running:       report.running,
 		EngineRunning: report.load.Running,
 		EngineWaiting: report.load.Waiting,
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -20,7 +20,7 @@
 
 // serveRun runs one attempt and relays its record to the entry that asked.
 func (a *Agent) serveRun(ctx context.Context, l *link.Link, stream *link.Stream, run wire.Run) {
-	if a.leaving.Load() {
+	if a.isLeaving() {
 		refuse(stream, wire.End{Request: run.Generation.ID, Attempt: run.Attempt, Kind: fault.Draining})
 		return
 	}
--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -112,6 +112,9 @@
 		return call, fault.New(fault.BadRequest, "%s: longer than %d bytes", KeyHeader, callpage.MaxKeyBytes)
 	}
 	_, profile := snapshot.ProfileOf(call.Service)
+	if err := e.revisions.Check(profile, now); err != nil {
+		return call, err
+	}
 	fillCall(&call, *service.Application, profile, now)
 	call.Body, err = callBody(c, call.Name.Key, call.MaxReplyBytes)
 	call.Repeatable = service.Application.Allows(c.Request.Method, c.Param("path"))
--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -162,6 +162,9 @@
 		return g, request.Policy{}, err
 	}
 	name, profile := snapshot.ProfileOf(ask.Model)
+	if err := e.revisions.Check(profile, time.Now()); err != nil {
+		return g, request.Policy{}, err
+	}
 	fillGeneration(&g, ask.Model, service, name, profile)
 	g.Key = c.GetHeader(KeyHeader)
 	g.Chat = len(prompt.Messages) > 0
--- /dev/null
+++ b/process/revision/holder_test.go
@@ -0,0 +1,34 @@
+package revision
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	h := NewHolder()
+	assert.Assert(t, h.Offer(version.Compile(5, version.Document{})))
+	assert.Assert(t, !h.Offer(version.Compile(5, version.Document{})))
+	assert.Assert(t, !h.Offer(version.Compile(4, version.Document{})))
+	assert.Equal(t, h.Current().Revision, version.Revision(5))
+}
+
+func TestStaleConfigurationIsRefusedAsTheProfileSays(t *testing.T) {
+	h := NewHolder()
+	h.Offer(version.Compile(5, version.Document{}))
+	now := time.Now()
+	h.confirm(now)
+	serve := version.Profile{StaleConfiguration: version.StaleServe}
+	refuse := version.Profile{StaleConfiguration: version.StaleRefuse, StaleAfter: version.Duration(time.Minute)}
+	assert.NilError(t, h.Check(refuse, now.Add(time.Minute)))
+	late := now.Add(2 * time.Minute)
+	assert.Equal(t, fault.KindOf(h.Check(refuse, late)), fault.StaleConfiguration)
+	assert.NilError(t, h.Check(serve, late))
+	h.confirm(late)
+	assert.NilError(t, h.Check(refuse, late))
+}
