Load and experiment tool: mlctl bench run and compare

An experiment file (strict JSON, errors name the field) says deployment, open-loop arrivals, lengths with a long tail, faults on a schedule, profile changes, policy variants, seed and repetitions. The tool runs the real entry and agent code over real sockets with the stand-ins, in real time and in one process, checks every answer against the oracle, and writes report.json and one report.html with plots.

Extra work is counted from the engines' records per request, against the useful work and against the floor (prefill of the interrupted prefixes and nothing else).

--- /dev/null
+++ b/bench/baseline/router_test.go
@@ -0,0 +1,67 @@
+package baseline_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mulberrylane/mulberrylane/bench/baseline"
+	"github.com/mulberrylane/mulberrylane/bench/caller"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+)
+
+const (
+	salt  = "baseline-test"
+	model = "trial-lm-v1"
+)
+
+func TestEveryPolicyFinishesALostGeneration(t *testing.T) {
+	for _, policy := range []baseline.Policy{
+		{Choice: baseline.Random},
+		{Choice: baseline.Turn},
+		{Choice: baseline.LeastInFlight, Rerun: true},
+	} {
+		policy.Silence, policy.FirstToken, policy.Attempts = 30*time.Second, 30*time.Second, 20
+		t.Run(string(policy.Choice), func(t *testing.T) { loseOne(t, policy) })
+	}
+}
+
+// loseOne kills the engine that runs the one request.
+func loseOne(t *testing.T, policy baseline.Policy) {
+	engines := make([]*engine.Server, 2)
+	targets := make([]baseline.Target, 2)
+	for i := range engines {
+		config := engine.DefaultConfig(salt, model)
+		config.StepTime = 5 * time.Millisecond
+		config.Records = true
+		server, err := engine.Serve(config, "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(server.Kill)
+		engines[i], targets[i] = server, baseline.Target{Name: string(rune('a' + i)), URL: server.URL()}
+	}
+	router, err := baseline.Start(policy, model, 1, func() []baseline.Target { return targets })
+	assert.NilError(t, err)
+	t.Cleanup(router.Kill)
+	ask := caller.Ask{Prompt: "a long survey of the dew pond", MaxTokens: 400}
+	done := make(chan *caller.Answer, 1)
+	go func() {
+		answer, _ := caller.New(http.DefaultClient).Complete(t.Context(), router.URL(), ask)
+		done <- answer
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, server := range engines {
+			if server.Work().DecodedTokens > 10 {
+				server.Kill()
+				return poll.Success()
+			}
+		}
+		return poll.Continue("nothing runs")
+	}, poll.WithTimeout(30*time.Second))
+	answer := <-done
+	verdict := caller.Check(salt, model, ask, answer)
+	assert.Assert(t, verdict.OK(), "%+v", verdict)
+	assert.Equal(t, int(answer.Outcome.Attempts), 2)
+}
--- a/bench/caller/check.go
+++ b/bench/caller/check.go
@@ -36,6 +36,24 @@
 	return verdict
 }
 
+// CheckPart compares what came of an answer that broke off: all of it must be the
+// beginning of the oracle's.
+func CheckPart(salt, version string, ask Ask, answer *Answer) Verdict {
+	length := min(ask.MaxTokens, len(answer.Tokens))
+	return compare(oracle.Continue(salt, version, oracle.Tokenize(ask.Prompt), length), answer.Tokens)
+}
+
+// Plus returns the sum of two verdicts.
+func (v Verdict) Plus(other Verdict) Verdict {
+	return Verdict{
+		Missing:   v.Missing + other.Missing,
+		Repeated:  v.Repeated + other.Repeated,
+		Foreign:   v.Foreign + other.Foreign,
+		Mixed:     v.Mixed + other.Mixed,
+		TextWrong: v.TextWrong + other.TextWrong,
+	}
+}
+
 // compare finds the first difference and says what kind it is.
 func compare(want, got []request.TokenID) Verdict {
 	same := 0
--- /dev/null
+++ b/bench/experiment/deployment.go
@@ -0,0 +1,133 @@
+package experiment
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/deploy"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// Deployment is what an experiment needs to know of a deployment.
+type Deployment struct {
+	// Service is the model service, and Version the model version that it runs.
+	Service  string
+	Version  string
+	Replicas int
+	Entries  int
+	Domains  []string
+	// Workspaces are in order of their weight, the heaviest first.
+	Workspaces []Workspace
+}
+
+// Workspace is one workspace of a deployment.
+type Workspace struct {
+	Name string
+	// Weight is its declared share, and its part of the requests.
+	Weight int
+}
+
+// Token returns the bearer token of the workspace.
+func (w Workspace) Token() string { return w.Name + "-token" }
+
+const (
+	// NoisyWorkspace is the name of the workspace that asks for too much.
+	NoisyWorkspace = "noisy"
+	defaultEntries = 3
+)
+
+// place works out what e needs to know of its deployment.
+func (e *Experiment) place() (Deployment, version.Document, error) {
+	document, err := deploy.Document(e.Deployment)
+	if err != nil {
+		return Deployment{}, document, err
+	}
+	d := Deployment{Entries: cmp.Or(e.Entries, defaultEntries)}
+	for name, service := range document.Services {
+		if service.Model == nil {
+			delete(document.Services, name)
+			continue
+		}
+		d.Service, d.Version = name, service.Model.Version
+		d.Replicas = cmp.Or(e.Replicas, service.Replicas)
+		for _, region := range service.Regions {
+			d.Domains = append(d.Domains, document.Regions[region].FailureDomains...)
+		}
+	}
+	for name, workspace := range document.Workspaces {
+		d.Workspaces = append(d.Workspaces, Workspace{Name: name, Weight: workspace.Share})
+	}
+	slices.SortFunc(d.Workspaces, func(a, b Workspace) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name))
+	})
+	return d, document, nil
+}
+
+// Place returns the deployment of e with the sizes of e. It is empty when there
+// is no such deployment, which Check finds.
+func (e *Experiment) Place() Deployment {
+	d, _, _ := e.place()
+	return d
+}
+
+// Document returns the configuration that e runs under: that of its deployment
+// with the profile's changes, the tool's bearer tokens and the noisy workspace.
+func (e *Experiment) Document() (version.Document, error) {
+	d, document, err := e.place()
+	if err != nil {
+		return document, err
+	}
+	profile, err := e.profile(document, d.Service)
+	if err != nil {
+		return document, err
+	}
+	service := document.Services[d.Service]
+	service.Replicas = d.Replicas
+	service.Model.MinReplicas = min(service.Model.MinReplicas, d.Replicas-1)
+	document.Services[d.Service] = service
+	document.Profiles[service.Profile] = profile
+	for _, w := range d.Workspaces {
+		workspace := document.Workspaces[w.Name]
+		workspace.TokenDigests = []string{version.TokenDigest(w.Token())}
+		document.Workspaces[w.Name] = workspace
+	}
+	noisy := Workspace{Name: NoisyWorkspace}
+	document.Workspaces[NoisyWorkspace] = version.Workspace{Share: 1, TokenDigests: []string{version.TokenDigest(noisy.Token())}}
+	return document, nil
+}
+
+// profile returns the profile of a service with the fields of e put over it.
+func (e *Experiment) profile(document version.Document, service string) (version.Profile, error) {
+	profile := document.Profiles[document.Services[service].Profile]
+	if len(e.Profile) == 0 {
+		return profile, nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(e.Profile))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&profile)
+	return profile, errors.WithStack(err)
+}
+
+// Deadline returns how long after its arrival an answer is of use; zero means for ever.
+func (e *Experiment) Deadline() time.Duration {
+	d, document, err := e.place()
+	if err != nil {
+		return 0
+	}
+	profile, err := e.profile(document, d.Service)
+	if err != nil {
+		return 0
+	}
+	return profile.Deadline.Std()
+}
+
+// smallShare is the largest share of a workspace that counts as small.
+const smallShare = 1
+
+// Small says whether the workspace is one of the small ones.
+func (w Workspace) Small() bool { return w.Weight <= smallShare && w.Name != NoisyWorkspace }
--- /dev/null
+++ b/bench/measure/measure_test.go
@@ -0,0 +1,153 @@
+package measure_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/bench/caller"
+	"github.com/mulberrylane/mulberrylane/bench/experiment"
+	"github.com/mulberrylane/mulberrylane/bench/load"
+	"github.com/mulberrylane/mulberrylane/bench/measure"
+	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/standin/oracle"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+const prompt = "0123456789"
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func trial() *experiment.Experiment {
+	return &experiment.Experiment{
+		Deployment: "vasilescu",
+		Engine: experiment.Pace{
+			Step: version.Duration(8 * time.Millisecond), Batch: 8, PrefillPerToken: version.Duration(time.Millisecond),
+		},
+	}
+}
+
+// reply is an answer of six tokens: three from "a" up to 50 ms, the rest from "b"
+// from 400 ms on.
+func reply() *load.Reply {
+	version := trial().Place().Version
+	tokens := oracle.Continue(load.Salt, version, oracle.Tokenize(prompt), 6)
+	answer := &caller.Answer{
+		Tokens: tokens, Text: string(request.NewDetokenizer(vocabulary.Syllables).Next(tokens)), LastEventID: "r1/b/0/6", Done: true,
+		Outcome: &request.Outcome{Request: "r1", Attempts: 2, WasRun: request.RunYes},
+	}
+	for i, ms := range []int{30, 40, 50, 400, 410, 420} {
+		target := request.TargetID("a")
+		if i >= 3 {
+			target = "b"
+		}
+		answer.Arrivals = append(answer.Arrivals, caller.Arrival{At: at(ms), Tokens: 1, Target: target})
+	}
+	r := &load.Reply{Request: experiment.Request{Prompt: prompt, MaxTokens: 6}, Intended: start, Ended: at(421), Answer: answer}
+	r.Ask = caller.Ask{Prompt: prompt, MaxTokens: 6}
+	return r
+}
+
+// run is a run in which "a" died at 100 ms with the generation on it.
+func run() *load.Run {
+	lost := engine.Record{RequestID: "r1", Arrived: at(10), Admitted: at(10), FirstToken: at(30), PromptTokens: 10, PrefillTokens: 10, DecodedTokens: 3}
+	resumed := engine.Record{RequestID: "r1", Arrived: at(150), Admitted: at(200), FirstToken: at(390), PromptTokens: 13, PrefillTokens: 13, DecodedTokens: 3, Ended: true}
+	return &load.Run{
+		Experiment: trial(), Variant: experiment.Product, Start: start,
+		Replies: []*load.Reply{reply()},
+		Strikes: []load.Strike{{At: at(100), Type: experiment.EngineDeath, Targets: []string{"a"}, Interrupted: []load.Interrupted{{Target: "a", Record: lost}}}},
+		Engines: []load.EngineAccount{{Target: "a", Records: []engine.Record{lost}}, {Target: "b", Records: []engine.Record{resumed}}},
+	}
+}
+
+// near says that a measured time is right to the histogram's three digits.
+func near(t *testing.T, got, want float64) {
+	t.Helper()
+	assert.Assert(t, got > want*0.998 && got < want*1.002, "got %v, want %v", got, want)
+}
+
+func TestResumeLatencyCountsFromTheFailure(t *testing.T) {
+	f := measure.Of(run())
+	assert.Equal(t, f.Resume.Interrupted, 1)
+	assert.DeepEqual(t, f.Resume.Samples, []float64{300})
+	near(t, f.Resume.Latency.P99, 300)
+	near(t, f.Resume.LessPrefill.P99, 110)
+	near(t, f.FirstToken.P50, 30)
+	assert.Equal(t, f.Complete, 1)
+	assert.Equal(t, f.Useful, 1)
+	assert.Equal(t, f.ChangedWithoutFault, 0)
+}
+
+func TestWorkIsHeldAgainstItsFloor(t *testing.T) {
+	work := measure.Of(run()).Work
+	// A decoded token costs 1 ms in a full batch, and so does a prefilled one.
+	assert.Equal(t, work.Useful, 16.0)
+	assert.Equal(t, work.Total, 29.0)
+	assert.Equal(t, work.Floor, 13.0)
+	assert.Equal(t, work.OverFloor, 1.0)
+}
+
+func TestTokensInFlightAtTheFailureAreNoResume(t *testing.T) {
+	r := run()
+	late := &r.Replies[0].Answer.Arrivals[2]
+	late.At = at(105)
+	assert.DeepEqual(t, measure.Of(r).Resume.Samples, []float64{300})
+}
+
+func TestGenerationThatHadMovedIsNotInterrupted(t *testing.T) {
+	r := run()
+	for i := range r.Replies[0].Answer.Arrivals {
+		r.Replies[0].Answer.Arrivals[i].Target = "b"
+	}
+	assert.Equal(t, measure.Of(r).Resume.Interrupted, 0)
+}
+
+func TestAnswerThatStopsIsNotResumed(t *testing.T) {
+	r := run()
+	answer := r.Replies[0].Answer
+	answer.Tokens, answer.Arrivals = answer.Tokens[:3], answer.Arrivals[:3]
+	answer.Done, answer.Outcome = false, nil
+	answer.LastEventID = "r1/a/0/3"
+	f := measure.Of(r)
+	assert.Equal(t, f.Resume.NotResumed, 1)
+	assert.Equal(t, f.CutOff, 1)
+	assert.Assert(t, f.Verdict.OK())
+}
+
+func TestWrongTokensAreFound(t *testing.T) {
+	r := run()
+	r.Replies[0].Answer.Tokens[4] = 7
+	f := measure.Of(r)
+	assert.Equal(t, f.Verdict.Foreign, 1)
+	assert.Equal(t, f.Useful, 0)
+}
+
+func TestAttemptsChangedOnSoundTargetsAreCounted(t *testing.T) {
+	r := run()
+	r.Strikes = nil
+	assert.Equal(t, measure.Of(r).ChangedWithoutFault, 1)
+}
+
+func TestWorkForLeavingTargetIsLateAfterTwoSeconds(t *testing.T) {
+	r := run()
+	r.Engines[1].Leaving = at(-1900)
+	assert.Equal(t, measure.Of(r).LateWork, 1)
+	r.Engines[1].Leaving = at(-1800)
+	assert.Equal(t, measure.Of(r).LateWork, 0)
+}
+
+func TestRefusalsAreCountedByKind(t *testing.T) {
+	r := run()
+	answer := &caller.Answer{Status: 503, Outcome: &request.Outcome{Request: "r2", Error: "overloaded", WasRun: request.RunNo}}
+	r.Replies = append(r.Replies, &load.Reply{Intended: start, Ended: at(7), Answer: answer})
+	f := measure.Of(r)
+	assert.Equal(t, len(f.Refusals), 1)
+	assert.Equal(t, f.Refusals[0].Kind, "overloaded")
+	assert.Equal(t, f.Refusals[0].NotRun, 1)
+	near(t, f.Refusals[0].Delay.P50, 7)
+}
--- /dev/null
+++ b/bench/measure/resume.go
@@ -0,0 +1,173 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/bench/caller"
+	"github.com/mulberrylane/mulberrylane/bench/experiment"
+	"github.com/mulberrylane/mulberrylane/bench/load"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+)
+
+// Resume is the resume latency: from the instant the engine failed until the
+// next token reached the caller.
+type Resume struct {
+	// Interrupted counts the generations that a fault struck after their caller had
+	// a token; BeforeFirst those that it struck before.
+	Interrupted int `json:"interrupted"`
+	BeforeFirst int `json:"beforeFirst"`
+	// NotResumed counts interrupted generations that never went on.
+	NotResumed int         `json:"notResumed"`
+	Latency    Percentiles `json:"latency"`
+	// LessPrefill is the latency without the new engine's prefill.
+	LessPrefill Percentiles `json:"lessPrefill"`
+	// Samples holds every latency, for plots.
+	Samples []float64 `json:"samples,omitempty"`
+}
+
+// recordKey names what one target did for one request.
+type recordKey struct{ request, target string }
+
+type resumes struct {
+	run         *load.Run
+	records     map[recordKey][]engine.Record
+	latency     histogram
+	lessPrefill histogram
+	resume      Resume
+	// lost counts the tokens that must be prefilled again.
+	lost int
+}
+
+// measureResumes measures how every interrupted generation went on.
+func measureResumes(run *load.Run) *resumes {
+	m := &resumes{
+		run:         run,
+		records:     recordsByKey(run),
+		latency:     newHistogram(),
+		lessPrefill: newHistogram(),
+	}
+	replies := run.Find()
+	for _, strike := range run.Strikes {
+		for _, struck := range strike.Interrupted {
+			if reply, ok := replies[struck.Record.RequestID]; ok {
+				m.struck(strike, struck, reply)
+			}
+		}
+		if strike.Type == experiment.EntryDeath {
+			m.entryDied(strike)
+		}
+	}
+	m.resume.Latency = m.latency.percentiles()
+	m.resume.LessPrefill = m.lessPrefill.percentiles()
+	return m
+}
+
+func recordsByKey(run *load.Run) map[recordKey][]engine.Record {
+	records := map[recordKey][]engine.Record{}
+	for _, account := range run.Engines {
+		for _, record := range account.Records {
+			key := recordKey{record.RequestID, account.Target}
+			records[key] = append(records[key], record)
+		}
+	}
+	return records
+}
+
+// struck measures one generation that was on a failed engine.
+func (m *resumes) struck(strike load.Strike, struck load.Interrupted, reply *load.Reply) {
+	before := lastBefore(reply.Answer.Arrivals, strike.At)
+	if before >= 0 && string(reply.Answer.Arrivals[before].Target) != struck.Target {
+		// The generation had moved away earlier; its old attempt was being cancelled.
+		return
+	}
+	m.lost += lostPrefill(struck.Record)
+	if before < 0 {
+		m.resume.BeforeFirst++
+		return
+	}
+	m.resume.Interrupted++
+	emitted := struck.Record.PromptTokens + struck.Record.DecodedTokens - len(reply.Request.Prompt)
+	next, ok := nextAfter(reply.Answer.Arrivals, strike.At, struck.Target, emitted+1)
+	if !ok {
+		m.resume.NotResumed++
+		return
+	}
+	m.add(strike, reply, next)
+}
+
+// entryDied measures the answers whose connection broke with an entry.
+func (m *resumes) entryDied(strike load.Strike) {
+	for _, reply := range m.run.Replies {
+		for _, broken := range reply.Breaks {
+			if !died(strike, broken) {
+				continue
+			}
+			if lastBefore(reply.Answer.Arrivals, broken.At) < 0 {
+				m.resume.BeforeFirst++
+				continue
+			}
+			m.resume.Interrupted++
+			next := lastBefore(reply.Answer.Arrivals, broken.At) + 1
+			if next == len(reply.Answer.Arrivals) {
+				m.resume.NotResumed++
+				continue
+			}
+			m.add(strike, reply, reply.Answer.Arrivals[next])
+		}
+	}
+}
+
+// entryNotice is how long after an entry's death its callers' connections break.
+const entryNotice = time.Second
+
+func died(strike load.Strike, broken load.Break) bool {
+	after := broken.At.Sub(strike.At)
+	for _, entry := range strike.Entries {
+		if entry == broken.Entry && after >= 0 && after < entryNotice {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *resumes) add(strike load.Strike, reply *load.Reply, next caller.Arrival) {
+	latency := next.At.Sub(strike.At)
+	m.latency.add(latency)
+	m.resume.Samples = append(m.resume.Samples, millis(latency))
+	m.lessPrefill.add(latency - m.prefill(strike, reply, next))
+}
+
+// prefill returns the prefill time of the engine that went on with an answer.
+func (m *resumes) prefill(strike load.Strike, reply *load.Reply, next caller.Arrival) time.Duration {
+	for _, record := range m.records[recordKey{reply.ID(), string(next.Target)}] {
+		if record.Arrived.After(strike.At) && !record.FirstToken.After(next.At) {
+			return record.Prefill()
+		}
+	}
+	return 0
+}
+
+// lastBefore returns the index of the last arrival up to an instant, or -1.
+func lastBefore(arrivals []caller.Arrival, at time.Time) int {
+	last := -1
+	for i, arrival := range arrivals {
+		if arrival.At.After(at) {
+			break
+		}
+		last = i
+	}
+	return last
+}
+
+// nextAfter returns the arrival with which an answer went on: the first from
+// another target, or one past the position that the failed one had emitted.
+func nextAfter(arrivals []caller.Arrival, at time.Time, failed string, emitted int) (caller.Arrival, bool) {
+	position := 0
+	for _, arrival := range arrivals {
+		position += arrival.Tokens
+		if arrival.At.After(at) && (string(arrival.Target) != failed || position > emitted) {
+			return arrival, true
+		}
+	}
+	return caller.Arrival{}, false
+}
--- /dev/null
+++ b/bench/report/plots.go
@@ -0,0 +1,157 @@
+package report
+
+import (
+	"bytes"
+	"image/color"
+	"math"
+	"slices"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/mulberrylane/mulberrylane/bench/measure"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// palette is one colour for each variant.
+var palette = []color.RGBA{
+	{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}, {R: 0xd6, G: 0x27, B: 0x28, A: 0xff},
+	{R: 0x2c, G: 0xa0, B: 0x2c, A: 0xff}, {R: 0xff, G: 0x7f, B: 0x0e, A: 0xff},
+	{R: 0x94, G: 0x67, B: 0xbd, A: 0xff}, {R: 0x7f, G: 0x7f, B: 0x7f, A: 0xff},
+}
+
+func colorOf(i int) color.RGBA { return palette[i%len(palette)] }
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// svg returns p as an SVG element without the XML heading.
+func svg(p *plot.Plot) ([]byte, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return nil, errors.Wrap(err, "plot")
+	}
+	data := out.Bytes()
+	if start := bytes.Index(data, []byte("<svg")); start > 0 {
+		data = data[start:]
+	}
+	return data, nil
+}
+
+// disturbed returns the runs that are not references.
+func (r *Report) disturbed() []*measure.Figures {
+	var list []*measure.Figures
+	for i := range r.Runs {
+		if !r.Runs[i].Reference {
+			list = append(list, &r.Runs[i])
+		}
+	}
+	return list
+}
+
+// resumePlot draws the share of resumes within each latency.
+func (r *Report) resumePlot() (*plot.Plot, error) {
+	p := newPlot("Resume latency", "ms (logarithmic)", "share of resumes")
+	for i, f := range r.disturbed() {
+		if len(f.Resume.Samples) == 0 {
+			continue
+		}
+		sorted := slices.Sorted(slices.Values(f.Resume.Samples))
+		points := make(plotter.XYs, len(sorted))
+		for k, latency := range sorted {
+			points[k] = plotter.XY{X: max(1, latency), Y: float64(k+1) / float64(len(sorted))}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, errors.Wrap(err, "resume plot")
+		}
+		line.Color = colorOf(i)
+		line.StepStyle = plotter.PostStep
+		p.Add(line)
+		p.Legend.Add(title(f), line)
+	}
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.X.Min, p.X.Max = 1, max(10, p.X.Max)
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top, p.Legend.Left = true, true
+	return p, nil
+}
+
+// tradePlot draws extra resource use against resume latency, one point a run.
+func (r *Report) tradePlot() (*plot.Plot, error) {
+	p := newPlot("Extra resource use against resume latency", "p99 resume latency, ms", "extra work, share of useful")
+	for i, f := range r.disturbed() {
+		point, err := plotter.NewScatter(plotter.XYs{{X: f.Resume.Latency.P99, Y: f.Work.Extra}})
+		if err != nil {
+			return nil, errors.Wrap(err, "trade plot")
+		}
+		point.Color = colorOf(i)
+		point.Shape = draw.CircleGlyph{}
+		point.Radius = vg.Points(4)
+		p.Add(point)
+		p.Legend.Add(title(f), point)
+	}
+	p.X.Min, p.Y.Min = 0, math.Min(0, p.Y.Min)
+	p.X.Max, p.Y.Max = max(1, p.X.Max*1.1), max(0.001, p.Y.Max*1.1)
+	p.Legend.Top = true
+	return p, nil
+}
+
+// loadPlot draws the depth of every target over time, and the faults as marks.
+func loadPlot(f *measure.Figures) (*plot.Plot, error) {
+	p := newPlot("Load over targets and faults: "+title(f), "s", "generations on a target")
+	if len(f.Load) == 0 {
+		return p, nil
+	}
+	grey := color.RGBA{R: 0x50, G: 0x50, B: 0x80, A: 0x60}
+	for target := range f.Load[0].Depth {
+		points := make(plotter.XYs, 0, len(f.Load))
+		for _, sample := range f.Load {
+			points = append(points, plotter.XY{X: sample.At / 1000, Y: float64(sample.Depth[target])})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, errors.Wrap(err, "load plot")
+		}
+		line.Color = grey
+		line.Width = vg.Points(0.5)
+		p.Add(line)
+	}
+	return p, addStrikes(p, f)
+}
+
+func addStrikes(p *plot.Plot, f *measure.Figures) error {
+	top := p.Y.Max
+	for i, strike := range f.Strikes {
+		x := strike.At / 1000
+		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err != nil {
+			return errors.Wrap(err, "faults")
+		}
+		line.Color = palette[1]
+		line.Dashes = []vg.Length{vg.Points(4), vg.Points(2)}
+		p.Add(line)
+		if i == 0 {
+			p.Legend.Add(string(strike.Type), line)
+		}
+	}
+	p.Legend.Top = true
+	return nil
+}
--- /dev/null
+++ b/bench/report/target_test.go
@@ -0,0 +1,44 @@
+package report_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/bench/experiment"
+	"github.com/mulberrylane/mulberrylane/bench/measure"
+	"github.com/mulberrylane/mulberrylane/bench/report"
+)
+
+func TestMissedTargetIsSaid(t *testing.T) {
+	e := &experiment.Experiment{
+		Name: "vasilescu-host-silent", Deployment: "vasilescu",
+		Faults: []experiment.Fault{{Type: experiment.HostSilent}},
+	}
+	f := measure.Figures{Variant: experiment.Product}
+	f.Resume.Latency = measure.Percentiles{Count: 5, P99: 1001, Max: 1001}
+	baseline := measure.Figures{Variant: experiment.RoundRobin, CutOff: 3}
+	var table strings.Builder
+	missed := report.New(e, []measure.Figures{f, baseline}).WriteTargets(&table)
+	assert.Equal(t, missed, 1)
+	assert.Assert(t, strings.Contains(table.String(), "MISSED  #0  resume latency, p99, ms"), table.String())
+}
+
+func TestUsefulAnswersAreHeldAgainstTheReference(t *testing.T) {
+	e := &experiment.Experiment{Name: "lakkos-overload-2x", Deployment: "lakkos"}
+	reference := measure.Figures{Variant: experiment.Product, Reference: true, Useful: 100}
+	f := measure.Figures{Variant: experiment.Product, Useful: 94}
+	f.Refusals = []measure.Refusal{{Kind: "overloaded", Count: 2, NotRun: 1}}
+	missed := report.New(e, []measure.Figures{reference, f}).WriteTargets(&strings.Builder{})
+	assert.Equal(t, missed, 2)
+}
+
+func TestExtraWorkIsComparedPerToken(t *testing.T) {
+	e := &experiment.Experiment{Name: "lakkos-rolling-restart", Deployment: "lakkos", Faults: []experiment.Fault{{Type: experiment.RollingRestart}}}
+	reference := measure.Figures{Variant: experiment.Product, Reference: true, Work: measure.Work{Total: 100, Tokens: 100}}
+	f := measure.Figures{Variant: experiment.Product, Work: measure.Work{Total: 102, Tokens: 100}}
+	r := report.New(e, []measure.Figures{reference, f})
+	assert.Equal(t, r.WriteTargets(&strings.Builder{}), 1)
+	assert.Assert(t, r.Runs[1].Work.OverReference > 0.0199)
+}
--- /dev/null
+++ b/command/bench.go
@@ -0,0 +1,130 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/mulberrylane/mulberrylane/bench/experiment"
+	"github.com/mulberrylane/mulberrylane/bench/load"
+	"github.com/mulberrylane/mulberrylane/bench/measure"
+	"github.com/mulberrylane/mulberrylane/bench/report"
+)
+
+func newBench() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "bench",
+		Short: "Run load experiments and compare their reports",
+	}
+	command.AddCommand(newBenchRun(), newBenchCompare())
+	return command
+}
+
+func newBenchRun() *cobra.Command {
+	var directory string
+	var check bool
+	command := &cobra.Command{
+		Use:     "run FILE",
+		Short:   "Run an experiment and write its report",
+		Long:    "Run an experiment file and write report.json and report.html.\nAll parts run in this process, on loopback addresses and in real time.",
+		Example: "  mlctl bench run experiments/vasilescu-engine-death.json --out out/engine-death",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			return runBench(cmd, e, directory, check)
+		},
+	}
+	command.Flags().StringVar(&directory, "out", "bench-report", "directory that the report is written to")
+	command.Flags().BoolVar(&check, "check", false, "fail when a target is missed")
+	return command
+}
+
+func runBench(cmd *cobra.Command, e *experiment.Experiment, directory string, check bool) error {
+	if e.Kind != experiment.Generations {
+		return errors.Errorf("kind: %q cannot be run by this command yet", e.Kind)
+	}
+	var runs []measure.Figures
+	for repetition := range e.Repetitions {
+		figures, err := runRepetition(cmd.Context(), cmd.ErrOrStderr(), e, repetition)
+		if err != nil {
+			return err
+		}
+		runs = append(runs, figures...)
+	}
+	r := report.New(e, runs)
+	if err := r.Write(directory); err != nil {
+		return err
+	}
+	r.WriteSummary(cmd.OutOrStdout())
+	if missed := r.WriteTargets(cmd.OutOrStdout()); missed > 0 && check {
+		return errors.Errorf("%d targets were missed", missed)
+	}
+	return nil
+}
+
+// runRepetition runs every variant once, and the reference when it is asked for.
+func runRepetition(ctx context.Context, progress io.Writer, e *experiment.Experiment, repetition int) ([]measure.Figures, error) {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	var figures []measure.Figures
+	if e.Reference {
+		run, err := runOnce(ctx, progress, e.Undisturbed(), experiment.Product, repetition, "undisturbed")
+		if err != nil {
+			return nil, err
+		}
+		run.Reference = true
+		figures = append(figures, measure.Of(run))
+	}
+	for _, variant := range e.Variants {
+		run, err := runOnce(ctx, progress, e, variant, repetition, "")
+		if err != nil {
+			return nil, err
+		}
+		figures = append(figures, measure.Of(run))
+	}
+	return figures, nil
+}
+
+func runOnce(ctx context.Context, progress io.Writer, e *experiment.Experiment, variant experiment.Variant, repetition int, note string) (*load.Run, error) {
+	run, err := load.Do(ctx, e, variant, repetition, func(s load.Status) {
+		_, _ = fmt.Fprintf(progress, "\r%s #%d %s %s %s   ", e.Name, repetition, variant, note, s.Text())
+	})
+	_, _ = fmt.Fprintln(progress)
+	return run, err
+}
+
+func newBenchCompare() *cobra.Command {
+	var check bool
+	command := &cobra.Command{
+		Use:     "compare A B",
+		Short:   "Compare two reports as ratios of B to A",
+		Example: "  mlctl bench compare out/before out/after",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a, err := report.Read(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := report.Read(args[1])
+			if err != nil {
+				return err
+			}
+			if err := report.Compare(cmd.OutOrStdout(), a, b); err != nil {
+				return err
+			}
+			if missed := b.WriteTargets(cmd.OutOrStdout()); missed > 0 && check {
+				return errors.Errorf("%d targets were missed in B", missed)
+			}
+			return nil
+		},
+	}
+	command.Flags().BoolVar(&check, "check", false, "fail when B misses a target")
+	return command
+}
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -57,3 +57,10 @@
 	defer e.mu.Unlock()
 	e.dead = true
 }
+
+// Depth returns how many generations wait or run now.
+func (e *Engine) Depth() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.waiting) + len(e.running)
+}
