Admission: fair shares, limits, and refusals as early as they are certain

Cause: every new request was sent on at once, so under overload all waited on the engines until their deadlines passed, and a workspace with many requests had the engines to itself. Change: the first attempt of a request passes a queue of its service, fair by expected tokens over the shares of the workspaces. How many attempts a target runs at once is learnt from its reports; each entry may use its part of that whatever the others hold. Requests are refused as not run when the queue is full (the workspace that waits for most of its share loses its latest), when the pace seen makes the first token or the deadline impossible, or when the workspace is over its limits, each entry enforcing its part; Retry-After tells the estimated wait. Resumes pass by the queue. Hedges on mere suspicion come out of the retry budget. Result: the property tests fail when shares are ignored, when a new workspace is not brought to the present virtual time and when requests in flight are not counted. In the fleet test of an overloaded engine every request is answered whole or refused as not run.

--- a/process/entry/answer.go
+++ b/process/entry/answer.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -194,7 +196,8 @@
 	outcome.Error = kind.String()
 	answer := kind.Answer()
 	if answer.Retryable {
-		c.Header("Retry-After", "1")
+		seconds := math.Ceil(max(1, outcome.RetryAfter.Seconds()))
+		c.Header("Retry-After", strconv.Itoa(int(seconds)))
 	}
 	setOutcomeHeader(c, outcome)
 	c.AbortWithStatusJSON(answer.Status, errorReplyOf(err, outcome))
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -55,6 +55,7 @@
 	// checked is when the silences were last looked at, swept when the progress
 	// of the running attempts was.
 	checked, swept time.Time
+	desk           desk
 	running        map[request.TargetID]map[runKey]*attemptLoad
 }
 
@@ -65,6 +66,7 @@
 		revisions: revisions,
 		observer:  observer,
 		table:     routing.NewTable(random),
+		desk:      newDesk(),
 		watches:   map[request.TargetID]*watch{},
 		running:   map[request.TargetID]map[runKey]*attemptLoad{},
 	}
@@ -105,16 +107,31 @@
 // pick chooses a target for an attempt and sends EventPicked or EventNoTarget to
 // reply, which must have room for it.
 func (c *control) pick(ctx context.Context, need routing.Need, reply chan<- request.Event) {
+	c.do(ctx, func() { c.pickNow(time.Now(), need, reply) })
+}
+
+// hedge is pick for a second attempt beside the one on target. On mere suspicion
+// it is taken from the budget of the service.
+func (c *control) hedge(ctx context.Context, target request.TargetID, need routing.Need, reply chan<- request.Event) {
 	c.do(ctx, func() {
-		target, err := c.table.Pick(time.Now(), need)
-		if err != nil {
-			reply <- request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
+		w, ok := c.watches[target]
+		if ok && w.state == detector.Suspected && !c.budget(need.Service).Spend() {
+			reply <- request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 			return
 		}
-		reply <- request.Event{Type: request.EventPicked, Target: target.ID}
+		c.pickNow(time.Now(), need, reply)
 	})
 }
 
+func (c *control) pickNow(now time.Time, need routing.Need, reply chan<- request.Event) {
+	target, err := c.table.Pick(now, need)
+	if err != nil {
+		reply <- request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
+		return
+	}
+	reply <- request.Event{Type: request.EventPicked, Target: target.ID}
+}
+
 // unpick gives back a pick for tokens that nobody took from reply.
 func (c *control) unpick(reply <-chan request.Event, tokens int) {
 	c.do(context.Background(), func() {
@@ -146,11 +163,12 @@
 		c.table.Release(target, run.expected-run.counted)
 		delete(c.running[target], key)
 		c.noteBusy(target)
+		c.dispatch(time.Now(), run.driver.generation.Service)
 	})
 }
 
 func (c *control) bounds(service string) detector.Bounds {
-	_, profile := c.revisions.Current().ProfileOf(service)
+	profile := c.profile(service)
 	if profile.SuspectAfter.Max == 0 {
 		return defaultBounds
 	}
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -36,6 +36,8 @@
 	// dead says that the agent found the port of its target closed.
 	dead bool
 	told time.Time
+	// entries is how many entries have a link to the agent.
+	entries int
 }
 
 // stateEvents gives the event of each new state of a target.
@@ -92,6 +94,7 @@
 		w.detector.Heard(now.Add(-time.Duration(beat.SilentMillis) * time.Millisecond))
 		w.detector.Stalled(time.Duration(beat.StalledMillis) * time.Millisecond)
 		target.Leaving = beat.Leaving
+		w.entries = beat.Entries
 		target.SetReport(now, routing.Report{
 			Attempts: beat.Running,
 			Pending:  beat.PendingTokens,
@@ -120,7 +123,7 @@
 	c.checked = now
 	if now.Sub(c.swept) >= sweepEvery {
 		c.swept = now
-		c.sweep()
+		c.sweep(now)
 	}
 	for id, w := range c.watches {
 		if paused {
@@ -128,17 +131,31 @@
 		}
 		c.judge(now, id, w)
 	}
+	c.dispatchAll(now)
 }
 
-// sweep takes the progress of all running attempts off the load of their targets.
-func (c *control) sweep() {
+// sweep takes the progress of all running attempts off the load of their targets,
+// tells it to admission, and counts the entries.
+func (c *control) sweep(now time.Time) {
+	produced := map[string]int{}
 	for id, runs := range c.running {
 		for _, run := range runs {
-			produced := int(run.produced.Load())
-			c.table.Produced(id, produced-run.counted)
-			run.counted = produced
+			total := int(run.produced.Load())
+			fresh := total - run.counted
+			run.counted = total
+			c.table.Produced(id, fresh)
+			produced[run.driver.generation.Service] += fresh
 		}
 	}
+	for _, service := range c.desk.controller.Services() {
+		c.desk.controller.Produced(now, service, produced[service])
+	}
+	entries := 1
+	for _, w := range c.watches {
+		entries = max(entries, w.entries)
+	}
+	c.table.SetEntries(entries)
+	c.desk.controller.SetEntries(entries)
 }
 
 // judge acts on what the detector of a target believes.
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/routing"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/version"
 )
 
 const (
@@ -41,12 +42,17 @@
 	// need is what any attempt needs of a target, wanted the tokens of the last pick.
 	need     routing.Need
 	wanted   int
-	attempts map[request.AttemptNumber]*runningAttempt
-	timer    *time.Timer
-	kind     fault.Kind
-	finish   request.FinishReason
-	seen     bool
-	watch    *requestWatch
+	snapshot *version.Snapshot
+	// ticket is set once admission was asked.
+	ticket *ticket
+	// retryAfter is what admission told a refused request.
+	retryAfter time.Duration
+	attempts   map[request.AttemptNumber]*runningAttempt
+	timer      *time.Timer
+	kind       fault.Kind
+	finish     request.FinishReason
+	seen       bool
+	watch      *requestWatch
 	// epoch is that of the caller's arrival or attachment.
 	epoch uint64
 	// taken is set when the request was taken over from its journal.
@@ -72,6 +78,7 @@
 		notices:    make(chan request.Event, noticeBuffer),
 		picked:     make(chan request.Event, 1),
 		need:       e.needOf(g, prompt),
+		snapshot:   e.revisions.Current(),
 		attempts:   map[request.AttemptNumber]*runningAttempt{},
 		timer:      time.NewTimer(time.Hour),
 		watch:      newRequestWatch(e.observer, g),
@@ -97,6 +104,7 @@
 		case event := <-d.events:
 			d.onAttempt(ctx, event)
 		case event := <-d.picked:
+			d.retryAfter = event.RetryAfter
 			d.step(ctx, event)
 		case event := <-d.notices:
 			d.step(ctx, event)
@@ -141,6 +149,9 @@
 	for number := range d.attempts {
 		d.drop(number)
 	}
+	if d.ticket != nil {
+		d.entry.control.leave(d.ticket, d.recovery.Answer().Len())
+	}
 	d.entry.control.unpick(d.picked, d.wanted)
 }
 
@@ -210,7 +221,23 @@
 	need.Avoid = slices.Clone(action.Avoid)
 	need.Resume = action.Resume
 	need.Tokens = d.wanted
-	d.entry.control.pick(ctx, need, d.picked)
+	switch {
+	case d.ticket == nil && !action.Resume:
+		d.ticket = &ticket{service: need.Service, ask: askOf(d.snapshot, d.generation), need: need, reply: d.picked}
+		d.entry.control.admit(ctx, d.ticket)
+	case len(d.attempts) > 0:
+		d.entry.control.hedge(ctx, d.anyTarget(), need, d.picked)
+	default:
+		d.entry.control.pick(ctx, need, d.picked)
+	}
+}
+
+// anyTarget returns the target of a running attempt; there must be one.
+func (d *generationDriver) anyTarget() (target request.TargetID) {
+	for _, running := range d.attempts {
+		target = running.target
+	}
+	return target
 }
 
 // needOf describes the targets that can serve a generation.
@@ -298,6 +325,7 @@
 		Tokens:       answer.Len(),
 		WasRun:       d.recovery.WasRun(),
 		Kind:         d.kind,
+		RetryAfter:   d.retryAfter,
 		Finish:       d.finish,
 	}
 	if answer.Len() > 0 {
--- a/process/routing/choose.go
+++ b/process/routing/choose.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// capacitySlack is how many attempts may wait on a target, so that it is not idle
+	// until its entries learn that one has ended.
+	capacitySlack = 1
 	// slowStart is how long a new or returned target gets less than its share.
 	slowStart = 10 * time.Second
 	// leastShare is the share that it gets at first.
@@ -48,6 +51,9 @@
 // within bounds, else the better one of two drawn at random. Two draws keep many
 // entries with the same old reports from all choosing the same target.
 func (t *Table) choose(now time.Time, candidates []*Target, need Need) *Target {
+	if free := t.withRoom(now, candidates); len(free) > 0 {
+		candidates = free
+	}
 	v := t.survey(now, candidates, need)
 	if cached := v.cached(candidates); cached != nil {
 		return cached
@@ -63,6 +69,16 @@
 	return candidates[first]
 }
 
+func (t *Table) withRoom(now time.Time, candidates []*Target) []*Target {
+	free := make([]*Target, 0, len(candidates))
+	for _, target := range candidates {
+		if t.room(now, target) > 0 {
+			free = append(free, target)
+		}
+	}
+	return free
+}
+
 func (t *Table) survey(now time.Time, candidates []*Target, need Need) *view {
 	v := &view{now: now, need: need, lostDomains: t.lostDomains(need.Avoid)}
 	for _, target := range candidates {
@@ -104,8 +120,8 @@
 }
 
 // share is the part of a whole target's work that one gets which came lately.
-func (v *view) share(target *Target) float64 {
-	age := v.now.Sub(target.since)
+func (t *Target) share(now time.Time) float64 {
+	age := now.Sub(t.since)
 	return min(1, max(leastShare, float64(age)/float64(slowStart)))
 }
 
@@ -120,7 +136,7 @@
 // cost compares targets: less is better.
 func (v *view) cost(target *Target) float64 {
 	work := v.load(target) + float64(v.need.Tokens+attemptTokens)
-	work /= v.share(target)
+	work /= target.share(v.now)
 	work += float64(v.waiting(target) * waitTokens)
 	if target.FailureDomain == v.need.FailureDomain && v.need.Spread != version.SpreadNone {
 		work += domainTokens
@@ -150,5 +166,5 @@
 	if v.waiting(target) > 0 || slices.Contains(v.lostDomains, target.FailureDomain) {
 		return false
 	}
-	return v.load(target)/v.share(target) <= affinityBound*v.mean+affinitySlack
+	return v.load(target)/target.share(v.now) <= affinityBound*v.mean+affinitySlack
 }
--- a/process/routing/table.go
+++ b/process/routing/table.go
@@ -73,13 +73,18 @@
 	targets map[request.TargetID]*Target
 	order   []request.TargetID
 	random  *rand.Rand
+	// entries is how many entries share the targets.
+	entries int
 }
 
 // NewTable returns an empty table that draws from random.
 func NewTable(random *rand.Rand) *Table {
-	return &Table{targets: map[request.TargetID]*Target{}, random: random}
+	return &Table{targets: map[request.TargetID]*Target{}, random: random, entries: 1}
 }
 
+// SetEntries tells how many entries share the targets, this one included.
+func (t *Table) SetEntries(entries int) { t.entries = max(1, entries) }
+
 // Upsert returns the target with the given id, added when it is new.
 func (t *Table) Upsert(id request.TargetID) *Target {
 	if target, ok := t.targets[id]; ok {
@@ -180,6 +185,39 @@
 	return apart, kind
 }
 
+// Serves says whether any target may take need, however busy.
+func (t *Table) Serves(need Need) bool {
+	candidates, _ := t.candidates(need)
+	return len(candidates) > 0
+}
+
+// Unlimited is the room of a service whose targets have never made an attempt wait.
+const Unlimited = 1 << 20
+
+// Room returns how many more attempts the targets of a service can run at once.
+func (t *Table) Room(now time.Time, service string) int {
+	total := 0
+	for _, id := range t.order {
+		target := t.targets[id]
+		if target.Service == service && target.Up && !target.Leaving {
+			total += t.room(now, target)
+		}
+	}
+	return min(total, Unlimited)
+}
+
+// room returns how many more attempts of this process a target has room for. Each
+// entry may use its part of the capacity whatever the others do, so that one with
+// a long queue does not shut out another.
+func (t *Table) room(now time.Time, target *Target) int {
+	if target.capacity == 0 {
+		return Unlimited
+	}
+	capacity := int(float64(target.capacity)*target.share(now)) + capacitySlack
+	part := (capacity + t.entries - 1) / t.entries
+	return max(0, capacity-target.attempts(), part-target.InFlight)
+}
+
 // Release notes that an attempt at the target is over, which might still have
 // generated left tokens.
 func (t *Table) Release(id request.TargetID, left int) {
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"time"
 
 	"github.com/mulberrylane/mulberrylane/fault"
 )
@@ -72,6 +73,8 @@
 	// Kind and Finish drive the answer; Error and the body repeat them in text.
 	Kind   fault.Kind   `json:"-"`
 	Finish FinishReason `json:"-"`
+	// RetryAfter is when a refused request is worth repeating; zero means not known.
+	RetryAfter time.Duration `json:"-"`
 }
 
 func hexDigest(sum [8]byte) string { return hex.EncodeToString(sum[:]) }
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -47,6 +47,8 @@
 	Tokens   []TokenID
 	Finish   FinishReason
 	Kind     fault.Kind
+	// RetryAfter comes with EventNoTarget: when it is worth while to ask again.
+	RetryAfter time.Duration
 }
 
 // ActionType selects which fields of an Action are set.
