Engine stand-in: cache events that come late and with gaps

Routing by cached prefix needs engines that publish what their caches hold as real ones do: late, numbered, and with some events lost.

The command standin no longer stands twice in mlctl.

--- a/bench/report/plots.go
+++ b/bench/report/plots.go
@@ -120,7 +120,7 @@
 	if len(f.Load) == 0 {
 		return p, nil
 	}
-	grey := color.RGBA{R: 0x50, G: 0x50, B: 0x80, A: 0x60}
+	grey := color.NRGBA{R: 0x50, G: 0x50, B: 0x80, A: 0x60}
 	for target := range f.Load[0].Depth {
 		points := make(plotter.XYs, 0, len(f.Load))
 		for _, sample := range f.Load {
--- a/bench/report/target.go
+++ b/bench/report/target.go
@@ -74,8 +74,12 @@
 	if c.run.Resume.Latency.Count > 0 && c.report.Experiment.Deployment == quick {
 		c.atMost("resume latency, longest, ms", c.run.Resume.Latency.Max, everyResumeMs)
 	}
+	seen := map[experiment.FaultType]bool{}
 	for _, fault := range c.report.Experiment.Faults {
-		c.fault(fault.Type)
+		if !seen[fault.Type] {
+			seen[fault.Type] = true
+			c.fault(fault.Type)
+		}
 	}
 	c.named()
 }
--- a/command/bench.go
+++ b/command/bench.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -12,6 +13,7 @@
 	"github.com/mulberrylane/mulberrylane/bench/load"
 	"github.com/mulberrylane/mulberrylane/bench/measure"
 	"github.com/mulberrylane/mulberrylane/bench/report"
+	"github.com/mulberrylane/mulberrylane/version"
 )
 
 func newBench() *cobra.Command {
@@ -26,6 +28,8 @@
 func newBenchRun() *cobra.Command {
 	var directory string
 	var check bool
+	var variants []string
+	var duration time.Duration
 	command := &cobra.Command{
 		Use:     "run FILE",
 		Short:   "Run an experiment and write its report",
@@ -37,14 +41,33 @@
 			if err != nil {
 				return err
 			}
+			if err := override(e, variants, duration); err != nil {
+				return err
+			}
 			return runBench(cmd, e, directory, check)
 		},
 	}
 	command.Flags().StringVar(&directory, "out", "bench-report", "directory that the report is written to")
 	command.Flags().BoolVar(&check, "check", false, "fail when a target is missed")
+	command.Flags().StringSliceVar(&variants, "variants", nil, "run only these variants")
+	command.Flags().DurationVar(&duration, "duration", 0, "send for this long in place of the file's duration")
 	return command
 }
 
+// override puts the flags over the experiment and checks it again.
+func override(e *experiment.Experiment, variants []string, duration time.Duration) error {
+	if len(variants) > 0 {
+		e.Variants = nil
+		for _, variant := range variants {
+			e.Variants = append(e.Variants, experiment.Variant(variant))
+		}
+	}
+	if duration > 0 {
+		e.Duration = version.Duration(duration)
+	}
+	return e.Check()
+}
+
 func runBench(cmd *cobra.Command, e *experiment.Experiment, directory string, check bool) error {
 	if e.Kind != experiment.Generations {
 		return errors.Errorf("kind: %q cannot be run by this command yet", e.Kind)
--- a/command/root.go
+++ b/command/root.go
@@ -23,7 +23,6 @@
 	root.AddCommand(newKeys(), newSchema(), newValidate())
 	root.AddCommand(newPlan(), newApply(), newGet(), newHistory(), newRollback(), newStatus(), newDrain())
 	root.AddCommand(newStandin(), newDemo(), newTimeline())
-	root.AddCommand(newStandin(), newDemo())
 	root.AddCommand(newBench())
 	return root
 }
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -21,16 +21,20 @@
 	return &prefixCache{capacity: capacity, order: list.New(), blocks: map[uint64]*list.Element{}}
 }
 
-// blockDigests returns the digest of each whole block of tokens.
-func blockDigests(tokens []request.TokenID) []uint64 {
+// blockDigests returns the digest of each whole block of the tokens of all parts.
+func blockDigests(parts ...[]request.TokenID) []uint64 {
 	digest := xxhash.New()
-	digests := make([]uint64, 0, len(tokens)/CacheBlockTokens)
+	var digests []uint64
 	var raw [4]byte
-	for i, token := range tokens {
-		binary.LittleEndian.PutUint32(raw[:], uint32(token))
-		_, _ = digest.Write(raw[:])
-		if (i+1)%CacheBlockTokens == 0 {
-			digests = append(digests, digest.Sum64())
+	count := 0
+	for _, part := range parts {
+		for _, token := range part {
+			binary.LittleEndian.PutUint32(raw[:], uint32(token))
+			_, _ = digest.Write(raw[:])
+			count++
+			if count%CacheBlockTokens == 0 {
+				digests = append(digests, digest.Sum64())
+			}
 		}
 	}
 	return digests
@@ -50,18 +54,23 @@
 	return cached
 }
 
-// insert adds the blocks of tokens and drops the least recently used ones over capacity.
-func (c *prefixCache) insert(tokens []request.TokenID) {
-	for _, digest := range blockDigests(tokens) {
+// insert adds the blocks of the tokens of all parts and drops the least recently
+// used ones over capacity. It returns which blocks are new and which were dropped.
+func (c *prefixCache) insert(parts ...[]request.TokenID) (stored, removed []uint64) {
+	for _, digest := range blockDigests(parts...) {
 		if element, ok := c.blocks[digest]; ok {
 			c.order.MoveToFront(element)
 			continue
 		}
 		c.blocks[digest] = c.order.PushFront(digest)
+		stored = append(stored, digest)
 	}
 	for c.order.Len() > c.capacity {
 		oldest := c.order.Back()
+		digest := oldest.Value.(uint64)
 		c.order.Remove(oldest)
-		delete(c.blocks, oldest.Value.(uint64))
+		delete(c.blocks, digest)
+		removed = append(removed, digest)
 	}
+	return stored, removed
 }
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -24,6 +24,10 @@
 	Batch int `json:"batch"`
 	// CacheBlocks bounds the prefix cache, in blocks of CacheBlockTokens.
 	CacheBlocks int `json:"cacheBlocks"`
+	// CacheEventLag is how late cache events are published, and CacheEventLoss the
+	// share that is lost.
+	CacheEventLag  time.Duration `json:"cacheEventLag"`
+	CacheEventLoss float64       `json:"cacheEventLoss"`
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration `json:"loadLag"`
 	// Jitter is the share by which step times vary, 0.2 for a fifth.
@@ -48,6 +52,8 @@
 		PrefillChunk:    2048,
 		Batch:           32,
 		CacheBlocks:     4096,
+		CacheEventLag:   500 * time.Millisecond,
+		CacheEventLoss:  0.05,
 		LoadLag:         500 * time.Millisecond,
 		Jitter:          0.1,
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -54,6 +54,7 @@
 	arrivals int64
 	lagged   []loadSample
 	faults   faults
+	cacheLog cacheLog
 	wake     chan struct{}
 	records  []*Record
 	// dead says that the engine was killed.
@@ -194,7 +195,7 @@
 		s.record.PrefillTokens += part
 		left -= part
 		if part > 0 && s.prefillLeft == 0 {
-			e.cache.insert(s.prompt)
+			e.insertPrefix(s)
 		}
 	}
 	done := e.config.PrefillChunk - left
@@ -230,7 +231,7 @@
 	if len(s.generated) < s.max {
 		return false
 	}
-	e.cache.insert(append(slices.Clone(s.prompt), s.generated...))
+	e.insertPrefix(s)
 	s.record.Ended = true
 	close(s.out)
 	return true
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -58,9 +58,12 @@
 	e.dead = true
 }
 
-// Depth returns how many generations wait or run now.
+// Depth returns how many generations wait or run now; none on a killed engine.
 func (e *Engine) Depth() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return 0
+	}
 	return len(e.waiting) + len(e.running)
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -86,6 +86,7 @@
 	mux.HandleFunc("POST /v1/completions", s.complete)
 	mux.HandleFunc("GET /v1/models", s.listModels)
 	mux.HandleFunc("GET /load", s.reportLoad)
+	mux.HandleFunc("GET /cache/events", s.cacheEvents)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /standin/fault", s.setFault)
 	mux.HandleFunc("GET /standin/work", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Work()) })
