--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,11 @@
 unit:
 	go test -race -timeout $(TEST_TIMEOUT) ./...
 
-test: build lint unit
+model:
+	bash scripts/tools.sh
+	bash spec/check.sh
+
+test: build lint unit model
 
 demo: build
 	bash scripts/demo.sh
--- /dev/null
+++ b/process/callpage/page_test.go
@@ -0,0 +1,157 @@
+package callpage_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mulberrylane/mulberrylane/process/callpage"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func nonce(number byte) request.Nonce {
+	return request.NewNonce(start.Add(time.Second), [16]byte{number})
+}
+
+func reserve(key string, number byte) callpage.Op {
+	return callpage.Op{
+		Type: callpage.OpReserve, Name: callpage.Name{Workspace: "w", Key: key}, Digest: "d",
+		Nonce: nonce(number), Target: "t", Incarnation: 1, Retention: time.Hour,
+	}
+}
+
+func settle(key string, number byte, body []byte) callpage.Op {
+	op := reserve(key, number)
+	op.Type = callpage.OpSettle
+	op.Reply = &request.CallReply{Status: 201, Body: body}
+	return op
+}
+
+// do applies one operation and carries the page through its stored form.
+func do(t rapid.TB, p *callpage.Page, now time.Time, op callpage.Op) (*callpage.Page, callpage.Result) {
+	next, results, changed := p.Apply(now, []callpage.Op{op})
+	if !changed {
+		return p, results[0]
+	}
+	data, err := next.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= next.Size(), "%d bytes, bound %d", len(data), next.Size())
+	read, err := callpage.Decode(data)
+	assert.NilError(t, err)
+	return read, results[0]
+}
+
+func TestOutcomeIsGivenToEveryRepeat(t *testing.T) {
+	p, first := do(t, &callpage.Page{}, start, reserve("k", 1))
+	assert.Equal(t, first.Status, callpage.StatusReserved)
+	p, again := do(t, p, start, reserve("k", 1))
+	assert.Equal(t, again.Status, callpage.StatusReserved)
+	p, other := do(t, p, start, reserve("k", 2))
+	assert.Equal(t, other.Status, callpage.StatusFound)
+	assert.Equal(t, other.Record.Nonce, nonce(1))
+	p, _ = do(t, p, start, settle("k", 1, []byte("receipt")))
+	p, told := do(t, p, start, reserve("k", 3))
+	assert.Assert(t, told.Final() && told.Record.BodyKept)
+	assert.Equal(t, string(told.Record.Reply.Body), "receipt")
+	conflicting := reserve("k", 4)
+	conflicting.Digest = "another"
+	_, conflict := do(t, p, start, conflicting)
+	assert.Equal(t, conflict.Status, callpage.StatusConflict)
+}
+
+func TestDroppedKeysAreNeverNew(t *testing.T) {
+	late := start.Add(3 * time.Hour)
+	timed := timedKey(start)
+	p := &callpage.Page{}
+	for i, key := range []string{timed, "no-time"} {
+		p, _ = do(t, p, start, reserve(key, byte(i+1)))
+		p, _ = do(t, p, start, settle(key, byte(i+1), nil))
+	}
+	p, _ = do(t, p, late, reserve(timedKey(late), 3))
+	assert.Equal(t, p.Len(), 1)
+	for _, key := range []string{timed, "no-time", timedKey(start.Add(time.Minute))} {
+		_, result := do(t, p, late, reserve(key, 4))
+		assert.Equal(t, result.Status, callpage.StatusExpired, "%s", key)
+	}
+	_, fresh := do(t, p, late, reserve("another-without-time", 5))
+	assert.Equal(t, fresh.Status, callpage.StatusReserved)
+}
+
+// timedKey returns the UUIDv7 of an instant.
+func timedKey(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	millis := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (8 * (5 - i)))
+	}
+	return id.String()
+}
+
+func TestFullPageRefusesNewCallsAndSettlesOldOnes(t *testing.T) {
+	p := &callpage.Page{}
+	body := make([]byte, callpage.MaxStoredReply)
+	full := -1
+	for i := range 1000 {
+		op := reserve(fmt.Sprintf("key-%d", i), byte(i))
+		next, results, _ := p.Apply(start, []callpage.Op{op})
+		if results[0].Status == callpage.StatusFull {
+			full = i
+			break
+		}
+		p = next
+	}
+	assert.Assert(t, full > 100)
+	for i := range full {
+		op := settle(fmt.Sprintf("key-%d", i), byte(i), body)
+		p, _, _ = p.Apply(start, []callpage.Op{op})
+	}
+	data, err := p.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 1<<20, "%d bytes", len(data))
+}
+
+// TestPageFollowsItsModel applies any schedule of operations and compares the page
+// with a plain map. Each operation is at times applied twice, as after a lost answer.
+func TestPageFollowsItsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &callpage.Page{}
+		model := map[string]request.Nonce{}
+		done := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := fmt.Sprintf("k%d", rapid.IntRange(0, 3).Draw(t, "key"))
+			op := reserve(key, byte(rapid.IntRange(1, 4).Draw(t, "nonce")))
+			op.Type = callpage.OpType(rapid.IntRange(0, 3).Draw(t, "type"))
+			op.Previous = nonce(byte(rapid.IntRange(1, 4).Draw(t, "previous")))
+			op.Reply = &request.CallReply{Status: 200}
+			var result callpage.Result
+			for range rapid.IntRange(1, 2).Draw(t, "times") {
+				p, result = do(t, p, start, op)
+			}
+			held, exists := model[key]
+			switch {
+			case op.Type == callpage.OpReserve && !done[key] && (!exists || held == op.Previous || held == op.Nonce):
+				assert.Equal(t, result.Status, callpage.StatusReserved)
+				model[key] = op.Nonce
+			case op.Type == callpage.OpRelease && exists && !done[key] && held == op.Previous:
+				assert.Equal(t, result.Status, callpage.StatusAbsent)
+				delete(model, key)
+			case op.Type == callpage.OpSettle && exists && !done[key] && held == op.Nonce:
+				assert.Assert(t, result.Final())
+				done[key] = true
+			case !exists:
+				assert.Equal(t, result.Status, callpage.StatusAbsent)
+			default:
+				assert.Equal(t, result.Status, callpage.StatusFound)
+				assert.Equal(t, result.Record.Nonce, held)
+				assert.Equal(t, result.Record.Done, done[key])
+			}
+		}
+		assert.Equal(t, p.Len(), len(model))
+	})
+}
