Callers: the OpenAI client library as caller, refusals in place of silence

Cause: parameters that the entry does not serve (stop, penalties, tools, logprobs and others) were dropped without a word, so an answer was silently wrong; a caller that did not read its answer was told apart from one that left nowhere; a failed write could be lost among notices; message content as a list of text parts failed.

Change: parameters that change an answer and are not served are refused by name unless their value changes nothing. Stop sequences are among them: an engine that resumes cannot see the part of a stop sequence that came before. A body that comes too slowly and an answer that is not read end as slow_caller. Unknown paths, methods and defects carry an outcome. Models are listed in order and read one by one. An entry that stops says so on /ready a second before its port closes. Requests that were taken over keep their length, which ends them when only the last frame was lost.

--- a/process/entry/answer.go
+++ b/process/entry/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -133,9 +134,21 @@
 		_, _ = fmt.Fprintf(w.c.Writer, "id: %s\n", id)
 	}
 	if _, err := fmt.Fprintf(w.c.Writer, "data: %s\n\n", data); err != nil {
-		return errors.Wrap(err, "write")
+		return callerLost(err)
+	}
+	return callerLost(w.controller.Flush())
+}
+
+// callerLost tells a caller that does not read from one that left.
+func callerLost(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.Wrap(fault.SlowCaller, err, "write")
+	default:
+		return fault.Wrap(fault.CallerGone, err, "write")
 	}
-	return errors.Wrap(w.controller.Flush(), "flush")
 }
 
 // finish ends the answer with its outcome.
--- /dev/null
+++ b/process/entry/answer_test.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// A caller that does not read makes a write fail once the buffers are full.
+func TestSlowCallerIsTold(t *testing.T) {
+	failed := make(chan error, 1)
+	router := gin.New()
+	router.GET("/", func(c *gin.Context) {
+		writer := newAnswerWriter(c, request.Generation{}, completionAsk{Stream: true}, vocabulary.Syllables, 10*time.Millisecond)
+		tokens := make([]request.TokenID, 1<<16)
+		for {
+			if err := writer.tokens(tokens, eventID{}); err != nil {
+				failed <- err
+				return
+			}
+		}
+	})
+	server := httptest.NewServer(router)
+	defer server.Close()
+	caller, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\nHost: entry\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, fault.KindOf(<-failed), fault.SlowCaller)
+}
+
+func TestBodyLimit(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	c, _ := gin.CreateTestContext(recorder)
+	c.Request = httptest.NewRequest(http.MethodPost, "/", strings.NewReader(`{"model":"long"}`))
+	c.Request.Body = http.MaxBytesReader(recorder, c.Request.Body, 8)
+	_, err := readBody(c, &completionAsk{})
+	assert.Equal(t, fault.KindOf(err), fault.TooLarge)
+}
+
+// Every frame must name the request and the attempt that its stream belongs to.
+func TestCrossedFramesAreRefused(t *testing.T) {
+	run := wire.Run{Generation: request.Generation{ID: "mine"}, Attempt: 2}
+	for name, frame := range map[string]wire.ServerFrame{
+		"began of another request":  {Began: &wire.Began{Request: "other", Attempt: 2}},
+		"began of another attempt":  {Began: &wire.Began{Request: "mine", Attempt: 1}},
+		"tokens of another request": {Tokens: &wire.Tokens{Request: "other", Attempt: 2}},
+		"tokens of another attempt": {Tokens: &wire.Tokens{Request: "mine", Attempt: 3}},
+		"end of another request":    {End: &wire.End{Request: "other", Attempt: 2}},
+		"nothing":                   {},
+	} {
+		_, err := eventOf(run, frame)
+		assert.Equal(t, fault.KindOf(err), fault.Crossed, name)
+	}
+	_, err := eventOf(run, wire.ServerFrame{Tokens: &wire.Tokens{Request: "mine", Attempt: 2}})
+	assert.NilError(t, err)
+}
+
+func TestEventIDReadsBack(t *testing.T) {
+	id := eventID{request: "r", target: "t-1", incarnation: 12, position: 345, digest: 0xfeed}
+	read, err := parseEventID(string(id.append(nil)))
+	assert.NilError(t, err)
+	assert.Equal(t, read, id)
+	for _, bad := range []string{"r", "r/t/1/2", "r/t/x/2/3", "r/t/1/-2/3", "/t/1/2/3", "r/t/1/2/zz"} {
+		_, err := parseEventID(bad)
+		assert.Equal(t, fault.KindOf(err), fault.BadRequest, bad)
+	}
+}
--- a/process/entry/api.go
+++ b/process/entry/api.go
@@ -2,8 +2,9 @@
 
 import "github.com/mulberrylane/mulberrylane/request"
 
-// The messages of the OpenAI API that callers speak. Fields that the API has and
-// that are not listed are ignored, as the API allows new ones at any time.
+// The messages of the OpenAI API that callers speak. Parameters that change an
+// answer and are not served are refused (unserved); all other fields that are not
+// listed are ignored, as the API allows new ones at any time.
 
 // promptText is a prompt given as text or as a list with one text.
 type promptText string
@@ -15,18 +16,40 @@
 	Temperature   *float64       `json:"temperature"`
 	TopP          float64        `json:"top_p"`
 	Seed          int64          `json:"seed"`
-	Stop          stopWords      `json:"stop"`
 	Stream        bool           `json:"stream"`
 	StreamOptions *streamOptions `json:"stream_options"`
 	N             int            `json:"n"`
 	// ReturnTokenIDs asks for token ids beside the text.
 	ReturnTokenIDs bool `json:"return_token_ids"`
+	unserved
 }
 
 type chatAsk struct {
 	completionAsk
-	Messages            []request.Message `json:"messages"`
-	MaxCompletionTokens *int              `json:"max_completion_tokens"`
+	Messages            []chatTurn `json:"messages"`
+	MaxCompletionTokens *int       `json:"max_completion_tokens"`
+}
+
+// chatTurn is one message of a chat prompt.
+type chatTurn struct {
+	Role    string   `json:"role"`
+	Content chatText `json:"content"`
+}
+
+// chatText is the content of a message, given as text or as parts that are text.
+type chatText string
+
+type textPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func (a chatAsk) prompt() request.Prompt {
+	messages := make([]request.Message, 0, len(a.Messages))
+	for _, turn := range a.Messages {
+		messages = append(messages, request.Message{Role: turn.Role, Content: string(turn.Content)})
+	}
+	return request.Prompt{Messages: messages}
 }
 
 type streamOptions struct {
--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -4,11 +4,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
+	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
@@ -52,12 +54,35 @@
 			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "mulberrylane"})
 		}
 	}
+	slices.SortFunc(list.Data, func(a, b modelEntry) int { return strings.Compare(a.ID, b.ID) })
 	c.JSON(http.StatusOK, list)
 }
 
+func (e *Entry) getModel(c *gin.Context) {
+	name := c.Param("model")
+	service, ok := snapshotOf(c).Document.Services[name]
+	if !ok || service.Model == nil {
+		writeError(c, fault.New(fault.NotFound, "there is no model %q", name), request.Outcome{WasRun: request.RunNo})
+		return
+	}
+	c.JSON(http.StatusOK, modelEntry{ID: name, Object: "model", OwnedBy: "mulberrylane"})
+}
+
+// noRoute answers a path or method that is not served.
+func noRoute(c *gin.Context) {
+	err := fault.New(fault.NotFound, "%s %s is not served", c.Request.Method, c.Request.URL.Path)
+	writeError(c, err, request.Outcome{WasRun: request.RunNo})
+}
+
+// recovered answers a request whose handler failed by a defect.
+func recovered(c *gin.Context, defect any) {
+	klog.ErrorS(nil, "request failed by a defect", "path", c.Request.URL.Path, "defect", defect)
+	writeError(c, fault.New(fault.Internal, ""), request.Outcome{WasRun: request.RunUnknown})
+}
+
 func (e *Entry) completions(c *gin.Context) {
 	var ask completionAsk
-	body, err := readBody(c.Request, &ask)
+	body, err := readBody(c, &ask)
 	if err != nil {
 		writeError(c, err, request.Outcome{WasRun: request.RunNo})
 		return
@@ -67,7 +92,7 @@
 
 func (e *Entry) chatCompletions(c *gin.Context) {
 	var ask chatAsk
-	body, err := readBody(c.Request, &ask)
+	body, err := readBody(c, &ask)
 	if err != nil {
 		writeError(c, err, request.Outcome{WasRun: request.RunNo})
 		return
@@ -75,7 +100,7 @@
 	if ask.MaxCompletionTokens != nil {
 		ask.MaxTokens = ask.MaxCompletionTokens
 	}
-	e.generate(c, ask.completionAsk, request.Prompt{Messages: ask.Messages}, body)
+	e.generate(c, ask.completionAsk, ask.prompt(), body)
 }
 
 // generate serves one generation from its checked request to its end.
@@ -136,6 +161,7 @@
 	if profile, ok := snapshot.Document.Profiles[g.Profile]; ok {
 		policy = recoveryPolicy(profile, time.Now())
 	}
+	policy.MaxTokens = g.Sampling.MaxTokens
 	if g.Deadline > 0 {
 		policy.Deadline = time.UnixMilli(g.Deadline)
 	}
--- a/process/entry/decode.go
+++ b/process/entry/decode.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
+	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -24,16 +27,23 @@
 	return nil
 }
 
-// stopWords is a stop sequence given as text or as a list.
-type stopWords []string
-
 // UnmarshalJSON implements json.Unmarshaler.
-func (s *stopWords) UnmarshalJSON(data []byte) error {
-	texts, err := textOrList(data)
-	if err != nil {
-		return errors.New("stop must be a text or a list of texts")
+func (t *chatText) UnmarshalJSON(data []byte) error {
+	var text string
+	if json.Unmarshal(data, &text) == nil {
+		*t = chatText(text)
+		return nil
+	}
+	var parts []textPart
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("the content of a message must be text or a list of text parts")
+	}
+	for _, part := range parts {
+		if part.Type != "text" {
+			return errors.Errorf("a message part of type %q is not served", part.Type)
+		}
+		*t += chatText(part.Text)
 	}
-	*s = texts
 	return nil
 }
 
@@ -50,10 +60,19 @@
 	return many, errors.WithStack(err)
 }
 
+// bodyTimeout is how long a caller may take to send its body.
+const bodyTimeout = 30 * time.Second
+
 // readBody reads and decodes a request body and returns it raw as well.
-func readBody(r *http.Request, target any) ([]byte, error) {
-	data, err := io.ReadAll(r.Body)
+func readBody(c *gin.Context, target any) ([]byte, error) {
+	controller := http.NewResponseController(c.Writer)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	data, err := io.ReadAll(c.Request.Body)
+	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, fault.New(fault.SlowCaller, "the body did not arrive within %s", bodyTimeout)
+	}
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
 	}
@@ -70,6 +89,9 @@
 	if a.N > 1 {
 		return request.Sampling{}, fault.New(fault.BadRequest, "n: only one choice is served")
 	}
+	if err := a.check(); err != nil {
+		return request.Sampling{}, err
+	}
 	maxTokens := defaultMaxTokens
 	if a.MaxTokens != nil {
 		maxTokens = *a.MaxTokens
@@ -84,5 +106,5 @@
 	if a.Temperature != nil {
 		temperature = *a.Temperature
 	}
-	return request.Sampling{MaxTokens: maxTokens, Temperature: temperature, TopP: a.TopP, Seed: a.Seed, Stop: a.Stop}, nil
+	return request.Sampling{MaxTokens: maxTokens, Temperature: temperature, TopP: a.TopP, Seed: a.Seed}, nil
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -159,11 +160,20 @@
 // Operators returns the address that operators are served at.
 func (e *Entry) Operators() string { return e.observer.Operators.Address() }
 
-// Stop ends the entry: it takes no new request, and waits for the running ones
-// until ctx ends.
+// stopNotice is how long an entry that stops still takes requests while it says
+// that it is not ready, so that a balancer sends nothing to a closed port.
+const stopNotice = time.Second
+
+// Stop ends the entry: it says that it is not ready, takes no new request after a
+// notice, and waits for the running ones until ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.draining.Store(true)
 	e.observer.Record(timeline.Event{Kind: timeline.ProcessDraining})
+	e.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(stopNotice):
+	case <-ctx.Done():
+	}
 	err := e.server.Shutdown(ctx)
 	e.calls.Drain(ctx)
 	e.Kill()
@@ -182,11 +192,15 @@
 func (e *Entry) router() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
-	router.Use(gin.Recovery(), e.limitBody)
+	router.HandleMethodNotAllowed = true
+	router.NoRoute(noRoute)
+	router.NoMethod(noRoute)
+	router.Use(gin.CustomRecoveryWithWriter(io.Discard, recovered), e.limitBody)
 	router.GET("/health", func(c *gin.Context) { c.Status(http.StatusOK) })
 	router.GET("/ready", e.ready)
 	v1 := router.Group("/v1", e.authenticate)
 	v1.GET("/models", e.listModels)
+	v1.GET("/models/:model", e.getModel)
 	v1.POST("/completions", e.completions)
 	v1.POST("/chat/completions", e.chatCompletions)
 	e.routeCalls(router)
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -53,6 +53,8 @@
 	finish     request.FinishReason
 	seen       bool
 	watch      *requestWatch
+	// callerLost says how a write to the caller failed.
+	callerLost fault.Kind
 	// epoch is that of the caller's arrival or attachment.
 	epoch uint64
 	// taken is set when the request was taken over from its journal.
@@ -98,6 +100,10 @@
 	defer d.stop()
 	d.begin(ctx)
 	for !d.recovery.Ended() {
+		if d.callerLost != fault.None {
+			d.step(ctx, request.Event{Type: request.EventCallerLeft, Kind: d.callerLost})
+			break
+		}
 		select {
 		case <-ctx.Done():
 			d.step(ctx, request.Event{Type: request.EventCallerLeft})
@@ -310,7 +316,7 @@
 	}
 	d.watch.delivered(action.Attempt, from.Target, answer.Len()-len(action.Tokens))
 	if err := d.sink.tokens(action.Tokens, next); err != nil {
-		d.notify(request.Event{Type: request.EventCallerLeft})
+		d.callerLost = fault.KindOf(err)
 	}
 }
 
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -27,7 +27,8 @@
 	EventFailed
 	// EventSuspected says that the target of running attempts may have failed.
 	EventSuspected
-	// EventCallerLeft says that nobody waits for the answer any more.
+	// EventCallerLeft says that nobody waits for the answer any more. Kind says how
+	// the caller was lost; None reads as CallerGone.
 	EventCallerLeft
 	// EventTick says that the instant of the last ActionWake has come.
 	EventTick
@@ -189,7 +190,7 @@
 	case EventSuspected, EventMove:
 		r.onSuspected(event)
 	case EventCallerLeft:
-		r.end(fault.CallerGone, "")
+		r.onCallerLeft(event.Kind)
 	case EventTick:
 		r.onTick(now)
 	case EventAttached:
@@ -197,6 +198,13 @@
 	}
 }
 
+func (r *Recovery) onCallerLeft(kind fault.Kind) {
+	if kind == fault.None {
+		kind = fault.CallerGone
+	}
+	r.end(kind, "")
+}
+
 func (r *Recovery) pastDeadline(now time.Time) bool {
 	return !r.policy.Deadline.IsZero() && !now.Before(r.policy.Deadline)
 }
