--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -221,8 +221,12 @@
 	}
 }
 
+// maxFruitless ends a request after so many attempts in a row without a token.
+const maxFruitless = 10
+
 func recoveryPolicy(profile version.Profile, now time.Time) request.Policy {
 	policy := request.Policy{
+		MaxAttempts:  maxFruitless,
 		ResumeWithin: profile.ResumeWithin.Std(),
 		Hedge:        profile.Hedge == version.HedgeOnSuspicion,
 	}
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -212,6 +212,8 @@
 		d.drop(action.Attempt)
 	case request.ActionDeliver:
 		d.deliver(action)
+	case request.ActionUnpick:
+		d.entry.control.giveBack(ctx, action.Target, d.wanted)
 	case request.ActionWake:
 		d.timer.Reset(time.Until(action.At))
 	case request.ActionEnd:
--- a/process/entry/reattach.go
+++ b/process/entry/reattach.go
@@ -153,3 +153,8 @@
 		}
 	})
 }
+
+// giveBack takes a pick for tokens back that is not needed any more.
+func (c *control) giveBack(ctx context.Context, id request.TargetID, tokens int) {
+	c.do(ctx, func() { c.table.Release(id, tokens) })
+}
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -32,7 +32,8 @@
 	EventCallerLeft
 	// EventTick says that the instant of the last ActionWake has come.
 	EventTick
-	// EventMove asks that Target be left because it drains by moving its work.
+	// EventMove asks that Target be left because it drains by moving its work. It
+	// may be told again.
 	EventMove
 	// EventAttached begins the request in place of EventStart with Attempt, which
 	// runs on Target already. The answer holds the tokens before it.
@@ -70,9 +71,12 @@
 	ActionEnd
 	// ActionWake asks for EventTick at the instant At. A later one replaces it.
 	ActionWake
+	// ActionUnpick gives back Target, which was picked and is not needed any more.
+	ActionUnpick
 )
 
 // Action is one thing that the driver has to do. Actions are carried out in order.
+// Avoid is valid until the next step.
 type Action struct {
 	Type    ActionType
 	Attempt AttemptNumber
@@ -96,18 +100,33 @@
 	// MaxTokens is the length asked for; an answer that has it is complete even
 	// when the end of its attempt was lost. Zero means not known.
 	MaxTokens int
-	// MaxAttempts ends a request that fails again and again; zero means no limit.
+	// MaxAttempts ends a request after so many attempts in a row that brought no
+	// token; zero means no limit.
 	MaxAttempts int
 }
 
-// repickAfter is the pause before another target is asked for when there was none.
-const repickAfter = 25 * time.Millisecond
+const (
+	// repickAfter is the pause before another target is asked for when there was
+	// none, or when attempts fail in a row without a token.
+	repickAfter = 25 * time.Millisecond
+	// secondAfter is that pause while an attempt runs that another is to join.
+	secondAfter = 250 * time.Millisecond
+	// promptRepicks is how many attempts in a row may fail without such a pause.
+	promptRepicks = 2
+	// maxHeld bounds the tokens held back during a move, which is given up then.
+	maxHeld = 256
+)
 
 type attempt struct {
 	number AttemptNumber
 	target TargetID
 	// suspected is set while the target may have failed.
 	suspected bool
+	// moving is set while the target drains. Tokens that come while another
+	// attempt takes over are held: the other one began before them, and may go on
+	// with different ones.
+	moving bool
+	held   []TokenID
 }
 
 // Recovery is the deciding core of one generation. It keeps at least one attempt
@@ -122,14 +141,24 @@
 	running []attempt
 	// picking is set between ActionPick and its answer.
 	picking bool
-	// avoid lists targets that failed this request, latest last.
+	// avoid lists targets that failed this request, each once.
 	avoid []TargetID
 	// idleSince is when the last running attempt was lost; zero while one runs.
 	idleSince time.Time
-	started   AttemptNumber
-	ended     bool
-	lastKind  fault.Kind
-	actions   []Action
+	// repickAt is when another target is asked for; zero means not at all.
+	repickAt time.Time
+	// wake is the instant of the last ActionWake.
+	wake    time.Time
+	started AttemptNumber
+	// fruitless counts the attempts that failed since the last accepted token.
+	fruitless int
+	// mayHaveRun is set once an attempt was not refused before it ran, hasRun once
+	// one came to its end.
+	mayHaveRun bool
+	hasRun     bool
+	ended      bool
+	lastKind   fault.Kind
+	actions    []Action
 }
 
 // NewRecovery returns the machine of a request whose tokens go into answer.
@@ -146,15 +175,16 @@
 // Ended says whether ActionEnd was returned.
 func (r *Recovery) Ended() bool { return r.ended }
 
-// WasRun says, at any instant, whether the generation was run.
+// WasRun says, at any instant, whether the generation was run. Attempts that
+// were refused were not; what became of a lost one is not known.
 func (r *Recovery) WasRun() WasRun {
 	switch {
-	case r.started == 0:
-		return RunNo
-	case r.answer.Len() > 0:
+	case r.answer.Len() > 0 || r.hasRun:
 		return RunYes
-	default:
+	case r.mayHaveRun || len(r.running) > 0:
 		return RunUnknown
+	default:
+		return RunNo
 	}
 }
 
@@ -170,15 +200,21 @@
 		return r.actions
 	}
 	r.handle(now, event)
+	if !r.ended {
+		r.schedule()
+	}
 	return r.actions
 }
 
 func (r *Recovery) handle(now time.Time, event Event) {
 	switch event.Type {
 	case EventStart:
-		r.onStart(now)
+		r.idleSince = now
+		r.pick()
+	case EventAttached:
+		r.onAttached(event)
 	case EventPicked:
-		r.onPicked(event.Target)
+		r.onPicked(now, event.Target)
 	case EventNoTarget:
 		r.onNoTarget(now, event.Kind)
 	case EventTokens:
@@ -188,65 +224,92 @@
 	case EventFailed:
 		r.onFailed(now, event.Attempt, event.Kind)
 	case EventSuspected, EventMove:
-		r.onSuspected(event)
+		r.onLeaving(now, event)
 	case EventCallerLeft:
 		r.onCallerLeft(event.Kind)
 	case EventTick:
 		r.onTick(now)
-	case EventAttached:
-		r.onAttached(event)
-	}
-}
-
-func (r *Recovery) onCallerLeft(kind fault.Kind) {
-	if kind == fault.None {
-		kind = fault.CallerGone
 	}
-	r.end(kind, "")
 }
 
 func (r *Recovery) pastDeadline(now time.Time) bool {
 	return !r.policy.Deadline.IsZero() && !now.Before(r.policy.Deadline)
 }
 
-func (r *Recovery) onStart(now time.Time) {
-	r.idleSince = now
-	if !r.policy.Deadline.IsZero() {
-		r.wakeAt(r.policy.Deadline)
+// schedule asks to be woken at the earliest of the instants that matter.
+func (r *Recovery) schedule() {
+	next := earlier(r.policy.Deadline, r.repickAt)
+	if !r.idleSince.IsZero() && r.started > 0 {
+		next = earlier(next, r.idleSince.Add(r.policy.ResumeWithin))
 	}
-	r.pick()
+	if next.IsZero() || next.Equal(r.wake) {
+		return
+	}
+	r.wake = next
+	r.actions = append(r.actions, Action{Type: ActionWake, At: next})
 }
 
-func (r *Recovery) onAttached(event Event) {
-	if !r.policy.Deadline.IsZero() {
-		r.wakeAt(r.policy.Deadline)
+// earlier returns the earlier of two instants, of which zero means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
+	return a
+}
+
+func (r *Recovery) onAttached(event Event) {
 	r.started = event.Attempt
+	r.mayHaveRun = true
 	r.running = append(r.running, attempt{number: event.Attempt, target: event.Target})
 }
 
-func (r *Recovery) onPicked(target TargetID) {
+func (r *Recovery) onCallerLeft(kind fault.Kind) {
+	if kind == fault.None {
+		kind = fault.CallerGone
+	}
+	r.end(kind, "")
+}
+
+// onPicked starts an attempt, unless what it was wanted for is over.
+func (r *Recovery) onPicked(now time.Time, target TargetID) {
 	r.picking = false
+	if len(r.running) > 0 && (!r.wantsSecond() || r.running[0].target == target) {
+		r.actions = append(r.actions, Action{Type: ActionUnpick, Target: target})
+		r.repickAt = now.Add(secondAfter)
+		return
+	}
 	r.started++
 	r.running = append(r.running, attempt{number: r.started, target: target})
 	r.idleSince = time.Time{}
 	r.actions = append(r.actions, Action{Type: ActionRun, Attempt: r.started, Target: target})
 }
 
-// onNoTarget gives up when nothing was accepted yet, since the pick waited in
-// the queue already, and else asks again until ResumeWithin is over.
+// wantsSecond says whether the only running attempt is to be joined by another.
+func (r *Recovery) wantsSecond() bool {
+	if len(r.running) != 1 {
+		return false
+	}
+	only := r.running[0]
+	return only.moving || only.suspected && r.policy.Hedge
+}
+
+// onNoTarget gives up when no attempt was started, since the pick waited in the
+// queue already, and else asks again until ResumeWithin is over.
 func (r *Recovery) onNoTarget(now time.Time, kind fault.Kind) {
 	r.picking = false
-	if len(r.running) > 0 {
-		return
+	if len(r.running) == 0 {
+		r.lastKind = kind
+		if r.started == 0 {
+			r.end(kind, "")
+			return
+		}
 	}
-	r.lastKind = kind
-	if r.started == 0 || kind == fault.VersionGone {
-		r.end(kind, "")
+	if len(r.running) > 0 {
+		r.repickAt = now.Add(secondAfter)
 		return
 	}
 	r.avoid = r.avoid[:0]
-	r.wakeAt(now.Add(repickAfter))
+	r.repickAt = now.Add(repickAfter)
 }
 
 func (r *Recovery) onTokens(now time.Time, event Event) {
@@ -254,11 +317,15 @@
 	if i < 0 {
 		return
 	}
+	if r.running[i].moving && len(r.running) > 1 {
+		r.hold(now, i, event)
+		return
+	}
 	fresh, verdict := r.answer.Offer(event.Position, event.Tokens)
 	switch verdict {
 	case Accepted:
 		r.win(i)
-		r.actions = append(r.actions, Action{Type: ActionDeliver, Attempt: event.Attempt, Tokens: fresh})
+		r.deliver(event.Attempt, fresh)
 	case Gap, Mismatch:
 		r.cancel(event.Attempt)
 		r.onFailed(now, event.Attempt, fault.Crossed)
@@ -266,8 +333,45 @@
 	}
 }
 
-// win ends the race between a suspected attempt and its hedge: the first next
-// token decides.
+func (r *Recovery) deliver(number AttemptNumber, fresh []TokenID) {
+	r.fruitless = 0
+	r.actions = append(r.actions, Action{Type: ActionDeliver, Attempt: number, Tokens: fresh})
+}
+
+// hold keeps the tokens of a moving attempt while another takes over.
+func (r *Recovery) hold(now time.Time, i int, event Event) {
+	held := &r.running[i]
+	have := r.answer.Len() + len(held.held)
+	if event.Position > have {
+		r.cancel(event.Attempt)
+		r.onFailed(now, event.Attempt, fault.Crossed)
+		return
+	}
+	known := min(have-event.Position, len(event.Tokens))
+	held.held = append(held.held, event.Tokens[known:]...)
+	if len(held.held) <= maxHeld {
+		return
+	}
+	other := r.running[1-i]
+	held.moving = false
+	r.cancel(other.number)
+	r.running = append(r.running[:0], *held)
+	r.release()
+}
+
+// release delivers what the only running attempt holds.
+func (r *Recovery) release() {
+	only := &r.running[0]
+	held := only.held
+	only.held = nil
+	fresh, verdict := r.answer.Offer(r.answer.Len(), held)
+	if verdict == Accepted {
+		r.deliver(only.number, fresh)
+	}
+}
+
+// win ends the race between an attempt and the second one that was started
+// beside it: the first next token decides.
 func (r *Recovery) win(i int) {
 	r.running[i].suspected = false
 	if len(r.running) == 1 {
@@ -283,13 +387,20 @@
 }
 
 func (r *Recovery) onEnded(now time.Time, event Event) {
-	if r.find(event.Attempt) < 0 {
+	i := r.find(event.Attempt)
+	if i < 0 {
 		return
 	}
-	if event.Position != r.answer.Len() {
+	ended := r.running[i]
+	if event.Position != r.answer.Len()+len(ended.held) {
 		r.onFailed(now, event.Attempt, fault.Crossed)
 		return
 	}
+	if fresh, verdict := r.answer.Offer(r.answer.Len(), ended.held); verdict == Accepted {
+		r.deliver(ended.number, fresh)
+	}
+	r.hasRun = true
+	r.running = slices.Delete(r.running, i, i+1)
 	r.end(fault.None, event.Finish)
 }
 
@@ -299,25 +410,33 @@
 		return
 	}
 	r.lastKind = kind
-	r.avoid = append(r.avoid, r.running[i].target)
+	r.fruitless++
+	r.mayHaveRun = r.mayHaveRun || !refused(kind)
+	r.avoidTarget(r.running[i].target)
 	r.running = slices.Delete(r.running, i, i+1)
-	if r.complete() {
+	switch {
+	case r.complete():
 		r.end(fault.None, FinishLength)
-		return
-	}
-	if final(kind) {
+	case final(kind):
 		r.end(kind, "")
-		return
-	}
-	if len(r.running) > 0 {
-		return
-	}
-	r.idleSince = now
-	if r.exhausted() {
+	case len(r.running) > 0:
+		r.release()
+		r.second(now)
+	case r.exhausted():
 		r.end(fault.RetriesExhausted, "")
+	default:
+		r.idleSince = now
+		r.again(now)
+	}
+}
+
+// again asks for another target, after a pause when attempts fail in a row.
+func (r *Recovery) again(now time.Time) {
+	if r.fruitless <= promptRepicks {
+		r.pick()
 		return
 	}
-	r.pick()
+	r.repickAt = now.Add(repickAfter)
 }
 
 func (r *Recovery) complete() bool {
@@ -334,33 +453,60 @@
 	}
 }
 
+// refused says whether an attempt that failed with kind never ran.
+func refused(kind fault.Kind) bool {
+	switch kind {
+	case fault.BadRequest, fault.TooLarge, fault.Overloaded, fault.Draining, fault.VersionGone:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Recovery) exhausted() bool {
-	return r.policy.MaxAttempts > 0 && int(r.started) >= r.policy.MaxAttempts
+	return r.policy.MaxAttempts > 0 && r.fruitless >= r.policy.MaxAttempts
 }
 
-func (r *Recovery) onSuspected(event Event) {
+// onLeaving notes that a target may have failed or that it drains.
+func (r *Recovery) onLeaving(now time.Time, event Event) {
 	for i := range r.running {
-		if r.running[i].target != event.Target || r.running[i].suspected {
+		if r.running[i].target != event.Target {
 			continue
 		}
-		r.running[i].suspected = true
-		hedge := r.policy.Hedge || event.Type == EventMove
-		if hedge && len(r.running) == 1 && !r.exhausted() {
-			r.avoid = append(r.avoid, event.Target)
-			r.pick()
+		if event.Type == EventMove {
+			r.running[i].moving = true
+		} else {
+			r.running[i].suspected = true
 		}
+		r.avoidTarget(event.Target)
+	}
+	r.second(now)
+}
+
+// second asks for a target beside the only running attempt when that is wanted.
+func (r *Recovery) second(now time.Time) {
+	switch {
+	case !r.wantsSecond() || r.exhausted() || !r.repickAt.IsZero():
+	case r.fruitless > promptRepicks:
+		r.repickAt = now.Add(secondAfter)
+	default:
+		r.pick()
 	}
 }
 
 func (r *Recovery) onTick(now time.Time) {
-	if len(r.running) > 0 || r.picking {
+	r.wake = time.Time{}
+	if r.started > 0 && !r.idleSince.IsZero() && now.Sub(r.idleSince) >= r.policy.ResumeWithin {
+		r.end(r.idleKind(), "")
 		return
 	}
-	if now.Sub(r.idleSince) >= r.policy.ResumeWithin {
-		r.end(r.idleKind(), "")
+	if r.repickAt.IsZero() || now.Before(r.repickAt) {
 		return
 	}
-	r.pick()
+	r.repickAt = time.Time{}
+	if len(r.running) == 0 || r.wantsSecond() {
+		r.pick()
+	}
 }
 
 func (r *Recovery) idleKind() fault.Kind {
@@ -370,6 +516,12 @@
 	return r.lastKind
 }
 
+func (r *Recovery) avoidTarget(target TargetID) {
+	if !slices.Contains(r.avoid, target) {
+		r.avoid = append(r.avoid, target)
+	}
+}
+
 func (r *Recovery) pick() {
 	if r.picking {
 		return
@@ -382,16 +534,10 @@
 	r.actions = append(r.actions, Action{Type: ActionCancel, Attempt: number})
 }
 
-func (r *Recovery) wakeAt(at time.Time) {
-
-	r.actions = append(r.actions, Action{Type: ActionWake, At: at})
-}
-
 func (r *Recovery) end(kind fault.Kind, finish FinishReason) {
 	for _, a := range r.running {
-		if kind != fault.None {
-			r.cancel(a.number)
-		}
+		r.mayHaveRun = true
+		r.cancel(a.number)
 	}
 	r.running = r.running[:0]
 	r.ended = true
--- a/request/recovery_test.go
+++ b/request/recovery_test.go
@@ -26,3 +26,76 @@
 	assert.Equal(t, last(actions).Finish, request.FinishLength)
 	assert.Equal(t, recovery.WasRun(), request.RunYes)
 }
+
+// TestDeadlineIsKeptWhileRepicking has a repick replace the wake at the deadline.
+func TestDeadlineIsKeptWhileRepicking(t *testing.T) {
+	now := time.Now()
+	deadline := now.Add(time.Minute)
+	recovery := request.NewRecovery(request.Policy{Deadline: deadline, ResumeWithin: time.Hour}, request.NewAnswer(8))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-1"})
+	recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Tokens: []request.TokenID{7}})
+	recovery.Step(now, request.Event{Type: request.EventFailed, Attempt: 1, Kind: fault.TargetLost})
+	wake := last(recovery.Step(now, request.Event{Type: request.EventNoTarget, Kind: fault.NoTarget}))
+	assert.Equal(t, wake.Type, request.ActionWake)
+	assert.Assert(t, wake.At.Before(deadline))
+	again := last(recovery.Step(wake.At, request.Event{Type: request.EventTick}))
+	recovery.Step(wake.At, request.Event{Type: request.EventPicked, Target: "t-2"})
+	assert.Equal(t, again.Type, request.ActionWake)
+	assert.Assert(t, again.At.Equal(deadline))
+	end := last(recovery.Step(deadline, request.Event{Type: request.EventTick}))
+	assert.Equal(t, end.Kind, fault.DeadlineExceeded)
+}
+
+// TestRefusedAttemptsWereNotRun tells refusals from losses.
+func TestRefusedAttemptsWereNotRun(t *testing.T) {
+	for _, told := range []struct {
+		kind fault.Kind
+		want request.WasRun
+	}{
+		{fault.Overloaded, request.RunNo},
+		{fault.Draining, request.RunNo},
+		{fault.BadRequest, request.RunNo},
+		{fault.TargetLost, request.RunUnknown},
+	} {
+		now := time.Now()
+		recovery := request.NewRecovery(request.Policy{ResumeWithin: time.Second}, request.NewAnswer(8))
+		recovery.Step(now, request.Event{Type: request.EventStart})
+		recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-1"})
+		assert.Equal(t, recovery.WasRun(), request.RunUnknown)
+		recovery.Step(now, request.Event{Type: request.EventFailed, Attempt: 1, Kind: told.kind})
+		recovery.Step(now, request.Event{Type: request.EventCallerLeft})
+		assert.Equal(t, recovery.WasRun(), told.want, told.kind.String())
+	}
+}
+
+// TestMoveHoldsTheOldTokens lets a draining attempt go on until the new one delivers.
+func TestMoveHoldsTheOldTokens(t *testing.T) {
+	now := time.Now()
+	recovery := request.NewRecovery(request.Policy{}, request.NewAnswer(8))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-1"})
+	recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Tokens: []request.TokenID{1}})
+	assert.Equal(t, last(recovery.Step(now, request.Event{Type: request.EventMove, Target: "t-1"})).Type, request.ActionPick)
+	recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-2"})
+	held := recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Position: 1, Tokens: []request.TokenID{2}})
+	assert.Equal(t, len(held), 0)
+	moved := recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 2, Position: 1, Tokens: []request.TokenID{9}})
+	assert.Equal(t, moved[0].Type, request.ActionCancel)
+	assert.Equal(t, int(moved[0].Attempt), 1)
+	assert.DeepEqual(t, recovery.Answer().Tokens(), []request.TokenID{1, 9})
+}
+
+// BenchmarkToken gives the cost of one token in the core: recovery and answer.
+func BenchmarkToken(b *testing.B) {
+	now := time.Now()
+	recovery := request.NewRecovery(request.Policy{Deadline: now.Add(time.Hour)}, request.NewAnswer(b.N))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-1"})
+	tokens := []request.TokenID{7}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for position := range b.N {
+		recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Position: position, Tokens: tokens})
+	}
+}
