Orders to engines under a numbered lease

Targets were given no orders, so a new model version had to be loaded by hand. For each service that declares loadsPerMinute one entry holds a lease; the store revision at which it took the key is its fencing number. It compares what is declared with what targets report and orders the difference: paced to the weight store, with minReplicas kept in service, and no version unloaded that was in use anywhere in the last minute. A failed load is held until the declaration changes; a lost order is planned anew. The agent reads the lease key right before it passes an order on, one order at a time, and refuses any number but the holder's; with the store down it passes none.

Under the race detector: the old holder is refused before and after the new holder's first order and after a restart of the agent, by engines that check numbers and by engines that ignore them.

--- /dev/null
+++ b/bench/fleet/agents.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/mulberrylane/mulberrylane/connection/keys"
+	"github.com/mulberrylane/mulberrylane/connection/link"
+	"github.com/mulberrylane/mulberrylane/process/agent"
+)
+
+// RestartAgent ends the agent of a member at once and starts another one at a new
+// address, which the host list does not learn; the engine goes on.
+func (m *Member) RestartAgent(ctx context.Context) error {
+	m.Agent.Kill()
+	m.Agent = agent.New(m.settings)
+	if err := m.Agent.Start(ctx); err != nil {
+		return err
+	}
+	m.Placement.Agent = m.Agent.Address()
+	return nil
+}
+
+// Dialer returns a dialer of links to agents, with the certificate of an entry.
+func (f *Fleet) Dialer() (*link.Dialer, error) {
+	files, err := f.keys.Issue(keys.RoleEntry, "trial-dialer")
+	if err != nil {
+		return nil, err
+	}
+	pair, err := keys.Load(files)
+	if err != nil {
+		return nil, err
+	}
+	return link.NewDialer("127.0.0.1", pair.Client(keys.RoleAgent))
+}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -66,7 +66,8 @@
 	Engine    *engine.Server
 	Agent     *agent.Agent
 
-	relay *network.Relay
+	settings settings.Agent
+	relay    *network.Relay
 }
 
 // Fleet is a running fleet.
@@ -89,6 +90,9 @@
 	mu sync.Mutex
 }
 
+// storeTimeout bounds a call of the fleet's own adapter to the store.
+const storeTimeout = 10 * time.Second
+
 // Start starts a fleet and waits until every entry has a link to every agent.
 func Start(ctx context.Context, layout Layout) (*Fleet, error) {
 	directory, err := os.MkdirTemp("", "mulberrylane-fleet-")
@@ -109,6 +113,7 @@
 		return err
 	}
 	f.keys = authority
+	f.platform = httptest.NewUnstartedServer(nil)
 	for i := range f.Layout.Engines {
 		if err := f.addMember(ctx, i); err != nil {
 			return err
@@ -154,11 +159,13 @@
 	if err != nil {
 		return member, err
 	}
-	member.Agent = agent.New(settings.Agent{
+	member.settings = settings.Agent{
 		Name: "agent-" + name, Host: "host-" + name, FailureDomain: f.domain(i),
 		Target: name, Service: f.Layout.Service,
 		Links: loopback, Operators: loopback, OperatorDigests: operatorDigests(), Keys: files, Engine: server.URL(),
-	})
+		Platform: f.Platform(),
+	}
+	member.Agent = agent.New(member.settings)
 	if err := member.Agent.Start(ctx); err != nil {
 		return member, err
 	}
@@ -188,23 +195,27 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v3/", f.refuseInOutage(f.Store.Handler()))
 	mux.Handle("GET /hosts", f.Hosts)
-	f.platform = httptest.NewServer(mux)
+	f.platform.Config.Handler = mux
+	f.platform.Start()
 }
 
 func operatorDigests() []string { return []string{version.TokenDigest(OperatorToken)} }
 
 // Platform returns the settings by which processes reach the platform.
 func (f *Fleet) Platform() settings.Platform {
+	url := f.platformURL()
 	return settings.Platform{
-		Store:         []string{f.platform.URL},
-		HostList:      f.platform.URL + "/hosts",
+		Store:         []string{url},
+		HostList:      url + "/hosts",
 		HostListEvery: version.Duration(200 * time.Millisecond),
 	}
 }
 
+func (f *Fleet) platformURL() string { return "http://" + f.platform.Listener.Addr().String() }
+
 // StoreClient returns an adapter to the fleet's key-value service.
 func (f *Fleet) StoreClient() *etcd.Store {
-	return etcd.NewStore([]string{f.platform.URL}, f.platform.Client())
+	return etcd.NewStore([]string{f.platformURL()}, &http.Client{Timeout: storeTimeout})
 }
 
 // Apply writes a configuration document to the store, whatever stood there.
--- /dev/null
+++ b/bench/fleet/orders_test.go
@@ -0,0 +1,134 @@
+package fleet_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
+	"github.com/mulberrylane/mulberrylane/connection/link"
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/orders"
+	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/standin/weights"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// startOrders starts a fleet whose document may be changed before it is applied.
+func startOrders(t *testing.T, config engine.Config, change func(*version.Model)) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f, err := fleet.Start(ctx, fleet.Layout{
+		Document: documentWith(change), Service: fleet.TrialService,
+		Domains: []string{"naxos", "paros"}, Entries: 1, Engines: 3, Engine: config,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func documentWith(change func(*version.Model)) version.Document {
+	document := fleet.TrialDocument()
+	service := document.Services[fleet.TrialService]
+	model := *service.Model
+	change(&model)
+	service.Model = &model
+	document.Services[fleet.TrialService] = service
+	return document
+}
+
+func TestDeclaredVersionsAreLoadedAndAFailedLoadIsHeld(t *testing.T) {
+	config := engine.DefaultConfig(salt, fleet.TrialVersion)
+	config.Weights = weights.New(0)
+	config.Weights.SetMissing("lost", true)
+	f := startOrders(t, config, func(m *version.Model) {
+		m.Preload = []string{"lost", "trial-lm-v2"}
+		m.LoadsPerMinute = 6000
+		m.Role = "decode"
+		m.MinReplicas = 2
+	})
+	await(t, "all engines have the declared version and role", func() bool {
+		return !slices.ContainsFunc(f.Members, func(m *fleet.Member) bool {
+			given := m.Engine.Orders()
+			hasRole := slices.ContainsFunc(given, func(o platform.Order) bool { return o.Role == "decode" })
+			return !hasRole || !slices.Contains(m.Engine.Models(), "trial-lm-v2")
+		})
+	})
+	assert.Equal(t, config.Weights.Fetches("lost"), 3, "one try at each target")
+}
+
+// giver gives orders to one agent over a link of its own.
+type giver struct {
+	t      *testing.T
+	dialer *link.Dialer
+	member *fleet.Member
+}
+
+func (g giver) give(fence platform.Fence, model string) fault.Kind {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(g.t.Context(), 30*time.Second)
+	defer cancel()
+	l, err := g.dialer.Dial(ctx, g.member.Placement.Agent)
+	assert.NilError(g.t, err)
+	defer l.Close()
+	control, err := l.Open(ctx)
+	assert.NilError(g.t, err)
+	assert.NilError(g.t, control.Write(wire.ControlFrame{Hello: &wire.Hello{Process: "trial-dialer"}}))
+	stream, err := l.Open(ctx)
+	assert.NilError(g.t, err)
+	ask := wire.Order{Service: fleet.TrialService, Kind: platform.OrderLoad, Model: model, Fence: fence}
+	assert.NilError(g.t, stream.Write(wire.ClientFrame{Order: &ask}))
+	var frame wire.ServerFrame
+	assert.NilError(g.t, stream.Read(&frame))
+	return frame.Ordered.Kind
+}
+
+// take takes the order lease of the trial service.
+func take(t *testing.T, store platform.Store) platform.Fence {
+	t.Helper()
+	lease, err := store.Grant(t.Context(), time.Minute)
+	assert.NilError(t, err)
+	swap := platform.Swap{Key: orders.LeaseKey(fleet.TrialService), Lease: lease}
+	current, taken, err := store.CompareAndSwap(t.Context(), swap)
+	assert.NilError(t, err)
+	assert.Assert(t, taken)
+	return platform.Fence(current.ModRevision)
+}
+
+func TestOldHolderIsRefused(t *testing.T) {
+	for name, checks := range map[string]bool{"engine checks fencing": true, "engine ignores fencing": false} {
+		t.Run(name, func(t *testing.T) {
+			config := engine.DefaultConfig(salt, fleet.TrialVersion)
+			config.ChecksFencing = checks
+			f := startOrders(t, config, func(*version.Model) {})
+			dialer, err := f.Dialer()
+			assert.NilError(t, err)
+			defer func() { _ = dialer.Close() }()
+			g := giver{t: t, dialer: dialer, member: f.Members[0]}
+			store := f.StoreClient()
+
+			first := take(t, store)
+			assert.Equal(t, g.give(first, "by-first"), fault.None)
+			f.Store.LapseLeases()
+			assert.Equal(t, g.give(first, "lapsed"), fault.Fenced)
+			second := take(t, store)
+			assert.Equal(t, g.give(first, "old"), fault.Fenced, "before the new holder's first order")
+			assert.Equal(t, g.give(second, "by-second"), fault.None)
+			assert.Equal(t, g.give(first, "old"), fault.Fenced)
+			assert.NilError(t, f.Members[0].RestartAgent(t.Context()))
+			assert.Equal(t, g.give(first, "old"), fault.Fenced, "after a restart of the agent")
+
+			f.Store.SetFaults(kv.Faults{Outage: true})
+			assert.Equal(t, g.give(second, "in-outage"), fault.StoreUnavailable)
+			f.Store.SetFaults(kv.Faults{})
+			assert.DeepEqual(t, f.Members[0].Engine.Models(), []string{fleet.TrialVersion, "by-first", "by-second"})
+		})
+	}
+}
--- /dev/null
+++ b/connection/wire/order.go
@@ -0,0 +1,21 @@
+package wire
+
+import (
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/platform"
+)
+
+// Order passes an order to the engine beside an agent.
+type Order struct {
+	Service string             `cbor:"1,keyasint"`
+	Kind    platform.OrderKind `cbor:"2,keyasint"`
+	Model   string             `cbor:"3,keyasint,omitempty"`
+	Role    string             `cbor:"4,keyasint,omitempty"`
+	Fence   platform.Fence     `cbor:"5,keyasint"`
+}
+
+// Ordered tells what became of an order; Kind is fault.None when it was carried out.
+type Ordered struct {
+	Kind    fault.Kind `cbor:"1,keyasint,omitempty"`
+	Message string     `cbor:"2,keyasint,omitempty"`
+}
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -25,6 +25,8 @@
 	Attach *Attach `cbor:"2,keyasint,omitempty"`
 	Call   *Call   `cbor:"10,keyasint,omitempty"`
 	Seal   *Seal   `cbor:"11,keyasint,omitempty"`
+	// Order passes an order to the engine.
+	Order *Order `cbor:"16,keyasint,omitempty"`
 	// Directory asks for the agent's part of the soft directory.
 	Directory *Directory `cbor:"3,keyasint,omitempty"`
 }
@@ -65,6 +67,8 @@
 	End    *End    `cbor:"3,keyasint,omitempty"`
 	// CallReply is the only frame in reply to Call and Seal.
 	CallReply *CallReply `cbor:"10,keyasint,omitempty"`
+	// Ordered is the only frame in reply to Order.
+	Ordered *Ordered `cbor:"16,keyasint,omitempty"`
 	// Found answers Directory.Find.
 	Found *Found `cbor:"4,keyasint,omitempty"`
 }
@@ -164,6 +168,10 @@
 	Entries int `cbor:"23,keyasint,omitempty"`
 	// ModelsUnchanged says that Models is as in the heartbeat before.
 	ModelsUnchanged bool `cbor:"24,keyasint,omitempty"`
+	// InUse lists the models of running generations that the configuration does
+	// not declare any more, and Role is the engine's role where one is declared.
+	InUse []string `cbor:"40,keyasint,omitempty"`
+	Role  string   `cbor:"41,keyasint,omitempty"`
 }
 
 // The silence that an agent promises not to exceed on a link: with work on it, and
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -65,8 +65,10 @@
 	RevisionConflict Kind = 25
 	// SlowCaller means that the caller did not read its answer in time.
 	SlowCaller Kind = 26
+	// OrderFailed means that an engine could not carry out an order.
+	OrderFailed Kind = 27
 
-	kindCount = 27
+	kindCount = 28
 )
 
 // Answer is what a caller is told for one kind.
@@ -121,6 +123,7 @@
 	StaleConfiguration: {"stale_configuration", http.StatusServiceUnavailable, typeServer, "the configuration in force is too old for this profile", true},
 	RevisionConflict:   {"revision_conflict", http.StatusConflict, typeInvalid, "the configuration was changed by another operator", false},
 	SlowCaller:         {"slow_caller", http.StatusRequestTimeout, typeInvalid, "the caller did not read its answer in time", false},
+	OrderFailed:        {"order_failed", http.StatusBadGateway, typeServer, "the engine could not carry out the order", false},
 }
 
 // Answer returns the row of the table for k; an unknown number reads as Internal.
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -43,6 +43,7 @@
 	listener *link.Listener
 	// configuration is what the agent hears of revisions.
 	configuration *configuration
+	orders        *orderDesk
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
 }
@@ -57,6 +58,7 @@
 		observer:      observe.New(s.Name, s.Operators, s.OperatorDigests),
 		status:        newEngineStatus(),
 		configuration: newConfiguration(s),
+		orders:        newOrderDesk(s),
 		directory:     newDirectoryPart(),
 	}
 	a.observer.Gauges(metrics.LinkGauges(&a.links)...)
@@ -95,6 +97,7 @@
 	a.observer.Record(timeline.Event{Kind: timeline.ProcessStarted, Target: a.target()})
 	a.goTask(func() { a.configuration.spreader.Run(ctx) })
 	a.goTask(func() { a.followDrain(ctx) })
+	a.goTask(func() { a.watchRole(ctx) })
 	a.goTask(func() { a.watchEngine(ctx) })
 	a.goTask(func() { a.acceptLinks(ctx) })
 	klog.InfoS("agent started", "name", a.settings.Name, "target", a.settings.Target,
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -128,5 +128,7 @@
 		StalledMillis: int(report.stalled.Milliseconds()),
 		PendingTokens: report.pending,
 		Entries:       int(a.entries.Load()),
+		InUse:         a.undeclaredInUse(),
+		Role:          a.orders.role(),
 	}
 }
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -95,6 +95,8 @@
 		a.serveSeal(stream, *frame.Seal)
 	case frame.Attach != nil:
 		a.serveAttach(l, stream, *frame.Attach)
+	case frame.Order != nil:
+		a.serveOrder(ctx, stream, *frame.Order)
 	case frame.Directory != nil:
 		a.directory.serve(stream, *frame.Directory)
 	default:
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -104,6 +104,7 @@
 		if !beat.ModelsUnchanged {
 			target.Models = beat.Models
 		}
+		target.InUse, target.Role = beat.InUse, beat.Role
 		c.judge(now, id, w)
 	})
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -121,6 +121,7 @@
 	e.observer.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	e.tasks.Go(func() { e.control.run(ctx) })
 	e.tasks.Go(func() { e.spreader.Run(ctx) })
+	e.tasks.Go(func() { e.giveOrders(ctx) })
 	e.tasks.Go(func() { e.follower.Run(ctx) })
 	e.tasks.Go(func() { e.followHosts(ctx) })
 	e.tasks.Go(func() { _ = e.server.Serve(e.listener) })
--- /dev/null
+++ b/process/entry/orders.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/order"
+	"github.com/mulberrylane/mulberrylane/process/orders"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// orderFleet reaches the targets of the entry's links. It implements orders.Fleet.
+type orderFleet struct{ entry *Entry }
+
+// giveOrders competes for the leases of orders, and gives orders where it holds
+// one, until ctx ends. The entries that watch the store compete.
+func (e *Entry) giveOrders(ctx context.Context) {
+	orders.New(e.settings.Name, e.etcd, e.revisions, orderFleet{e}, e.spreader.Watches).Run(ctx)
+}
+
+// Targets implements orders.Fleet.
+func (f orderFleet) Targets(service string) []order.Target {
+	c := f.entry.control
+	reply := make(chan []order.Target, 1)
+	c.do(context.Background(), func() {
+		var list []order.Target
+		for _, target := range c.table.Targets() {
+			if target.Service != service {
+				continue
+			}
+			list = append(list, order.Target{
+				ID: target.ID, Up: target.Up, Leaving: target.Leaving,
+				Models: target.Models, InUse: target.InUse, Role: target.Role,
+			})
+		}
+		reply <- list
+	})
+	select {
+	case list := <-reply:
+		return list
+	case <-c.done:
+		return nil
+	}
+}
+
+// Give implements orders.Fleet.
+func (f orderFleet) Give(ctx context.Context, service string, target request.TargetID, given platform.Order) error {
+	l := f.entry.peers.link(target)
+	if l == nil {
+		return fault.New(fault.TargetLost, "there is no link to %s", target)
+	}
+	stream, err := l.Open(ctx)
+	if err != nil {
+		return fault.Wrap(fault.TargetLost, err, "order")
+	}
+	defer stream.Cancel()
+	stop := context.AfterFunc(ctx, stream.Cancel)
+	defer stop()
+	ask := wire.Order{Service: service, Kind: given.Kind, Model: given.Model, Role: given.Role, Fence: given.Fence}
+	if err := stream.Write(wire.ClientFrame{Order: &ask}); err != nil {
+		return fault.Wrap(fault.TargetLost, err, "order")
+	}
+	var frame wire.ServerFrame
+	if err := stream.Read(&frame); err != nil {
+		return fault.Wrap(fault.TargetLost, err, "order")
+	}
+	if frame.Ordered == nil {
+		return fault.New(fault.TargetLost, "the agent does not know orders")
+	}
+	if frame.Ordered.Kind != fault.None {
+		return fault.New(frame.Ordered.Kind, "%s", frame.Ordered.Message)
+	}
+	return nil
+}
--- a/process/revision/spreader.go
+++ b/process/revision/spreader.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// Watches says whether this process is one of those that watch the store.
+func (s *Spreader) Watches() bool { return s.watches.Load() }
+
 func (s *Spreader) do(command func(now time.Time) []spread.Action) {
 	select {
 	case s.commands <- command:
--- a/process/routing/table.go
+++ b/process/routing/table.go
@@ -31,6 +31,10 @@
 	Reported time.Time
 	// Models lists what is loaded.
 	Models []string
+	// InUse lists models of running generations that are no longer declared, and
+	// Role is the role of the engine where one is declared.
+	InUse []string
+	Role  string
 
 	// capacity is how many attempts run at once there, zero while unknown.
 	capacity int
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -4,7 +4,11 @@
 // are those of the oracle.
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/standin/weights"
+)
 
 // Config describes one stand-in engine.
 type Config struct {
@@ -34,6 +38,10 @@
 	Jitter float64 `json:"jitter"`
 	// Seed drives the jitter.
 	Seed uint64 `json:"seed"`
+	// ChecksFencing says that an order with an old number is refused.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// Weights is where loads take their weights from; nil takes no time.
+	Weights *weights.Store `json:"-"`
 	// Records keeps a record of every generation in memory.
 	Records bool `json:"records"`
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -59,6 +59,8 @@
 	records  []*Record
 	// dead says that the engine was killed.
 	dead bool
+	// orders is what was ordered besides models.
+	orders orderState
 }
 
 type loadSample struct {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -87,6 +87,8 @@
 	mux.HandleFunc("GET /v1/models", s.listModels)
 	mux.HandleFunc("GET /load", s.reportLoad)
 	mux.HandleFunc("GET /cache/events", s.cacheEvents)
+	mux.HandleFunc("POST /orders", s.takeOrder)
+	mux.HandleFunc("GET /role", s.reportRole)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /standin/fault", s.setFault)
 	mux.HandleFunc("GET /standin/work", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Work()) })
