Capacity slopes: what links, requests, tokens and streams cost the real daemons

Cause: the users ask for each role's needs at their target from measured slopes. Change: bench/slopes takes samples at separate processes under four loads, fits slopes for a small and a large fleet, and works out every figure at the target beside its budget; scripts/slopes.sh rewrites the tables of docs/CAPACITY.md. The stand-in platform stores its document in the form that processes read; a test reads it back (the demonstration had failed to become ready).

--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -50,6 +50,8 @@
 	Outcome *request.Outcome
 	// Done says that the closing mark of the stream was seen.
 	Done bool
+	// Received is called, when set, with the number of tokens of each event.
+	Received func(tokens int)
 }
 
 // Arrival is one event of an answer.
@@ -192,11 +194,18 @@
 		}
 		if n := len(choice.TokenIDs); n > 0 {
 			a.Arrivals = append(a.Arrivals, Arrival{At: time.Now(), Tokens: n, Target: targetOf(a.LastEventID)})
+			a.report(n)
 		}
 	}
 	return nil
 }
 
+func (a *Answer) report(tokens int) {
+	if a.Received != nil {
+		a.Received(tokens)
+	}
+}
+
 // targetOf returns the target that an event id names.
 func targetOf(eventID string) request.TargetID {
 	parts := strings.Split(eventID, "/")
--- a/bench/demo/drive.go
+++ b/bench/demo/drive.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,8 +24,6 @@
 	maxTokens   = 500
 	// driveTimeout ends the demonstration whatever happens.
 	driveTimeout = 50 * time.Second
-	readyTimeout = 20 * time.Second
-	readyPoll    = 50 * time.Millisecond
 	reconnect    = 100 * time.Millisecond
 	progressTick = time.Second
 )
@@ -59,18 +54,15 @@
 // Drive runs the requests and faults against the processes of the plan in
 // directory, shows progress on out, and returns the report.
 func Drive(ctx context.Context, directory string, out io.Writer) (Report, error) {
-	d := &driver{signals: signaller{directory}, client: &http.Client{}, faults: faultPlan(), out: out}
-	d.caller = caller.New(d.client)
-	data, err := os.ReadFile(filepath.Join(directory, "plan.json"))
+	plan, err := ReadPlan(directory)
 	if err != nil {
-		return Report{}, errors.Wrap(err, "plan")
-	}
-	if err := json.Unmarshal(data, &d.plan); err != nil {
-		return Report{}, errors.Wrap(err, "plan")
+		return Report{}, err
 	}
+	d := &driver{plan: plan, signals: signaller{directory}, client: &http.Client{}, faults: faultPlan(), out: out}
+	d.caller = caller.New(d.client)
 	ctx, cancel := context.WithTimeout(ctx, driveTimeout)
 	defer cancel()
-	if err := d.awaitReady(ctx); err != nil {
+	if err := plan.AwaitReady(ctx, d.client); err != nil {
 		return Report{}, err
 	}
 	if err := d.makeExchanges(); err != nil {
@@ -83,34 +75,6 @@
 	return d.report(), nil
 }
 
-func (d *driver) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, entry := range d.plan.Entries {
-		for !d.ready(ctx, entry) {
-			select {
-			case <-ctx.Done():
-				return errors.Errorf("%s did not become ready", entry)
-			case <-time.After(readyPoll):
-			}
-		}
-	}
-	return nil
-}
-
-func (d *driver) ready(ctx context.Context, entry string) bool {
-	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/ready", nil)
-	if err != nil {
-		return false
-	}
-	response, err := d.client.Do(ask)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 func (d *driver) makeExchanges() error {
 	texts, err := prompts(requestCount)
 	if err != nil {
--- /dev/null
+++ b/bench/demo/plan.go
@@ -0,0 +1,73 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 50 * time.Millisecond
+	planFile     = "plan.json"
+)
+
+// Plan says where the processes of a demonstration are.
+type Plan struct {
+	// Entries and Engines are base URLs.
+	Entries []string `json:"entries"`
+	Engines []string `json:"engines"`
+	// Targets holds the target of each engine.
+	Targets []request.TargetID `json:"targets"`
+	// HostList is the URL of the host list.
+	HostList string `json:"hostList"`
+	// EntryOperators and AgentOperators hold the operators' addresses.
+	EntryOperators []string `json:"entryOperators"`
+	AgentOperators []string `json:"agentOperators"`
+}
+
+// ReadPlan reads the plan that Prepare wrote into directory.
+func ReadPlan(directory string) (Plan, error) {
+	var plan Plan
+	data, err := os.ReadFile(filepath.Join(directory, planFile))
+	if err != nil {
+		return plan, errors.Wrap(err, "plan")
+	}
+	return plan, errors.Wrap(json.Unmarshal(data, &plan), "plan")
+}
+
+// AwaitReady waits until every entry takes requests.
+func (p Plan) AwaitReady(ctx context.Context, client *http.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, entry := range p.Entries {
+		for !ready(ctx, client, entry) {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("%s did not become ready", entry)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, client *http.Client, entry string) bool {
+	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, entry+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(ask)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -23,27 +23,18 @@
 )
 
 const (
-	entryCount  = 2
-	engineCount = 6
-	salt        = "demo"
-	fileMode    = 0o600
-	dirMode     = 0o700
+	salt     = "demo"
+	fileMode = 0o600
+	dirMode  = 0o700
 )
 
-var domains = []string{"naxos", "paros", "syros"}
+// Size says how many processes there are.
+type Size struct{ Entries, Engines int }
 
-// Plan says where the processes of a demonstration are.
-type Plan struct {
-	// Entries and Engines are base URLs.
-	Entries []string `json:"entries"`
-	Engines []string `json:"engines"`
-	// Targets holds the target of each engine.
-	Targets []request.TargetID `json:"targets"`
-	// HostList is the URL of the host list.
-	HostList string `json:"hostList"`
-	// Operators holds the operators' addresses of the entries.
-	Operators []string `json:"operators"`
-}
+// DemoSize is the size of the demonstration.
+var DemoSize = Size{Entries: 2, Engines: 6}
+
+var domains = []string{"naxos", "paros", "syros"}
 
 // preparer writes the files of one demonstration.
 type preparer struct {
@@ -58,7 +49,7 @@
 }
 
 // Prepare writes keys, settings and the list of processes into directory.
-func Prepare(directory string) error {
+func Prepare(directory string, size Size) error {
 	for _, name := range []string{"keys", "pids", "log"} {
 		if err := os.MkdirAll(filepath.Join(directory, name), dirMode); err != nil {
 			return errors.Wrap(err, "prepare")
@@ -71,14 +62,14 @@
 	p := &preparer{directory: directory, authority: authority}
 	p.platform = p.address()
 	p.plan.HostList = p.services().HostList
-	for i := range engineCount {
+	for i := range size.Engines {
 		p.addTarget(i)
 	}
-	for i := range entryCount {
+	for i := range size.Entries {
 		p.addEntry(i)
 	}
 	p.addPlatform()
-	p.write("plan.json", p.plan)
+	p.write(planFile, p.plan)
 	p.writeProcesses()
 	return p.err
 }
@@ -143,6 +134,7 @@
 	})
 	p.plan.Engines = append(p.plan.Engines, s.Engine)
 	p.plan.Targets = append(p.plan.Targets, request.TargetID(name))
+	p.plan.AgentOperators = append(p.plan.AgentOperators, s.Operators)
 }
 
 func (p *preparer) addEntry(i int) {
@@ -153,7 +145,7 @@
 	}
 	p.start("%s mlentry --settings %s", name, p.write(name+".json", s))
 	p.plan.Entries = append(p.plan.Entries, "http://"+s.Callers)
-	p.plan.Operators = append(p.plan.Operators, s.Operators)
+	p.plan.EntryOperators = append(p.plan.EntryOperators, s.Operators)
 }
 
 func (p *preparer) addPlatform() {
--- /dev/null
+++ b/bench/slopes/measure.go
@@ -0,0 +1,163 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/bench/caller"
+	"github.com/mulberrylane/mulberrylane/bench/demo"
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
+)
+
+// The phases of a measurement.
+const (
+	PhaseIdle  = "idle"
+	PhaseLight = "light"
+	PhaseHeavy = "heavy"
+	PhaseShort = "short"
+)
+
+const (
+	// settle is the time before a window, for connections and caches to settle.
+	settle = 3 * time.Second
+	// window is the time over which usage is taken.
+	window = 8 * time.Second
+	// promptBytes is the length of prompts, one token a byte.
+	promptBytes = 200
+)
+
+// phase is one level of load: callers that each ask again as soon as they have
+// their answer.
+type phase struct {
+	name    string
+	callers int
+	tokens  int
+}
+
+func phases() []phase {
+	return []phase{
+		{name: PhaseIdle},
+		{name: PhaseLight, callers: 20, tokens: 250},
+		{name: PhaseHeavy, callers: 140, tokens: 250},
+		{name: PhaseShort, callers: 60, tokens: 2},
+	}
+}
+
+// Sample is what one phase took per second, on average over the processes of a role.
+type Sample struct {
+	Phase   string `json:"phase"`
+	Entries int    `json:"entries"`
+	Engines int    `json:"engines"`
+	// Streams is how many answers ran at once.
+	Streams int `json:"streams"`
+	// Tokens and Requests are totals a second over all callers.
+	Tokens   float64 `json:"tokensPerSecond"`
+	Requests float64 `json:"requestsPerSecond"`
+	// Entry and Agent hold rates, except memory and links, which are levels.
+	Entry Usage `json:"entry"`
+	Agent Usage `json:"agent"`
+}
+
+// counts is what callers received.
+type counts struct{ tokens, requests, failed atomic.Int64 }
+
+// Measure takes the samples of all phases at the processes of a plan.
+func Measure(ctx context.Context, plan demo.Plan, out io.Writer) ([]Sample, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	if err := plan.AwaitReady(ctx, client); err != nil {
+		return nil, err
+	}
+	var samples []Sample
+	for _, p := range phases() {
+		sample, err := measurePhase(ctx, client, plan, p)
+		if err != nil {
+			return nil, err
+		}
+		_, _ = fmt.Fprintf(out, "%d entries, %d engines, %-5s: %7.0f tokens/s, %6.1f requests/s, entry %5.1f%% and agent %5.2f%% of a core\n",
+			sample.Entries, sample.Engines, p.name, sample.Tokens, sample.Requests,
+			100*sample.Entry.CPUSeconds, 100*sample.Agent.CPUSeconds)
+		samples = append(samples, sample)
+	}
+	return samples, nil
+}
+
+func measurePhase(ctx context.Context, client *http.Client, plan demo.Plan, p phase) (Sample, error) {
+	loadCtx, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	received := &counts{}
+	for i := range p.callers {
+		callers.Go(func() { load(loadCtx, client, plan, p, i, received) })
+	}
+	defer callers.Wait()
+	defer stop()
+	time.Sleep(settle)
+	sample := Sample{Phase: p.name, Entries: len(plan.Entries), Engines: len(plan.Engines), Streams: p.callers}
+	begin := time.Now()
+	tokens, requests := received.tokens.Load(), received.requests.Load()
+	entryBefore, agentBefore, err := readRoles(ctx, client, plan)
+	if err != nil {
+		return sample, err
+	}
+	time.Sleep(window)
+	entryAfter, agentAfter, err := readRoles(ctx, client, plan)
+	if err != nil {
+		return sample, err
+	}
+	seconds := time.Since(begin).Seconds()
+	sample.Tokens = float64(received.tokens.Load()-tokens) / seconds
+	sample.Requests = float64(received.requests.Load()-requests) / seconds
+	sample.Entry = rate(entryBefore, entryAfter, seconds)
+	sample.Agent = rate(agentBefore, agentAfter, seconds)
+	return sample, nil
+}
+
+// rate returns the usage between two readings per second; memory and links are
+// those of the second.
+func rate(before, after Usage, seconds float64) Usage {
+	u := Usage{}.plus(after.plus(before, -1), 1/seconds)
+	u.ResidentBytes = after.ResidentBytes
+	u.Links = after.Links
+	return u
+}
+
+func readRoles(ctx context.Context, client *http.Client, plan demo.Plan) (entry, agent Usage, err error) {
+	if entry, err = readAll(ctx, client, plan.EntryOperators); err != nil {
+		return entry, agent, err
+	}
+	agent, err = readAll(ctx, client, plan.AgentOperators)
+	return entry, agent, err
+}
+
+func readAll(ctx context.Context, client *http.Client, addresses []string) (Usage, error) {
+	list := make([]Usage, 0, len(addresses))
+	for _, address := range addresses {
+		usage, err := read(ctx, client, address)
+		if err != nil {
+			return Usage{}, err
+		}
+		list = append(list, usage)
+	}
+	return mean(list), nil
+}
+
+// load asks for answers one after another until ctx ends.
+func load(ctx context.Context, client *http.Client, plan demo.Plan, p phase, number int, received *counts) {
+	c := caller.New(client)
+	base := plan.Entries[number%len(plan.Entries)]
+	for turn := 0; ctx.Err() == nil; turn++ {
+		prompt := fmt.Sprintf("caller %d turn %d %s", number, turn, strings.Repeat("dew pond ", promptBytes/9))
+		ask := caller.Ask{Model: fleet.TrialService, Prompt: prompt, MaxTokens: p.tokens, Token: fleet.TrialToken}
+		answer := &caller.Answer{Received: func(tokens int) { received.tokens.Add(int64(tokens)) }}
+		if err := c.Continue(ctx, base, ask, answer); err != nil || !answer.Done {
+			received.failed.Add(1)
+			continue
+		}
+		received.requests.Add(1)
+	}
+}
--- a/command/bench.go
+++ b/command/bench.go
@@ -21,7 +21,7 @@
 		Use:   "bench",
 		Short: "Run load experiments and compare their reports",
 	}
-	command.AddCommand(newBenchRun(), newBenchCompare())
+	command.AddCommand(newBenchRun(), newBenchCompare(), newBenchSlopes())
 	return command
 }
 
--- a/command/demo.go
+++ b/command/demo.go
@@ -8,12 +8,13 @@
 
 func newDemo() *cobra.Command {
 	var directory string
+	size := demo.DemoSize
 	command := &cobra.Command{Use: "demo", Short: "Prepare and drive the demonstration (see scripts/demo.sh)"}
 	prepare := &cobra.Command{
 		Use:   "prepare",
 		Short: "Write keys, settings and the list of processes",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return demo.Prepare(directory) },
+		RunE:  func(*cobra.Command, []string) error { return demo.Prepare(directory, size) },
 	}
 	drive := &cobra.Command{
 		Use:   "drive",
@@ -30,6 +31,8 @@
 			return report.Violations()
 		},
 	}
+	prepare.Flags().IntVar(&size.Entries, "entries", size.Entries, "number of entries")
+	prepare.Flags().IntVar(&size.Engines, "engines", size.Engines, "number of engines")
 	command.PersistentFlags().StringVar(&directory, "dir", "", "directory of the demonstration")
 	markRequired(command, "dir")
 	command.AddCommand(prepare, drive)
--- /dev/null
+++ b/command/standin_test.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/process/configuration"
+)
+
+func writeFile(t *testing.T, name string, value any) string {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), name)
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// TestPlatformServesItsFiles reads the document and the placements that a
+// stand-in platform was started with the way that processes do.
+func TestPlatformServesItsFiles(t *testing.T) {
+	placements := []platform.Placement{{Target: "engine-1", Service: fleet.TrialService, State: platform.HostLive}}
+	handler, err := platformHandler(writeFile(t, "hosts", placements), writeFile(t, "document", fleet.TrialDocument()), 0)
+	assert.NilError(t, err)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+
+	current, err := configuration.NewClient(etcd.NewStore([]string{server.URL}, http.DefaultClient)).Current(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, current.Record.Document, fleet.TrialDocument())
+	listed, err := hostlist.New(server.URL+"/hosts", http.DefaultClient).Placements(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, listed, placements)
+}
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -56,19 +56,29 @@
 	*wire.Writer
 	raw     *quic.Stream
 	traffic *traffic
+	meter   *meter
 	// control is set on the control stream, whose reads are no sign of the target.
 	control bool
 }
 
-// traffic holds when a link last carried a frame, in Unix nanoseconds.
-type traffic struct{ sent, heard atomic.Int64 }
+// traffic holds when a link last carried a frame, in Unix nanoseconds, and the
+// meter of its control stream.
+type traffic struct {
+	sent, heard atomic.Int64
+	control     atomic.Pointer[meter]
+}
 
 func newStream(raw *quic.Stream, t *traffic) *Stream {
-	return &Stream{Reader: wire.NewReader(raw), Writer: wire.NewWriter(raw), raw: raw, traffic: t}
+	m := &meter{raw: raw}
+	return &Stream{Reader: wire.NewReader(m), Writer: wire.NewWriter(m), raw: raw, traffic: t, meter: m}
 }
 
-// MarkControl makes s the control stream: what it reads does not count for Heard.
-func (s *Stream) MarkControl() { s.control = true }
+// MarkControl makes s the control stream: what it reads does not count for
+// Heard, and what it carries counts as control traffic.
+func (s *Stream) MarkControl() {
+	s.control = true
+	s.traffic.control.Store(s.meter)
+}
 
 // Read decodes the next frame into frame, a pointer.
 func (s *Stream) Read(frame any) error {
--- a/process/metrics/links.go
+++ b/process/metrics/links.go
@@ -9,6 +9,9 @@
 		{Name: "mulberrylane.links.bytes", Description: "Bytes on the network of all links, packet headers included", Read: func() int64 {
 			return int64(links.Traffic().WireBytes())
 		}},
+		{Name: "mulberrylane.links.control_bytes", Description: "Bytes on the network of all control streams, packet headers included", Read: func() int64 {
+			return int64(links.Traffic().ControlBytes)
+		}},
 		{Name: "mulberrylane.links.packets", Description: "Packets of all links", Read: func() int64 {
 			return int64(links.Traffic().Packets)
 		}},
