--- a/command/standin_test.go
+++ b/command/standin_test.go
@@ -37,7 +37,7 @@
 
 	current, err := configuration.NewClient(etcd.NewStore([]string{server.URL}, http.DefaultClient)).Current(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, current.Record.Document, fleet.TrialDocument())
+	assert.DeepEqual(t, current.Document, fleet.TrialDocument())
 	listed, err := hostlist.New(server.URL+"/hosts", http.DefaultClient).Placements(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, listed, placements)
