Measure answers that lose their entry with a domain, and the parts of extra work

The resume latency of domain-loss left out the answers whose entry died with the domain. Extra work was one figure, which does not say whether prefill was done again or tokens were decoded for nobody; it is now given in both parts, with the number of requests that more than one attempt computed for.

Measured: go test ./bench/measure passes, with a test of the entry's death.

--- a/bench/load/faults.go
+++ b/bench/load/faults.go
@@ -122,11 +122,15 @@
 }
 
 func (r *runner) loseDomain(f experiment.Fault, place experiment.Deployment) {
-	for _, i := range inDomain(place, f.Domain, len(r.entries)) {
+	entries := inDomain(place, f.Domain, len(r.entries))
+	for _, i := range entries {
 		r.entries[i].dead.Store(true)
 		go r.entries[i].kill()
 	}
-	r.stopEngines(f.Type, victims(r.e, f, place), func(i int, _ *fleet.Member) { r.fleet.SilenceHost(i, true) })
+	index := r.stopEngines(f.Type, victims(r.e, f, place), func(i int, _ *fleet.Member) { r.fleet.SilenceHost(i, true) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.run.Strikes[index].Entries = entries
 }
 
 func (r *runner) killEntries(f experiment.Fault, place experiment.Deployment) {
--- a/bench/measure/measure_test.go
+++ b/bench/measure/measure_test.go
@@ -151,3 +151,14 @@
 	assert.Equal(t, f.Refusals[0].NotRun, 1)
 	near(t, f.Refusals[0].Delay.P50, 7)
 }
+
+func TestEntryDeathIsMeasuredFromTheDeath(t *testing.T) {
+	r := run()
+	r.Strikes = []load.Strike{{At: at(60), Type: experiment.EntryDeath, Entries: []int{2}}}
+	r.Replies[0].Breaks = []load.Break{{At: at(62), Entry: 2}}
+	f := measure.Of(r)
+	assert.Equal(t, f.Resume.Interrupted, 1)
+	assert.DeepEqual(t, f.Resume.Samples, []float64{340})
+	r.Replies[0].Breaks[0].Entry = 1
+	assert.Equal(t, measure.Of(r).Resume.Interrupted, 0)
+}
--- a/bench/measure/resume.go
+++ b/bench/measure/resume.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/bench/caller"
-	"github.com/mulberrylane/mulberrylane/bench/experiment"
 	"github.com/mulberrylane/mulberrylane/bench/load"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 )
@@ -48,14 +47,14 @@
 	}
 	replies := run.Find()
 	for _, strike := range run.Strikes {
-		for _, struck := range strike.Interrupted {
-			if reply, ok := replies[struck.Record.RequestID]; ok {
-				m.struck(strike, struck, reply)
+		struck := map[*load.Reply]bool{}
+		for _, lost := range strike.Interrupted {
+			if reply, ok := replies[lost.Record.RequestID]; ok {
+				struck[reply] = true
+				m.struck(strike, lost, reply)
 			}
 		}
-		if strike.Type == experiment.EntryDeath {
-			m.entryDied(strike)
-		}
+		m.entryDied(strike, struck)
 	}
 	m.resume.Latency = m.latency.percentiles()
 	m.resume.LessPrefill = m.lessPrefill.percentiles()
@@ -95,11 +94,12 @@
 	m.add(strike, reply, next)
 }
 
-// entryDied measures the answers whose connection broke with an entry.
-func (m *resumes) entryDied(strike load.Strike) {
+// entryDied measures the answers whose connection broke with an entry, but for
+// those whose engine the same fault struck.
+func (m *resumes) entryDied(strike load.Strike, struck map[*load.Reply]bool) {
 	for _, reply := range m.run.Replies {
 		for _, broken := range reply.Breaks {
-			if !died(strike, broken) {
+			if struck[reply] || !died(strike, broken) {
 				continue
 			}
 			if lastBefore(reply.Answer.Arrivals, broken.At) < 0 {
--- a/bench/measure/work.go
+++ b/bench/measure/work.go
@@ -15,6 +15,11 @@
 	Total float64 `json:"total"`
 	// Useful is the first prefill of each request and the tokens that callers got.
 	Useful float64 `json:"useful"`
+	// ExtraPrefill and ExtraDecode are the parts of Total beyond Useful.
+	ExtraPrefill float64 `json:"extraPrefill"`
+	ExtraDecode  float64 `json:"extraDecode"`
+	// Repeated counts the requests that more than one attempt computed for.
+	Repeated int `json:"repeated"`
 	// Floor is the prefill of the interrupted prefixes and nothing else.
 	Floor float64 `json:"floor"`
 	// Extra is Total over Useful, minus 1.
@@ -51,10 +56,23 @@
 			byRequest[record.RequestID] = append(byRequest[record.RequestID], record)
 		}
 	}
+	prefill, decoded := 0, 0
 	for id, reply := range run.Find() {
 		work.Tokens += len(reply.Answer.Tokens)
-		work.Useful += c.of(firstPrefill(byRequest[id]), len(reply.Answer.Tokens))
+		prefill += firstPrefill(byRequest[id])
 	}
+	for _, records := range byRequest {
+		if len(records) > 1 {
+			work.Repeated++
+		}
+		for _, record := range records {
+			prefill -= record.PrefillTokens
+			decoded += record.DecodedTokens
+		}
+	}
+	work.ExtraPrefill = c.of(-prefill, 0)
+	work.ExtraDecode = c.of(0, decoded-work.Tokens)
+	work.Useful = work.Total - work.ExtraPrefill - work.ExtraDecode
 	if work.Useful > 0 {
 		work.Extra = work.Total/work.Useful - 1
 		work.FloorExtra = work.Floor / work.Useful
