An attempt that the failure detector gave up is cancelled at its target

A generation that moved away from a paused engine went on there after the pause, to its last token, for nobody: the driver dropped an attempt when its own stream said that it was over, but not when the failure detector did.

The driver now drops an attempt after every event that ends it. The new test in bench/fleet pauses an engine until its generation runs elsewhere, lets it return, and waits until it drops the generation; without the change it fails after 30 s.

--- a/bench/fleet/faults_test.go
+++ b/bench/fleet/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrylane/mulberrylane/bench/caller"
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/version"
 )
 
 func startRelayed(t *testing.T) *fleet.Fleet {
@@ -87,3 +88,34 @@
 	assert.Assert(t, verdict.OK(), "%+v", verdict)
 	assert.Assert(t, old.Placement.Agent != f.Current()[place].Placement.Agent)
 }
+
+// TestPausedEngineDropsWhatMovedAway has an engine pause until its generation goes
+// on elsewhere, and return: it must not go on with it for nobody.
+func TestPausedEngineDropsWhatMovedAway(t *testing.T) {
+	config := engine.DefaultConfig(salt, fleet.TrialVersion)
+	config.Records = true
+	document := fleet.TrialDocument()
+	profile := document.Profiles[fleet.TrialProfile]
+	profile.Hedge = version.HedgeNever
+	document.Profiles[fleet.TrialProfile] = profile
+	startCtx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	f, err := fleet.Start(startCtx, fleet.Layout{
+		Document: document, Service: fleet.TrialService, Domains: []string{"naxos", "paros"},
+		Entries: 1, Engines: 2, Engine: config,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	ask := trialAsk()
+	ask.MaxTokens = 8000
+	callerCtx, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() { _, _ = caller.New(http.DefaultClient).Complete(callerCtx, f.URL(0), ask) }()
+	paused := awaitRunning(t, f)
+	first, second := f.Members[paused].Engine, f.Members[1-paused].Engine
+	first.SetFault(engine.Fault{Pause: true})
+	await(t, "the generation goes on elsewhere", func() bool { return len(second.Active()) > 0 })
+	first.SetFault(engine.Fault{})
+	await(t, "the paused engine drops it", func() bool { return len(first.Active()) == 0 })
+	assert.Assert(t, first.Records()[0].DecodedTokens < ask.MaxTokens)
+}
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -167,9 +167,6 @@
 		return
 	}
 	d.step(ctx, event.Event)
-	if event.Type != request.EventTokens {
-		d.drop(event.Attempt)
-	}
 }
 
 // targetOf returns the target of a running attempt, or an empty one.
@@ -195,11 +192,17 @@
 	d.sink.began(began)
 }
 
+// step hands an event to the core and carries out its actions. An attempt that is
+// over is dropped whoever said so: its target may only have paused, and would go
+// on for nobody.
 func (d *generationDriver) step(ctx context.Context, event request.Event) {
 	d.watch.event(event, d.targetOf(event.Attempt))
 	for _, action := range d.recovery.Step(time.Now(), event) {
 		d.do(ctx, action)
 	}
+	if event.Type == request.EventFailed || event.Type == request.EventEnded {
+		d.drop(event.Attempt)
+	}
 }
 
 func (d *generationDriver) do(ctx context.Context, action request.Action) {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -198,3 +198,24 @@
 	assert.Equal(t, records[1].RequestID, "late")
 	assert.Assert(t, records[2].Admitted.Before(records[1].Admitted))
 }
+
+func TestPausedEngineDropsWhatWasCancelledMeanwhile(t *testing.T) {
+	server := serve(t, nil)
+	response, err := post(t, server, ask("r1", 100_000))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.Work().DecodedTokens > 5 {
+			return poll.Success()
+		}
+		return poll.Continue("no tokens yet")
+	})
+	server.SetFault(engine.Fault{Pause: true})
+	assert.NilError(t, response.Body.Close())
+	server.SetFault(engine.Fault{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(server.Active()) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("still running")
+	}, poll.WithTimeout(30*time.Second))
+}
