Calls under faults: experiment, history checking and answers without the store

Cause: the protocol's code had been run without faults only; and a repeat of a call that is done asked the store though its outcome cannot change.

Change: mlctl bench run takes experiments of kind calls. The run kills and stalls entries, kills, silences and replaces agents while the old one goes on, pauses the application, and has the store lose answers, slow down and go out. Repeats of a call that is known to be done are answered from the page as last seen.

--- a/bench/fleet/applications.go
+++ b/bench/fleet/applications.go
@@ -120,6 +120,7 @@
 	}
 	f.mu.Lock()
 	f.applications[i] = member
+	f.abandoned = append(f.abandoned, old)
 	f.mu.Unlock()
 	f.Hosts.Put(member.Placement)
 	return old, nil
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -81,6 +81,9 @@
 	Ledger *application.Ledger
 
 	applications []*ApplicationMember
+	// abandoned holds members that were replaced while their agent goes on.
+	abandoned []*ApplicationMember
+	stalls    *stalls
 
 	keys      *keys.Authority
 	directory string
@@ -99,7 +102,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "directory")
 	}
-	f := &Fleet{Layout: layout, Store: kv.New(), Ledger: application.NewLedger(), directory: directory}
+	f := &Fleet{Layout: layout, Store: kv.New(), Ledger: application.NewLedger(), stalls: newStalls(), directory: directory}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -193,7 +196,9 @@
 	}
 	f.Hosts = hosts.New(f.Layout.HostLag, placements)
 	mux := http.NewServeMux()
-	mux.Handle("/v3/", f.refuseInOutage(f.Store.Handler()))
+	store := f.refuseInOutage(f.Store.Handler())
+	mux.Handle("/v3/", store)
+	mux.Handle("/of/", f.holdStalled(store))
 	mux.Handle("GET /hosts", f.Hosts)
 	f.platform.Config.Handler = mux
 	f.platform.Start()
@@ -230,20 +235,28 @@
 }
 
 func (f *Fleet) addEntry(ctx context.Context, i int) error {
+	e, err := f.newEntry(ctx, i)
+	if err != nil {
+		return err
+	}
+	f.Entries = append(f.Entries, e)
+	return nil
+}
+
+// newEntry starts an entry of place i.
+func (f *Fleet) newEntry(ctx context.Context, i int) (*entry.Entry, error) {
 	name := fmt.Sprintf("entry-%d", i)
 	files, err := f.keys.Issue(keys.RoleEntry, name)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	reach := f.Platform()
+	reach.Store = []string{f.platform.URL + storePrefix(i)}
 	e := entry.New(settings.Entry{
 		Name: name, FailureDomain: f.domain(i), Callers: loopback, Operators: loopback, OperatorDigests: operatorDigests(),
-		Keys: files, Platform: f.Platform(),
+		Keys: files, Platform: reach,
 	})
-	if err := e.Start(ctx); err != nil {
-		return err
-	}
-	f.Entries = append(f.Entries, e)
-	return nil
+	return e, e.Start(ctx)
 }
 
 // AddEntry starts one more entry.
@@ -274,13 +287,14 @@
 
 // Close ends all parts that still run.
 func (f *Fleet) Close() {
+	f.stalls.release()
 	for _, e := range f.Entries {
 		e.Kill()
 	}
 	for _, member := range f.Members {
 		member.kill()
 	}
-	for _, member := range f.ApplicationMembers() {
+	for _, member := range append(f.ApplicationMembers(), f.abandoned...) {
 		member.kill()
 	}
 	if f.platform != nil {
--- a/command/bench.go
+++ b/command/bench.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/mulberrylane/mulberrylane/bench/calls"
 	"github.com/mulberrylane/mulberrylane/bench/experiment"
 	"github.com/mulberrylane/mulberrylane/bench/load"
 	"github.com/mulberrylane/mulberrylane/bench/measure"
@@ -37,6 +38,9 @@
 		Example: "  mlctl bench run experiments/vasilescu-engine-death.json --out out/engine-death",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if ok, err := calls.IsExperiment(args[0]); ok || err != nil {
+				return runCalls(cmd, args[0], directory, check, err)
+			}
 			e, err := experiment.Read(args[0])
 			if err != nil {
 				return err
--- /dev/null
+++ b/command/benchcalls.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/mulberrylane/mulberrylane/bench/calls"
+)
+
+// runCalls runs an experiment of kind calls and writes its report.
+func runCalls(cmd *cobra.Command, path, directory string, check bool, err error) error {
+	if err != nil {
+		return err
+	}
+	e, err := calls.ReadExperiment(path)
+	if err != nil {
+		return err
+	}
+	ctx := cmd.Context()
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	r, err := calls.Run(ctx, e, directory, func(status string) {
+		_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s\n", e.Name, status)
+	})
+	if err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	if err := os.WriteFile(filepath.Join(directory, "report.json"), data, 0o644); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s\n", data)
+	if check && !r.OK() {
+		return errors.New("a target was missed")
+	}
+	return nil
+}
--- a/process/callpage/apply.go
+++ b/process/callpage/apply.go
@@ -68,8 +68,16 @@
 	Record Record
 }
 
+// ResultOf returns the result of op on a record of its call that is done.
+func ResultOf(op Op, record Record) Result {
+	if op.Digest != "" && op.Digest != record.Digest {
+		return Result{Status: StatusConflict, Record: record}
+	}
+	return Result{Status: StatusFound, Record: record}
+}
+
 // Final says that no later page can answer otherwise.
-func (r Result) Final() bool { return r.Status == StatusFound && r.Record.Done }
+func (r Result) Final() bool { return r.Record.Done }
 
 // Apply carries out ops in order on a copy of the page. When changed is false the
 // copy equals the page.
@@ -108,10 +116,8 @@
 		p.size -= record.size()
 		p.records = slices.Delete(p.records, at, at+1)
 		return Result{Status: StatusAbsent}, true
-	case op.Digest != "" && op.Digest != record.Digest:
-		return Result{Status: StatusConflict, Record: *record}, false
 	default:
-		return Result{Status: StatusFound, Record: *record}, false
+		return ResultOf(op, *record), false
 	}
 }
 
--- a/process/callpage/page.go
+++ b/process/callpage/page.go
@@ -201,6 +201,16 @@
 	return p.forgotten[i*tombstoneBytes : (i+1)*tombstoneBytes]
 }
 
+// Settled returns the record of a call that is done and says whether there is one.
+// It holds on every later page that still has the record.
+func (p *Page) Settled(name Name) (Record, bool) {
+	at, found := p.find(name)
+	if !found || !p.records[at].Done {
+		return Record{}, false
+	}
+	return p.records[at], true
+}
+
 // expired says that the page may have held the call and dropped it.
 func (p *Page) expired(name Name) bool {
 	if _, found := p.findForgotten(name); found {
--- a/process/calls/pages.go
+++ b/process/calls/pages.go
@@ -56,11 +56,13 @@
 // PageStats counts the traffic of the pages.
 type PageStats struct {
 	// Operations counts the operations that were asked for.
-	Operations int
+	Operations int `json:"operations"`
 	// Writes, Reads and Conflicts count requests to the store.
-	Writes, Reads, Conflicts int
+	Writes    int `json:"writes"`
+	Reads     int `json:"reads"`
+	Conflicts int `json:"conflicts"`
 	// Errors counts requests to the store that had no answer.
-	Errors int
+	Errors int `json:"errors"`
 }
 
 // NewPages returns pages over store that work until ctx ends.
@@ -153,6 +155,8 @@
 	page        *callpage.Page
 	modRevision int64
 	fresh       bool
+	// last is the page as last seen, also while the store gives no answers.
+	last *callpage.Page
 }
 
 func (g *pager) run(ctx context.Context) {
@@ -189,6 +193,7 @@
 // commit carries out a batch; operations whose callers gave up are dropped.
 func (g *pager) commit(ctx context.Context, batch []*waiting) {
 	g.fresh = false
+	batch = g.answerSettled(batch)
 	pause := storePause
 	for ctx.Err() == nil {
 		batch = alive(batch)
@@ -210,6 +215,24 @@
 	}
 }
 
+// answerSettled answers the operations on calls that are known to be done, for
+// which the store is not needed, and returns the others.
+func (g *pager) answerSettled(batch []*waiting) []*waiting {
+	if g.last == nil {
+		return batch
+	}
+	kept := batch[:0]
+	for _, w := range batch {
+		record, done := g.last.Settled(w.op.Name)
+		if !done {
+			kept = append(kept, w)
+			continue
+		}
+		w.done <- callpage.ResultOf(w.op, record)
+	}
+	return kept
+}
+
 func alive(batch []*waiting) []*waiting {
 	kept := batch[:0]
 	for _, w := range batch {
@@ -278,7 +301,7 @@
 		g.page = nil
 		return errors.Wrapf(err, "key %s", g.key)
 	}
-	g.page = page
+	g.page, g.last = page, page
 	g.modRevision = current.ModRevision
 	g.fresh = true
 	return nil
@@ -300,7 +323,7 @@
 		return false, false
 	}
 	if swapped {
-		g.page = next
+		g.page, g.last = next, next
 		g.modRevision = current.ModRevision
 		return true, true
 	}
--- a/process/calls/submission.go
+++ b/process/calls/submission.go
@@ -206,7 +206,7 @@
 	defer cancel()
 	select {
 	case result := <-recorded:
-		if result.Final() {
+		if result.Status == callpage.StatusFound && result.Final() {
 			answer.Request = result.Record.Request
 		}
 	case <-patience.Done():
--- a/standin/application/application.go
+++ b/standin/application/application.go
@@ -26,6 +26,13 @@
 type Ledger struct {
 	mu     sync.Mutex
 	counts map[string]int
+	runs   []Run
+}
+
+// Run is one execution of a key.
+type Run struct {
+	Key string
+	At  time.Time
 }
 
 // NewLedger returns an empty ledger.
@@ -36,6 +43,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[key]++
+	l.runs = append(l.runs, Run{Key: key, At: time.Now()})
 	return l.counts[key]
 }
 
@@ -46,6 +54,13 @@
 	return l.counts[key]
 }
 
+// Runs returns every execution in order.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
 // Executions returns the executions of all keys.
 func (l *Ledger) Executions() map[string]int {
 	l.mu.Lock()
