--- a/bench/measure/resume.go
+++ b/bench/measure/resume.go
@@ -20,6 +20,13 @@
 	Latency    Percentiles `json:"latency"`
 	// LessPrefill is the latency without the new engine's prefill.
 	LessPrefill Percentiles `json:"lessPrefill"`
+	// Reach, Queue, Prefill and Relay are the parts of the latency: until the new
+	// engine had the request, until it entered the batch, until its first token,
+	// and until that reached the caller.
+	Reach   Percentiles `json:"reach"`
+	Queue   Percentiles `json:"queue"`
+	Prefill Percentiles `json:"prefill"`
+	Relay   Percentiles `json:"relay"`
 	// Samples holds every latency, for plots.
 	Samples []float64 `json:"samples,omitempty"`
 }
@@ -27,11 +34,19 @@
 // recordKey names what one target did for one request.
 type recordKey struct{ request, target string }
 
+// parts holds the parts of the resume latency.
+type parts struct{ reach, queue, prefill, relay histogram }
+
+func newParts() parts {
+	return parts{reach: newHistogram(), queue: newHistogram(), prefill: newHistogram(), relay: newHistogram()}
+}
+
 type resumes struct {
 	run         *load.Run
 	records     map[recordKey][]engine.Record
 	latency     histogram
 	lessPrefill histogram
+	parts       parts
 	resume      Resume
 	// lost counts the tokens that must be prefilled again.
 	lost int
@@ -44,6 +59,7 @@
 		records:     recordsByKey(run),
 		latency:     newHistogram(),
 		lessPrefill: newHistogram(),
+		parts:       newParts(),
 	}
 	replies := run.Find()
 	for _, strike := range run.Strikes {
@@ -58,6 +74,10 @@
 	}
 	m.resume.Latency = m.latency.percentiles()
 	m.resume.LessPrefill = m.lessPrefill.percentiles()
+	m.resume.Reach = m.parts.reach.percentiles()
+	m.resume.Queue = m.parts.queue.percentiles()
+	m.resume.Prefill = m.parts.prefill.percentiles()
+	m.resume.Relay = m.parts.relay.percentiles()
 	return m
 }
 
@@ -134,17 +154,27 @@
 	latency := next.At.Sub(strike.At)
 	m.latency.add(latency)
 	m.resume.Samples = append(m.resume.Samples, millis(latency))
-	m.lessPrefill.add(latency - m.prefill(strike, reply, next))
+	record, ok := m.resumedBy(strike, reply, next)
+	if !ok {
+		m.lessPrefill.add(latency)
+		return
+	}
+	m.lessPrefill.add(latency - record.Prefill())
+	m.parts.reach.add(record.Arrived.Sub(strike.At))
+	m.parts.queue.add(record.Admitted.Sub(record.Arrived))
+	m.parts.prefill.add(record.Prefill())
+	m.parts.relay.add(next.At.Sub(record.FirstToken))
 }
 
-// prefill returns the prefill time of the engine that went on with an answer.
-func (m *resumes) prefill(strike load.Strike, reply *load.Reply, next caller.Arrival) time.Duration {
+// resumedBy returns the record of the attempt that went on with an answer. There
+// is none when the old attempt itself went on.
+func (m *resumes) resumedBy(strike load.Strike, reply *load.Reply, next caller.Arrival) (engine.Record, bool) {
 	for _, record := range m.records[recordKey{reply.ID(), string(next.Target)}] {
-		if record.Arrived.After(strike.At) && !record.FirstToken.After(next.At) {
-			return record.Prefill()
+		if record.Arrived.After(strike.At) && !record.FirstToken.IsZero() && !record.FirstToken.After(next.At) {
+			return record, true
 		}
 	}
-	return 0
+	return engine.Record{}, false
 }
 
 // lastBefore returns the index of the last arrival up to an instant, or -1.
--- a/bench/report/page.go
+++ b/bench/report/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"html/template"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,12 @@
 {{range .Report.Targets}}<tr><td>{{.Name}}</td><td>{{.Repetition}}</td><td>{{printf "%.4g" .Measured}}</td>
 <td>{{if .AtLeast}}at least{{else}}at most{{end}} {{printf "%.4g" .Bound}}</td><td>{{if .Met}}met{{else}}<span class="missed">missed</span>{{end}}</td></tr>
 {{end}}</table>
+<h2>Parts of the resume latency, ms</h2>
+<table><tr><th>run</th><th>reach p50</th><th>p99</th><th>queue p50</th><th>p99</th><th>prefill p50</th><th>p99</th><th>relay p50</th><th>p99</th></tr>
+{{range .Runs}}{{if .F.Resume.Reach.Count}}<tr><td>{{.Title}}</td>
+{{with .F.Resume}}<td>{{ms .Reach.P50}}</td><td>{{ms .Reach.P99}}</td><td>{{ms .Queue.P50}}</td><td>{{ms .Queue.P99}}</td>
+<td>{{ms .Prefill.P50}}</td><td>{{ms .Prefill.P99}}</td><td>{{ms .Relay.P50}}</td><td>{{ms .Relay.P99}}</td>{{end}}</tr>
+{{end}}{{end}}</table>
 <h2>Refusals</h2>
 <table><tr><th>run</th><th>kind</th><th>count</th><th>not run</th><th>unknown</th><th>delay p50 ms</th><th>p99</th></tr>
 {{range .Runs}}{{$title := .Title}}{{range .F.Refusals}}<tr><td>{{$title}}</td><td>{{.Kind}}</td><td>{{.Count}}</td><td>{{.NotRun}}</td><td>{{.Unknown}}</td>
@@ -59,6 +66,7 @@
 `
 
 var page = template.Must(template.New("report").Funcs(template.FuncMap{
+	"ms":      func(ms float64) string { return fmt.Sprintf("%.0f", ms) },
 	"seconds": func(ms float64) float64 { return ms / 1000 },
 }).Parse(pageText))
 
