Histories of configuration changes, of the spread, and a model of the order lease

What was said of configuration and orders rested on single cases. A rapid test runs the core of the spread through accepted changes, store outages, late watch events, broken and doubled links and restarts; no process goes back, none takes a revision for confirmed when a newer one was accepted, all end at the newest, and min(3, entries) watch.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 model:
 	bash scripts/tools.sh
 	bash spec/check.sh
+	bash spec/check-orders.sh
 
 test: build lint unit model
 
--- a/process/configuration/client.go
+++ b/process/configuration/client.go
@@ -72,11 +72,12 @@
 // Client reads and changes the configuration.
 type Client struct {
 	store platform.Store
-	now   func() time.Time
+	// settlePause is the pause between tries to find out what became of a write.
+	settlePause time.Duration
 }
 
 // NewClient returns a client of the store.
-func NewClient(store platform.Store) *Client { return &Client{store: store, now: time.Now} }
+func NewClient(store platform.Store) *Client { return &Client{store: store, settlePause: settlePause} }
 
 // Current reads the entry in force. Its revision is zero when there is none.
 func (c *Client) Current(ctx context.Context) (Entry, error) {
@@ -101,7 +102,7 @@
 // returned entry finds it in the history.
 func (c *Client) Apply(ctx context.Context, change Change) (Entry, error) {
 	record := version.Record{
-		Author: change.Author, Note: change.Note, Time: c.now().UTC().Truncate(time.Millisecond),
+		Author: change.Author, Note: change.Note, Time: time.Now().UTC().Truncate(time.Millisecond),
 		Nonce: uuid.NewString(), Sequence: change.Base.Sequence + 1, Base: change.Base.Revision,
 		Document: change.Document,
 	}
@@ -145,7 +146,7 @@
 		select {
 		case <-ctx.Done():
 			return wanted, cause
-		case <-time.After(settlePause):
+		case <-time.After(c.settlePause):
 		}
 		current, swapped, err := c.store.CompareAndSwap(ctx, swap)
 		if err != nil {
@@ -206,7 +207,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(settlePause):
+		case <-time.After(c.settlePause):
 		}
 	}
 	return errors.Wrap(err, "history")
--- /dev/null
+++ b/process/spread/spread_test.go
@@ -0,0 +1,308 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberrylane/mulberrylane/process/spread"
+)
+
+// process is one process of the simulated fleet.
+type process struct {
+	name  string
+	role  spread.Role
+	state *spread.State
+	// lowest is the highest revision seen in force since the process started.
+	lowest int64
+}
+
+// wire is one link: entry and agent know it under their own ids, and each
+// direction keeps its order.
+type wire struct {
+	entry, agent *process
+	id           spread.LinkID
+	toEntry      []spread.Frame
+	toAgent      []spread.Frame
+}
+
+// fleet is a simulated fleet with a store of one key.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	entries []*process
+	agents  []*process
+	wires   map[spread.LinkID]*wire
+	lastID  spread.LinkID
+	// accepted lists when each revision was accepted; revision i+1 at index i.
+	accepted []time.Time
+	storeUp  bool
+}
+
+func newFleet(t *rapid.T, entries, agents int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1_000_000, 0), wires: map[spread.LinkID]*wire{}, storeUp: true}
+	for i := range entries {
+		f.entries = append(f.entries, &process{name: fmt.Sprintf("entry-%d", i), role: spread.Entry})
+	}
+	for i := range agents {
+		f.agents = append(f.agents, &process{name: fmt.Sprintf("agent-%d", i), role: spread.Agent})
+	}
+	for _, p := range append(f.entries[:entries:entries], f.agents...) {
+		f.restart(p)
+	}
+	return f
+}
+
+// restart replaces a process by one that knows nothing; its links are over.
+func (f *fleet) restart(p *process) {
+	for id, w := range f.wires {
+		if w.entry == p || w.agent == p {
+			f.cut(id)
+		}
+	}
+	p.state = spread.New(p.name, p.role)
+	p.lowest = 0
+}
+
+func (f *fleet) cut(id spread.LinkID) {
+	w := f.wires[id]
+	delete(f.wires, id)
+	f.perform(w.entry, w.entry.state.LinkDown(f.now, id))
+	f.perform(w.agent, w.agent.state.LinkDown(f.now, id))
+}
+
+func (f *fleet) connect(entry, agent *process) {
+	f.lastID++
+	w := &wire{entry: entry, agent: agent, id: f.lastID}
+	f.wires[w.id] = w
+	f.perform(entry, entry.state.LinkUp(f.now, w.id, agent.name, agent.role))
+	f.perform(agent, agent.state.LinkUp(f.now, w.id, entry.name, entry.role))
+}
+
+func (f *fleet) linked(entry, agent *process) bool {
+	for _, w := range f.wires {
+		if w.entry == entry && w.agent == agent {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) perform(p *process, actions []spread.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Adopt != nil:
+			f.perform(p, p.state.InForce(f.now, action.Adopt.Revision, action.Adopt.Document))
+		case action.Send != nil:
+			w, ok := f.wires[action.Send.Link]
+			if ok && p.role == spread.Entry {
+				w.toAgent = append(w.toAgent, action.Send.Frame)
+			} else if ok {
+				w.toEntry = append(w.toEntry, action.Send.Frame)
+			}
+		}
+	}
+	f.check(p)
+}
+
+// check holds a process to what must always be true of it.
+func (f *fleet) check(p *process) {
+	revision := p.state.Revision()
+	if revision < p.lowest {
+		f.t.Fatalf("%s went back from revision %d to %d", p.name, p.lowest, revision)
+	}
+	p.lowest = revision
+	newest := int64(0)
+	for i, at := range f.accepted {
+		if at.Before(p.state.Confirmed()) {
+			newest = int64(i) + 1
+		}
+	}
+	if !p.state.Confirmed().IsZero() && newest > revision {
+		f.t.Fatalf("%s takes revision %d for confirmed at %v, when %d was accepted", p.name, revision, p.state.Confirmed(), newest)
+	}
+}
+
+func (f *fleet) deliver(w *wire) {
+	if len(w.toAgent) > 0 {
+		frame := w.toAgent[0]
+		w.toAgent = w.toAgent[1:]
+		f.perform(w.agent, w.agent.state.Heard(f.now, w.id, frame))
+	}
+	if len(w.toEntry) > 0 {
+		frame := w.toEntry[0]
+		w.toEntry = w.toEntry[1:]
+		f.perform(w.entry, w.entry.state.Heard(f.now, w.id, frame))
+	}
+}
+
+// read lets an entry hear of the store: what it holds, or with late set an older
+// watch event that was under way.
+func (f *fleet) read(p *process, late int) {
+	if !f.storeUp {
+		f.perform(p, p.state.StoreFailed(f.now))
+		return
+	}
+	revision := int64(len(f.accepted) - late)
+	if revision <= 0 {
+		return
+	}
+	f.perform(p, p.state.InForce(f.now, revision, []byte{byte(revision)}))
+	if late == 0 {
+		f.perform(p, p.state.StoreAnswered(f.now, f.now))
+	}
+}
+
+func (f *fleet) step() {
+	t := f.t
+	f.now = f.now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+	entry := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")]
+	agent := f.agents[rapid.IntRange(0, len(f.agents)-1).Draw(t, "agent")]
+	switch rapid.IntRange(0, 11).Draw(t, "step") {
+	case 0:
+		f.accepted = append(f.accepted, f.now)
+	case 1:
+		f.storeUp = !f.storeUp
+	case 2:
+		f.restart(entry)
+	case 3:
+		f.restart(agent)
+	case 4, 5:
+		if !f.linked(entry, agent) || rapid.Bool().Draw(t, "second copy") {
+			f.connect(entry, agent)
+		}
+	case 6:
+		if len(f.wires) > 0 {
+			f.cut(f.someWire().id)
+		}
+	case 7:
+		if entry.state.Watches() {
+			f.read(entry, rapid.IntRange(0, 2).Draw(t, "late"))
+		}
+	case 8:
+		f.perform(entry, entry.state.Tick(f.now))
+		f.perform(agent, agent.state.Tick(f.now))
+	default:
+		if len(f.wires) > 0 {
+			f.deliver(f.someWire())
+		}
+	}
+}
+
+func (f *fleet) someWire() *wire {
+	ids := make([]spread.LinkID, 0, len(f.wires))
+	for id := spread.LinkID(1); id <= f.lastID; id++ {
+		if _, ok := f.wires[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	return f.wires[ids[rapid.IntRange(0, len(ids)-1).Draw(f.t, "wire")]]
+}
+
+// settle heals everything and runs until all that is under way has arrived.
+func (f *fleet) settle() {
+	f.storeUp = true
+	f.accepted = append(f.accepted, f.now)
+	for _, entry := range f.entries {
+		for _, agent := range f.agents {
+			if !f.linked(entry, agent) {
+				f.connect(entry, agent)
+			}
+		}
+	}
+	for range 40 {
+		f.now = f.now.Add(600 * time.Millisecond)
+		for _, entry := range f.entries {
+			if entry.state.Watches() {
+				f.read(entry, 0)
+			}
+			f.perform(entry, entry.state.Tick(f.now))
+		}
+		for _, agent := range f.agents {
+			f.perform(agent, agent.state.Tick(f.now))
+		}
+		for id := spread.LinkID(1); id <= f.lastID; id++ {
+			for w := f.wires[id]; w != nil && len(w.toAgent)+len(w.toEntry) > 0; {
+				f.deliver(w)
+			}
+		}
+	}
+}
+
+// TestSpreadNeverGoesBackAndEndsEverywhere runs histories of accepted changes,
+// store outages, late watch events, links that break, second copies of links and
+// restarts.
+func TestSpreadNeverGoesBackAndEndsEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(1, 6).Draw(t, "entries"), rapid.IntRange(1, 4).Draw(t, "agents"))
+		for range rapid.IntRange(0, 150).Draw(t, "steps") {
+			f.step()
+		}
+		f.settle()
+		watching := 0
+		for _, p := range append(f.entries[:len(f.entries):len(f.entries)], f.agents...) {
+			if p.state.Revision() != int64(len(f.accepted)) {
+				t.Fatalf("%s ended with revision %d of %d", p.name, p.state.Revision(), len(f.accepted))
+			}
+			if f.now.Sub(p.state.Confirmed()) > 3*spread.RepeatEvery {
+				t.Fatalf("%s was last confirmed at %v, now is %v", p.name, p.state.Confirmed(), f.now)
+			}
+			if p.state.Watches() {
+				watching++
+			}
+		}
+		if want := min(spread.Watchers, len(f.entries)); watching != want {
+			t.Fatalf("%d entries watch, not %d", watching, want)
+		}
+	})
+}
+
+func TestEntriesThatReachTheStoreReplaceThoseThatDoNot(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, fails := range []bool{false, true} {
+		watching := 0
+		for i := range 8 {
+			name := fmt.Sprintf("entry-%d", i)
+			entry := spread.New(name, spread.Entry)
+			entry.LinkUp(now, 1, "agent", spread.Agent)
+			var others []spread.Presence
+			for j := range 8 {
+				first := j < 4
+				others = append(others, spread.Presence{Process: fmt.Sprintf("entry-%d", j), StoreFails: fails && first})
+			}
+			entry.Heard(now, 1, spread.Frame{Entries: others})
+			failing := fails && i < 4
+			if entry.Watches() && !failing {
+				watching++
+			}
+		}
+		if watching != spread.Watchers {
+			t.Fatalf("%d entries that reach the store watch, not %d", watching, spread.Watchers)
+		}
+	}
+}
+
+func TestBodyThatDoesNotComeIsAskedForAgain(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	agent := spread.New("agent", spread.Agent)
+	agent.LinkUp(now, 1, "entry", spread.Entry)
+	asked := func(actions []spread.Action) bool {
+		for _, action := range actions {
+			if action.Send != nil && action.Send.Frame.WantDocument {
+				return true
+			}
+		}
+		return false
+	}
+	if !asked(agent.Heard(now, 1, spread.Frame{Revision: 7})) {
+		t.Fatal("the body was not asked for")
+	}
+	if asked(agent.Tick(now.Add(100 * time.Millisecond))) {
+		t.Fatal("the body was asked for twice at once")
+	}
+	if !asked(agent.Tick(now.Add(time.Second))) {
+		t.Fatal("the body was not asked for again")
+	}
+}
