Membership: leaving from any source, moves off leaving targets, subsets of links

Cause: the host list's mark of a leaving target was not read; a target that fell off the list was unlinked with its answers running; nobody asked the answers on a leaving target to move; a silent target was trusted again as soon as its work had gone elsewhere; links grew with the fleet. Load is reported less often the more entries an agent has. Changed bounds of suspicion bite at once.

--- a/connection/detector/detector.go
+++ b/connection/detector/detector.go
@@ -65,8 +65,12 @@
 func (d *Detector) SetBounds(bounds Bounds) { d.bounds = bounds }
 
 // SetBusy notes whether work runs on the target. The first work on an idle
-// target gives it a whole threshold to answer.
+// target gives it a whole threshold to answer. A target whose work was taken away
+// because it is silent is not trusted for being idle: it has to be heard first.
 func (d *Detector) SetBusy(now time.Time, busy bool) {
+	if !busy && d.State(now) != Trusted {
+		return
+	}
 	if busy && !d.busy && now.After(d.heard) {
 		d.heard = now
 	}
--- a/connection/detector/detector_test.go
+++ b/connection/detector/detector_test.go
@@ -110,3 +110,15 @@
 	d.Forgive(5*time.Second - 10*time.Millisecond)
 	assert.Equal(t, d.State(now), detector.Trusted)
 }
+
+// The work of a silent target goes elsewhere, which does not make it trusted.
+func TestSilentTargetIsNotTrustedForBeingIdle(t *testing.T) {
+	d := busyDetector()
+	now := start.Add(bounds.Min)
+	assert.Equal(t, d.State(now), detector.Suspected)
+	d.SetBusy(now, false)
+	assert.Equal(t, d.State(now), detector.Suspected)
+	d.Heard(now)
+	d.SetBusy(now, false)
+	assert.Equal(t, d.State(now.Add(idle-1)), detector.Trusted)
+}
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -178,7 +178,7 @@
 // without.
 const (
 	BusySilence = 50 * time.Millisecond
-	IdleSilence = time.Second
+	IdleSilence = 4 * time.Second
 )
 
 var decoding = mustDecMode()
--- a/process/agent/heartbeat.go
+++ b/process/agent/heartbeat.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// reportEvery is the least time between two reports of a changed load.
-	reportEvery = 250 * time.Millisecond
+	// reportEvery is the least time between two reports of a changed load to the
+	// same entry, for each entry that has a link: with many entries each hears less
+	// often, so that the traffic of the agent stays the same.
+	reportEvery = 150 * time.Millisecond
 	// loadStep is the change of pending tokens that is worth a report.
 	loadStep = 256
 )
@@ -85,7 +87,7 @@
 		if wait <= 0 {
 			return true
 		}
-		timer.Reset(min(wait, reportEvery))
+		timer.Reset(min(wait, a.reportPeriod()))
 	}
 }
 
@@ -94,7 +96,7 @@
 func (a *Agent) heartbeatDue(last, sent time.Time, busy bool, reported int) time.Time {
 	due := last.Add(wire.IdleSilence)
 	if _, pending := a.status.work(); max(pending-reported, reported-pending) > max(loadStep, reported/4) {
-		due = last.Add(reportEvery)
+		due = last.Add(a.reportPeriod())
 	}
 	if silent := sent.Add(wire.BusySilence); busy && silent.Before(due) {
 		due = silent
@@ -102,6 +104,10 @@
 	return due
 }
 
+func (a *Agent) reportPeriod() time.Duration {
+	return time.Duration(max(1, a.entries.Load())) * reportEvery
+}
+
 func sameModels(before, after []string) bool {
 	if len(before) != len(after) {
 		return false
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -56,19 +56,21 @@
 	// of the running attempts was.
 	checked, swept time.Time
 	desk           desk
+	departures     departures
 	running        map[request.TargetID]map[runKey]*attemptLoad
 }
 
 func newControl(random *rand.Rand, revisions *revision.Holder, observer *observe.Observer) *control {
 	return &control{
-		commands:  make(chan func(), commandBuffer),
-		done:      make(chan struct{}),
-		revisions: revisions,
-		observer:  observer,
-		table:     routing.NewTable(random),
-		desk:      newDesk(),
-		watches:   map[request.TargetID]*watch{},
-		running:   map[request.TargetID]map[runKey]*attemptLoad{},
+		commands:   make(chan func(), commandBuffer),
+		done:       make(chan struct{}),
+		revisions:  revisions,
+		observer:   observer,
+		table:      routing.NewTable(random),
+		desk:       newDesk(),
+		departures: newDepartures(),
+		watches:    map[request.TargetID]*watch{},
+		running:    map[request.TargetID]map[runKey]*attemptLoad{},
 	}
 }
 
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -38,6 +38,8 @@
 	told time.Time
 	// entries is how many entries have a link to the agent.
 	entries int
+	// leaving says that the agent takes no new work.
+	leaving bool
 }
 
 // stateEvents gives the event of each new state of a target.
@@ -93,7 +95,8 @@
 		w.dead = !beat.EngineAlive
 		w.detector.Heard(now.Add(-time.Duration(beat.SilentMillis) * time.Millisecond))
 		w.detector.Stalled(time.Duration(beat.StalledMillis) * time.Millisecond)
-		target.Leaving = beat.Leaving
+		w.leaving = beat.Leaving
+		c.noteLeaving(now, id)
 		w.entries = beat.Entries
 		target.SetReport(now, routing.Report{
 			Attempts: beat.Running,
@@ -130,6 +133,7 @@
 		if paused {
 			w.detector.Forgive(late)
 		}
+		w.detector.SetBusy(now, len(c.running[id]) > 0)
 		c.judge(now, id, w)
 	}
 	c.dispatchAll(now)
@@ -152,8 +156,12 @@
 		c.desk.controller.Produced(now, service, produced[service])
 	}
 	entries := 1
-	for _, w := range c.watches {
+	for id, w := range c.watches {
 		entries = max(entries, w.entries)
+		if target := c.table.Get(id); target != nil {
+			w.detector.SetBounds(c.bounds(target.Service))
+		}
+		c.noteLeaving(now, id)
 	}
 	c.table.SetEntries(entries)
 	c.desk.controller.SetEntries(entries)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -59,8 +59,10 @@
 	listener  net.Listener
 	server    *http.Server
 	draining  atomic.Bool
-	cancel    context.CancelFunc
-	tasks     sync.WaitGroup
+	// base ends with the entry.
+	base   context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 }
 
 // New returns an entry that serves nothing until Start.
@@ -116,6 +118,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	e.base = ctx
 	e.cancel = cancel
 	e.startCalls(ctx)
 	e.observer.Record(timeline.Event{Kind: timeline.ProcessStarted})
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -24,6 +24,8 @@
 type peer struct {
 	placement platform.Placement
 	cancel    context.CancelFunc
+	// keepUntil is until when a peer outside the subset stays.
+	keepUntil time.Time
 
 	mu   sync.Mutex
 	link *link.Link
@@ -48,6 +50,8 @@
 type peers struct {
 	mu       sync.Mutex
 	byTarget map[request.TargetID]*peer
+	// listed is the host list as it was read last.
+	listed map[request.TargetID]platform.Placement
 }
 
 // link returns the link to a target, or nil.
@@ -60,55 +64,6 @@
 	return nil
 }
 
-// followHosts reads the host list and keeps a peer for every target on it.
-func (e *Entry) followHosts(ctx context.Context) {
-	ticker := time.NewTicker(e.settings.Platform.HostListEvery.Std())
-	defer ticker.Stop()
-	for {
-		placements, err := e.hosts.Placements(ctx)
-		if err != nil {
-			klog.InfoS("host list not read", "err", err)
-		} else {
-			e.applyPlacements(ctx, placements)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (e *Entry) applyPlacements(ctx context.Context, placements []platform.Placement) {
-	e.peers.mu.Lock()
-	defer e.peers.mu.Unlock()
-	listed := map[request.TargetID]bool{}
-	for _, placement := range placements {
-		listed[placement.Target] = true
-		e.addPeer(ctx, placement)
-	}
-	for id, known := range e.peers.byTarget {
-		if !listed[id] {
-			known.cancel()
-			delete(e.peers.byTarget, id)
-		}
-	}
-}
-
-func (e *Entry) addPeer(ctx context.Context, placement platform.Placement) {
-	known, ok := e.peers.byTarget[placement.Target]
-	if ok && known.placement.Agent == placement.Agent {
-		return
-	}
-	if ok {
-		known.cancel()
-	}
-	peerCtx, cancel := context.WithCancel(ctx)
-	added := &peer{placement: placement, cancel: cancel}
-	e.peers.byTarget[placement.Target] = added
-	e.tasks.Go(func() { e.keepLink(peerCtx, added) })
-}
-
 // keepLink dials the peer again and again, with growing pauses, until ctx ends.
 func (e *Entry) keepLink(ctx context.Context, p *peer) {
 	pause := redialAfter
--- a/process/entry/reattach.go
+++ b/process/entry/reattach.go
@@ -110,7 +110,7 @@
 // tryAttach sends one attachment and reads the opening frame: found when the
 // journal agreed, end when it refused.
 func (e *Entry) tryAttach(ctx context.Context, target request.TargetID, ask wire.Attach) (found *attachment, end *wire.End, err error) {
-	l := e.peers.link(target)
+	l := e.reach(ctx, target)
 	if l == nil {
 		return nil, nil, fault.New(fault.TargetLost, "the target that holds the answer cannot be reached")
 	}
