Demonstration: bookings and deposits with repeats

Cause: the demonstration showed nothing of calls that may not be repeated. Change: a stand-in application service of three replicas with their agents, sets of bookings and deposits submitted three times each over both entries while the faults happen, and the death of one of their agents as a sixth fault.

--- a/bench/demo/drive.go
+++ b/bench/demo/drive.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/bench/caller"
+	"github.com/mulberrylane/mulberrylane/bench/calls"
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
 )
 
@@ -48,6 +49,7 @@
 	faults    []Fault
 	work      *workMeter
 	done      atomic.Int64
+	errands   []calls.Verdict
 	out       io.Writer
 }
 
@@ -100,10 +102,11 @@
 	var callers, others sync.WaitGroup
 	runCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	failed := make(chan error, len(d.faults))
+	failed := make(chan error, len(d.faults)+1)
 	others.Go(func() { d.bringFaults(runCtx, start, failed) })
 	others.Go(func() { d.showProgress(runCtx, start) })
 	others.Go(func() { d.work.run(runCtx) })
+	callers.Go(func() { failed <- d.makeCalls(ctx, start.Add(arrivalSpan)) })
 	for i, x := range d.exchanges {
 		due := start.Add(arrivalSpan * time.Duration(i) / time.Duration(len(d.exchanges)))
 		callers.Go(func() { d.exchange(ctx, due, x) })
@@ -112,12 +115,13 @@
 	d.work.poll(ctx)
 	stop()
 	others.Wait()
-	select {
-	case err := <-failed:
-		return err
-	default:
-		return nil
+	close(failed)
+	for err := range failed {
+		if err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 func (d *driver) bringFaults(ctx context.Context, start time.Time, failed chan<- error) {
--- a/bench/demo/fault.go
+++ b/bench/demo/fault.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/bench/fleet"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -35,11 +36,13 @@
 )
 
 // faultPlan is what befalls the demonstration: two engines die, one pauses and
-// comes back, an agent and an entry die. Two targets stay whole.
+// comes back, two agents (one of a model, one of the application) and an entry
+// die. Two models and two replicas stay whole.
 func faultPlan() []Fault {
 	return []Fault{
 		{After: 3 * time.Second, Process: "engine-1", Kind: kindKill, Target: "engine-1"},
 		{After: 6 * time.Second, Process: "engine-2", Kind: kindPause, Target: "engine-2", For: 4 * time.Second},
+		{After: 8 * time.Second, Process: "agent-" + fleet.TrialApplication + "-1", Kind: kindKill},
 		{After: 9 * time.Second, Process: "agent-3", Kind: kindKill, Target: "engine-3"},
 		{After: 12 * time.Second, Process: "entry-1", Kind: kindKill},
 		{After: 15 * time.Second, Process: "engine-4", Kind: kindKill, Target: "engine-4"},
--- a/bench/demo/plan.go
+++ b/bench/demo/plan.go
@@ -26,6 +26,8 @@
 	Engines []string `json:"engines"`
 	// Targets holds the target of each engine.
 	Targets []request.TargetID `json:"targets"`
+	// Application is the base URL of a replica of the application service.
+	Application string `json:"application,omitempty"`
 	// HostList is the URL of the host list.
 	HostList string `json:"hostList"`
 	// EntryOperators and AgentOperators hold the operators' addresses.
--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -23,16 +23,18 @@
 )
 
 const (
-	salt     = "demo"
-	fileMode = 0o600
-	dirMode  = 0o700
+	salt = "demo"
+	// callDeadline is how long a call may take.
+	callDeadline = 20 * time.Second
+	fileMode     = 0o600
+	dirMode      = 0o700
 )
 
 // Size says how many processes there are.
-type Size struct{ Entries, Engines int }
+type Size struct{ Entries, Engines, Applications int }
 
 // DemoSize is the size of the demonstration.
-var DemoSize = Size{Entries: 2, Engines: 6}
+var DemoSize = Size{Entries: 2, Engines: 6, Applications: 3}
 
 var domains = []string{"naxos", "paros", "syros"}
 
@@ -65,6 +67,7 @@
 	for i := range size.Engines {
 		p.addTarget(i)
 	}
+	p.addApplications(size.Applications)
 	for i := range size.Entries {
 		p.addEntry(i)
 	}
@@ -121,22 +124,48 @@
 	address := p.address()
 	p.start("%s mlctl standin engine --address %s --config %s", name, address, p.write(name+".json", config))
 
-	agentName := fmt.Sprintf("agent-%d", i)
-	s := settings.Agent{
-		Name: agentName, Host: "host-" + name, FailureDomain: domains[i%len(domains)],
-		Target: name, Service: fleet.TrialService, Links: p.address(), Operators: p.address(),
-		Keys: p.issue(keys.RoleAgent, agentName), Platform: p.services(), Engine: "http://" + address,
-	}
-	p.start("%s mlagent --settings %s", agentName, p.write(agentName+".json", s))
+	p.addAgent(i, settings.Agent{
+		Name: fmt.Sprintf("agent-%d", i), Target: name, Service: fleet.TrialService, Engine: "http://" + address,
+	})
+	p.plan.Engines = append(p.plan.Engines, "http://"+address)
+	p.plan.Targets = append(p.plan.Targets, request.TargetID(name))
+}
+
+// addAgent adds the agent with the given name, target and service.
+func (p *preparer) addAgent(i int, s settings.Agent) {
+	s.Host = "host-" + s.Target
+	s.FailureDomain = domains[i%len(domains)]
+	s.Links = p.address()
+	s.Operators = p.address()
+	s.Keys = p.issue(keys.RoleAgent, s.Name)
+	s.Platform = p.services()
+	p.start("%s mlagent --settings %s", s.Name, p.write(s.Name+".json", s))
 	p.hosts = append(p.hosts, platform.Placement{
-		Target: request.TargetID(name), Service: s.Service, Host: s.Host,
+		Target: request.TargetID(s.Target), Service: s.Service, Host: s.Host,
 		FailureDomain: s.FailureDomain, Agent: s.Links, Operators: s.Operators, State: platform.HostLive,
 	})
-	p.plan.Engines = append(p.plan.Engines, s.Engine)
-	p.plan.Targets = append(p.plan.Targets, request.TargetID(name))
 	p.plan.AgentOperators = append(p.plan.AgentOperators, s.Operators)
 }
 
+// addApplications adds the replicas of the application service, in one process
+// because they share their records, and an agent for each.
+func (p *preparer) addApplications(count int) {
+	if count == 0 {
+		return
+	}
+	arguments := ""
+	for i := range count {
+		address := p.address()
+		arguments += " --address " + address
+		name := fmt.Sprintf("%s-%d", fleet.TrialApplication, i)
+		p.addAgent(i, settings.Agent{
+			Name: "agent-" + name, Target: name, Service: fleet.TrialApplication, Application: "http://" + address,
+		})
+		p.plan.Application = "http://" + address
+	}
+	p.start("application mlctl standin application%s", arguments)
+}
+
 func (p *preparer) addEntry(i int) {
 	name := fmt.Sprintf("entry-%d", i)
 	s := settings.Entry{
@@ -150,7 +179,7 @@
 
 func (p *preparer) addPlatform() {
 	hosts := p.write("hosts.json", p.hosts)
-	document := p.write("document.json", fleet.TrialDocument())
+	document := p.write("document.json", fleet.TrialCallsDocument(callDeadline))
 	p.start("platform mlctl standin platform --address %s --hosts %s --document %s --lag 2s", p.platform, hosts, document)
 }
 
--- a/bench/demo/report.go
+++ b/bench/demo/report.go
@@ -44,7 +44,7 @@
 // Violations says what the report shows to be wrong, or returns nil.
 func (r Report) Violations() error {
 	wrong := r.Missing + r.Repeated + r.Foreign + r.Mixed + r.CallsRunTwice + r.Untruthful
-	if wrong > 0 || r.Complete != r.Requests {
+	if wrong > 0 || r.Complete != r.Requests || r.Calls == 0 {
 		return errors.New("the demonstration found violations")
 	}
 	return nil
@@ -68,6 +68,7 @@
 			_ = latencies.RecordValue(min(max(latency.Milliseconds(), 1), maxLatencyMillis))
 		}
 	}
+	d.judgeCalls(&r)
 	for _, fault := range d.faults {
 		if !fault.at.IsZero() {
 			r.Faults++
--- a/command/demo.go
+++ b/command/demo.go
@@ -33,6 +33,7 @@
 	}
 	prepare.Flags().IntVar(&size.Entries, "entries", size.Entries, "number of entries")
 	prepare.Flags().IntVar(&size.Engines, "engines", size.Engines, "number of engines")
+	prepare.Flags().IntVar(&size.Applications, "applications", size.Applications, "number of application replicas")
 	command.PersistentFlags().StringVar(&directory, "dir", "", "directory of the demonstration")
 	markRequired(command, "dir")
 	command.AddCommand(prepare, drive)
--- a/command/standin.go
+++ b/command/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/revision"
+	"github.com/mulberrylane/mulberrylane/standin/application"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/hosts"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
@@ -26,7 +28,7 @@
 
 func newStandin() *cobra.Command {
 	command := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for trials"}
-	command.AddCommand(newStandinEngine(), newStandinPlatform())
+	command.AddCommand(newStandinEngine(), newStandinPlatform(), newStandinApplication())
 	return command
 }
 
@@ -56,6 +58,31 @@
 	return command
 }
 
+func newStandinApplication() *cobra.Command {
+	var addresses []string
+	var work time.Duration
+	command := &cobra.Command{
+		Use:     "application",
+		Short:   "Run the replicas of a stand-in application service, which share their records",
+		Example: "  mlctl standin application --address 127.0.0.1:8101 --address 127.0.0.1:8102",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ledger := application.NewLedger()
+			for i, address := range addresses {
+				if _, err := application.Serve(fmt.Sprintf("replica-%d", i), ledger, work, address); err != nil {
+					return err
+				}
+			}
+			awaitSignal(cmd.Context())
+			return nil
+		},
+	}
+	command.Flags().StringSliceVar(&addresses, "address", nil, "IP address and TCP port of a replica, repeatable")
+	command.Flags().DurationVar(&work, "work", 20*time.Millisecond, "how long a call takes")
+	markRequired(command, "address")
+	return command
+}
+
 func newStandinPlatform() *cobra.Command {
 	var address, hostsPath, documentPath string
 	var lag time.Duration
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -9,7 +9,7 @@
 trap stop_processes EXIT
 for engines in 4 12; do
   dir=$PWD/out/slopes-$engines
-  start_processes --entries 1 --engines "$engines"
+  start_processes --entries 1 --engines "$engines" --applications 0
   "$bin/mlctl" bench slopes measure --dir "$dir" --out "out/slopes-$engines.json"
   stop_processes
 done
