--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -51,6 +51,9 @@
 	Entries, Engines int
 	// Engine describes the engines.
 	Engine engine.Config
+	// EngineURL, when set, is where agents find their engine in place of the
+	// stand-in's address.
+	EngineURL string
 	// HostLag is how late the host list shows changes.
 	HostLag time.Duration
 	// Applications describes the application targets beside the engines.
@@ -165,7 +168,7 @@
 	member.settings = settings.Agent{
 		Name: "agent-" + name, Host: "host-" + name, FailureDomain: f.domain(i),
 		Target: name, Service: f.Layout.Service,
-		Links: loopback, Operators: loopback, OperatorDigests: operatorDigests(), Keys: files, Engine: server.URL(),
+		Links: loopback, Operators: loopback, OperatorDigests: operatorDigests(), Keys: files, Engine: f.engineURL(server),
 		Platform: f.Platform(),
 	}
 	member.Agent = agent.New(member.settings)
@@ -186,6 +189,13 @@
 	return member, err
 }
 
+func (f *Fleet) engineURL(server *engine.Server) string {
+	if f.Layout.EngineURL != "" {
+		return f.Layout.EngineURL
+	}
+	return server.URL()
+}
+
 func (f *Fleet) startPlatform() {
 	var placements []platform.Placement
 	for _, member := range f.Members {
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -101,6 +102,14 @@
 // Finish says that nothing more will be written.
 func (s *Stream) Finish() error { return s.raw.Close() }
 
+// CloseRead says that nothing more will be read. A stream counts against the
+// peer's limit until both of its directions are over.
+func (s *Stream) CloseRead() { s.raw.CancelRead(CodeCancelled) }
+
+// AwaitFinish reads until the peer finishes or cancels the stream or the link
+// breaks. A peer that finishes after its last frame has read all that was sent.
+func (s *Stream) AwaitFinish() { _, _ = io.Copy(io.Discard, s.raw) }
+
 // Cancel ends both directions at once.
 func (s *Stream) Cancel() {
 	s.raw.CancelRead(CodeCancelled)
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -111,8 +111,8 @@
 // Operators returns the address that operators are served at.
 func (a *Agent) Operators() string { return a.observer.Operators.Address() }
 
-// Stop ends the agent: it refuses new work, waits for the running work until ctx
-// ends, and closes its links.
+// Stop ends the agent: it refuses new work, waits until the running work has ended
+// and its entries have all of it, or until ctx ends, and closes its links.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.leave()
 	a.observer.Record(timeline.Event{Kind: timeline.ProcessDraining, Target: a.target()})
@@ -130,7 +130,7 @@
 const idlePoll = 20 * time.Millisecond
 
 func (a *Agent) awaitIdle(ctx context.Context) {
-	for a.running() > 0 {
+	for a.running() > 0 || a.active.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/process/agent/follow.go
+++ b/process/agent/follow.go
@@ -47,7 +47,7 @@
 // on for its orphan grace.
 func (a *Agent) follow(l *link.Link, stream *link.Stream, from reader) {
 	if !a.writeBegan(stream, from) {
-		a.abandon(l, from)
+		a.abandon(l, stream, from)
 		return
 	}
 	for {
@@ -58,18 +58,19 @@
 			return
 		}
 		if !from.write(stream, v) {
-			a.abandon(l, from)
+			a.abandon(l, stream, from)
 			return
 		}
 		from.position += len(v.tokens)
 		if v.end != nil {
 			_ = stream.Finish()
+			stream.AwaitFinish()
 			return
 		}
 		select {
 		case <-v.changed:
 		case <-stream.Context().Done():
-			a.abandon(l, from)
+			a.abandon(l, stream, from)
 			return
 		}
 	}
@@ -130,7 +131,8 @@
 
 // abandon ends a run that its newest reader left: at once when the entry
 // cancelled it, after the orphan grace when the link was lost.
-func (a *Agent) abandon(l *link.Link, from reader) {
+func (a *Agent) abandon(l *link.Link, stream *link.Stream, from reader) {
+	stream.Cancel()
 	cancel := func() {
 		if from.record.newestEpoch() == from.epoch {
 			from.record.cancel()
--- a/process/agent/serve.go
+++ b/process/agent/serve.go
@@ -81,6 +81,7 @@
 }
 
 func (a *Agent) serveStream(ctx context.Context, l *link.Link, stream *link.Stream) {
+	defer stream.CloseRead()
 	var frame wire.ClientFrame
 	if err := stream.Read(&frame); err != nil {
 		stream.Cancel()
@@ -107,4 +108,5 @@
 func refuse(stream *link.Stream, end wire.End) {
 	_ = stream.Write(wire.ServerFrame{End: &end})
 	_ = stream.Finish()
+	stream.AwaitFinish()
 }
--- a/process/entry/attempt.go
+++ b/process/entry/attempt.go
@@ -62,12 +62,25 @@
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	if err := stream.Write(wire.ClientFrame{Run: &run}); err != nil {
+		stream.Cancel()
 		return err
 	}
 	return e.readFrames(ctx, run, stream, events)
 }
 
+// readFrames reads a reply to its end. It finishes the stream after the last
+// frame, by which the agent knows that all has arrived, and else cancels it.
 func (e *Entry) readFrames(ctx context.Context, run wire.Run, stream *link.Stream, events chan<- attemptEvent) error {
+	err := e.relayFrames(ctx, run, stream, events)
+	if err != nil {
+		stream.Cancel()
+		return err
+	}
+	stream.CloseRead()
+	return stream.Finish()
+}
+
+func (e *Entry) relayFrames(ctx context.Context, run wire.Run, stream *link.Stream, events chan<- attemptEvent) error {
 	for {
 		var frame wire.ServerFrame
 		if err := stream.Read(&frame); err != nil {
@@ -76,7 +89,6 @@
 		e.observeStamp(frame)
 		event, err := eventOf(run, frame)
 		if err != nil {
-			stream.Cancel()
 			return err
 		}
 		send(ctx, events, event)
--- a/process/entry/directory.go
+++ b/process/entry/directory.go
@@ -62,6 +62,7 @@
 	if err != nil {
 		return
 	}
+	defer stream.CloseRead()
 	_ = stream.Write(wire.ClientFrame{Directory: &wire.Directory{Put: &place}})
 	_ = stream.Finish()
 }
@@ -88,6 +89,7 @@
 	}
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
+	defer stream.CloseRead()
 	find := wire.Find{Workspace: g.Workspace, Service: g.Service, Key: g.Key}
 	if stream.Write(wire.ClientFrame{Directory: &wire.Directory{Find: &find}}) != nil {
 		return nil
--- a/process/entry/reattach.go
+++ b/process/entry/reattach.go
@@ -135,6 +135,8 @@
 func opened(target request.TargetID, ask wire.Attach, stream *link.Stream, frame wire.ServerFrame) (*attachment, *wire.End, error) {
 	switch {
 	case frame.End != nil && frame.End.Request == ask.Request:
+		stream.CloseRead()
+		_ = stream.Finish()
 		return nil, frame.End, nil
 	case frame.Began != nil && frame.Began.Request == ask.Request && frame.Began.Generation != nil && len(frame.Began.Prefix) == ask.Position:
 		return &attachment{target: target, epoch: ask.Epoch, stream: stream, began: *frame.Began}, nil, nil
