--- a/process/agent/follow.go
+++ b/process/agent/follow.go
@@ -16,6 +16,8 @@
 type reader struct {
 	record *record
 	epoch  uint64
+	// changed gets a signal when the record changed.
+	changed chan struct{}
 	// position is the next token to send.
 	position int
 	// prefix holds the tokens before it; set with attached.
@@ -46,6 +48,8 @@
 // it. When the entry cancels, so is the run; when the link breaks, the run goes
 // on for its orphan grace.
 func (a *Agent) follow(l *link.Link, stream *link.Stream, from reader) {
+	from.changed = from.record.subscribe()
+	defer from.record.unsubscribe(from.changed)
 	if !a.writeBegan(stream, from) {
 		a.abandon(l, stream, from)
 		return
@@ -68,7 +72,7 @@
 			return
 		}
 		select {
-		case <-v.changed:
+		case <-from.changed:
 		case <-stream.Context().Done():
 			a.abandon(l, stream, from)
 			return
@@ -90,7 +94,7 @@
 	v := r.since(0)
 	for v.prompt == nil && v.end == nil {
 		select {
-		case <-v.changed:
+		case <-from.changed:
 		case <-stream.Context().Done():
 			return false
 		}
--- a/process/agent/journal.go
+++ b/process/agent/journal.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,8 @@
 	accepted int
 	tokens   []request.TokenID
 	end      *wire.End
-	// changed is closed and replaced at each change.
-	changed chan struct{}
+	// waiting holds a channel with room for one signal for each reader.
+	waiting []chan struct{}
 	ended   time.Time
 }
 
@@ -39,13 +40,32 @@
 		epoch:      run.Epoch,
 		accepted:   len(run.Accepted),
 		tokens:     append([]request.TokenID(nil), run.Accepted...),
-		changed:    make(chan struct{}),
 	}
 }
 
+// signal tells all readers that the record changed.
 func (r *record) signal() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+	for _, reader := range r.waiting {
+		select {
+		case reader <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// subscribe returns a channel that gets a signal after a change.
+func (r *record) subscribe() chan struct{} {
+	changed := make(chan struct{}, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting = append(r.waiting, changed)
+	return changed
+}
+
+func (r *record) unsubscribe(changed chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting = slices.DeleteFunc(r.waiting, func(c chan struct{}) bool { return c == changed })
 }
 
 // begin stores the prompt as tokens.
@@ -82,18 +102,17 @@
 // view is what a reader sees of a record at one instant. Its slices are never
 // written again.
 type view struct {
-	prompt  []request.TokenID
-	tokens  []request.TokenID
-	end     *wire.End
-	changed <-chan struct{}
-	epoch   uint64
+	prompt []request.TokenID
+	tokens []request.TokenID
+	end    *wire.End
+	epoch  uint64
 }
 
 // since returns the record from position on.
 func (r *record) since(position int) view {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := view{prompt: r.prompt, end: r.end, changed: r.changed, epoch: r.epoch}
+	v := view{prompt: r.prompt, end: r.end, epoch: r.epoch}
 	if position < len(r.tokens) {
 		v.tokens = r.tokens[position:len(r.tokens):len(r.tokens)]
 	}
--- a/process/entry/answer.go
+++ b/process/entry/answer.go
@@ -33,7 +33,9 @@
 	text        []byte
 	ids         []request.TokenID
 	opened      bool
-	roleSent    bool
+	// encoder writes all events but the first and the last.
+	encoder  *eventEncoder
+	roleSent bool
 }
 
 func newAnswerWriter(c *gin.Context, g request.Generation, ask completionAsk, words request.Vocabulary, slowCaller time.Duration) *answerWriter {
@@ -64,8 +66,23 @@
 		w.ids = append(w.ids, tokens...)
 		return nil
 	}
-	event := w.event(w.choice(string(text), tokens, nil))
-	return w.writeEvent(string(next.append(nil)), event)
+	if !w.opened {
+		first := w.event(w.choice(string(text), tokens, nil))
+		return w.writeEvent(string(next.append(nil)), first)
+	}
+	if w.encoder == nil {
+		w.encoder = newEventEncoder(w.event(choice{}), w.generation.Chat, w.ask.ReturnTokenIDs)
+	}
+	return w.send(w.encoder.encode(next, text, tokens))
+}
+
+// send writes events and flushes them to the caller.
+func (w *answerWriter) send(events []byte) error {
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.slowCaller))
+	if _, err := w.c.Writer.Write(events); err != nil {
+		return callerLost(err)
+	}
+	return callerLost(w.controller.Flush())
 }
 
 func (w *answerWriter) choice(text string, tokens []request.TokenID, finish *request.FinishReason) choice {
@@ -129,14 +146,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	_ = w.controller.SetWriteDeadline(time.Now().Add(w.slowCaller))
+	var event []byte
 	if id != "" {
-		_, _ = fmt.Fprintf(w.c.Writer, "id: %s\n", id)
+		event = fmt.Appendf(event, "id: %s\n", id)
 	}
-	if _, err := fmt.Fprintf(w.c.Writer, "data: %s\n\n", data); err != nil {
-		return callerLost(err)
-	}
-	return callerLost(w.controller.Flush())
+	return w.send(fmt.Appendf(event, "data: %s\n\n", data))
 }
 
 // callerLost tells a caller that does not read from one that left.
--- a/process/entry/answer_test.go
+++ b/process/entry/answer_test.go
@@ -1,15 +1,18 @@
 package entry
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -78,3 +81,34 @@
 		assert.Equal(t, fault.KindOf(err), fault.BadRequest, bad)
 	}
 }
+
+// The encoder without reflection must write what encoding/json reads as the same.
+func TestEventEncoderWritesTheSameReply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chat := rapid.Bool().Draw(t, "chat")
+		text := rapid.String().Draw(t, "text")
+		tokens := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) request.TokenID {
+			return request.TokenID(rapid.Uint32().Draw(t, "token"))
+		}), 1, 3).Draw(t, "tokens")
+		part := choice{TokenIDs: tokens}
+		if chat {
+			part.Delta = &chatMessage{Content: text}
+		} else {
+			part.Text = &text
+		}
+		want := reply{ID: "r", Object: "o", Created: 7, Model: "m\"", Choices: []choice{part}}
+		id := eventID{request: "r", target: "t", incarnation: 1, position: 2, digest: 3}
+		event := string(newEventEncoder(want, chat, true).encode(id, []byte(text), tokens))
+		data, found := strings.CutPrefix(event, "id: r/t/1/2/3\ndata: ")
+		if !found || !strings.HasSuffix(event, "\n\n") {
+			t.Fatalf("%q", event)
+		}
+		var got reply
+		if err := json.Unmarshal([]byte(data), &got); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v instead of %+v", got, want)
+		}
+	})
+}
