--- a/bench/calls/experiment.go
+++ b/bench/calls/experiment.go
@@ -119,19 +119,19 @@
 	return e, settings.Read(path, e)
 }
 
-// IsExperiment says that the file at path is an experiment of this kind.
-func IsExperiment(path string) (bool, error) {
+// KindOf returns the kind of the experiment file at path.
+func KindOf(path string) (string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return false, errors.Wrap(err, "experiment")
+		return "", errors.Wrap(err, "experiment")
 	}
 	var head struct {
 		Kind string `json:"kind"`
 	}
 	if err := json.Unmarshal(data, &head); err != nil {
-		return false, errors.Wrap(err, "experiment")
+		return "", errors.Wrapf(err, "experiment %s", path)
 	}
-	return head.Kind == Kind, nil
+	return head.Kind, nil
 }
 
 // slowStoreDelay is the delay of a slow store; it is under the time that an entry
--- a/bench/fleet/applications.go
+++ b/bench/fleet/applications.go
@@ -156,7 +156,7 @@
 		Application: &version.Application{
 			Idempotent:   []version.Method{{Method: "GET", Path: "/status/"}},
 			MaxBodyBytes: 64 << 10,
-			Pages:        16,
+			Pages:        8,
 			KeyRetention: version.Duration(24 * time.Hour),
 		},
 	}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/process/agent"
+	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/configuration"
 	"github.com/mulberrylane/mulberrylane/process/entry"
 	"github.com/mulberrylane/mulberrylane/process/settings"
@@ -58,6 +59,8 @@
 	HostLag time.Duration
 	// Applications describes the application targets beside the engines.
 	Applications Applications
+	// Pages says how entries write call pages.
+	Pages calls.PageOptions
 	// Relayed lists the engines whose agents stand behind a relay, so that
 	// SilenceHost can cut them off.
 	Relayed []int
@@ -266,6 +269,7 @@
 		Name: name, FailureDomain: f.domain(i), Callers: loopback, Operators: loopback, OperatorDigests: operatorDigests(),
 		Keys: files, Platform: reach,
 	})
+	e.UsePages(f.Layout.Pages)
 	return e, e.Start(ctx)
 }
 
--- a/command/bench.go
+++ b/command/bench.go
@@ -38,8 +38,13 @@
 		Example: "  mlctl bench run experiments/vasilescu-engine-death.json --out out/engine-death",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if ok, err := calls.IsExperiment(args[0]); ok || err != nil {
-				return runCalls(cmd, args[0], directory, check, err)
+			switch kind, err := calls.KindOf(args[0]); {
+			case err != nil:
+				return err
+			case kind == calls.Kind:
+				return runCalls(cmd, args[0], directory, check)
+			case kind == calls.CostKind:
+				return runCallsCost(cmd, args[0], directory)
 			}
 			e, err := experiment.Read(args[0])
 			if err != nil {
--- a/command/benchcalls.go
+++ b/command/benchcalls.go
@@ -14,10 +14,7 @@
 )
 
 // runCalls runs an experiment of kind calls and writes its report.
-func runCalls(cmd *cobra.Command, path, directory string, check bool, err error) error {
-	if err != nil {
-		return err
-	}
+func runCalls(cmd *cobra.Command, path, directory string, check bool) error {
 	e, err := calls.ReadExperiment(path)
 	if err != nil {
 		return err
@@ -32,7 +29,35 @@
 	if err != nil {
 		return err
 	}
-	data, err := json.MarshalIndent(r, "", "  ")
+	if err := writeReport(cmd, directory, r); err != nil {
+		return err
+	}
+	if check && !r.OK() {
+		return errors.New("a target was missed")
+	}
+	return nil
+}
+
+// runCallsCost measures what calls cost and writes the rows.
+func runCallsCost(cmd *cobra.Command, path, directory string) error {
+	c, err := calls.ReadCost(path)
+	if err != nil {
+		return err
+	}
+	ctx := cmd.Context()
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	rows, err := c.Measure(ctx, func(row string) { _, _ = fmt.Fprintln(cmd.ErrOrStderr(), row) })
+	if err != nil {
+		return err
+	}
+	return writeReport(cmd, directory, rows)
+}
+
+// writeReport writes report as JSON into directory and to the command's output.
+func writeReport(cmd *cobra.Command, directory string, report any) error {
+	data, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "report")
 	}
@@ -43,8 +68,5 @@
 		return errors.Wrap(err, "report")
 	}
 	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s\n", data)
-	if check && !r.OK() {
-		return errors.New("a target was missed")
-	}
 	return nil
 }
--- a/process/agent/calls.go
+++ b/process/agent/calls.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/gate"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -119,6 +120,7 @@
 	}
 	verdict := a.calls.admit(call, !a.isLeaving())
 	if verdict.Pass {
+		a.observer.Record(timeline.Event{Kind: timeline.CallPassed, Request: call.Request, Target: a.target()})
 		a.goTask(func() { a.calls.pass(ctx, call) })
 	}
 	a.answerCall(stream, verdict, wire.Seal{Nonce: call.Nonce, Incarnation: call.Incarnation}, call.Request)
--- a/process/calls/driver.go
+++ b/process/calls/driver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -14,6 +15,8 @@
 	pages   *Pages
 	targets Targets
 	budgets *budgets
+	// events records the time line; it may be nil.
+	events *timeline.Recorder
 
 	mu sync.Mutex
 	// running holds the reservations that this process is working on.
@@ -22,9 +25,10 @@
 	settling int
 }
 
-// NewDriver returns a driver that works as long as pages do.
-func NewDriver(pages *Pages, targets Targets) *Driver {
-	return &Driver{pages: pages, targets: targets, budgets: newBudgets(), running: map[request.Nonce]chan struct{}{}}
+// NewDriver returns a driver that works as long as pages do and records its events
+// in events, which may be nil.
+func NewDriver(pages *Pages, targets Targets, events *timeline.Recorder) *Driver {
+	return &Driver{events: events, pages: pages, targets: targets, budgets: newBudgets(), running: map[request.Nonce]chan struct{}{}}
 }
 
 // settleGrace is how long a submission may go on after its deadline to record
--- a/process/calls/pages.go
+++ b/process/calls/pages.go
@@ -23,6 +23,10 @@
 const (
 	// pageWritesPerSecond bounds the commits of one page by one process.
 	pageWritesPerSecond = 20
+	// entryWritesPerSecond bounds the commits of one process over all pages, and
+	// entryWriteBurst how many of them may come at once.
+	entryWritesPerSecond = 100
+	entryWriteBurst      = 20
 	// pageWriteBurst lets a lone call commit without waiting.
 	pageWriteBurst = 4
 	// maxBatch bounds the operations of one commit.
@@ -51,6 +55,10 @@
 	mu     sync.Mutex
 	byName map[string]*pager
 	stats  PageStats
+	// total bounds the writes over all pages.
+	total *rate.Limiter
+	// layouts holds the number of pages of each service that is known.
+	layouts map[string]int
 }
 
 // PageStats counts the traffic of the pages.
@@ -70,7 +78,11 @@
 	if options.WritesPerSecond <= 0 {
 		options.WritesPerSecond = pageWritesPerSecond
 	}
-	return &Pages{store: store, options: options, stopped: ctx, byName: map[string]*pager{}}
+	total := rate.NewLimiter(entryWritesPerSecond, entryWriteBurst)
+	if options.Single {
+		total = rate.NewLimiter(rate.Inf, 1)
+	}
+	return &Pages{store: store, total: total, options: options, stopped: ctx, byName: map[string]*pager{}, layouts: map[string]int{}}
 }
 
 // Stats returns the counts so far.
@@ -91,10 +103,15 @@
 	return fmt.Sprintf("mulberrylane/calls/%s/%04d", service, page)
 }
 
-// Do carries out op on the page of its call. An error of kind StoreUnavailable
+// Do carries out op on the page of its call; pages is how many the service is to
+// have. An error of kind StoreUnavailable
 // means that the operation may take effect or not.
 func (p *Pages) Do(ctx context.Context, service string, pages int, op callpage.Op) (callpage.Result, error) {
 	p.count(func(s *PageStats) { s.Operations++ })
+	pages, err := p.layout(ctx, service, pages)
+	if err != nil {
+		return callpage.Result{}, err
+	}
 	w := &waiting{ctx: ctx, op: op, done: make(chan callpage.Result, 1)}
 	select {
 	case p.pager(PageKey(service, op.Name.Page(pages))).queue <- w:
@@ -165,7 +182,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-g.queue:
-			if g.limit.Wait(ctx) != nil {
+			if g.limit.Wait(ctx) != nil || g.pages.total.Wait(ctx) != nil {
 				return
 			}
 			g.commit(ctx, g.gather(first))
@@ -328,5 +345,5 @@
 		return true, true
 	}
 	g.pages.count(func(s *PageStats) { s.Conflicts++ })
-	return false, g.take(current) == nil
+	return false, g.take(current) == nil && g.pages.total.Wait(ctx) == nil
 }
--- a/process/calls/submission.go
+++ b/process/calls/submission.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/callpage"
+	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -57,6 +58,10 @@
 	}
 }
 
+func (s *submission) record(kind timeline.Kind, target request.TargetID) {
+	s.driver.events.Record(timeline.Event{Kind: kind, Request: s.call.ID, Target: target, Attempt: s.attempts})
+}
+
 // step makes or gives up a reservation and follows what the page says.
 func (s *submission) step(ctx context.Context) (Answer, bool) {
 	if s.refusal == nil && time.Until(s.call.Deadline) < minRemaining {
@@ -96,6 +101,7 @@
 	}
 	switch result.Status {
 	case callpage.StatusReserved:
+		s.record(timeline.CallReserved, op.Target)
 		return s.send(ctx, op, target)
 	case callpage.StatusFound:
 		return s.follow(ctx, result.Record)
@@ -169,6 +175,7 @@
 func (s *submission) heard(ctx context.Context, reply wire.CallReply, nonce request.Nonce, target request.TargetID) (Answer, bool) {
 	switch reply.State {
 	case request.GateSealed:
+		s.record(timeline.CallSealed, target)
 		s.dead = nonce
 		s.avoid = append(s.avoid, target)
 		return Answer{}, false
@@ -199,6 +206,8 @@
 		result, err := s.driver.pages.Do(settleCtx, s.call.Service, s.call.Pages, op)
 		if err != nil {
 			klog.InfoS("outcome not recorded", "request", s.call.ID, "err", err)
+		} else {
+			s.record(timeline.CallSettled, result.Record.Target)
 		}
 		recorded <- result
 	}()
@@ -217,7 +226,7 @@
 // follow acts on a record that the page holds of the call.
 func (s *submission) follow(ctx context.Context, record callpage.Record) (Answer, bool) {
 	if record.Done {
-		return told(record), true
+		return s.recall(ctx, record), true
 	}
 	s.followed = true
 	if s.driver.await(ctx, record.Nonce) {
@@ -230,6 +239,23 @@
 	return s.ask(ctx, record.Nonce, record.Target, record.Incarnation)
 }
 
+// recall returns the outcome of a call that is done. A reply that the page does not
+// hold may still be known at the agent that passed the call.
+func (s *submission) recall(ctx context.Context, record callpage.Record) Answer {
+	answer := told(record)
+	gate, ok := s.driver.targets.Find(record.Target)
+	if record.BodyKept || !ok || gate.Incarnation() != record.Incarnation {
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.call.Patience)
+	defer cancel()
+	reply, err := gate.Seal(ctx, wire.Seal{Nonce: record.Nonce, Incarnation: record.Incarnation})
+	if err == nil && reply.Reply != nil && reply.Reply.Digest() == record.ReplyDigest {
+		answer.Reply, answer.Err = reply.Reply, nil
+	}
+	return answer
+}
+
 // told is the answer that a record holds.
 func told(record callpage.Record) Answer {
 	answer := Answer{Digest: record.ReplyDigest, Request: record.Request, WasRun: request.RunYes, Reply: record.Reply}
--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -26,17 +26,20 @@
 
 	defaultCallDeadline = 30 * time.Second
 	defaultPatience     = 2 * time.Second
-	defaultPages        = 16
+	defaultPages        = 8
 	defaultRetention    = 24 * time.Hour
 	defaultMaxCallBody  = 1 << 20
 )
 
 // startCalls makes the driver of calls, which works until ctx ends.
 func (e *Entry) startCalls(ctx context.Context) {
-	e.pages = calls.NewPages(ctx, e.store, calls.PageOptions{})
-	e.calls = calls.NewDriver(e.pages, callTargets{e})
+	e.pages = calls.NewPages(ctx, e.store, e.pageOptions)
+	e.calls = calls.NewDriver(e.pages, callTargets{e}, e.observer.Timeline)
 }
 
+// UsePages says how call pages are written. It is called before Start.
+func (e *Entry) UsePages(options calls.PageOptions) { e.pageOptions = options }
+
 // CallStats returns the traffic of the call pages.
 func (e *Entry) CallStats() calls.PageStats { return e.pages.Stats() }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -54,11 +54,13 @@
 	store     calls.Store
 	calls     *calls.Driver
 	pages     *calls.Pages
-	dialer    *link.Dialer
-	links     link.Registry
-	listener  net.Listener
-	server    *http.Server
-	draining  atomic.Bool
+	// pageOptions says how pages are written.
+	pageOptions calls.PageOptions
+	dialer      *link.Dialer
+	links       link.Registry
+	listener    net.Listener
+	server      *http.Server
+	draining    atomic.Bool
 	// base ends with the entry.
 	base   context.Context
 	cancel context.CancelFunc
