--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/mulberrylane/mulberrylane/bench/calls"
 	"github.com/mulberrylane/mulberrylane/bench/experiment"
 )
 
@@ -24,6 +25,12 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(paths) >= 18)
 	for _, path := range paths {
+		kind, err := calls.KindOf(path)
+		assert.NilError(t, err)
+		if kind == calls.Kind || kind == calls.CostKind {
+			checkCalls(t, kind, path)
+			continue
+		}
 		e, err := experiment.Read(path)
 		assert.NilError(t, err)
 		assert.Equal(t, e.Name+".json", filepath.Base(path))
@@ -32,6 +39,18 @@
 	}
 }
 
+// checkCalls reads an experiment of calls, which has fields of its own.
+func checkCalls(t *testing.T, kind, path string) {
+	t.Helper()
+	var err error
+	if kind == calls.Kind {
+		_, err = calls.ReadExperiment(path)
+	} else {
+		_, err = calls.ReadCost(path)
+	}
+	assert.NilError(t, err)
+}
+
 func TestErrorsNameTheField(t *testing.T) {
 	good := string(kept(t, "lakkos-pause-return"))
 	for _, test := range []struct{ old, new, field string }{
