--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -50,6 +50,14 @@
 	err       error
 }
 
+// operatorSettings is the settings file of mlctl.
+type operatorSettings struct {
+	Store     []string `json:"store"`
+	Processes []string `json:"processes"`
+	HostList  string   `json:"hostList"`
+	Author    string   `json:"author"`
+}
+
 // Prepare writes keys, settings and the list of processes into directory.
 func Prepare(directory string, size Size) error {
 	for _, name := range []string{"keys", "pids", "log"} {
@@ -73,6 +81,9 @@
 	}
 	p.addPlatform()
 	p.write(planFile, p.plan)
+	p.write("mlctl.json", operatorSettings{
+		Store: p.services().Store, Processes: p.plan.EntryOperators, HostList: p.plan.HostList, Author: "demo",
+	})
 	p.writeProcesses()
 	return p.err
 }
--- a/process/revision/follower.go
+++ b/process/revision/follower.go
@@ -104,7 +104,7 @@
 	if change.Deleted || change.Key != DocumentKey {
 		return
 	}
-	if err := f.spreader.fromStore(time.Now(), change.ModRevision, change.Value); err != nil {
+	if err := f.spreader.fromWatch(change.ModRevision, change.Value); err != nil {
 		klog.InfoS("configuration not taken", "revision", change.ModRevision, "err", err)
 	}
 }
--- /dev/null
+++ b/process/revision/scale_test.go
@@ -0,0 +1,123 @@
+package revision
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/connection/wire"
+	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/process/spread"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// scaleFleet is many processes' worth of spreaders in one process, with links in
+// memory and one store over HTTP.
+type scaleFleet struct {
+	state    *kv.Store
+	entries  []*Spreader
+	agents   []*Spreader
+	adapters []*etcd.Store
+	bytes    atomic.Int64
+}
+
+func startScale(b *testing.B, ctx context.Context, entries, agents int) *scaleFleet {
+	f := &scaleFleet{state: kv.New()}
+	server := httptest.NewServer(f.state.Handler())
+	b.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	for i := range agents {
+		s := NewSpreader(fmt.Sprintf("agent-%d", i), spread.Agent, NewHolder())
+		go s.Run(ctx)
+		f.agents = append(f.agents, s)
+	}
+	for i := range entries {
+		s := NewSpreader(fmt.Sprintf("entry-%d", i), spread.Entry, NewHolder())
+		go s.Run(ctx)
+		adapter := etcd.NewStore([]string{server.URL}, server.Client())
+		go NewFollower(adapter, s).Run(ctx)
+		f.entries = append(f.entries, s)
+		f.adapters = append(f.adapters, adapter)
+		for j, agent := range f.agents {
+			f.connect(s, fmt.Sprintf("entry-%d", i), agent, fmt.Sprintf("agent-%d", j))
+		}
+	}
+	return f
+}
+
+// connect joins an entry and an agent; each frame is encoded for its size.
+func (f *scaleFleet) connect(entry *Spreader, entryName string, agent *Spreader, agentName string) {
+	ready := make(chan struct{})
+	var toEntry, toAgent *Session
+	carry := func(to **Session) func(any) error {
+		return func(frame any) error {
+			<-ready
+			data, err := cbor.Marshal(frame)
+			f.bytes.Add(int64(len(data)))
+			(*to).Heard(frame.(wire.ControlFrame))
+			return err
+		}
+	}
+	toAgent = agent.Join(entryName, spread.Entry, carry(&toEntry))
+	toEntry = entry.Join(agentName, spread.Agent, carry(&toAgent))
+	close(ready)
+}
+
+func (f *scaleFleet) apply(b *testing.B, sequence int64) int64 {
+	body, err := version.Record{Author: "bench", Sequence: sequence}.Encode()
+	assert.NilError(b, err)
+	f.state.Put(DocumentKey, body)
+	return f.state.Revision()
+}
+
+func (f *scaleFleet) await(revision int64) {
+	for _, s := range append(f.entries[:len(f.entries):len(f.entries)], f.agents...) {
+		for int64(s.holder.Current().Revision) < revision {
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+}
+
+func (f *scaleFleet) calls() (total, least int64) {
+	for _, adapter := range f.adapters {
+		total += adapter.Calls().Total()
+	}
+	return total, f.state.Calls().Watching
+}
+
+// BenchmarkSpread measures how soon a change is in force at every process after
+// its acceptance, and what the fleet asks of the store while nothing changes.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []struct{ entries, agents int }{{3, 5}, {5, 50}, {20, 320}} {
+		b.Run(fmt.Sprintf("entries=%d/agents=%d", size.entries, size.agents), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := startScale(b, ctx, size.entries, size.agents)
+			f.await(f.apply(b, 1))
+			time.Sleep(6 * time.Second)
+			const idle = 10 * time.Second
+			before, _ := f.calls()
+			sent := f.bytes.Load()
+			time.Sleep(idle)
+			after, watching := f.calls()
+			perLink := float64(f.bytes.Load()-sent) / float64(size.entries*size.agents) / idle.Seconds()
+			b.ResetTimer()
+			var slowest time.Duration
+			for i := range b.N {
+				began := time.Now()
+				f.await(f.apply(b, int64(i)+2))
+				slowest = max(slowest, time.Since(began))
+			}
+			b.ReportMetric(float64(after-before)/idle.Seconds(), "store-calls/s")
+			b.ReportMetric(float64(watching), "watches")
+			b.ReportMetric(perLink, "B/s/link")
+			b.ReportMetric(float64(slowest.Microseconds())/1000, "slowest-ms")
+		})
+	}
+}
--- a/process/revision/spreader.go
+++ b/process/revision/spreader.go
@@ -62,8 +62,9 @@
 			s.perform(command(time.Now()))
 		case now := <-ticker.C:
 			s.perform(s.state.Tick(now))
+			s.publishWatches()
 		}
-		s.publish()
+		s.holder.confirm(s.state.Confirmed())
 	}
 }
 
@@ -112,8 +113,9 @@
 	}
 }
 
-func (s *Spreader) publish() {
-	s.holder.confirm(s.state.Confirmed())
+// publishWatches tells the follower whether this process watches the store. It
+// goes through all that agents tell, so it is done at ticks only.
+func (s *Spreader) publishWatches() {
 	if s.watches.Swap(s.state.Watches()) != s.watches.Load() {
 		select {
 		case s.turned <- struct{}{}:
@@ -122,20 +124,31 @@
 	}
 }
 
-// fromStore takes in what the store holds, read at the given time.
-func (s *Spreader) fromStore(at time.Time, revision int64, body []byte) error {
-	taken, err := s.holder.Put(version.Revision(revision), body, SourceStore)
-	if err != nil {
+// fromStore takes in what the store held when it was asked at the given time.
+func (s *Spreader) fromStore(asked time.Time, revision int64, body []byte) error {
+	if err := s.put(revision, body); err != nil {
+		return err
+	}
+	s.do(func(now time.Time) []spread.Action { return s.state.StoreAnswered(now, asked, revision, body) })
+	return nil
+}
+
+// fromWatch takes in a change that a watch reported. It may have been under way
+// for long, so it confirms nothing.
+func (s *Spreader) fromWatch(revision int64, body []byte) error {
+	if err := s.put(revision, body); err != nil {
 		return err
 	}
+	s.do(func(now time.Time) []spread.Action { return s.state.InForce(now, revision, body) })
+	return nil
+}
+
+func (s *Spreader) put(revision int64, body []byte) error {
+	taken, err := s.holder.Put(version.Revision(revision), body, SourceStore)
 	if taken {
 		klog.InfoS("configuration in force", "revision", revision, "from", SourceStore)
 	}
-	s.do(func(now time.Time) []spread.Action {
-		actions := s.state.InForce(now, revision, body)
-		return append(actions, s.state.StoreAnswered(now, at)...)
-	})
-	return nil
+	return err
 }
 
 func (s *Spreader) storeFailed() {
--- a/process/spread/spread.go
+++ b/process/spread/spread.go
@@ -94,6 +94,8 @@
 	StoreFails bool
 	Entries    []Presence
 
+	// confirmed is when Revision was last known to be the newest, as the peer says.
+	confirmed time.Time
 	// told is what the peer was last told, at toldAt.
 	told   told
 	toldAt time.Time
@@ -138,15 +140,29 @@
 	if revision <= s.revision {
 		return nil
 	}
+	s.take(revision, document)
+	return s.tell(now)
+}
+
+// take puts a newer revision in force. What peers had confirmed for it, or for an
+// older one, is confirmed here from now on.
+func (s *State) take(revision int64, document []byte) {
 	s.revision = revision
 	s.document = document
-	return s.tell(now)
+	for _, peer := range s.links {
+		if peer.Revision <= revision {
+			s.confirm(peer.confirmed)
+		}
+	}
 }
 
-// StoreAnswered notes that the store was asked at the given time and holds no
-// revision above the one in force.
-func (s *State) StoreAnswered(now, at time.Time) []Action {
+// StoreAnswered notes that the store was asked at the given time and held the
+// given revision, which the caller has put in force if it is newer.
+func (s *State) StoreAnswered(now, at time.Time, revision int64, document []byte) []Action {
 	s.storeFails = false
+	if revision > s.revision {
+		s.take(revision, document)
+	}
 	s.confirm(at)
 	return s.tell(now)
 }
@@ -200,6 +216,9 @@
 		peer.Revision = frame.Revision
 		peer.Since = now
 	}
+	if frame.Revision == peer.Revision && frame.Confirmed.After(peer.confirmed) {
+		peer.confirmed = frame.Confirmed
+	}
 	peer.StoreFails = frame.StoreFails
 	if peer.Role == Agent {
 		peer.Entries = frame.Entries
--- a/process/spread/spread_test.go
+++ b/process/spread/spread_test.go
@@ -149,10 +149,12 @@
 	if revision <= 0 {
 		return
 	}
-	f.perform(p, p.state.InForce(f.now, revision, []byte{byte(revision)}))
+	body := []byte{byte(revision)}
 	if late == 0 {
-		f.perform(p, p.state.StoreAnswered(f.now, f.now))
+		f.perform(p, p.state.StoreAnswered(f.now, f.now, revision, body))
+		return
 	}
+	f.perform(p, p.state.InForce(f.now, revision, body))
 }
 
 func (f *fleet) step() {
@@ -306,3 +308,20 @@
 		t.Fatal("the body was not asked for again")
 	}
 }
+
+func TestWordOfAPeerWithANewerRevisionConfirmsNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	agent := spread.New("agent", spread.Agent)
+	agent.LinkUp(now, 1, "entry-1", spread.Entry)
+	agent.LinkUp(now, 2, "entry-2", spread.Entry)
+	agent.Heard(now, 1, spread.Frame{Revision: 5, Confirmed: now})
+	agent.Heard(now, 2, spread.Frame{Revision: 4, Confirmed: now.Add(-time.Minute)})
+	agent.InForce(now, 4, []byte{4})
+	if !agent.Confirmed().Equal(now.Add(-time.Minute)) {
+		t.Fatalf("revision 4 is taken for confirmed at %v", agent.Confirmed())
+	}
+	agent.InForce(now, 5, []byte{5})
+	if !agent.Confirmed().Equal(now) {
+		t.Fatalf("revision 5 is taken for confirmed at %v", agent.Confirmed())
+	}
+}
