--- a/process/calls/submission_test.go
+++ b/process/calls/submission_test.go
@@ -108,7 +108,9 @@
 }
 
 // entry returns the driver of one entry.
-func (b *bench) entry(t *testing.T, reach *targets) *calls.Driver {
+func (b *bench) entry(t *testing.T, reach *targets) *calls.Driver { return b.entryOf(t, reach) }
+
+func (b *bench) entryOf(t *testing.T, reach calls.Targets) *calls.Driver {
 	pages := calls.NewPages(t.Context(), etcd.NewStore([]string{b.url}, &http.Client{}), calls.PageOptions{})
 	return calls.NewDriver(pages, reach, nil)
 }
