Recovery: refusals are bounded by time, not by number

Cause, by review: attempts that targets refuse before they run (a draining or overloaded engine) counted toward the ten attempts without a token, so a resume into a busy service failed after a quarter of a second though it had seconds; and each of them started resumeWithin anew.

Change: refusals pause but do not count; the instant of the loss stands until tokens come or an attempt that ran is lost.

--- a/request/recovery.go
+++ b/request/recovery.go
@@ -143,15 +143,17 @@
 	picking bool
 	// avoid lists targets that failed this request, each once.
 	avoid []TargetID
-	// idleSince is when the last running attempt was lost; zero while one runs.
+	// idleSince is when the last running attempt was lost, or the start; zero once
+	// tokens came after it. Attempts that were refused leave it as it is.
 	idleSince time.Time
 	// repickAt is when another target is asked for; zero means not at all.
 	repickAt time.Time
 	// wake is the instant of the last ActionWake.
 	wake    time.Time
 	started AttemptNumber
-	// fruitless counts the attempts that failed since the last accepted token.
-	fruitless int
+	// fruitless counts the attempts that failed since the last accepted token, and
+	// refusals those that were refused before they ran.
+	fruitless, refusals int
 	// mayHaveRun is set once an attempt was not refused before it ran, hasRun once
 	// one came to its end.
 	mayHaveRun bool
@@ -239,7 +241,7 @@
 // schedule asks to be woken at the earliest of the instants that matter.
 func (r *Recovery) schedule() {
 	next := earlier(r.policy.Deadline, r.repickAt)
-	if !r.idleSince.IsZero() && r.started > 0 {
+	if r.idle() {
 		next = earlier(next, r.idleSince.Add(r.policy.ResumeWithin))
 	}
 	if next.IsZero() || next.Equal(r.wake) {
@@ -249,6 +251,11 @@
 	r.actions = append(r.actions, Action{Type: ActionWake, At: next})
 }
 
+// idle says that nothing runs after an attempt did.
+func (r *Recovery) idle() bool {
+	return r.started > 0 && len(r.running) == 0 && !r.idleSince.IsZero()
+}
+
 // earlier returns the earlier of two instants, of which zero means never.
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -280,7 +287,6 @@
 	}
 	r.started++
 	r.running = append(r.running, attempt{number: r.started, target: target})
-	r.idleSince = time.Time{}
 	r.actions = append(r.actions, Action{Type: ActionRun, Attempt: r.started, Target: target})
 }
 
@@ -334,7 +340,8 @@
 }
 
 func (r *Recovery) deliver(number AttemptNumber, fresh []TokenID) {
-	r.fruitless = 0
+	r.fruitless, r.refusals = 0, 0
+	r.idleSince = time.Time{}
 	r.actions = append(r.actions, Action{Type: ActionDeliver, Attempt: number, Tokens: fresh})
 }
 
@@ -410,8 +417,7 @@
 		return
 	}
 	r.lastKind = kind
-	r.fruitless++
-	r.mayHaveRun = r.mayHaveRun || !refused(kind)
+	r.count(now, kind)
 	r.avoidTarget(r.running[i].target)
 	r.running = slices.Delete(r.running, i, i+1)
 	switch {
@@ -425,14 +431,27 @@
 	case r.exhausted():
 		r.end(fault.RetriesExhausted, "")
 	default:
-		r.idleSince = now
 		r.again(now)
 	}
 }
 
+// count notes a failed attempt. Refusals cost nothing and say nothing about the
+// request, so they are bounded by time and not by number.
+func (r *Recovery) count(now time.Time, kind fault.Kind) {
+	if refused(kind) {
+		r.refusals++
+	} else {
+		r.fruitless++
+		r.mayHaveRun = true
+	}
+	if !refused(kind) || r.idleSince.IsZero() {
+		r.idleSince = now
+	}
+}
+
 // again asks for another target, after a pause when attempts fail in a row.
 func (r *Recovery) again(now time.Time) {
-	if r.fruitless <= promptRepicks {
+	if r.fruitless+r.refusals <= promptRepicks {
 		r.pick()
 		return
 	}
@@ -487,7 +506,7 @@
 func (r *Recovery) second(now time.Time) {
 	switch {
 	case !r.wantsSecond() || r.exhausted() || !r.repickAt.IsZero():
-	case r.fruitless > promptRepicks:
+	case r.fruitless+r.refusals > promptRepicks:
 		r.repickAt = now.Add(secondAfter)
 	default:
 		r.pick()
@@ -496,7 +515,7 @@
 
 func (r *Recovery) onTick(now time.Time) {
 	r.wake = time.Time{}
-	if r.started > 0 && !r.idleSince.IsZero() && now.Sub(r.idleSince) >= r.policy.ResumeWithin {
+	if r.idle() && now.Sub(r.idleSince) >= r.policy.ResumeWithin {
 		r.end(r.idleKind(), "")
 		return
 	}
--- a/request/recovery_test.go
+++ b/request/recovery_test.go
@@ -99,3 +99,44 @@
 		recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Position: position, Tokens: tokens})
 	}
 }
+
+// TestRefusalsAreBoundedByTime has every target refuse a resume: the request goes
+// on asking until ResumeWithin is over, however often it is refused.
+func TestRefusalsAreBoundedByTime(t *testing.T) {
+	now := time.Now()
+	recovery := request.NewRecovery(request.Policy{ResumeWithin: 3 * time.Second, MaxAttempts: 5}, request.NewAnswer(8))
+	var wake time.Time
+	var picks int
+	var end request.Action
+	step := func(event request.Event) {
+		for _, action := range recovery.Step(now, event) {
+			switch action.Type {
+			case request.ActionPick:
+				picks++
+			case request.ActionWake:
+				wake = action.At
+			case request.ActionEnd:
+				end = action
+			default:
+			}
+		}
+	}
+	step(request.Event{Type: request.EventStart})
+	step(request.Event{Type: request.EventPicked, Target: "t-1"})
+	step(request.Event{Type: request.EventTokens, Attempt: 1, Tokens: []request.TokenID{7}})
+	step(request.Event{Type: request.EventFailed, Attempt: 1, Kind: fault.TargetLost})
+	lost := now
+	for answered := 1; !recovery.Ended(); {
+		if picks > answered {
+			answered++
+			step(request.Event{Type: request.EventPicked, Target: "t-2"})
+			step(request.Event{Type: request.EventFailed, Attempt: recovery.Attempts(), Kind: fault.Overloaded})
+			continue
+		}
+		now = wake
+		step(request.Event{Type: request.EventTick})
+	}
+	assert.Equal(t, end.Kind, fault.Overloaded)
+	assert.Equal(t, now.Sub(lost), 3*time.Second)
+	assert.Assert(t, recovery.Attempts() > 5)
+}
