One command line for both daemons

Cause: the two mains were alike line by line. Change: process/daemon reads the checked settings and runs the application; the mains name what they assemble.

--- a/cmd/mlentry/main.go
+++ b/cmd/mlentry/main.go
@@ -2,37 +2,11 @@
 package main
 
 import (
-	"flag"
-	"os"
-
-	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
-
 	"github.com/mulberrylane/mulberrylane"
+	"github.com/mulberrylane/mulberrylane/process/daemon"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 )
 
 func main() {
-	var path string
-	command := &cobra.Command{
-		Use:          "mlentry --settings FILE",
-		Short:        "Serve callers",
-		Args:         cobra.NoArgs,
-		SilenceUsage: true,
-		RunE: func(*cobra.Command, []string) error {
-			var s settings.Entry
-			if err := settings.Read(path, &s); err != nil {
-				return err
-			}
-			return mulberrylane.Run(mulberrylane.NewEntry(s))
-		},
-	}
-	command.Flags().StringVar(&path, "settings", "", "JSON settings file")
-	_ = command.MarkFlagRequired("settings")
-	klog.InitFlags(nil)
-	command.Flags().AddGoFlagSet(flag.CommandLine)
-	defer klog.Flush()
-	if command.Execute() != nil {
-		os.Exit(1)
-	}
+	daemon.Main[settings.Entry]("mlentry", "Serve callers", mulberrylane.NewEntry)
 }
--- /dev/null
+++ b/process/daemon/daemon.go
@@ -0,0 +1,54 @@
+// Package daemon is the command line that all daemons share.
+package daemon
+
+import (
+	"flag"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"github.com/mulberrylane/mulberrylane"
+	"github.com/mulberrylane/mulberrylane/process/settings"
+)
+
+// Checked is a pointer to a settings type S that can check itself.
+type Checked[S any] interface {
+	*S
+	Check() error
+}
+
+// Main reads the settings file that --settings names, runs the application made
+// from it until a signal ends it, and ends the program with 1 on an error.
+func Main[S any, P Checked[S]](name, short string, assemble func(S) *fx.App) {
+	defer klog.Flush()
+	if newCommand[S, P](name, short, assemble).Execute() != nil {
+		klog.Flush()
+		os.Exit(1)
+	}
+}
+
+func newCommand[S any, P Checked[S]](name, short string, assemble func(S) *fx.App) *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:          name + " --settings FILE",
+		Short:        short,
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			var s S
+			if err := settings.Read(path, P(&s)); err != nil {
+				return err
+			}
+			return errors.Wrap(mulberrylane.Run(assemble(s)), name)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "JSON settings file")
+	_ = command.MarkFlagRequired("settings")
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	klog.InitFlags(flags)
+	command.Flags().AddGoFlagSet(flags)
+	return command
+}
