--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -29,6 +29,6 @@
 	assert.ErrorContains(t, err, "failureDomain: must be set")
 	assert.ErrorContains(t, err, "callers:")
 	assert.Assert(t, !assembled)
-	_, err = execute(t, `{"nmae": "entry-1"}`)
-	assert.ErrorContains(t, err, `unknown field "nmae"`)
+	_, err = execute(t, `{"title": "entry-1"}`)
+	assert.ErrorContains(t, err, `unknown field "title"`)
 }
