Recovery: waiting for the first target is no loss

Cause: since refusals leave the instant of the loss as it is, a request that waited for its first target longer than resumeWithin ended at once when that target refused it.

Change: the first pick clears the instant.

Result: a test of its own; go test ./request passes.

--- a/request/recovery.go
+++ b/request/recovery.go
@@ -285,6 +285,9 @@
 		r.repickAt = now.Add(secondAfter)
 		return
 	}
+	if r.started == 0 {
+		r.idleSince = time.Time{}
+	}
 	r.started++
 	r.running = append(r.running, attempt{number: r.started, target: target})
 	r.actions = append(r.actions, Action{Type: ActionRun, Attempt: r.started, Target: target})
--- a/request/recovery_test.go
+++ b/request/recovery_test.go
@@ -140,3 +140,18 @@
 	assert.Equal(t, now.Sub(lost), 3*time.Second)
 	assert.Assert(t, recovery.Attempts() > 5)
 }
+
+// TestFirstRefusalAfterALongQueue gives a request that waited longer than
+// ResumeWithin for its first target another one when that refuses.
+func TestFirstRefusalAfterALongQueue(t *testing.T) {
+	now := time.Now()
+	recovery := request.NewRecovery(request.Policy{ResumeWithin: time.Second}, request.NewAnswer(8))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	now = now.Add(time.Minute)
+	recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-1"})
+	recovery.Step(now, request.Event{Type: request.EventFailed, Attempt: 1, Kind: fault.Draining})
+	recovery.Step(now, request.Event{Type: request.EventTick})
+	assert.Assert(t, !recovery.Ended())
+	actions := recovery.Step(now, request.Event{Type: request.EventPicked, Target: "t-2"})
+	assert.Equal(t, actions[0].Type, request.ActionRun)
+}
