--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -112,6 +112,16 @@
 	c.Required("keys.authority", files.Authority)
 }
 
+// operators checks the operators' endpoint: without tokens it may listen on a
+// loopback address only.
+func (c *Checker) operators(address string, digests []string) {
+	c.Address("operators", address)
+	host, _, err := net.SplitHostPort(address)
+	if err == nil && len(digests) == 0 && !net.ParseIP(host).IsLoopback() {
+		c.Errorf("operatorDigests", "must name a token, since operators %q is not a loopback address", address)
+	}
+}
+
 func (c *Checker) platform(p Platform) {
 	if len(p.Store) == 0 {
 		c.Errorf("platform.store", "must name at least one URL")
@@ -125,7 +135,7 @@
 	c.Required("name", e.Name)
 	c.Required("failureDomain", e.FailureDomain)
 	c.Address("callers", e.Callers)
-	c.Address("operators", e.Operators)
+	c.operators(e.Operators, e.OperatorDigests)
 	c.keys(e.Keys)
 	c.platform(e.Platform)
 	return c.Err()
@@ -139,7 +149,7 @@
 	c.Required("target", a.Target)
 	c.Required("service", a.Service)
 	c.Address("links", a.Links)
-	c.Address("operators", a.Operators)
+	c.operators(a.Operators, a.OperatorDigests)
 	c.keys(a.Keys)
 	if (a.Engine == "") == (a.Application == "") {
 		c.Errorf("engine", "set exactly one of engine and application")
--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -1,8 +1,9 @@
 /*
  * Orders to one engine: two processes that compete for the lease of orders, a lease
  * that lapses at any time though its holder goes on, orders that reach the agent
- * late, twice or never, an agent that serves two orders at a time and is restarted
- * while a request to the engine is on its way, and an engine that is restarted.
+ * late, twice or never, and an agent that serves two orders at a time and is
+ * restarted while a request to the engine is on its way. The engine is not
+ * restarted.
  *
  * CHECKS says that the engine refuses an order with a lower number than it has
  * seen. docs/ORDERS.md names the function behind each step. check-orders.sh
