fx modules of entry and agent, whose constructors take interfaces

Cause: both constructors built adapters and time line themselves, so that a program could replace none of them, and the two applications were alike. Change: entry.Module and agent.Module provide store, host list, engine, orders and observer; New is the same by hand.

--- a/mulberrylane.go
+++ b/mulberrylane.go
@@ -26,26 +26,17 @@
 
 // NewEntry returns the application of an entry. It starts with Run.
 func NewEntry(s settings.Entry) *fx.App {
-	return fx.New(
-		fx.NopLogger,
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
-		fx.Supply(s),
-		fx.Provide(entry.New),
-		fx.Invoke(func(lifecycle fx.Lifecycle, e *entry.Entry) { hook(lifecycle, e) }),
-	)
+	return newApp(fx.Supply(s), entry.Module, fx.Invoke(hook[*entry.Entry]))
 }
 
 // NewAgent returns the application of an agent. It starts with Run.
 func NewAgent(s settings.Agent) *fx.App {
-	return fx.New(
-		fx.NopLogger,
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
-		fx.Supply(s),
-		fx.Provide(agent.New),
-		fx.Invoke(func(lifecycle fx.Lifecycle, a *agent.Agent) { hook(lifecycle, a) }),
-	)
+	return newApp(fx.Supply(s), agent.Module, fx.Invoke(hook[*agent.Agent]))
+}
+
+func newApp(parts ...fx.Option) *fx.App {
+	common := fx.Options(fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout))
+	return fx.New(append(parts, common)...)
 }
 
 // process is what starts and stops with an application.
@@ -54,7 +45,7 @@
 	Stop(ctx context.Context) error
 }
 
-func hook(lifecycle fx.Lifecycle, p process) {
+func hook[P process](lifecycle fx.Lifecycle, p P) {
 	lifecycle.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
 }
 
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -16,7 +16,6 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/platform/application"
-	"github.com/mulberrylane/mulberrylane/platform/openai"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
@@ -48,17 +47,18 @@
 	tasks         sync.WaitGroup
 }
 
-// New returns an agent that serves nothing until Start.
-func New(s settings.Agent) *Agent {
+// NewWith returns an agent that reaches the given services. It serves nothing
+// until Start.
+func NewWith(s settings.Agent, outside Outside) *Agent {
 	a := &Agent{
 		settings:      s,
 		incarnation:   request.Incarnation(time.Now().UnixNano()),
-		engine:        openai.NewEngine(s.Engine, engineClient()),
+		engine:        outside.Engine,
 		journal:       newJournal(),
-		observer:      observe.New(s.Name, s.Operators, s.OperatorDigests),
+		observer:      outside.Observer,
 		status:        newEngineStatus(),
 		configuration: newConfiguration(s),
-		orders:        newOrderDesk(s),
+		orders:        &orderDesk{engine: outside.Orders},
 		directory:     newDirectoryPart(),
 	}
 	a.observer.Gauges(metrics.LinkGauges(&a.links)...)
--- /dev/null
+++ b/process/agent/module.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/platform/openai"
+	"github.com/mulberrylane/mulberrylane/process/observe"
+	"github.com/mulberrylane/mulberrylane/process/settings"
+)
+
+// Module assembles an agent from its settings, a settings.Agent. A program may
+// replace any of the parts with fx.Decorate.
+var Module = fx.Module("agent", fx.Provide(newEngine, newOrders, newObserver, NewWith))
+
+// Outside is what an agent reaches beyond itself.
+type Outside struct {
+	fx.In
+
+	Engine   platform.Engine
+	Orders   platform.Orders
+	Observer *observe.Observer
+}
+
+// New returns an agent that reaches what its settings name. It serves nothing
+// until Start.
+func New(s settings.Agent) *Agent {
+	return NewWith(s, Outside{Engine: newEngine(s), Orders: newOrders(s), Observer: newObserver(s)})
+}
+
+func newEngine(s settings.Agent) platform.Engine { return openai.NewEngine(s.Engine, engineClient()) }
+
+func newOrders(s settings.Agent) platform.Orders { return openai.NewOrders(s.Engine, engineClient()) }
+
+func newObserver(s settings.Agent) *observe.Observer {
+	return observe.New(s.Name, s.Operators, s.OperatorDigests)
+}
--- a/process/agent/orders.go
+++ b/process/agent/orders.go
@@ -12,10 +12,8 @@
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/openai"
 	"github.com/mulberrylane/mulberrylane/process/order"
 	"github.com/mulberrylane/mulberrylane/process/orders"
-	"github.com/mulberrylane/mulberrylane/process/settings"
 )
 
 // roleEvery is the period at which the engine is asked for its role, where the
@@ -35,10 +33,6 @@
 	lastRole string
 }
 
-func newOrderDesk(s settings.Agent) *orderDesk {
-	return &orderDesk{engine: openai.NewOrders(s.Engine, engineClient())}
-}
-
 func (d *orderDesk) role() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -20,8 +20,6 @@
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
-	"github.com/mulberrylane/mulberrylane/platform/hostlist"
 	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
@@ -48,10 +46,9 @@
 	observer  *observe.Observer
 	follower  *revision.Follower
 	spreader  *revision.Spreader
-	etcd      *etcd.Store
+	store     Store
 	control   *control
 	peers     peers
-	store     calls.Store
 	calls     *calls.Driver
 	pages     *calls.Pages
 	// pageOptions says how pages are written.
@@ -67,28 +64,25 @@
 	tasks  sync.WaitGroup
 }
 
-// New returns an entry that serves nothing until Start.
-func New(s settings.Entry) *Entry {
+// NewWith returns an entry that reaches the given services. It serves nothing
+// until Start.
+func NewWith(s settings.Entry, outside Outside) *Entry {
 	withDefaults(&s)
-	client := &http.Client{Timeout: platformTimeout}
 	revisions := revision.NewHolder()
-	store := etcd.NewStore(s.Platform.Store, client)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	observer := observe.New(s.Name, s.Operators, s.OperatorDigests)
 	spreader := revision.NewSpreader(s.Name, spread.Entry, revisions)
 	e := &Entry{
 		settings:  s,
-		hosts:     hostlist.New(s.Platform.HostList, client),
+		hosts:     outside.Hosts,
 		revisions: revisions,
-		observer:  observer,
-		follower:  revision.NewFollower(store, spreader),
+		observer:  outside.Observer,
+		follower:  revision.NewFollower(outside.Store, spreader),
 		spreader:  spreader,
-		etcd:      store,
-		store:     store,
-		control:   newControl(random, revisions, observer),
+		store:     outside.Store,
+		control:   newControl(random, revisions, outside.Observer),
 		peers:     peers{byTarget: map[request.TargetID]*peer{}},
 	}
-	observer.Gauges(e.gauges(store)...)
+	e.observer.Gauges(e.gauges()...)
 	return e
 }
 
--- a/process/entry/gauges.go
+++ b/process/entry/gauges.go
@@ -1,20 +1,19 @@
 package entry
 
 import (
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 )
 
 // gauges returns the figures that operators watch on an entry.
-func (e *Entry) gauges(store *etcd.Store) []metrics.Gauge {
+func (e *Entry) gauges() []metrics.Gauge {
 	return append(metrics.LinkGauges(&e.links), []metrics.Gauge{
 		{Name: "mulberrylane.revision", Description: "Configuration revision in force", Read: func() int64 {
 			return int64(e.revisions.Current().Revision)
 		}},
 		{Name: "mulberrylane.control.busy", Description: "Nanoseconds that the control goroutine worked", Read: e.control.busy.Load},
-		{Name: "mulberrylane.store.reads", Description: "Reads of the key-value service", Read: func() int64 { return store.Calls().Reads }},
-		{Name: "mulberrylane.store.writes", Description: "Writes to the key-value service", Read: func() int64 { return store.Calls().Writes }},
-		{Name: "mulberrylane.store.leases", Description: "Lease calls of the key-value service", Read: func() int64 { return store.Calls().Leases }},
-		{Name: "mulberrylane.store.watches", Description: "Watches opened at the key-value service", Read: func() int64 { return store.Calls().Watches }},
+		{Name: "mulberrylane.store.reads", Description: "Reads of the key-value service", Read: func() int64 { return e.store.Calls().Reads }},
+		{Name: "mulberrylane.store.writes", Description: "Writes to the key-value service", Read: func() int64 { return e.store.Calls().Writes }},
+		{Name: "mulberrylane.store.leases", Description: "Lease calls of the key-value service", Read: func() int64 { return e.store.Calls().Leases }},
+		{Name: "mulberrylane.store.watches", Description: "Watches opened at the key-value service", Read: func() int64 { return e.store.Calls().Watches }},
 	}...)
 }
--- /dev/null
+++ b/process/entry/module.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net/http"
+
+	"go.uber.org/fx"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/process/observe"
+	"github.com/mulberrylane/mulberrylane/process/settings"
+)
+
+// Module assembles an entry from its settings, a settings.Entry. A program may
+// replace any of the parts with fx.Decorate.
+var Module = fx.Module("entry", fx.Provide(newStore, newHostList, newObserver, NewWith))
+
+// Store is the key-value service, with a count of the calls made to it.
+type Store interface {
+	platform.Store
+	Calls() etcd.Calls
+}
+
+// Outside is what an entry reaches beyond itself.
+type Outside struct {
+	fx.In
+
+	Store    Store
+	Hosts    platform.HostList
+	Observer *observe.Observer
+}
+
+// New returns an entry that reaches what its settings name. It serves nothing
+// until Start.
+func New(s settings.Entry) *Entry {
+	return NewWith(s, Outside{Store: newStore(s), Hosts: newHostList(s), Observer: newObserver(s)})
+}
+
+func newStore(s settings.Entry) Store {
+	return etcd.NewStore(s.Platform.Store, &http.Client{Timeout: platformTimeout})
+}
+
+func newHostList(s settings.Entry) platform.HostList {
+	return hostlist.New(s.Platform.HostList, &http.Client{Timeout: platformTimeout})
+}
+
+func newObserver(s settings.Entry) *observe.Observer {
+	return observe.New(s.Name, s.Operators, s.OperatorDigests)
+}
