Admission: tokens of short answers count in the pace

Cause: the progress of an attempt was read every 100 ms, so what came between the last reading and its end was never counted; with answers of one token the pace was near zero, and requests were refused as overloaded though the engine was idle. Change: the rest is counted when the attempt ends.

--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -55,9 +55,11 @@
 	// checked is when the silences were last looked at, swept when the progress
 	// of the running attempts was.
 	checked, swept time.Time
-	desk           desk
-	departures     departures
-	running        map[request.TargetID]map[runKey]*attemptLoad
+	// produced counts the tokens of each service since the last sweep.
+	produced   map[string]int
+	desk       desk
+	departures departures
+	running    map[request.TargetID]map[runKey]*attemptLoad
 }
 
 func newControl(random *rand.Rand, revisions *revision.Holder, observer *observe.Observer) *control {
@@ -67,6 +69,7 @@
 		revisions:  revisions,
 		observer:   observer,
 		table:      routing.NewTable(random),
+		produced:   map[string]int{},
 		desk:       newDesk(),
 		departures: newDepartures(),
 		watches:    map[request.TargetID]*watch{},
@@ -162,6 +165,7 @@
 // ended removes a running attempt.
 func (c *control) ended(target request.TargetID, key runKey, run *attemptLoad) {
 	c.do(context.Background(), func() {
+		c.count(target, run)
 		c.table.Release(target, run.expected-run.counted)
 		delete(c.running[target], key)
 		c.noteBusy(target)
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -139,22 +139,27 @@
 	c.dispatchAll(now)
 }
 
+// count takes the progress of one attempt off the load of its target.
+func (c *control) count(id request.TargetID, run *attemptLoad) {
+	total := int(run.produced.Load())
+	fresh := total - run.counted
+	run.counted = total
+	c.table.Produced(id, fresh)
+	c.produced[run.driver.generation.Service] += fresh
+}
+
 // sweep takes the progress of all running attempts off the load of their targets,
 // tells it to admission, and counts the entries.
 func (c *control) sweep(now time.Time) {
-	produced := map[string]int{}
 	for id, runs := range c.running {
 		for _, run := range runs {
-			total := int(run.produced.Load())
-			fresh := total - run.counted
-			run.counted = total
-			c.table.Produced(id, fresh)
-			produced[run.driver.generation.Service] += fresh
+			c.count(id, run)
 		}
 	}
 	for _, service := range c.desk.controller.Services() {
-		c.desk.controller.Produced(now, service, produced[service])
+		c.desk.controller.Produced(now, service, c.produced[service])
 	}
+	clear(c.produced)
 	entries := 1
 	for id, w := range c.watches {
 		entries = max(entries, w.entries)
