Shares hold in the engines' own queues

Admission let work in faster than the engines ran it, and in the engines' queues it stood in order of arrival. Ruled out: the entry queue alone (it is in order of shares, but its room is only learnt once attempts wait at a target). Change: admission gives each request that it lets in a rank that grows with the logarithm of what its workspace has in flight for its share; new work goes to the engine with the profile's priority plus that rank, resumes before it without one. What is left is the wait for a slot: engines do not preempt, and all slots are taken.

--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -42,6 +42,8 @@
 	Sent uint64 `cbor:"5,keyasint,omitempty"`
 	// Epoch is that of the attachment on whose behalf the entry runs the attempt.
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
+	// Rank orders new work of one profile on the engine; less goes first.
+	Rank int `cbor:"7,keyasint,omitempty"`
 }
 
 // Attach asks an agent to go on with a generation from its journal.
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -50,6 +50,9 @@
 	Kind fault.Kind
 	// RetryAfter is when it is worth while to ask again.
 	RetryAfter time.Duration
+	// Rank orders requests that were let in where they wait next, at a target: less
+	// goes first. It grows with what the workspace has in flight for its share.
+	Rank int
 }
 
 const (
@@ -164,8 +167,9 @@
 	var decisions []Decision
 	for ; room > 0 && q.waiting > 0; room-- {
 		ask := q.popFirst()
+		rank := q.rank(ask)
 		q.start(ask)
-		decisions = append(decisions, Decision{ID: ask.ID})
+		decisions = append(decisions, Decision{ID: ask.ID, Rank: rank})
 	}
 	return decisions
 }
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -90,6 +90,34 @@
 }
 
 // A workspace that was idle has not saved up a turn: it gets its share from now on.
+// TestRankGrowsWithWhatIsInFlight lets in all asks at once, as when targets take
+// more than they can run: what waits there is ordered by shares.
+func TestRankGrowsWithWhatIsInFlight(t *testing.T) {
+	b := newBench()
+	for range 64 {
+		b.offer(start, ask("large", 1, 200))
+	}
+	large := b.Dispatch(service, 64)
+	b.offer(start, ask("small", 1, 200))
+	b.offer(start, ask("wide", 8, 200))
+	others := b.Dispatch(service, 2)
+	assert.Equal(t, large[0].Rank, 0)
+	assert.Assert(t, large[63].Rank > large[8].Rank)
+	assert.Equal(t, others[0].Rank, 0)
+	assert.Equal(t, others[1].Rank, 0)
+	for range 8 {
+		b.offer(start, ask("wide", 8, 200))
+	}
+	b.Dispatch(service, 8)
+	b.offer(start, ask("wide", 8, 200))
+	// Nine times 200 tokens over a share of 8 are three and a half units of 64.
+	assert.Equal(t, b.Dispatch(service, 1)[0].Rank, 2)
+	for range 200 {
+		b.offer(start, ask("large", 1, 1<<20))
+	}
+	assert.Equal(t, b.Dispatch(service, 200)[199].Rank, 20)
+}
+
 func TestIdleTimeIsNotSavedUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBench()
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -112,6 +113,20 @@
 	return Ask{}, false
 }
 
+const (
+	// rankUnit is how many tokens in flight for each part of its share a workspace
+	// may have at rank zero; each doubling adds one.
+	rankUnit = 64
+	// maxRank keeps ranks below the distance between the priorities of profiles.
+	maxRank = 20
+)
+
+// rank returns the rank of an ask that is about to be let in.
+func (q *queue) rank(ask Ask) int {
+	f := q.flow(ask.Workspace)
+	return min(maxRank, bits.Len(uint(f.inFlight/max(1, f.share)/rankUnit)))
+}
+
 func (q *queue) start(ask Ask) {
 	q.running++
 	q.flow(ask.Workspace).inFlight += ask.Tokens
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -95,12 +95,13 @@
 // resumePriority is by how much a resume goes before new work of its profile.
 const resumePriority = 1
 
-// enginePriority is the priority of an attempt on the engine, where lower runs first.
+// enginePriority is the priority of an attempt on the engine, where lower runs
+// first. The queue of the engine so keeps the shares of workspaces as well.
 func enginePriority(run wire.Run) int {
 	if len(run.Accepted) > 0 {
 		return run.Generation.Priority - resumePriority
 	}
-	return run.Generation.Priority
+	return run.Generation.Priority + run.Rank
 }
 
 // relay copies the engine's chunks into the record.
--- a/process/agent/run_test.go
+++ b/process/agent/run_test.go
@@ -22,3 +22,14 @@
 	r.finish(wire.End{Finish: request.FinishStop})
 	assert.Equal(t, r.since(0).end.Kind, fault.TargetLost)
 }
+
+// TestPriorityOnTheEngine orders resumes before new work of the same profile, and
+// new work by the rank of its workspace.
+func TestPriorityOnTheEngine(t *testing.T) {
+	g := request.Generation{Priority: 50}
+	resume := enginePriority(wire.Run{Generation: g, Rank: 9, Accepted: []request.TokenID{1}})
+	small := enginePriority(wire.Run{Generation: g})
+	large := enginePriority(wire.Run{Generation: g, Rank: 9})
+	assert.Assert(t, resume < small)
+	assert.Assert(t, small < large)
+}
--- a/process/entry/admission.go
+++ b/process/entry/admission.go
@@ -27,6 +27,8 @@
 	// waiting is set until the ask is settled, running while the request counts
 	// as let in.
 	waiting, running bool
+	// rank is that of the decision; it is set before the reply.
+	rank int
 }
 
 // desk is the part of the control goroutine that lets new requests in.
@@ -141,6 +143,7 @@
 			continue
 		}
 		t.running = true
+		t.rank = decision.Rank
 		c.pickNow(now, t.need, t.reply)
 	}
 }
--- a/process/entry/generation.go
+++ b/process/entry/generation.go
@@ -274,6 +274,14 @@
 	return g.Version
 }
 
+// rank is that which admission gave the request, zero when it gave none.
+func (d *generationDriver) rank() int {
+	if d.ticket == nil {
+		return 0
+	}
+	return d.ticket.rank
+}
+
 func (d *generationDriver) start(ctx context.Context, action request.Action) {
 	position := d.recovery.Answer().Len()
 	stamp := d.watch.started(action.Attempt, action.Target, position, len(d.prompt.Tokens), len(d.attempts))
@@ -288,6 +296,7 @@
 		Accepted:   d.recovery.Answer().Tokens(),
 		Sent:       uint64(stamp),
 		Epoch:      d.epoch,
+		Rank:       d.rank(),
 	}
 	d.putPlace(ctx, action.Attempt, action.Target)
 	go d.entry.runAttempt(attemptCtx, action.Target, run, d.events)
