Idle entries check less often; links bounded over all services

Cause: the slopes gave an idle entry 1.62% of a core and 0.030% a link, and 16 links to each of 18 services would be 288 links at the target. Change: silences are looked at every 10 ms while requests run or wait and every 100 ms else; all services together get 48 links, each at least three; the capacity page counts 54 links an entry and shares an agent's load reports over its entries.

--- a/bench/slopes/capacity.go
+++ b/bench/slopes/capacity.go
@@ -43,9 +43,10 @@
 // Tokens/Requests tokens on average and lasts at most that many times
 // secondsPerToken.
 func TwoYears() Target {
+	const linksPerService = 3 // the least part of a service that entries link to
 	t := Target{
 		Entries: 320, Replicas: 1600, Requests: 5800, Tokens: 1.4e6,
-		Workspaces: 490, Models: 18, LinksPerEntry: 40, ChangesPerDay: 1700,
+		Workspaces: 490, Models: 18, LinksPerEntry: 18 * linksPerService, ChangesPerDay: 1700,
 		ControlCPU: 0.018, ControlMemory: 256 * mebibyte, ControlBytes: 7 * kilobyte,
 		StoreWrites: 300, StoreReads: 2000,
 	}
@@ -80,10 +81,12 @@
 	controlMemory := s.Entry.BaseMemory + s.Entry.LinkMemory*links
 	relayMemory := controlMemory + s.Entry.StreamMemory*t.streams()/entries
 	changes := float64(t.ChangesPerDay) / day
+	reports := s.Entry.BusyLinkBytes - s.Entry.IdleLinkBytes
+	entriesPerAgent := max(1, links*entries/float64(t.Replicas))
 	return []Need{
 		need("entry: control goroutine", "%.2f%% of a core", percent*controlCPU, percent*t.ControlCPU),
 		need("entry: idle process with its links", "%.2f%% of a core", percent*idleCPU, percent*t.ControlCPU),
-		need("entry: control bytes, links busy", "%.0f B/s", s.Entry.BusyLinkBytes*links, t.ControlBytes),
+		need("entry: control bytes, links busy", "%.0f B/s", links*(s.Entry.IdleLinkBytes+reports/entriesPerAgent), t.ControlBytes),
 		need("entry: control bytes, links idle", "%.0f B/s", s.Entry.IdleLinkBytes*links, t.ControlBytes),
 		need("entry: whole documents of all changes, one copy", "%.0f B/s", t.DocumentBytes*changes, t.ControlBytes),
 		need("entry: the same, packed", "%.0f B/s", t.PackedBytes*changes, t.ControlBytes),
@@ -101,7 +104,7 @@
 	idleCPU := s.Agent.BaseCPU + max(0, s.Agent.LinkCPU)*links
 	return []Need{
 		need("agent: idle process with its links", "%.2f%% of a core", percent*idleCPU, percent*t.ControlCPU),
-		need("agent: control bytes, links busy", "%.0f B/s", s.Agent.BusyLinkBytes*links, t.ControlBytes),
+		need("agent: control bytes, links busy", "%.0f B/s", s.Agent.IdleLinkBytes*links+s.Agent.BusyLinkBytes-s.Agent.IdleLinkBytes, t.ControlBytes),
 		need("agent: memory without streams", "%.0f MiB", s.Agent.BaseMemory/mebibyte, t.ControlMemory/mebibyte),
 		plain("agent: relaying at the peak", "%.1f%% of a core", percent*(idleCPU+s.Agent.TokenCPU*tokens+s.Agent.RequestCPU*requests)),
 		plain("agent: memory with its streams", "%.0f MiB", (s.Agent.BaseMemory+s.Agent.StreamMemory*streams)/mebibyte),
--- a/bench/slopes/slopes_test.go
+++ b/bench/slopes/slopes_test.go
@@ -58,7 +58,7 @@
 	assert.NilError(t, err)
 	target := slopes.TwoYears()
 	text := fitted.Markdown(target)
-	assert.Assert(t, strings.Contains(text, "| entry: control bytes, links busy | 4000 B/s | 7000 B/s | yes |"), text)
+	assert.Assert(t, strings.Contains(text, "| entry: control bytes, links busy | 5400 B/s | 7000 B/s | yes |"), text)
 	target.ControlBytes = 1000
-	assert.Assert(t, strings.Contains(fitted.Markdown(target), "| entry: control bytes, links busy | 4000 B/s | 1000 B/s | **no** |"))
+	assert.Assert(t, strings.Contains(fitted.Markdown(target), "| entry: control bytes, links busy | 5400 B/s | 1000 B/s | **no** |"))
 }
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// checkEvery is the period at which silences are looked at.
-	checkEvery = 10 * time.Millisecond
+	// checkEvery is the period at which silences are looked at while requests run
+	// or wait, idleCheckEvery that while none do.
+	checkEvery     = 10 * time.Millisecond
+	idleCheckEvery = 100 * time.Millisecond
 	// commandBuffer is how many commands may wait for the control goroutine.
 	commandBuffer = 1024
 )
@@ -52,6 +54,9 @@
 	observer  *observe.Observer
 	table     *routing.Table
 	watches   map[request.TargetID]*watch
+	// period is the present period of checks, attempts counts those that run.
+	period   time.Duration
+	attempts int
 	// checked is when the silences were last looked at, swept when the progress
 	// of the running attempts was.
 	checked, swept time.Time
@@ -79,20 +84,45 @@
 
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(checkEvery)
-	defer ticker.Stop()
+	c.period = idleCheckEvery
+	timer := time.NewTimer(c.period)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case command := <-c.commands:
 			c.timed(command)
-		case <-ticker.C:
+			if c.quicken(time.Now()) {
+				timer.Reset(c.period)
+			}
+		case <-timer.C:
 			c.timed(func() { c.checkSilence(time.Now()) })
+			c.period = c.wantedPeriod()
+			timer.Reset(c.period)
 		}
 	}
 }
 
+// wantedPeriod is how soon silences have to be looked at again.
+func (c *control) wantedPeriod() time.Duration {
+	if c.attempts > 0 || len(c.desk.waiting) > 0 {
+		return checkEvery
+	}
+	return idleCheckEvery
+}
+
+// quicken ends the slow period when work has come. The time since the last check
+// was no pause of this process.
+func (c *control) quicken(now time.Time) bool {
+	if c.period == checkEvery || c.wantedPeriod() != checkEvery {
+		return false
+	}
+	c.period = checkEvery
+	c.checked = now
+	return true
+}
+
 // timed runs work and counts the time that it takes.
 func (c *control) timed(work func()) {
 	begin := time.Now()
@@ -158,6 +188,7 @@
 			c.running[target] = runs
 		}
 		runs[key] = run
+		c.attempts++
 		c.noteBusy(target)
 	})
 }
@@ -167,7 +198,10 @@
 	c.do(context.Background(), func() {
 		c.count(target, run)
 		c.table.Release(target, run.expected-run.counted)
-		delete(c.running[target], key)
+		if _, ok := c.running[target][key]; ok {
+			delete(c.running[target], key)
+			c.attempts--
+		}
 		c.noteBusy(target)
 		c.dispatch(time.Now(), run.driver.generation.Service)
 	})
--- a/process/entry/control_watch.go
+++ b/process/entry/control_watch.go
@@ -122,7 +122,7 @@
 // checkSilence looks at all targets. When the check itself comes late, this
 // process was paused, and its own silence is no sign of the targets.
 func (c *control) checkSilence(now time.Time) {
-	late := now.Sub(c.checked) - checkEvery
+	late := now.Sub(c.checked) - c.period
 	paused := !c.checked.IsZero() && late > ownPause
 	c.checked = now
 	if now.Sub(c.swept) >= sweepEvery {
--- a/process/entry/membership.go
+++ b/process/entry/membership.go
@@ -16,8 +16,11 @@
 	// subsetFrom is the size of a service from which an entry keeps links to only
 	// a part of its targets.
 	subsetFrom = 48
-	// subsetBase is the least size of that part.
-	subsetBase = 16
+	// subsetLeast and subsetMost bound that part before it is widened. Within them
+	// the parts of all services together have subsetLinks links.
+	subsetLeast = 3
+	subsetMost  = 16
+	subsetLinks = 48
 	// reachPoll is how often a link that was asked for is looked at.
 	reachPoll = 10 * time.Millisecond
 )
@@ -98,7 +101,7 @@
 		now := time.Now()
 		subset, ok := r.subsets[service]
 		if !ok {
-			subset = membership.NewSubset(now, e.settings.Name, subsetBase)
+			subset = membership.NewSubset(now, e.settings.Name, subsetBase(len(byService)))
 			r.subsets[service] = subset
 		}
 		for _, id := range subset.Choose(now, targets, view.short[service]) {
@@ -108,6 +111,11 @@
 	return wanted
 }
 
+// subsetBase is how many targets of each of so many services an entry has links to.
+func subsetBase(services int) int {
+	return min(subsetMost, max(subsetLeast, subsetLinks/services))
+}
+
 func (e *Entry) addPeer(ctx context.Context, placement platform.Placement) {
 	known, ok := e.peers.byTarget[placement.Target]
 	if ok && known.placement.Agent == placement.Agent {
