Calls: a target whose link is not there is passed over

A target was shown to the routing table before its link was put in place, so a call in between found no link and was refused; the log shows the last target come up in the millisecond before the calls. Change: the link stands before the target is shown; a pick that finds no link tries another target, at most four times, before the call is refused as not run.

--- a/process/entry/calltargets.go
+++ b/process/entry/calltargets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
@@ -15,30 +16,44 @@
 // over the entry's links. It implements calls.Targets.
 type callTargets struct{ entry *Entry }
 
-// Pick implements calls.Targets.
+// unlinkedPicks bounds the picks of targets whose links broke since they were
+// chosen.
+const unlinkedPicks = 4
+
+// Pick implements calls.Targets. A target whose link has just gone is passed over.
 func (t callTargets) Pick(ctx context.Context, service string, avoid []request.TargetID) (calls.Target, error) {
+	for range unlinkedPicks {
+		target, err := t.pick(ctx, service, avoid)
+		if err != nil {
+			return calls.Target{}, err
+		}
+		if gate, ok := t.Find(target); ok {
+			return calls.Target{ID: target, Gate: gate, Release: func() { t.release(target) }}, nil
+		}
+		t.release(target)
+		avoid = append(slices.Clone(avoid), target)
+	}
+	return calls.Target{}, fault.New(fault.NoTarget, "")
+}
+
+// pick asks the control goroutine for a target.
+func (t callTargets) pick(ctx context.Context, service string, avoid []request.TargetID) (request.TargetID, error) {
 	e := t.entry
 	need := routing.Need{Service: service, Avoid: avoid, FailureDomain: e.settings.FailureDomain}
 	reply := make(chan request.Event, 1)
 	e.control.pick(ctx, need, reply)
-	var event request.Event
 	select {
-	case event = <-reply:
+	case event := <-reply:
+		if event.Type != request.EventPicked {
+			return "", fault.New(event.Kind, "")
+		}
+		return event.Target, nil
 	case <-e.control.done:
-		return calls.Target{}, fault.New(fault.Draining, "")
+		return "", fault.New(fault.Draining, "")
 	case <-ctx.Done():
 		e.control.unpick(reply, 0)
-		return calls.Target{}, fault.New(fault.NoTarget, "")
-	}
-	if event.Type != request.EventPicked {
-		return calls.Target{}, fault.New(event.Kind, "")
-	}
-	gate, ok := t.Find(event.Target)
-	if !ok {
-		t.release(event.Target)
-		return calls.Target{}, fault.New(fault.NoTarget, "")
+		return "", fault.New(fault.NoTarget, "")
 	}
-	return calls.Target{ID: event.Target, Gate: gate, Release: func() { t.release(event.Target) }}, nil
 }
 
 func (t callTargets) release(target request.TargetID) {
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -91,11 +91,12 @@
 	e.links.Add(l)
 	defer e.links.Remove(l)
 	hello := *first.Hello
+	// The link stands before the target can be picked.
+	p.set(l, hello.Incarnation)
 	e.control.linkUp(ctx, hello, l)
 	if first.Heartbeat != nil {
 		e.control.heartbeat(ctx, hello.Target, *first.Heartbeat)
 	}
-	p.set(l, hello.Incarnation)
 	defer func() {
 		p.set(nil, 0)
 		e.control.linkDown(ctx, hello.Target, l)
