Names that nothing used are gone

Cause: a read of the whole change found seven kinds of time-line event (revision in force and stale, orders given, refused, done and failed, process stopped) that no process records, and fault.Kinds without a caller. Change: they are removed; the closed list again says what can be seen. Nothing that ran behaves differently.

--- a/fault/kind.go
+++ b/fault/kind.go
@@ -136,12 +136,3 @@
 
 // String returns the stable name of k.
 func (k Kind) String() string { return k.Answer().Name }
-
-// Kinds returns every kind but None, in order of number.
-func Kinds() []Kind {
-	kinds := make([]Kind, 0, kindCount-1)
-	for k := Internal; k < kindCount; k++ {
-		kinds = append(kinds, k)
-	}
-	return kinds
-}
--- a/process/timeline/event.go
+++ b/process/timeline/event.go
@@ -31,14 +31,6 @@
 	TargetTrusted   Kind = "target-trusted"
 	TargetLeaving   Kind = "target-leaving"
 
-	RevisionInForce Kind = "revision-in-force"
-	RevisionStale   Kind = "revision-stale"
-
-	OrderGiven   Kind = "order-given"
-	OrderRefused Kind = "order-refused"
-	OrderDone    Kind = "order-done"
-	OrderFailed  Kind = "order-failed"
-
 	CallReserved Kind = "call-reserved"
 	CallPassed   Kind = "call-passed"
 	CallSealed   Kind = "call-sealed"
@@ -46,7 +38,6 @@
 
 	ProcessStarted  Kind = "process-started"
 	ProcessDraining Kind = "process-draining"
-	ProcessStopped  Kind = "process-stopped"
 )
 
 // Event is one thing that happened in a process. Fields that do not apply are zero.
