--- a/bench/baseline/complete.go
+++ b/bench/baseline/complete.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/oracle"
 )
@@ -63,7 +63,7 @@
 			break
 		}
 		a.outcome.Attempts++
-		err = r.attempt(post.Context(), target, a.generate(r), func(c platform.Chunk) error { return a.take(target, c) })
+		err = r.attempt(post.Context(), target, a.generate(r), func(c outside.Chunk) error { return a.take(target, c) })
 		if err != nil {
 			r.eject(target)
 			time.Sleep(retryPause)
@@ -86,8 +86,8 @@
 }
 
 // generate returns what the next attempt asks the engine for.
-func (a *answer) generate(r *Router) platform.GenerateRequest {
-	g := platform.GenerateRequest{Model: r.version, Prompt: a.prompt, RequestID: a.id}
+func (a *answer) generate(r *Router) outside.GenerateRequest {
+	g := outside.GenerateRequest{Model: r.version, Prompt: a.prompt, RequestID: a.id}
 	g.Sampling.MaxTokens = a.ask.MaxTokens
 	a.skip = len(a.tokens)
 	if !r.policy.Rerun {
@@ -99,7 +99,7 @@
 }
 
 // take passes the tokens of a chunk on, without those that the caller has.
-func (a *answer) take(target Target, chunk platform.Chunk) error {
+func (a *answer) take(target Target, chunk outside.Chunk) error {
 	known := min(a.skip, len(chunk.Tokens))
 	a.skip -= known
 	tokens := chunk.Tokens[known:]
--- a/bench/baseline/router.go
+++ b/bench/baseline/router.go
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/openai"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/openai"
 )
 
 // Choice says how a router chooses a target.
@@ -153,7 +153,7 @@
 
 // attempt runs g on a target and hands each chunk to take, until the generation
 // ends or the target falls silent.
-func (r *Router) attempt(ctx context.Context, target Target, g platform.GenerateRequest, take func(platform.Chunk) error) error {
+func (r *Router) attempt(ctx context.Context, target Target, g outside.GenerateRequest, take func(outside.Chunk) error) error {
 	defer r.release(target)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/bench/caller/check.go
+++ b/bench/caller/check.go
@@ -4,7 +4,7 @@
 	"slices"
 	"strings"
 
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/oracle"
 )
--- a/bench/calls/store_test.go
+++ b/bench/calls/store_test.go
@@ -11,8 +11,8 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 )
 
@@ -94,18 +94,18 @@
 func swapAgain(t *testing.T, store *etcd.Store, client int) []porcupine.Operation {
 	random := rand.New(rand.NewPCG(uint64(client), 3))
 	var history []porcupine.Operation
-	var seen platform.KeyValue
+	var seen outside.KeyValue
 	for number := range 60 {
 		in := swapInput{}
 		called := time.Now().UnixNano()
 		out := swapOutput{}
 		var err error
-		var current platform.KeyValue
+		var current outside.KeyValue
 		if random.IntN(3) == 0 {
 			current, err = store.Get(t.Context(), "key")
 		} else {
 			in = swapInput{expected: string(seen.Value), next: fmt.Sprintf("%d-%d", client, number)}
-			current, out.swapped, err = store.CompareAndSwap(t.Context(), platform.Swap{Key: "key", Value: []byte(in.next), Expected: seen.ModRevision})
+			current, out.swapped, err = store.CompareAndSwap(t.Context(), outside.Swap{Key: "key", Value: []byte(in.next), Expected: seen.ModRevision})
 		}
 		out.unknown = err != nil
 		if err == nil {
--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -15,7 +15,7 @@
 
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
 	"github.com/mulberrylane/mulberrylane/connection/keys"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
@@ -44,7 +44,7 @@
 	authority *keys.Authority
 	platform  string
 	plan      Plan
-	hosts     []platform.Placement
+	hosts     []outside.Placement
 	// processes holds one command line each, first the name of the process.
 	processes []string
 	err       error
@@ -151,9 +151,9 @@
 	s.Keys = p.issue(keys.RoleAgent, s.Name)
 	s.Platform = p.services()
 	p.start("%s mlagent --settings %s", s.Name, p.write(s.Name+".json", s))
-	p.hosts = append(p.hosts, platform.Placement{
+	p.hosts = append(p.hosts, outside.Placement{
 		Target: request.TargetID(s.Target), Service: s.Service, Host: s.Host,
-		FailureDomain: s.FailureDomain, Agent: s.Links, Operators: s.Operators, State: platform.HostLive,
+		FailureDomain: s.FailureDomain, Agent: s.Links, Operators: s.Operators, State: outside.HostLive,
 	})
 	p.plan.AgentOperators = append(p.plan.AgentOperators, s.Operators)
 }
--- a/bench/fleet/applications.go
+++ b/bench/fleet/applications.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/connection/keys"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/agent"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -30,7 +30,7 @@
 
 // ApplicationMember is one application target with its agent.
 type ApplicationMember struct {
-	Placement platform.Placement
+	Placement outside.Placement
 	Server    *application.Server
 	Agent     *agent.Agent
 
@@ -92,9 +92,9 @@
 		}
 		address = member.relay.Address()
 	}
-	member.Placement = platform.Placement{
+	member.Placement = outside.Placement{
 		Target: request.TargetID(name), Service: service, Host: "host-" + name,
-		FailureDomain: f.domain(i), Agent: address, State: platform.HostLive,
+		FailureDomain: f.domain(i), Agent: address, State: outside.HostLive,
 	}
 	return nil
 }
--- a/bench/fleet/faults.go
+++ b/bench/fleet/faults.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 )
 
@@ -54,7 +54,7 @@
 // and puts a new engine and agent in its place. It returns the member that left.
 func (f *Fleet) Restart(ctx context.Context, i int) (*Member, error) {
 	old := f.Current()[i]
-	f.Hosts.SetState(old.Placement.Target, platform.HostLeaving)
+	f.Hosts.SetState(old.Placement.Target, outside.HostLeaving)
 	if err := old.Agent.Stop(ctx); err != nil {
 		return old, err
 	}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -18,8 +18,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/connection/keys"
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/agent"
 	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/configuration"
@@ -68,7 +68,7 @@
 
 // Member is one engine with its agent.
 type Member struct {
-	Placement platform.Placement
+	Placement outside.Placement
 	Engine    *engine.Server
 	Agent     *agent.Agent
 
@@ -178,9 +178,9 @@
 	if err := member.Agent.Start(ctx); err != nil {
 		return member, err
 	}
-	member.Placement = platform.Placement{
+	member.Placement = outside.Placement{
 		Target: request.TargetID(name), Service: f.Layout.Service, Host: "host-" + name,
-		FailureDomain: f.domain(i), Agent: member.Agent.Address(), State: platform.HostLive,
+		FailureDomain: f.domain(i), Agent: member.Agent.Address(), State: outside.HostLive,
 	}
 	if !slices.Contains(f.Layout.Relayed, i) {
 		return member, nil
@@ -200,7 +200,7 @@
 }
 
 func (f *Fleet) startPlatform() {
-	var placements []platform.Placement
+	var placements []outside.Placement
 	for _, member := range f.Members {
 		placements = append(placements, member.Placement)
 	}
--- a/bench/fleet/leaving_test.go
+++ b/bench/fleet/leaving_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/version"
 )
@@ -35,7 +35,7 @@
 	f := startDraining(t, version.DrainMove)
 	p := begin(t, f, longAsk())
 	left := busy(t, f)
-	f.Hosts.SetState(left.Placement.Target, platform.HostLeaving)
+	f.Hosts.SetState(left.Placement.Target, outside.HostLeaving)
 	assert.Assert(t, p.check(t) != string(left.Placement.Target))
 	assert.Equal(t, int(p.answer.Outcome.Attempts), 2)
 	for range 4 {
--- a/bench/fleet/openai_test.go
+++ b/bench/fleet/openai_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/oracle"
 )
--- a/bench/fleet/orders_test.go
+++ b/bench/fleet/orders_test.go
@@ -12,7 +12,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/orders"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
@@ -57,7 +57,7 @@
 	await(t, "all engines have the declared version and role", func() bool {
 		return !slices.ContainsFunc(f.Members, func(m *fleet.Member) bool {
 			given := m.Engine.Orders()
-			hasRole := slices.ContainsFunc(given, func(o platform.Order) bool { return o.Role == "decode" })
+			hasRole := slices.ContainsFunc(given, func(o outside.Order) bool { return o.Role == "decode" })
 			return !hasRole || !slices.Contains(m.Engine.Models(), "trial-lm-v2")
 		})
 	})
@@ -71,7 +71,7 @@
 	member *fleet.Member
 }
 
-func (g giver) give(fence platform.Fence, model string) fault.Kind {
+func (g giver) give(fence outside.Fence, model string) fault.Kind {
 	g.t.Helper()
 	ctx, cancel := context.WithTimeout(g.t.Context(), 30*time.Second)
 	defer cancel()
@@ -83,7 +83,7 @@
 	assert.NilError(g.t, control.Write(wire.ControlFrame{Hello: &wire.Hello{Process: "trial-dialer"}}))
 	stream, err := l.Open(ctx)
 	assert.NilError(g.t, err)
-	ask := wire.Order{Service: fleet.TrialService, Kind: platform.OrderLoad, Model: model, Fence: fence}
+	ask := wire.Order{Service: fleet.TrialService, Kind: outside.OrderLoad, Model: model, Fence: fence}
 	assert.NilError(g.t, stream.Write(wire.ClientFrame{Order: &ask}))
 	var frame wire.ServerFrame
 	assert.NilError(g.t, stream.Read(&frame))
@@ -91,15 +91,15 @@
 }
 
 // take takes the order lease of the trial service.
-func take(t *testing.T, store platform.Store) platform.Fence {
+func take(t *testing.T, store outside.Store) outside.Fence {
 	t.Helper()
 	lease, err := store.Grant(t.Context(), time.Minute)
 	assert.NilError(t, err)
-	swap := platform.Swap{Key: orders.LeaseKey(fleet.TrialService), Lease: lease}
+	swap := outside.Swap{Key: orders.LeaseKey(fleet.TrialService), Lease: lease}
 	current, taken, err := store.CompareAndSwap(t.Context(), swap)
 	assert.NilError(t, err)
 	assert.Assert(t, taken)
-	return platform.Fence(current.ModRevision)
+	return outside.Fence(current.ModRevision)
 }
 
 func TestOldHolderIsRefused(t *testing.T) {
--- a/bench/fleet/stop_test.go
+++ b/bench/fleet/stop_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/mulberrylane/mulberrylane/bench/caller"
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/version"
 )
@@ -91,7 +91,7 @@
 func TestListedLeavingTargetGetsNoNewWork(t *testing.T) {
 	f := startPair(t, 2, nil)
 	leaving := f.Members[0]
-	f.Hosts.SetState(leaving.Placement.Target, platform.HostLeaving)
+	f.Hosts.SetState(leaving.Placement.Target, outside.HostLeaving)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		before := leaving.Engine.Work().DecodedTokens
 		for range 4 {
--- a/bench/measure/measure_test.go
+++ b/bench/measure/measure_test.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/bench/experiment"
 	"github.com/mulberrylane/mulberrylane/bench/load"
 	"github.com/mulberrylane/mulberrylane/bench/measure"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
 	"github.com/mulberrylane/mulberrylane/standin/oracle"
--- a/command/processes.go
+++ b/command/processes.go
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/outside/hostlist"
 )
 
 // The environment variables that stand for flags.
--- a/command/standin.go
+++ b/command/standin.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/standin/application"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
@@ -107,7 +107,7 @@
 }
 
 func platformHandler(hostsPath, documentPath string, lag time.Duration) (http.Handler, error) {
-	var placements []platform.Placement
+	var placements []outside.Placement
 	if err := readJSON(hostsPath, &placements); err != nil {
 		return nil, err
 	}
--- a/command/standin_test.go
+++ b/command/standin_test.go
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/bench/fleet"
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
-	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/hostlist"
 	"github.com/mulberrylane/mulberrylane/process/configuration"
 )
 
@@ -29,7 +29,7 @@
 // TestPlatformServesItsFiles reads the document and the placements that a
 // stand-in platform was started with the way that processes do.
 func TestPlatformServesItsFiles(t *testing.T) {
-	placements := []platform.Placement{{Target: "engine-1", Service: fleet.TrialService, State: platform.HostLive}}
+	placements := []outside.Placement{{Target: "engine-1", Service: fleet.TrialService, State: outside.HostLive}}
 	handler, err := platformHandler(writeFile(t, "hosts", placements), writeFile(t, "document", fleet.TrialDocument()), 0)
 	assert.NilError(t, err)
 	server := httptest.NewServer(handler)
--- a/command/store.go
+++ b/command/store.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/configuration"
 )
 
--- a/connection/wire/order.go
+++ b/connection/wire/order.go
@@ -2,16 +2,16 @@
 
 import (
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // Order passes an order to the engine beside an agent.
 type Order struct {
-	Service string             `cbor:"1,keyasint"`
-	Kind    platform.OrderKind `cbor:"2,keyasint"`
-	Model   string             `cbor:"3,keyasint,omitempty"`
-	Role    string             `cbor:"4,keyasint,omitempty"`
-	Fence   platform.Fence     `cbor:"5,keyasint"`
+	Service string            `cbor:"1,keyasint"`
+	Kind    outside.OrderKind `cbor:"2,keyasint"`
+	Model   string            `cbor:"3,keyasint,omitempty"`
+	Role    string            `cbor:"4,keyasint,omitempty"`
+	Fence   outside.Fence     `cbor:"5,keyasint"`
 }
 
 // Ordered tells what became of an order; Kind is fault.None when it was carried out.
--- a/platform/application/target.go
+++ b/outside/application/target.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -47,8 +47,8 @@
 	}
 }
 
-// Call implements platform.Application.
-func (t *Target) Call(ctx context.Context, call platform.ApplicationCall) (request.CallReply, error) {
+// Call implements outside.Application.
+func (t *Target) Call(ctx context.Context, call outside.ApplicationCall) (request.CallReply, error) {
 	ask, err := http.NewRequestWithContext(ctx, call.Method, t.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return request.CallReply{}, fault.Wrap(fault.NoTarget, err, "the call cannot be written as a request")
@@ -99,9 +99,9 @@
 	return reply, nil
 }
 
-// Load implements platform.Application.
-func (t *Target) Load(ctx context.Context) (platform.ApplicationLoad, error) {
-	var load platform.ApplicationLoad
+// Load implements outside.Application.
+func (t *Target) Load(ctx context.Context) (outside.ApplicationLoad, error) {
+	var load outside.ApplicationLoad
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, t.base+"/load", nil)
 	if err != nil {
 		return load, errors.Wrap(err, "request")
--- a/platform/application/target_test.go
+++ b/outside/application/target_test.go
@@ -9,13 +9,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/application"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/application"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
-func booking() platform.ApplicationCall {
-	return platform.ApplicationCall{
+func booking() outside.ApplicationCall {
+	return outside.ApplicationCall{
 		CallBody: request.CallBody{
 			Method: http.MethodPost, Path: "/bookings", Body: []byte("{}"),
 			Header: []request.HeaderField{{Name: "Idempotency-Key", Value: "k"}},
--- a/platform/engine.go
+++ b/outside/engine.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
--- a/platform/etcd/lease.go
+++ b/outside/etcd/lease.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 type grantRequest struct {
@@ -22,20 +22,20 @@
 	Result leaseMessage `json:"result"`
 }
 
-// Grant implements platform.Store. The service counts in whole seconds, so ttl
+// Grant implements outside.Store. The service counts in whole seconds, so ttl
 // is rounded up.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error) {
 	s.counters.leases.Add(1)
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var response leaseMessage
 	if err := s.call(ctx, "/v3/lease/grant", grantRequest{TTL: seconds}, &response); err != nil {
 		return 0, err
 	}
-	return platform.LeaseID(response.ID), nil
+	return outside.LeaseID(response.ID), nil
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) (bool, error) {
+// KeepAlive implements outside.Store.
+func (s *Store) KeepAlive(ctx context.Context, lease outside.LeaseID) (bool, error) {
 	s.counters.leases.Add(1)
 	var response keepAliveResponse
 	if err := s.call(ctx, "/v3/lease/keepalive", leaseMessage{ID: int64(lease)}, &response); err != nil {
@@ -44,8 +44,8 @@
 	return response.Result.TTL > 0, nil
 }
 
-// Revoke implements platform.Store. A lease that has lapsed is no error.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements outside.Store. A lease that has lapsed is no error.
+func (s *Store) Revoke(ctx context.Context, lease outside.LeaseID) error {
 	s.counters.leases.Add(1)
 	var response struct{}
 	err := s.call(ctx, "/v3/lease/revoke", leaseMessage{ID: int64(lease)}, &response)
--- a/platform/etcd/store.go
+++ b/outside/etcd/store.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // Store reaches the service through any of its endpoints.
@@ -27,7 +27,7 @@
 	counters counters
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ outside.Store = (*Store)(nil)
 
 // NewStore returns the adapter to the endpoints, which are base URLs.
 func NewStore(endpoints []string, client *http.Client) *Store {
@@ -61,50 +61,50 @@
 	Kvs    []keyValue `json:"kvs"`
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+// Get implements outside.Store.
+func (s *Store) Get(ctx context.Context, key string) (outside.KeyValue, error) {
 	s.counters.reads.Add(1)
 	var response rangeResponse
 	if err := s.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &response); err != nil {
-		return platform.KeyValue{}, err
+		return outside.KeyValue{}, err
 	}
 	return first(key, response.Kvs), nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.KeyValue, error) {
+// List implements outside.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]outside.KeyValue, error) {
 	list, _, err := s.list(ctx, prefix)
 	return list, err
 }
 
 // list reads all keys with the prefix and the revision of the store at the reading.
-func (s *Store) list(ctx context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+func (s *Store) list(ctx context.Context, prefix string) ([]outside.KeyValue, int64, error) {
 	s.counters.reads.Add(1)
 	var response rangeResponse
 	ask := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
 	if err := s.call(ctx, "/v3/kv/range", ask, &response); err != nil {
 		return nil, 0, err
 	}
-	list := make([]platform.KeyValue, 0, len(response.Kvs))
+	list := make([]outside.KeyValue, 0, len(response.Kvs))
 	for _, kv := range response.Kvs {
 		list = append(list, convert(kv))
 	}
 	return list, response.Header.Revision, nil
 }
 
-func first(key string, kvs []keyValue) platform.KeyValue {
+func first(key string, kvs []keyValue) outside.KeyValue {
 	if len(kvs) == 0 {
-		return platform.KeyValue{Key: key}
+		return outside.KeyValue{Key: key}
 	}
 	return convert(kvs[0])
 }
 
-func convert(kv keyValue) platform.KeyValue {
-	return platform.KeyValue{
+func convert(kv keyValue) outside.KeyValue {
+	return outside.KeyValue{
 		Key:         string(kv.Key),
 		Value:       kv.Value,
 		ModRevision: kv.ModRevision,
-		Lease:       platform.LeaseID(kv.Lease),
+		Lease:       outside.LeaseID(kv.Lease),
 	}
 }
 
--- a/platform/etcd/swap.go
+++ b/outside/etcd/swap.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 type compare struct {
@@ -48,8 +48,8 @@
 	return []compare{{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: expected}}
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.KeyValue, bool, error) {
+// CompareAndSwap implements outside.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, swap outside.Swap) (outside.KeyValue, bool, error) {
 	s.counters.writes.Add(1)
 	read := operation{Range: &rangeRequest{Key: []byte(swap.Key)}}
 	put := operation{Put: &putRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: int64(swap.Lease)}}
@@ -60,16 +60,16 @@
 	}
 	var response txnResponse
 	if err := s.call(ctx, "/v3/kv/txn", ask, &response); err != nil {
-		return platform.KeyValue{}, false, err
+		return outside.KeyValue{}, false, err
 	}
-	current := platform.KeyValue{Key: swap.Key}
+	current := outside.KeyValue{Key: swap.Key}
 	if n := len(response.Responses); n > 0 && response.Responses[n-1].Range != nil {
 		current = first(swap.Key, response.Responses[n-1].Range.Kvs)
 	}
 	return current, response.Succeeded, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements outside.Store.
 func (s *Store) Delete(ctx context.Context, key string, expected int64) (bool, error) {
 	s.counters.writes.Add(1)
 	remove := operation{Delete: &deleteRequest{Key: []byte(key)}}
--- a/platform/hostlist/hostlist.go
+++ b/outside/hostlist/hostlist.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // Client reads the host list. It is safe for concurrent use.
@@ -22,14 +22,14 @@
 
 	mu   sync.Mutex
 	tag  string
-	last []platform.Placement
+	last []outside.Placement
 }
 
 // New returns the adapter to the list at url.
 func New(url string, client *http.Client) *Client { return &Client{url: url, client: client} }
 
-// Placements implements platform.HostList.
-func (c *Client) Placements(ctx context.Context) ([]platform.Placement, error) {
+// Placements implements outside.HostList.
+func (c *Client) Placements(ctx context.Context) ([]outside.Placement, error) {
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "host list")
@@ -55,8 +55,8 @@
 }
 
 // take reads a whole list and keeps it with its tag.
-func (c *Client) take(response *http.Response) ([]platform.Placement, error) {
-	var placements []platform.Placement
+func (c *Client) take(response *http.Response) ([]outside.Placement, error) {
+	var placements []outside.Placement
 	if err := json.NewDecoder(response.Body).Decode(&placements); err != nil {
 		return nil, errors.Wrap(err, "host list")
 	}
--- a/platform/hostlist/hostlist_test.go
+++ b/outside/hostlist/hostlist_test.go
@@ -7,14 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/hostlist"
 	"github.com/mulberrylane/mulberrylane/standin/hosts"
 )
 
 // TestUnchangedListIsNotReadAgain counts the answers in full.
 func TestUnchangedListIsNotReadAgain(t *testing.T) {
-	list := hosts.New(0, []platform.Placement{{Target: "t-1", State: platform.HostLive}})
+	list := hosts.New(0, []outside.Placement{{Target: "t-1", State: outside.HostLive}})
 	full := 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
@@ -31,12 +31,12 @@
 	for range 3 {
 		placements, err := client.Placements(t.Context())
 		assert.NilError(t, err)
-		assert.Equal(t, placements[0].State, platform.HostLive)
+		assert.Equal(t, placements[0].State, outside.HostLive)
 	}
 	assert.Equal(t, full, 1)
-	list.SetState("t-1", platform.HostLeaving)
+	list.SetState("t-1", outside.HostLeaving)
 	placements, err := client.Placements(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, placements[0].State, platform.HostLeaving)
+	assert.Equal(t, placements[0].State, outside.HostLeaving)
 	assert.Equal(t, full, 2)
 }
--- a/platform/openai/engine.go
+++ b/outside/openai/engine.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -45,7 +45,7 @@
 	Tokens []request.TokenID `json:"tokens"`
 }
 
-// Tokenize implements platform.Engine.
+// Tokenize implements outside.Engine.
 func (e *Engine) Tokenize(ctx context.Context, model string, prompt request.Prompt) ([]request.TokenID, error) {
 	if prompt.Tokens != nil {
 		return prompt.Tokens, nil
@@ -78,8 +78,8 @@
 	RequestID      string            `json:"request_id,omitempty"`
 }
 
-// Generate implements platform.Engine.
-func (e *Engine) Generate(ctx context.Context, generate platform.GenerateRequest) (platform.Stream, error) {
+// Generate implements outside.Engine.
+func (e *Engine) Generate(ctx context.Context, generate outside.GenerateRequest) (outside.Stream, error) {
 	ask := completionRequest{
 		Model:          generate.Model,
 		Prompt:         generate.Prompt,
@@ -173,8 +173,8 @@
 
 var dataPrefix = []byte("data: ")
 
-// Next implements platform.Stream.
-func (s *stream) Next() (platform.Chunk, error) {
+// Next implements outside.Stream.
+func (s *stream) Next() (outside.Chunk, error) {
 	for s.scanner.Scan() {
 		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
 		if !ok {
@@ -186,26 +186,26 @@
 		return s.decode(data)
 	}
 	if s.ended {
-		return platform.Chunk{}, io.EOF
+		return outside.Chunk{}, io.EOF
 	}
 	if err := s.scanner.Err(); err != nil {
-		return platform.Chunk{}, fault.Wrap(fault.TargetLost, err, "the engine's stream broke")
+		return outside.Chunk{}, fault.Wrap(fault.TargetLost, err, "the engine's stream broke")
 	}
-	return platform.Chunk{}, fault.New(fault.TargetLost, "the engine's stream ended early")
+	return outside.Chunk{}, fault.New(fault.TargetLost, "the engine's stream ended early")
 }
 
-func (s *stream) decode(data []byte) (platform.Chunk, error) {
+func (s *stream) decode(data []byte) (outside.Chunk, error) {
 	message := &s.message
 	choice := &message.Choices[0]
 	message.ID = ""
 	choice.TokenIDs = choice.TokenIDs[:0]
 	choice.FinishReason = ""
 	if err := json.Unmarshal(data, message); err != nil {
-		return platform.Chunk{}, fault.Wrap(fault.TargetLost, err, "the engine sent a bad event")
+		return outside.Chunk{}, fault.Wrap(fault.TargetLost, err, "the engine sent a bad event")
 	}
 	s.ended = s.ended || choice.FinishReason != ""
-	return platform.Chunk{RequestID: message.ID, Tokens: choice.TokenIDs, Finish: choice.FinishReason}, nil
+	return outside.Chunk{RequestID: message.ID, Tokens: choice.TokenIDs, Finish: choice.FinishReason}, nil
 }
 
-// Close implements platform.Stream.
+// Close implements outside.Stream.
 func (s *stream) Close() error { return errors.Wrap(s.body.Close(), "close") }
--- a/platform/openai/orders.go
+++ b/outside/openai/orders.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // Orders reaches the side of an engine that takes orders: POST /orders with the
@@ -21,10 +21,10 @@
 	return &Orders{engine: NewEngine(base, client)}
 }
 
-var _ platform.Orders = (*Orders)(nil)
+var _ outside.Orders = (*Orders)(nil)
 
-// Give implements platform.Orders.
-func (o *Orders) Give(ctx context.Context, order platform.Order) error {
+// Give implements outside.Orders.
+func (o *Orders) Give(ctx context.Context, order outside.Order) error {
 	response, err := o.engine.post(ctx, "/orders", order)
 	if err == nil {
 		return errors.Wrap(response.Body.Close(), "close")
@@ -39,7 +39,7 @@
 	return err
 }
 
-// Role implements platform.Orders.
+// Role implements outside.Orders.
 func (o *Orders) Role(ctx context.Context) (string, error) {
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, o.engine.base+"/role", nil)
 	if err != nil {
--- a/platform/openai/status.go
+++ b/outside/openai/status.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 type modelList struct {
@@ -19,7 +19,7 @@
 	ID string `json:"id"`
 }
 
-// Models implements platform.Engine.
+// Models implements outside.Engine.
 func (e *Engine) Models(ctx context.Context) ([]string, error) {
 	var list modelList
 	if err := e.get(ctx, "/v1/models", &list); err != nil {
@@ -32,9 +32,9 @@
 	return names, nil
 }
 
-// Load implements platform.Engine.
-func (e *Engine) Load(ctx context.Context) (platform.EngineLoad, error) {
-	var load platform.EngineLoad
+// Load implements outside.Engine.
+func (e *Engine) Load(ctx context.Context) (outside.EngineLoad, error) {
+	var load outside.EngineLoad
 	err := e.get(ctx, "/load", &load)
 	return load, err
 }
--- a/platform/store.go
+++ b/outside/store.go
@@ -1,7 +1,7 @@
-// Package platform holds the ports to everything outside the system: the
+// Package outside holds the ports to everything outside the system: the
 // key-value service, the host list, the weight store, the engines and the
 // application targets. Adapters live in packages below it.
-package platform
+package outside
 
 import (
 	"context"
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -14,8 +14,8 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/application"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/application"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
@@ -27,7 +27,7 @@
 type Agent struct {
 	settings    settings.Agent
 	incarnation request.Incarnation
-	engine      platform.Engine
+	engine      outside.Engine
 	// calls is set when the target is an application, else nil.
 	calls     *callGate
 	journal   *journal
--- a/process/agent/calls.go
+++ b/process/agent/calls.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/gate"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -21,7 +21,7 @@
 
 // callGate is the gate of this life of the agent and the calls that pass it.
 type callGate struct {
-	application platform.Application
+	application outside.Application
 
 	mu   sync.Mutex
 	gate *gate.Gate
@@ -30,7 +30,7 @@
 	running int
 }
 
-func newCallGate(incarnation request.Incarnation, application platform.Application) *callGate {
+func newCallGate(incarnation request.Incarnation, application outside.Application) *callGate {
 	return &callGate{
 		application: application,
 		gate:        gate.New(incarnation, gate.DefaultLimits()),
@@ -70,7 +70,7 @@
 func (c *callGate) pass(ctx context.Context, call wire.Call) {
 	ctx, cancel := context.WithDeadline(ctx, call.Nonce.Deadline())
 	defer cancel()
-	reply, err := c.application.Call(ctx, platform.ApplicationCall{CallBody: call.Body, MaxReplyBytes: maxReply(call)})
+	reply, err := c.application.Call(ctx, outside.ApplicationCall{CallBody: call.Body, MaxReplyBytes: maxReply(call)})
 	if err != nil {
 		klog.InfoS("call without reply", "request", call.Request, "kind", fault.KindOf(err), "err", err)
 	}
@@ -165,7 +165,7 @@
 	defer a.calls.add(-1)
 	ctx, cancel := context.WithDeadline(stream.Context(), time.UnixMilli(call.Deadline))
 	defer cancel()
-	answer, err := a.calls.application.Call(ctx, platform.ApplicationCall{
+	answer, err := a.calls.application.Call(ctx, outside.ApplicationCall{
 		CallBody: call.Body, MaxReplyBytes: maxReply(call), Repeatable: true,
 	})
 	switch kind := fault.KindOf(err); kind {
--- a/process/agent/configuration.go
+++ b/process/agent/configuration.go
@@ -8,7 +8,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/operator"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/settings"
--- a/process/agent/module.go
+++ b/process/agent/module.go
@@ -3,8 +3,8 @@
 import (
 	"go.uber.org/fx"
 
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/openai"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/openai"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 )
@@ -17,8 +17,8 @@
 type Outside struct {
 	fx.In
 
-	Engine   platform.Engine
-	Orders   platform.Orders
+	Engine   outside.Engine
+	Orders   outside.Orders
 	Observer *observe.Observer
 }
 
@@ -28,9 +28,9 @@
 	return NewWith(s, Outside{Engine: newEngine(s), Orders: newOrders(s), Observer: newObserver(s)})
 }
 
-func newEngine(s settings.Agent) platform.Engine { return openai.NewEngine(s.Engine, engineClient()) }
+func newEngine(s settings.Agent) outside.Engine { return openai.NewEngine(s.Engine, engineClient()) }
 
-func newOrders(s settings.Agent) platform.Orders { return openai.NewOrders(s.Engine, engineClient()) }
+func newOrders(s settings.Agent) outside.Orders { return openai.NewOrders(s.Engine, engineClient()) }
 
 func newObserver(s settings.Agent) *observe.Observer {
 	return observe.New(s.Name, s.Operators, s.OperatorDigests)
--- a/process/agent/orders.go
+++ b/process/agent/orders.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/order"
 	"github.com/mulberrylane/mulberrylane/process/orders"
 )
@@ -22,7 +22,7 @@
 
 // orderDesk passes orders on to the engine, one at a time.
 type orderDesk struct {
-	engine platform.Orders
+	engine outside.Orders
 
 	// turn is held from the reading of the lease to the engine's answer, so that
 	// no order overtakes another here.
@@ -47,7 +47,7 @@
 
 // serveOrder passes one order on, or refuses it.
 func (a *Agent) serveOrder(ctx context.Context, stream *link.Stream, ask wire.Order) {
-	given := platform.Order{Kind: ask.Kind, Model: ask.Model, Role: ask.Role, Fence: ask.Fence}
+	given := outside.Order{Kind: ask.Kind, Model: ask.Model, Role: ask.Role, Fence: ask.Fence}
 	err := a.passOrder(ctx, ask.Service, given)
 	klog.InfoS("order", "target", a.settings.Target, "kind", given.Kind, "model", given.Model, "role", given.Role,
 		"fence", given.Fence, "result", fault.KindOf(err), "err", err)
@@ -59,7 +59,7 @@
 	_ = stream.Finish()
 }
 
-func (a *Agent) passOrder(ctx context.Context, service string, given platform.Order) error {
+func (a *Agent) passOrder(ctx context.Context, service string, given outside.Order) error {
 	if service != a.settings.Service || a.settings.Engine == "" {
 		return fault.New(fault.BadRequest, "the order is for service %q", service)
 	}
@@ -80,14 +80,14 @@
 
 // readHolder reads the number of the process that holds the orders of a service,
 // zero when none does.
-func (a *Agent) readHolder(ctx context.Context, service string) (platform.Fence, error) {
+func (a *Agent) readHolder(ctx context.Context, service string) (outside.Fence, error) {
 	if a.configuration.store == nil {
 		return 0, fault.New(fault.StoreUnavailable, "the settings name no key-value service")
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	kv, err := a.configuration.store.Get(ctx, orders.LeaseKey(service))
-	return platform.Fence(kv.ModRevision), err
+	return outside.Fence(kv.ModRevision), err
 }
 
 // undeclaredInUse returns the models of running generations that the
--- a/process/agent/run.go
+++ b/process/agent/run.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -77,7 +77,7 @@
 	r.begin(prompt)
 	sampling := run.Generation.Sampling
 	sampling.MaxTokens -= len(run.Accepted)
-	stream, err := a.engine.Generate(ctx, platform.GenerateRequest{
+	stream, err := a.engine.Generate(ctx, outside.GenerateRequest{
 		Model:     model,
 		Prompt:    append(prompt[:len(prompt):len(prompt)], run.Accepted...),
 		Sampling:  sampling,
@@ -105,7 +105,7 @@
 }
 
 // relay copies the engine's chunks into the record.
-func relay(r *record, stream platform.Stream) error {
+func relay(r *record, stream outside.Stream) error {
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
--- a/process/agent/status.go
+++ b/process/agent/status.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 const (
@@ -26,7 +26,7 @@
 type engineStatus struct {
 	mu     sync.Mutex
 	alive  bool
-	load   platform.EngineLoad
+	load   outside.EngineLoad
 	models []string
 	at     time.Time
 	// sign is when the target last gave a sign of life, moved when a stream that
@@ -49,7 +49,7 @@
 // statusReport is the state of a target at one instant.
 type statusReport struct {
 	alive            bool
-	load             platform.EngineLoad
+	load             outside.EngineLoad
 	models           []string
 	age              time.Duration
 	silent, stalled  time.Duration
@@ -120,7 +120,7 @@
 }
 
 // answered notes the answer to a probe.
-func (s *engineStatus) answered(now time.Time, load platform.EngineLoad, models []string) {
+func (s *engineStatus) answered(now time.Time, load outside.EngineLoad, models []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	news := !s.alive || !sameModels(s.models, models)
@@ -147,18 +147,18 @@
 }
 
 // watch returns stream with its chunks noted as signs of life.
-func (s *engineStatus) watch(stream platform.Stream) platform.Stream {
+func (s *engineStatus) watch(stream outside.Stream) outside.Stream {
 	return &watchedStream{Stream: stream, status: s}
 }
 
 type watchedStream struct {
-	platform.Stream
+	outside.Stream
 	status *engineStatus
 	begun  bool
 }
 
-// Next implements platform.Stream.
-func (w *watchedStream) Next() (platform.Chunk, error) {
+// Next implements outside.Stream.
+func (w *watchedStream) Next() (outside.Chunk, error) {
 	chunk, err := w.Stream.Next()
 	if err != nil {
 		return chunk, err
@@ -175,7 +175,7 @@
 	return chunk, nil
 }
 
-// Close implements platform.Stream.
+// Close implements outside.Stream.
 func (w *watchedStream) Close() error {
 	if w.begun {
 		w.status.mu.Lock()
@@ -260,7 +260,7 @@
 // askApplication asks an application target, which serves its service and nothing else.
 func (a *Agent) askApplication(ctx context.Context) {
 	load, err := a.calls.application.Load(ctx)
-	reported := platform.EngineLoad{Running: load.Running, Waiting: load.Waiting}
+	reported := outside.EngineLoad{Running: load.Running, Waiting: load.Waiting}
 	if err != nil {
 		a.noteSilence(ctx, err)
 		return
--- a/process/calls/layout.go
+++ b/process/calls/layout.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // LayoutKey is the key that holds the number of pages of a service.
@@ -34,7 +34,7 @@
 // fixLayout writes the number of pages unless it stands, and returns what stands.
 // Without an answer it tries again until ctx ends.
 func (p *Pages) fixLayout(ctx context.Context, service string, wanted int) (int, error) {
-	swap := platform.Swap{Key: LayoutKey(service), Value: []byte(strconv.Itoa(wanted))}
+	swap := outside.Swap{Key: LayoutKey(service), Value: []byte(strconv.Itoa(wanted))}
 	for ctx.Err() == nil && p.stopped.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, storeTimeout)
 		current, swapped, err := p.store.CompareAndSwap(attempt, swap)
--- a/process/calls/pages.go
+++ b/process/calls/pages.go
@@ -10,14 +10,14 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/callpage"
 )
 
 // Store is the part of the key-value service that call pages need.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.KeyValue, error)
-	CompareAndSwap(ctx context.Context, swap platform.Swap) (current platform.KeyValue, swapped bool, err error)
+	Get(ctx context.Context, key string) (outside.KeyValue, error)
+	CompareAndSwap(ctx context.Context, swap outside.Swap) (current outside.KeyValue, swapped bool, err error)
 }
 
 const (
@@ -312,7 +312,7 @@
 }
 
 // take makes what the store holds the page as last seen.
-func (g *pager) take(current platform.KeyValue) error {
+func (g *pager) take(current outside.KeyValue) error {
 	page, err := callpage.Decode(current.Value)
 	if err != nil {
 		g.page = nil
@@ -333,7 +333,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	g.pages.count(func(s *PageStats) { s.Writes++ })
-	current, swapped, err := g.pages.store.CompareAndSwap(ctx, platform.Swap{Key: g.key, Value: value, Expected: g.modRevision})
+	current, swapped, err := g.pages.store.CompareAndSwap(ctx, outside.Swap{Key: g.key, Value: value, Expected: g.modRevision})
 	if err != nil {
 		g.pages.count(func(s *PageStats) { s.Errors++ })
 		g.page = nil
--- a/process/calls/submission_test.go
+++ b/process/calls/submission_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/callpage"
 	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/gate"
--- a/process/configuration/client.go
+++ b/process/configuration/client.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/version"
 )
@@ -71,13 +71,13 @@
 
 // Client reads and changes the configuration.
 type Client struct {
-	store platform.Store
+	store outside.Store
 	// settlePause is the pause between tries to find out what became of a write.
 	settlePause time.Duration
 }
 
 // NewClient returns a client of the store.
-func NewClient(store platform.Store) *Client { return &Client{store: store, settlePause: settlePause} }
+func NewClient(store outside.Store) *Client { return &Client{store: store, settlePause: settlePause} }
 
 // Current reads the entry in force. Its revision is zero when there is none.
 func (c *Client) Current(ctx context.Context) (Entry, error) {
@@ -88,7 +88,7 @@
 	return decode(kv)
 }
 
-func decode(kv platform.KeyValue) (Entry, error) {
+func decode(kv outside.KeyValue) (Entry, error) {
 	if kv.ModRevision == 0 {
 		return Entry{}, nil
 	}
@@ -117,7 +117,7 @@
 	if err := c.keep(ctx, change.Base); err != nil {
 		return wanted, &NotSentError{Cause: err}
 	}
-	swap := platform.Swap{Key: revision.DocumentKey, Value: body, Expected: int64(change.Base.Revision)}
+	swap := outside.Swap{Key: revision.DocumentKey, Value: body, Expected: int64(change.Base.Revision)}
 	current, swapped, err := c.store.CompareAndSwap(ctx, swap)
 	if err != nil {
 		return c.settle(ctx, wanted, swap, err)
@@ -126,7 +126,7 @@
 }
 
 // conclude turns the answer to a swap into a result.
-func conclude(wanted Entry, current platform.KeyValue, swapped bool) (Entry, error) {
+func conclude(wanted Entry, current outside.KeyValue, swapped bool) (Entry, error) {
 	if swapped {
 		wanted.Revision = version.Revision(current.ModRevision)
 		return wanted, nil
@@ -141,7 +141,7 @@
 // settle finds out what became of a swap whose answer was lost. While the base
 // still stands the first swap may be under way, so the same swap, with the same
 // nonce, is tried again: at most one of them takes effect.
-func (c *Client) settle(ctx context.Context, wanted Entry, swap platform.Swap, cause error) (Entry, error) {
+func (c *Client) settle(ctx context.Context, wanted Entry, swap outside.Swap, cause error) (Entry, error) {
 	for range settleTries {
 		select {
 		case <-ctx.Done():
@@ -168,7 +168,7 @@
 }
 
 // find looks for a nonce in the record that stands and in the history.
-func (c *Client) find(ctx context.Context, nonce string, current platform.KeyValue) (Entry, bool, error) {
+func (c *Client) find(ctx context.Context, nonce string, current outside.KeyValue) (Entry, bool, error) {
 	stands, err := decode(current)
 	if err != nil {
 		return Entry{}, false, err
@@ -228,7 +228,7 @@
 	if err != nil {
 		return false, err
 	}
-	_, swapped, err := c.store.CompareAndSwap(ctx, platform.Swap{Key: key, Value: body, Expected: slot.ModRevision})
+	_, swapped, err := c.store.CompareAndSwap(ctx, outside.Swap{Key: key, Value: body, Expected: slot.ModRevision})
 	return swapped, err
 }
 
--- a/process/configuration/history_test.go
+++ b/process/configuration/history_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/version"
 )
--- a/process/configuration/slot.go
+++ b/process/configuration/slot.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // A history slot holds an Entry as JSON. A record that is kept has lost the
@@ -16,7 +16,7 @@
 	return body, errors.Wrap(err, "encode history")
 }
 
-func decodeSlot(slot platform.KeyValue) (Entry, error) {
+func decodeSlot(slot outside.KeyValue) (Entry, error) {
 	if slot.ModRevision == 0 {
 		return Entry{}, nil
 	}
--- a/process/entry/answer_test.go
+++ b/process/entry/answer_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
--- a/process/entry/completions.go
+++ b/process/entry/completions.go
@@ -13,7 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version"
 )
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -19,7 +19,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/calls"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/revision"
@@ -41,7 +41,7 @@
 // Entry is one running entry.
 type Entry struct {
 	settings  settings.Entry
-	hosts     platform.HostList
+	hosts     outside.HostList
 	revisions *revision.Holder
 	observer  *observe.Observer
 	follower  *revision.Follower
--- a/process/entry/membership.go
+++ b/process/entry/membership.go
@@ -7,7 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/connection/link"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/membership"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -57,15 +57,15 @@
 // applyPlacements links to the chosen targets and unlinks the others once no
 // attempt of this entry runs there. A target that the list no longer shows is
 // taken to leave.
-func (e *Entry) applyPlacements(ctx context.Context, r *roster, placements []platform.Placement) {
+func (e *Entry) applyPlacements(ctx context.Context, r *roster, placements []outside.Placement) {
 	view := e.control.listView(ctx)
 	wanted := e.choose(r, placements, view)
 	leaving := map[request.TargetID]bool{}
 	e.peers.mu.Lock()
-	e.peers.listed = map[request.TargetID]platform.Placement{}
+	e.peers.listed = map[request.TargetID]outside.Placement{}
 	for _, placement := range placements {
 		e.peers.listed[placement.Target] = placement
-		leaving[placement.Target] = placement.State == platform.HostLeaving
+		leaving[placement.Target] = placement.State == outside.HostLeaving
 		if wanted[placement.Target] {
 			e.addPeer(ctx, placement)
 		}
@@ -84,7 +84,7 @@
 }
 
 // choose returns the targets to keep links to.
-func (e *Entry) choose(r *roster, placements []platform.Placement, view listView) map[request.TargetID]bool {
+func (e *Entry) choose(r *roster, placements []outside.Placement, view listView) map[request.TargetID]bool {
 	byService := map[string][]membership.Target{}
 	for _, placement := range placements {
 		target := membership.Target{ID: placement.Target, FailureDomain: placement.FailureDomain}
@@ -116,7 +116,7 @@
 	return min(subsetMost, max(subsetLeast, subsetLinks/services))
 }
 
-func (e *Entry) addPeer(ctx context.Context, placement platform.Placement) {
+func (e *Entry) addPeer(ctx context.Context, placement outside.Placement) {
 	known, ok := e.peers.byTarget[placement.Target]
 	if ok && known.placement.Agent == placement.Agent {
 		return
--- a/process/entry/module.go
+++ b/process/entry/module.go
@@ -5,9 +5,9 @@
 
 	"go.uber.org/fx"
 
-	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
-	"github.com/mulberrylane/mulberrylane/platform/hostlist"
+	"github.com/mulberrylane/mulberrylane/outside"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/hostlist"
 	"github.com/mulberrylane/mulberrylane/process/observe"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 )
@@ -18,7 +18,7 @@
 
 // Store is the key-value service, with a count of the calls made to it.
 type Store interface {
-	platform.Store
+	outside.Store
 	Calls() etcd.Calls
 }
 
@@ -27,7 +27,7 @@
 	fx.In
 
 	Store    Store
-	Hosts    platform.HostList
+	Hosts    outside.HostList
 	Observer *observe.Observer
 }
 
@@ -41,7 +41,7 @@
 	return etcd.NewStore(s.Platform.Store, &http.Client{Timeout: platformTimeout})
 }
 
-func newHostList(s settings.Entry) platform.HostList {
+func newHostList(s settings.Entry) outside.HostList {
 	return hostlist.New(s.Platform.HostList, &http.Client{Timeout: platformTimeout})
 }
 
--- a/process/entry/orders.go
+++ b/process/entry/orders.go
@@ -5,7 +5,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/order"
 	"github.com/mulberrylane/mulberrylane/process/orders"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -46,7 +46,7 @@
 }
 
 // Give implements orders.Fleet.
-func (f orderFleet) Give(ctx context.Context, service string, target request.TargetID, given platform.Order) error {
+func (f orderFleet) Give(ctx context.Context, service string, target request.TargetID, given outside.Order) error {
 	l := f.entry.peers.link(target)
 	if l == nil {
 		return fault.New(fault.TargetLost, "there is no link to %s", target)
--- a/process/entry/peer.go
+++ b/process/entry/peer.go
@@ -9,7 +9,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/spread"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -22,7 +22,7 @@
 
 // peer keeps a link to one agent and redials it when it breaks.
 type peer struct {
-	placement platform.Placement
+	placement outside.Placement
 	cancel    context.CancelFunc
 	// keepUntil is until when a peer outside the subset stays.
 	keepUntil time.Time
@@ -51,7 +51,7 @@
 	mu       sync.Mutex
 	byTarget map[request.TargetID]*peer
 	// listed is the host list as it was read last.
-	listed map[request.TargetID]platform.Placement
+	listed map[request.TargetID]outside.Placement
 }
 
 // link returns the link to a target, or nil.
--- a/process/operator/status.go
+++ b/process/operator/status.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/process/spread"
 )
--- a/process/order/planner.go
+++ b/process/order/planner.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version"
 )
@@ -71,25 +71,25 @@
 // Assignment is an order for one target.
 type Assignment struct {
 	Target request.TargetID
-	Order  platform.Order
+	Order  outside.Order
 }
 
 // Held is an order that failed and is not given again until the declaration changes.
 type Held struct {
 	Target request.TargetID `json:"target"`
-	Order  platform.Order   `json:"order"`
+	Order  outside.Order    `json:"order"`
 	Reason string           `json:"reason"`
 }
 
 // what names an order at a target, apart from its number.
 type what struct {
 	target request.TargetID
-	order  platform.Order
+	order  outside.Order
 }
 
 // Planner plans the orders of one service.
 type Planner struct {
-	fence   platform.Fence
+	fence   outside.Fence
 	desired Desired
 	// busy maps a target to when it may be given its next order; the zero time
 	// means when the running one is done.
@@ -101,7 +101,7 @@
 }
 
 // NewPlanner returns a planner whose orders carry fence.
-func NewPlanner(fence platform.Fence) *Planner {
+func NewPlanner(fence outside.Fence) *Planner {
 	return &Planner{
 		fence: fence, busy: map[request.TargetID]time.Time{},
 		held: map[what]string{}, unused: map[string]time.Time{},
@@ -140,7 +140,7 @@
 		if !ok {
 			continue
 		}
-		if p.serves(now, target) && order.Kind != platform.OrderUnload {
+		if p.serves(now, target) && order.Kind != outside.OrderUnload {
 			serving--
 		}
 		p.busy[target.ID] = time.Time{}
@@ -165,43 +165,43 @@
 }
 
 // next chooses the next order of one target.
-func (p *Planner) next(now time.Time, target Target, spare bool, ready int) (platform.Order, bool) {
+func (p *Planner) next(now time.Time, target Target, spare bool, ready int) (outside.Order, bool) {
 	missing := false
 	for _, model := range p.desired.Models {
 		if slices.Contains(target.Models, model) {
 			continue
 		}
 		missing = true
-		order := platform.Order{Kind: platform.OrderLoad, Model: model}
+		order := outside.Order{Kind: outside.OrderLoad, Model: model}
 		if p.holds(target.ID, order) || !spare || now.Before(p.nextLoad) {
 			continue
 		}
 		p.nextLoad = now.Add(time.Duration(float64(time.Minute) / p.desired.LoadsPerMinute))
 		return order, true
 	}
-	role := platform.Order{Kind: platform.OrderRole, Role: p.desired.Role}
+	role := outside.Order{Kind: outside.OrderRole, Role: p.desired.Role}
 	if role.Role != "" && target.Role != role.Role && spare && !p.holds(target.ID, role) {
 		return role, true
 	}
 	if missing || ready < max(1, p.desired.MinReplicas) {
-		return platform.Order{}, false
+		return outside.Order{}, false
 	}
 	return p.surplus(now, target)
 }
 
 // surplus returns an order to unload a model that is not declared and not used.
-func (p *Planner) surplus(now time.Time, target Target) (platform.Order, bool) {
+func (p *Planner) surplus(now time.Time, target Target) (outside.Order, bool) {
 	for _, model := range target.Models {
 		since, unused := p.unused[model]
 		if !unused || now.Sub(since) < UnloadAfter {
 			continue
 		}
-		order := platform.Order{Kind: platform.OrderUnload, Model: model}
+		order := outside.Order{Kind: outside.OrderUnload, Model: model}
 		if !p.holds(target.ID, order) {
 			return order, true
 		}
 	}
-	return platform.Order{}, false
+	return outside.Order{}, false
 }
 
 // noteUse keeps since when each model that is not declared is used nowhere.
@@ -228,7 +228,7 @@
 	maps.DeleteFunc(p.unused, func(model string, _ time.Time) bool { return !loaded[model] })
 }
 
-func (p *Planner) holds(target request.TargetID, order platform.Order) bool {
+func (p *Planner) holds(target request.TargetID, order outside.Order) bool {
 	_, held := p.held[what{target, order}]
 	return held
 }
--- a/process/order/planner_test.go
+++ b/process/order/planner_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/order"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -31,7 +31,7 @@
 	targets := fleetOf(1, "v1")
 	plan := p.Plan(begin, targets)
 	assert.Equal(t, len(plan), 1)
-	assert.Equal(t, plan[0].Order, platform.Order{Kind: platform.OrderLoad, Model: "v2", Fence: 7})
+	assert.Equal(t, plan[0].Order, outside.Order{Kind: outside.OrderLoad, Model: "v2", Fence: 7})
 	p.Done(begin, plan[0], fault.New(fault.OrderFailed, "no weights"))
 	assert.Equal(t, len(p.Plan(begin.Add(time.Hour), targets)), 0)
 	assert.Equal(t, len(p.Held()), 1)
@@ -63,7 +63,7 @@
 	assert.Equal(t, len(p.Plan(over, targets)), 0)
 	plan := p.Plan(over.Add(order.UnloadAfter), targets)
 	assert.Equal(t, len(plan), 2)
-	assert.Equal(t, plan[0].Order, platform.Order{Kind: platform.OrderUnload, Model: "v1", Fence: 7})
+	assert.Equal(t, plan[0].Order, outside.Order{Kind: outside.OrderUnload, Model: "v1", Fence: 7})
 }
 
 // TestRolloutKeepsItsBounds runs whole rollouts over fleets whose targets come,
@@ -82,7 +82,7 @@
 		for range 400 {
 			now = now.Add(500 * time.Millisecond)
 			for _, a := range p.Plan(now, targets) {
-				if a.Order.Kind == platform.OrderLoad {
+				if a.Order.Kind == outside.OrderLoad {
 					if !lastLoad.IsZero() && now.Sub(lastLoad) < time.Minute/perMinute {
 						t.Fatalf("loads %v apart", now.Sub(lastLoad))
 					}
@@ -92,7 +92,7 @@
 			}
 			loading := 0
 			for _, a := range running {
-				if a.Order.Kind == platform.OrderLoad {
+				if a.Order.Kind == outside.OrderLoad {
 					loading++
 				}
 			}
@@ -130,9 +130,9 @@
 	}
 }
 
-func carryOut(models []string, o platform.Order) []string {
+func carryOut(models []string, o outside.Order) []string {
 	without := slices.DeleteFunc(slices.Clone(models), func(m string) bool { return m == o.Model })
-	if o.Kind == platform.OrderLoad {
+	if o.Kind == outside.OrderLoad {
 		return append(without, o.Model)
 	}
 	return without
--- a/process/orders/holder.go
+++ b/process/orders/holder.go
@@ -12,7 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/process/order"
 	"github.com/mulberrylane/mulberrylane/process/revision"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -44,15 +44,15 @@
 	Targets(service string) []order.Target
 	// Give passes an order to the agent of a target and returns when it was
 	// carried out or refused.
-	Give(ctx context.Context, service string, target request.TargetID, order platform.Order) error
+	Give(ctx context.Context, service string, target request.TargetID, order outside.Order) error
 }
 
-// leaseStore is the part of platform.Store that a holder needs.
+// leaseStore is the part of outside.Store that a holder needs.
 type leaseStore interface {
-	CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.KeyValue, bool, error)
-	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
-	KeepAlive(ctx context.Context, lease platform.LeaseID) (bool, error)
-	Revoke(ctx context.Context, lease platform.LeaseID) error
+	CompareAndSwap(ctx context.Context, swap outside.Swap) (outside.KeyValue, bool, error)
+	Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error)
+	KeepAlive(ctx context.Context, lease outside.LeaseID) (bool, error)
+	Revoke(ctx context.Context, lease outside.LeaseID) error
 }
 
 // Holder competes for the leases of all services and gives orders where it holds one.
@@ -70,8 +70,8 @@
 
 // term is one tenure of a lease.
 type term struct {
-	lease   platform.LeaseID
-	fence   platform.Fence
+	lease   outside.LeaseID
+	fence   outside.Fence
 	planner *order.Planner
 	// renewed is when the last renewal that succeeded was asked for.
 	renewed time.Time
@@ -170,13 +170,13 @@
 	if err != nil {
 		return
 	}
-	swap := platform.Swap{Key: LeaseKey(service), Value: []byte(h.process), Lease: lease}
+	swap := outside.Swap{Key: LeaseKey(service), Value: []byte(h.process), Lease: lease}
 	current, taken, err := h.store.CompareAndSwap(ctx, swap)
 	if err != nil || !taken {
 		_ = h.store.Revoke(ctx, lease)
 		return
 	}
-	t := &term{lease: lease, fence: platform.Fence(current.ModRevision), renewed: now}
+	t := &term{lease: lease, fence: outside.Fence(current.ModRevision), renewed: now}
 	t.planner = order.NewPlanner(t.fence)
 	h.terms[service] = t
 	klog.InfoS("order lease taken", "service", service, "fence", t.fence)
--- a/process/revision/follower.go
+++ b/process/revision/follower.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // DocumentKey is the key of the record in force in the store.
@@ -25,10 +25,10 @@
 	readTimeout = 2 * time.Second
 )
 
-// watchStore is the part of platform.Store that a follower needs.
+// watchStore is the part of outside.Store that a follower needs.
 type watchStore interface {
-	Get(ctx context.Context, key string) (platform.KeyValue, error)
-	Watch(ctx context.Context, prefix string, after int64) (<-chan platform.Watched, error)
+	Get(ctx context.Context, key string) (outside.KeyValue, error)
+	Watch(ctx context.Context, prefix string, after int64) (<-chan outside.Watched, error)
 }
 
 // Follower watches the store while its spreader says that this process should.
@@ -100,7 +100,7 @@
 	return true
 }
 
-func (f *Follower) take(change platform.Watched) {
+func (f *Follower) take(change outside.Watched) {
 	if change.Deleted || change.Key != DocumentKey {
 		return
 	}
--- a/process/revision/scale_test.go
+++ b/process/revision/scale_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/connection/wire"
-	"github.com/mulberrylane/mulberrylane/platform/etcd"
+	"github.com/mulberrylane/mulberrylane/outside/etcd"
 	"github.com/mulberrylane/mulberrylane/process/spread"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/version"
--- a/request/property_test.go
+++ b/request/property_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
--- a/standin/application/application.go
+++ b/standin/application/application.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // KeyHeader names the call that is counted.
@@ -165,7 +165,7 @@
 		return
 	}
 	s.mu.Lock()
-	load := platform.ApplicationLoad{Running: s.running}
+	load := outside.ApplicationLoad{Running: s.running}
 	s.mu.Unlock()
 	reply(w, load)
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -5,19 +5,19 @@
 	"net/http"
 	"slices"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 )
 
 // orderState is what an engine keeps of its orders.
 type orderState struct {
 	// floor is the highest fencing number seen.
-	floor platform.Fence
+	floor outside.Fence
 	role  string
-	taken []platform.Order
+	taken []outside.Order
 }
 
 // Orders returns the orders that were carried out, in their order.
-func (e *Engine) Orders() []platform.Order {
+func (e *Engine) Orders() []outside.Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Clone(e.orders.taken)
@@ -31,7 +31,7 @@
 }
 
 // fence says whether an order's number is to be refused.
-func (e *Engine) fence(order platform.Order) (refused bool) {
+func (e *Engine) fence(order outside.Order) (refused bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.config.ChecksFencing && order.Fence < e.orders.floor {
@@ -42,7 +42,7 @@
 }
 
 func (s *Server) takeOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order outside.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -51,7 +51,7 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
-	if order.Kind == platform.OrderLoad && s.config.Weights != nil {
+	if order.Kind == outside.OrderLoad && s.config.Weights != nil {
 		if err := s.config.Weights.Fetch(r.Context(), order.Model); err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -64,17 +64,17 @@
 	reply(w, struct{}{})
 }
 
-func (e *Engine) carryOut(order platform.Order) bool {
+func (e *Engine) carryOut(order outside.Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch order.Kind {
-	case platform.OrderLoad:
+	case outside.OrderLoad:
 		if !slices.Contains(e.models, order.Model) {
 			e.models = append(slices.Clone(e.models), order.Model)
 		}
-	case platform.OrderUnload:
+	case outside.OrderUnload:
 		e.models = slices.DeleteFunc(slices.Clone(e.models), func(m string) bool { return m == order.Model })
-	case platform.OrderRole:
+	case outside.OrderRole:
 		e.orders.role = order.Role
 	default:
 		return false
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -13,13 +13,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
 type change struct {
 	at   time.Time
-	list []platform.Placement
+	list []outside.Placement
 }
 
 // List is the state of the stand-in.
@@ -31,16 +31,16 @@
 }
 
 // New returns a list that lags by lag behind its changes, but shows the first at once.
-func New(lag time.Duration, placements []platform.Placement) *List {
+func New(lag time.Duration, placements []outside.Placement) *List {
 	return &List{lag: lag, changes: []change{{list: placements}}}
 }
 
 // SetState changes the state of a target.
-func (l *List) SetState(target request.TargetID, state platform.HostState) {
+func (l *List) SetState(target request.TargetID, state outside.HostState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	latest := l.changes[len(l.changes)-1].list
-	list := make([]platform.Placement, len(latest))
+	list := make([]outside.Placement, len(latest))
 	copy(list, latest)
 	for i := range list {
 		if list[i].Target == target {
@@ -51,12 +51,12 @@
 }
 
 // Put adds a placement, or replaces the one of the same target.
-func (l *List) Put(placement platform.Placement) {
+func (l *List) Put(placement outside.Placement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	latest := l.changes[len(l.changes)-1].list
 	list := slices.Clone(latest)
-	same := func(p platform.Placement) bool { return p.Target == placement.Target }
+	same := func(p outside.Placement) bool { return p.Target == placement.Target }
 	if i := slices.IndexFunc(list, same); i >= 0 {
 		list[i] = placement
 	} else {
@@ -66,7 +66,7 @@
 }
 
 // Visible returns the list as it shows now.
-func (l *List) Visible() []platform.Placement {
+func (l *List) Visible() []outside.Placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.changes) > 1 && time.Since(l.changes[1].at) >= l.lag {
--- a/standin/oracle/oracle.go
+++ b/standin/oracle/oracle.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/mulberrylane/mulberrylane/platform/vocabulary"
+	"github.com/mulberrylane/mulberrylane/outside/vocabulary"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
