--- a/fault/kind.go
+++ b/fault/kind.go
@@ -67,8 +67,11 @@
 	SlowCaller Kind = 26
 	// OrderFailed means that an engine could not carry out an order.
 	OrderFailed Kind = 27
+	// Unreachable means that no connection to the target could be made, so nothing
+	// was sent.
+	Unreachable Kind = 28
 
-	kindCount = 28
+	kindCount = 29
 )
 
 // Answer is what a caller is told for one kind.
@@ -124,6 +127,7 @@
 	RevisionConflict:   {"revision_conflict", http.StatusConflict, typeInvalid, "the configuration was changed by another operator", false},
 	SlowCaller:         {"slow_caller", http.StatusRequestTimeout, typeInvalid, "the caller did not read its answer in time", false},
 	OrderFailed:        {"order_failed", http.StatusBadGateway, typeServer, "the engine could not carry out the order", false},
+	Unreachable:        {"unreachable", http.StatusServiceUnavailable, typeServer, "the target could not be connected to", true},
 }
 
 // Answer returns the row of the table for k; an unknown number reads as Internal.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -10,7 +10,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
-	"github.com/mulberrylane/mulberrylane"
+	"github.com/mulberrylane/mulberrylane/process/lifecycle"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 )
 
@@ -42,7 +42,7 @@
 			if err := settings.Read(path, P(&s)); err != nil {
 				return err
 			}
-			return errors.Wrap(mulberrylane.Run(assemble(s)), name)
+			return errors.Wrap(lifecycle.Run(assemble(s)), name)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "JSON settings file")
--- /dev/null
+++ b/process/gateway/attempt.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/connection/target"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// reuseOnce is how long a connection may have been idle that carries a request
+	// which may not be repeated: one that is closed meanwhile loses it.
+	reuseOnce = 250 * time.Millisecond
+	// reuseMost is that time for other requests.
+	reuseMost = 800 * time.Millisecond
+	// answerBytes bounds the body of an answer that is not a stream.
+	answerBytes = 16 << 20
+	// copyPrompt is how many tokens a run reads that goes on from a copy: the copy
+	// lags by some hundred milliseconds.
+	copyPrompt = 400
+)
+
+// attempt is one request to one target.
+type attempt struct {
+	exchange *exchange
+	target   placement.Registration
+	need     placement.Need
+	spec     request.Attempt
+	// copyTo is the target that receives a copy of the memory, or "".
+	copyTo request.TargetID
+	ctx    context.Context
+	cancel context.CancelFunc
+	watch  *watch
+	conn   *target.Conn
+	began  time.Time
+	// alone says that the target had no other prompt to read when this one came.
+	alone bool
+	// patient attempts are not given up when their target seems lost: the request may
+	// have run, and no other target may be asked.
+	patient   bool
+	given     atomic.Bool
+	answering bool
+}
+
+// abandon gives the attempt up because its target seems lost.
+func (a *attempt) abandon() {
+	if !a.patient {
+		a.given.Store(true)
+		a.cancel()
+	}
+}
+
+// place chooses a target and counts the attempt there.
+func (e *exchange) place(ctx context.Context, need placement.Need) (*attempt, error) {
+	c := e.gateway.control
+	a := &attempt{exchange: e, need: need, began: time.Now(), patient: !e.route.Repeatable()}
+	var choice placement.Choice
+	var err error
+	if !c.do(func() {
+		if choice, err = c.table.Pick(a.began, need); err == nil {
+			a.alone = choice.Cost == 0
+			c.occupy(a, choice.Target, ctx)
+		}
+	}) {
+		return nil, errors.WithStack(errEnded)
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.gateway.log.Event("placed", "request", e.in.ID, "target", a.target.ID, "failureDomain", a.target.FailureDomain,
+		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", a.copyTo)
+	return a, nil
+}
+
+// occupy counts an attempt at a target and chooses where its copy goes.
+func (c *control) occupy(a *attempt, t *placement.Target, ctx context.Context) {
+	a.target = t.Registration
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	a.spec.Target = t.Endpoint
+	c.table.Began(t.ID, a.need)
+	if a.need.Memory > 0 {
+		if copyTo := c.table.PickCopy(a.began, t, a.need); copyTo != nil && a.copies() {
+			a.copyTo = copyTo.ID
+			a.spec.CopyTo = copyTo.Address
+			c.table.Copies(copyTo.ID, a.need.Memory)
+		}
+		c.tell = true
+	}
+	c.begin(a)
+}
+
+// copies says whether the engines of the service send copies.
+func (a *attempt) copies() bool {
+	service := a.exchange.gateway.table.Load().Service(a.exchange.service)
+	return service != nil && service.Engine != nil && service.Engine.Copies && a.exchange.route.Resumable
+}
+
+// release takes the attempt off its target.
+func (a *attempt) release() {
+	a.cancel()
+	c := a.exchange.gateway.control
+	c.post(func() {
+		c.table.Ended(a.target.ID, a.need, a.answering)
+		if a.copyTo != "" {
+			c.table.Copies(a.copyTo, -a.need.Memory)
+		}
+		if a.need.Memory > 0 {
+			c.tell = true
+		}
+		c.end(a)
+	})
+}
+
+// reading notes that the target has read the prompt.
+func (a *attempt) reading() {
+	c := a.exchange.gateway.control
+	took := time.Since(a.began)
+	c.post(func() {
+		if a.answering {
+			return
+		}
+		a.answering = true
+		c.table.Answering(a.target.ID, a.need)
+		if a.alone {
+			c.table.Timed(a.need.Prompt, took)
+		}
+		c.tell = true
+	})
+}
+
+// do sends the request and judges the head of the answer. The answer is nil unless
+// it came.
+func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
+	g := a.exchange.gateway
+	idle := reuseMost
+	if a.patient {
+		idle = reuseOnce
+	}
+	conn, err := g.pool.Get(a.ctx, a.target.Address, idle)
+	if err != nil {
+		a.unreached(err)
+		return nil, request.Reply{}, request.AttemptUnsent
+	}
+	a.conn = conn
+	context.AfterFunc(a.ctx, conn.Close)
+	in := &a.exchange.in
+	a.spec.TimeLeft = a.exchange.timeLeft()
+	a.spec.Workspace = a.exchange.workspaceName()
+	response, err := conn.Do(target.Request{
+		Method: in.Method, Path: in.Target, Host: in.Host,
+		Header: platform.EncodeAttempt(*in, a.spec), Body: in.Body,
+	})
+	if errors.Is(err, target.ErrNotSent) {
+		a.unreached(err)
+		return nil, request.Reply{}, request.AttemptUnsent
+	}
+	if err != nil {
+		a.broke(err)
+		return nil, request.Reply{}, request.AttemptBroken
+	}
+	a.watch.sign(g.control)
+	reply := platform.DecodeReply(response, in.ID)
+	a.note(reply)
+	return response, reply, reply.Outcome()
+}
+
+// note tells the control state what an answer says of its target.
+func (a *attempt) note(reply request.Reply) {
+	c := a.exchange.gateway.control
+	c.post(func() {
+		if reply.WrongTarget {
+			c.table.Replaced(a.target.ID)
+			return
+		}
+		c.table.Answered(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
+	})
+}
+
+// unreached notes that no connection could be made.
+func (a *attempt) unreached(err error) {
+	if a.ctx.Err() != nil {
+		return
+	}
+	c := a.exchange.gateway.control
+	a.exchange.gateway.log.Event("not_reached", "request", a.exchange.in.ID, "target", a.target.ID, "error", err.Error())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.post(func() { c.lost(a.target.ID, "connection refused") })
+		return
+	}
+	a.exchange.gateway.suspect(a.target.ID)
+}
+
+// broke notes that an answer broke off.
+func (a *attempt) broke(err error) {
+	if a.ctx.Err() != nil && !a.given.Load() {
+		return
+	}
+	g := a.exchange.gateway
+	g.log.Event("broken", "request", a.exchange.in.ID, "target", a.target.ID,
+		"givenUp", a.given.Load(), "after", time.Since(a.began), "error", err.Error())
+	if !a.given.Load() {
+		g.suspect(a.target.ID)
+	}
+}
+
+// body reads the rest of an answer and gives its connection back.
+func (a *attempt) body(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
+	if err != nil {
+		a.conn.Close()
+		return nil, errors.Wrap(err, "body")
+	}
+	a.exchange.gateway.pool.Put(a.conn, response)
+	return body, nil
+}
--- /dev/null
+++ b/process/gateway/control.go
@@ -0,0 +1,302 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/mulberrylane/mulberrylane/connection/detector"
+	"github.com/mulberrylane/mulberrylane/process/admission"
+	"github.com/mulberrylane/mulberrylane/process/freshness"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/registry"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// checkEvery is the period at which silences are looked at while attempts run.
+	checkEvery = 50 * time.Millisecond
+	// idleEvery is that period while none do.
+	idleEvery = 250 * time.Millisecond
+	// tellEvery is how often other entries are told again what did not change.
+	tellEvery = 500 * time.Millisecond
+	// tellAfter is how long changes are gathered before other entries are told.
+	tellAfter = 5 * time.Millisecond
+	// pauseAfter is how late a check comes when the process itself stood still.
+	pauseAfter = 250 * time.Millisecond
+	// commandBuffer is how many commands may wait for the control goroutine.
+	commandBuffer = 256
+	// peerGone is how long another entry counts after its last word.
+	peerGone = 4 * time.Second
+)
+
+// watch is what is known of the signs of life of one target.
+type watch struct {
+	id       request.TargetID
+	address  string
+	service  string
+	detector *detector.Detector
+	// heard is when the target last gave a sign, in nanoseconds since the start of
+	// the process.
+	heard atomic.Int64
+	// attempts lists the running attempts.
+	attempts map[*attempt]struct{}
+	probing  bool
+}
+
+// control owns what the entry believes of targets, entries and budgets. One
+// goroutine runs all commands, so nothing in it is locked.
+type control struct {
+	gateway  *Gateway
+	commands chan func()
+	table    *placement.Table
+	registry *registry.Registry
+	watches  map[request.TargetID]*watch
+	budgets  map[string]*admission.WindowBudget
+	bounds   Bounds
+	began    time.Time
+	checked  time.Time
+
+	// peers maps the names of other entries to their addresses, heard to when they
+	// last said something.
+	peers  map[string]string
+	heard  map[string]time.Time
+	copies map[string]peers.Copy
+	// theirs holds the copies that other entries told of.
+	theirs map[string]map[string]peers.Copy
+	number uint64
+	boot   int64
+	told   time.Time
+	tell   bool
+
+	// fresh is read by requests; it is guarded by being replaced whole.
+	fresh atomic.Pointer[freshness.Freshness]
+}
+
+func newControl(g *Gateway) *control {
+	now := time.Now()
+	c := &control{
+		gateway:  g,
+		commands: make(chan func(), commandBuffer),
+		table:    placement.NewTable(),
+		registry: registry.New(),
+		watches:  map[request.TargetID]*watch{},
+		budgets:  map[string]*admission.WindowBudget{},
+		bounds:   g.settings.Bounds,
+		began:    now,
+		checked:  now,
+		peers:    map[string]string{},
+		heard:    map[string]time.Time{},
+		copies:   map[string]peers.Copy{},
+		theirs:   map[string]map[string]peers.Copy{},
+		boot:     now.UnixNano(),
+	}
+	c.fresh.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
+	return c
+}
+
+// suspendedClock returns a clock that goes on while the machine is suspended.
+func suspendedClock() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return time.Duration(now.Nano())
+}
+
+func (c *control) run() {
+	timer := time.NewTimer(idleEvery)
+	defer timer.Stop()
+	var telling <-chan time.Time
+	for {
+		select {
+		case <-c.gateway.background.Done():
+			return
+		case command := <-c.commands:
+			command()
+		case <-telling:
+			telling = nil
+			c.tellPeers()
+		case <-timer.C:
+			c.check(time.Now())
+			timer.Reset(c.period())
+		}
+		if c.tell && telling == nil {
+			telling = time.After(tellAfter)
+		}
+	}
+}
+
+func (c *control) period() time.Duration {
+	for _, w := range c.watches {
+		if len(w.attempts) > 0 {
+			return checkEvery
+		}
+	}
+	return idleEvery
+}
+
+// do runs a command on the control goroutine and waits for it. It returns false
+// when the process ends.
+func (c *control) do(command func()) bool {
+	done := make(chan struct{})
+	select {
+	case c.commands <- func() { command(); close(done) }:
+	case <-c.gateway.background.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-c.gateway.background.Done():
+		return false
+	}
+}
+
+// post runs a command on the control goroutine without waiting for it.
+func (c *control) post(command func()) {
+	select {
+	case c.commands <- command:
+	case <-c.gateway.background.Done():
+	}
+}
+
+// check looks at silences, lapsed registrations and lost entries.
+func (c *control) check(now time.Time) {
+	if late := now.Sub(c.checked) - idleEvery; late > pauseAfter {
+		c.gateway.log.Event("paused", "for", late)
+		for _, w := range c.watches {
+			w.detector.Forgive(late)
+		}
+	}
+	c.checked = now
+	for _, id := range c.registry.Due(now) {
+		c.drop(id, "lapsed")
+	}
+	for name, at := range c.heard {
+		if now.Sub(at) > peerGone {
+			delete(c.heard, name)
+			delete(c.theirs, name)
+			c.table.RemovePeer(name)
+		}
+	}
+	for _, w := range c.watches {
+		c.checkTarget(now, w)
+	}
+	if now.Sub(c.told) > tellEvery {
+		c.tell = true
+	}
+	c.gateway.pool.Sweep()
+}
+
+func (c *control) drop(id request.TargetID, reason string) {
+	c.table.Remove(id)
+	if w, ok := c.watches[id]; ok && len(w.attempts) == 0 {
+		delete(c.watches, id)
+	}
+	c.gateway.log.Event("target_gone", "target", id, "reason", reason)
+}
+
+// entries returns how many entries share the budgets, this one included.
+func (c *control) entries() int { return max(len(c.peers), len(c.heard)+1) }
+
+func (c *control) budget(service string) *admission.WindowBudget {
+	budget, ok := c.budgets[service]
+	if !ok {
+		b := c.bounds
+		budget = admission.NewWindowBudget(budgetShare*b.RetryRatio, budgetShare*b.RetrySlack, b.RetryWindow.Std())
+		c.budgets[service] = budget
+	}
+	return budget
+}
+
+// budgetShare is the part of the operators' bound on repeats that is used, since
+// callers' own counts and those of entries differ by what is under way.
+const budgetShare = 0.8
+
+// freshNow returns the judge of the configuration's age.
+func (c *control) freshNow() *freshness.Freshness { return c.fresh.Load() }
+
+// confirm notes that the store confirmed the configuration as of the instant sent.
+func (c *control) confirm(sent time.Duration) {
+	next := *c.fresh.Load()
+	next.Confirm(sent)
+	c.fresh.Store(&next)
+}
+
+func (c *control) tellPeers() {
+	c.tell = false
+	now := time.Now()
+	c.told = now
+	if len(c.peers) <= 1 {
+		return
+	}
+	message := peers.Message{
+		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
+		Work: map[request.TargetID][3]int{}, Copies: c.copies,
+	}
+	c.number++
+	for id, work := range c.table.Own() {
+		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+	}
+	addresses := make([]string, 0, len(c.peers))
+	for name, address := range c.peers {
+		if name != c.gateway.settings.Name {
+			addresses = append(addresses, address)
+		}
+	}
+	if err := c.gateway.peers.Send(message, addresses); err != nil {
+		c.gateway.log.Event("peers_not_told", "error", err.Error())
+	}
+}
+
+// receivePeers takes up what other entries say.
+func (g *Gateway) receivePeers() {
+	for g.background.Err() == nil {
+		message, err := g.peers.Receive()
+		if err != nil {
+			if g.background.Err() == nil {
+				g.log.Event("peers_lost", "error", err.Error())
+				time.Sleep(checkEvery)
+			}
+			continue
+		}
+		g.control.post(func() { g.control.hear(message) })
+	}
+}
+
+func (c *control) hear(message peers.Message) {
+	now := time.Now()
+	c.heard[message.Entry] = now
+	c.table.SetPeer(now, message.Entry, message.PlacementWork())
+	c.theirs[message.Entry] = message.Copies
+}
+
+// copyOf returns a copy of the memory of an earlier run of the session, of which
+// another entry told.
+func (c *control) copyOf(session string) (peers.Copy, bool) {
+	for _, copies := range c.theirs {
+		if found, ok := copies[session]; ok {
+			return found, true
+		}
+	}
+	return peers.Copy{}, false
+}
+
+// spend takes a repeat for a service from the budget, or says that none is left.
+func (g *Gateway) spend(service string) bool {
+	granted := false
+	g.control.do(func() {
+		c := g.control
+		granted = c.budget(service).Spend(time.Now(), c.entries())
+	})
+	return granted
+}
+
+// context of the background work that a request leaves behind.
+func (g *Gateway) withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(g.background, d)
+}
--- /dev/null
+++ b/process/gateway/follow.go
@@ -0,0 +1,325 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/version/routes"
+)
+
+const (
+	// watchShare is the part of the revocation bound that one watch waits, so that
+	// two of them fit in the time for which an entry counts as ready.
+	watchShare = 0.22
+	// watchMost is that wait where there is no such bound.
+	watchMost = 2 * time.Second
+	// answerWithin is how long the store may take besides the wait.
+	answerWithin = 600 * time.Millisecond
+	// gatherFor is the pause after changes, so that one call brings several.
+	gatherFor = 60 * time.Millisecond
+	// storePause is the pause after a call that failed.
+	storePause = 100 * time.Millisecond
+	// leaseLife is how long an entry that is gone stays registered, keepAliveEvery
+	// how often it renews that.
+	leaseLife      = 12 * time.Second
+	keepAliveEvery = 4 * time.Second
+)
+
+// follow keeps configuration, targets and entries as the store has them.
+func (g *Gateway) follow() {
+	f := &follower{gateway: g}
+	for g.background.Err() == nil {
+		err := f.step()
+		if err == nil || g.background.Err() != nil {
+			continue
+		}
+		f.failed(err)
+		f.pause(storePause)
+	}
+}
+
+// follower is the state of the watch on the store.
+type follower struct {
+	gateway *Gateway
+	// revision is the one to go on from; zero means that all is to be read.
+	revision int64
+	// away says that the last call failed.
+	away bool
+}
+
+func (f *follower) step() error {
+	if f.revision == 0 {
+		return f.list()
+	}
+	return f.watch()
+}
+
+// list reads everything there is.
+func (f *follower) list() error {
+	g := f.gateway
+	ctx, cancel := g.withTimeout(answerWithin)
+	defer cancel()
+	sent := suspendedClock()
+	items, revision, err := g.store.Range(ctx, "")
+	g.metrics.storeCall("range", err)
+	if err != nil {
+		return errors.Wrap(err, "list")
+	}
+	var ids []request.TargetID
+	for _, item := range items {
+		if id, ok := strings.CutPrefix(item.Key, platform.TargetPrefix); ok {
+			ids = append(ids, request.TargetID(id))
+		}
+	}
+	f.returned()
+	g.control.do(func() {
+		c := g.control
+		for _, id := range c.registry.Listed(time.Now(), ids) {
+			c.drop(id, "not registered")
+		}
+		clear(c.peers)
+	})
+	for _, item := range items {
+		f.apply(item)
+	}
+	f.confirm(sent)
+	f.revision = revision
+	g.log.Event("store_listed", "items", len(items), "revision", revision)
+	return nil
+}
+
+// watch waits for changes.
+func (f *follower) watch() error {
+	g := f.gateway
+	wait := watchMost
+	if revoke := g.settings.Bounds.RevokeWithin.Std(); revoke > 0 {
+		wait = min(wait, time.Duration(watchShare*float64(revoke)))
+	}
+	if f.away {
+		wait = time.Millisecond
+	}
+	ctx, cancel := g.withTimeout(wait + answerWithin)
+	defer cancel()
+	sent := suspendedClock()
+	items, revision, err := g.store.Watch(ctx, "", f.revision, wait)
+	g.metrics.storeCall("watch", err)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		g.log.Event("store_history_gone", "revision", f.revision)
+		f.revision = 0
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	f.returned()
+	for _, item := range items {
+		f.apply(item)
+	}
+	f.confirm(sent)
+	f.revision = max(f.revision, revision)
+	if len(items) > 0 {
+		f.pause(gatherFor)
+	}
+	return nil
+}
+
+func (f *follower) confirm(sent time.Duration) {
+	g := f.gateway
+	if g.table.Load() != nil {
+		g.control.do(func() { g.control.confirm(sent) })
+	}
+}
+
+// returned notes that the store answers.
+func (f *follower) returned() {
+	g := f.gateway
+	if f.away {
+		f.away = false
+		g.log.Event("store_back", "configurationAge", g.control.freshNow().Age(suspendedClock()))
+	}
+	g.control.do(func() { g.control.registry.Back(time.Now()) })
+}
+
+// failed notes that a call to the store failed. Later calls use new connections,
+// since the one of before may be silent for good.
+func (f *follower) failed(err error) {
+	g := f.gateway
+	if !f.away {
+		f.away = true
+		g.log.Event("store_away", "error", err.Error(),
+			"configurationAge", g.control.freshNow().Age(suspendedClock()))
+	}
+	g.control.do(func() { g.control.registry.Away() })
+	g.store.Reconnect()
+}
+
+func (f *follower) pause(d time.Duration) { pause(f.gateway.background, d) }
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// apply takes up one item. What cannot be read is passed over: the others hold.
+func (f *follower) apply(item platform.Item) {
+	switch {
+	case item.Key == platform.ConfigurationKey:
+		if !item.Removed {
+			f.applyConfiguration(item)
+		}
+	case strings.HasPrefix(item.Key, platform.TargetPrefix):
+		f.applyTarget(item)
+	case strings.HasPrefix(item.Key, platform.EntryPrefix):
+		f.applyEntry(item)
+	}
+}
+
+func (f *follower) applyConfiguration(item platform.Item) {
+	g := f.gateway
+	document, err := platform.DecodeConfiguration(item.Value)
+	if err != nil {
+		g.log.Event("configuration_unreadable", "revision", item.Revision, "error", err.Error())
+		return
+	}
+	table, err := routes.Compile(document)
+	if err != nil {
+		g.log.Event("configuration_rejected", "version", document.Version, "error", err.Error())
+		return
+	}
+	if old := g.table.Load(); old != nil && table.Version() <= old.Version() {
+		return
+	}
+	g.table.Store(table)
+	g.ingress.use(table.Limits())
+	g.control.do(func() { g.control.setEngines(table) })
+	g.log.Event("configuration_in_force", "version", table.Version(), "revision", item.Revision, "routes", table.Routes())
+}
+
+// setEngines tells the placement which services have engines.
+func (c *control) setEngines(table *routes.Table) {
+	for _, name := range table.Services() {
+		memory := 0
+		if engine := table.Service(name).Engine; engine != nil {
+			memory = engine.MemoryTokens
+		}
+		c.table.SetEngine(name, memory)
+	}
+}
+
+func (f *follower) applyTarget(item platform.Item) {
+	g := f.gateway
+	id := request.TargetID(strings.TrimPrefix(item.Key, platform.TargetPrefix))
+	if item.Removed {
+		g.control.do(func() {
+			if g.control.registry.Removed(time.Now(), id) {
+				g.control.drop(id, "registration removed")
+			}
+		})
+		return
+	}
+	registration, err := platform.DecodeRegistration(item)
+	if err != nil {
+		g.log.Event("registration_unreadable", "key", item.Key, "error", err.Error())
+		return
+	}
+	g.control.do(func() { g.control.register(registration) })
+}
+
+func (c *control) register(r placement.Registration) {
+	c.registry.Added(r.ID)
+	old := c.table.Get(r.ID)
+	if old == nil || old.Leaving != r.Leaving || old.Incarnation != r.Incarnation {
+		c.gateway.log.Event("target_registered", "target", r.ID, "service", r.Service,
+			"failureDomain", r.FailureDomain, "leaving", r.Leaving, "incarnation", r.Incarnation)
+	}
+	c.table.Register(r)
+	if table := c.gateway.table.Load(); table != nil {
+		c.setEngines(table)
+	}
+}
+
+// entryRecord is what an entry registers of itself.
+type entryRecord struct {
+	Peers string `json:"peers"`
+}
+
+func (f *follower) applyEntry(item platform.Item) {
+	g := f.gateway
+	name := strings.TrimPrefix(item.Key, platform.EntryPrefix)
+	if item.Removed {
+		g.control.do(func() { delete(g.control.peers, name) })
+		return
+	}
+	var record entryRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil || record.Peers == "" {
+		g.log.Event("entry_unreadable", "key", item.Key)
+		return
+	}
+	g.control.do(func() { g.control.peers[name] = record.Peers })
+}
+
+// registerEntry keeps this entry registered, so that the others find it.
+func (g *Gateway) registerEntry() {
+	lease := int64(0)
+	for g.background.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = g.takeLease()
+		} else {
+			err = g.keepLease(lease)
+			if errors.Is(err, platform.ErrNotFound) {
+				lease = 0
+				continue
+			}
+		}
+		if err != nil {
+			g.log.Event("entry_not_registered", "error", err.Error())
+		}
+		wait := keepAliveEvery
+		if lease == 0 {
+			wait = time.Second
+		}
+		pause(g.background, wait)
+	}
+}
+
+func (g *Gateway) takeLease() (int64, error) {
+	ctx, cancel := g.withTimeout(answerWithin)
+	defer cancel()
+	lease, err := g.store.Lease(ctx, leaseLife)
+	g.metrics.storeCall("lease", err)
+	if err != nil {
+		return 0, errors.Wrap(err, "register")
+	}
+	value, err := json.Marshal(entryRecord{Peers: g.settings.Peers})
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	write := platform.Write{Key: platform.EntryPrefix + g.settings.Name, Value: value, Lease: lease}
+	_, err = g.store.Swap(ctx, nil, []platform.Write{write}, nil)
+	g.metrics.storeCall("swap", err)
+	if err != nil {
+		return 0, errors.Wrap(err, "register")
+	}
+	return lease, nil
+}
+
+func (g *Gateway) keepLease(lease int64) error {
+	ctx, cancel := g.withTimeout(answerWithin)
+	defer cancel()
+	err := g.store.KeepAlive(ctx, lease)
+	g.metrics.storeCall("keep", err)
+	return errors.Wrap(err, "register")
+}
--- /dev/null
+++ b/process/gateway/gateway.go
@@ -0,0 +1,144 @@
+// Package gateway is the entry of a deployment on the users' platform. It takes
+// requests from callers, reaches every target itself, and keeps nothing that must
+// last: configuration and registrations lie in the platform's store.
+//
+// The decisions are those of the cores in request, version/routes and process;
+// this package owns sockets, timers and goroutines. One goroutine owns the control
+// state, each request has goroutines of its own.
+package gateway
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"github.com/mulberrylane/mulberrylane/connection/target"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/process/lifecycle"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/version/routes"
+)
+
+// memoryShare is the part of the process's memory that the heap may take before
+// the collector works harder; the rest is for stacks and sockets.
+const memoryShare = 0.6
+
+// Gateway is one entry.
+type Gateway struct {
+	settings Settings
+	log      *eventlog.Log
+	metrics  *instruments
+	control  *control
+	pool     *target.Pool
+	store    *platform.Store
+	peers    *peers.Conn
+	ingress  *ingress
+
+	// table is the configuration in force; nil until the first one is read.
+	table atomic.Pointer[routes.Table]
+	// leaving is set when the process was asked to end, leftAt when that was.
+	leaving  atomic.Bool
+	leftAt   atomic.Int64
+	inFlight sync.WaitGroup
+	running  atomic.Int64
+
+	background context.Context
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// New returns the application of a gateway.
+func New(s Settings) *fx.App {
+	return lifecycle.NewApp(
+		fx.Supply(s),
+		fx.Provide(
+			func() *eventlog.Log { return eventlog.New(os.Stdout) },
+			func(s Settings) *platform.Store { return platform.NewStore(s.Store) },
+			newInstruments,
+			target.NewPool,
+			newGateway,
+		),
+		fx.Invoke(lifecycle.Hook[*Gateway]),
+	)
+}
+
+func newGateway(s Settings, log *eventlog.Log, store *platform.Store, pool *target.Pool, m *instruments) *Gateway {
+	background, cancel := context.WithCancel(context.Background())
+	g := &Gateway{
+		settings: s, log: log, store: store, pool: pool, metrics: m,
+		background: background, cancel: cancel,
+	}
+	g.control = newControl(g)
+	g.ingress = newIngress(g)
+	return g
+}
+
+// Start opens the listeners and begins to follow the store.
+func (g *Gateway) Start(context.Context) error {
+	if g.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.MemoryMB) * (1 << 20)))
+	}
+	if err := g.ingress.listen(); err != nil {
+		return err
+	}
+	conn, err := peers.Listen(g.settings.Peers)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	g.peers = conn
+	for _, run := range []func(){
+		g.control.run, g.follow, g.registerEntry, g.receivePeers, g.reloadSettings, g.ingress.serve,
+	} {
+		g.done.Go(run)
+	}
+	g.log.Event("started", "process", g.settings.Name, "failureDomain", g.settings.FailureDomain)
+	return nil
+}
+
+// errEnded is the cause of what is cancelled because the process ends.
+var errEnded = errors.New("the process ends")
+
+const (
+	// leaveFor is how long a process that was asked to end still takes requests: the
+	// balancer asks each second and takes it out after two refusals.
+	leaveFor = 2300 * time.Millisecond
+	// streamsFor is how long it still takes streams, which last for seconds.
+	streamsFor = 2300 * time.Millisecond
+	// endMargin is left of the grace time for the end of the process itself.
+	endMargin = 500 * time.Millisecond
+)
+
+// Stop serves on until callers have been sent elsewhere and running requests have
+// ended, but no longer than the grace time.
+func (g *Gateway) Stop(context.Context) error {
+	begun := time.Now()
+	g.leftAt.Store(begun.UnixNano())
+	g.leaving.Store(true)
+	g.log.Event("leaving", "running", g.running.Load(), "grace", g.settings.Bounds.Grace.Std())
+	time.Sleep(leaveFor)
+	g.ingress.stopAccepting()
+	idle := make(chan struct{})
+	go func() {
+		g.inFlight.Wait()
+		close(idle)
+	}()
+	left := g.settings.Bounds.Grace.Std() - endMargin - time.Since(begun)
+	select {
+	case <-idle:
+	case <-time.After(left):
+		g.log.Event("cut_off", "running", g.running.Load())
+	}
+	g.ingress.close()
+	g.cancel()
+	err := g.peers.Close()
+	g.log.Event("stopped", "process", g.settings.Name, "after", time.Since(begun))
+	g.log.Close()
+	return errors.Wrap(err, "peers")
+}
--- /dev/null
+++ b/process/gateway/ingress.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/mulberrylane/mulberrylane/version/routes"
+)
+
+// firstLimits bound callers until a configuration is known.
+var firstLimits = routes.Limits{
+	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+}
+
+// ingress takes connections of callers. The limits of a server cannot be changed
+// while it runs, so each set of limits has a server of its own, to which the
+// connections accepted under them go.
+type ingress struct {
+	gateway  *Gateway
+	listener net.Listener
+	health   net.Listener
+	metrics  net.Listener
+	asides   []*http.Server
+
+	mu      sync.Mutex
+	limits  routes.Limits
+	current *handover
+	all     []*http.Server
+	closed  bool
+}
+
+// handover is a listener to which accepted connections are handed.
+type handover struct {
+	conns chan net.Conn
+	addr  net.Addr
+	done  chan struct{}
+	once  sync.Once
+}
+
+// Accept implements net.Listener.
+func (h *handover) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handover) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handover) Addr() net.Addr { return h.addr }
+
+func newIngress(g *Gateway) *ingress { return &ingress{gateway: g} }
+
+func (i *ingress) listen() error {
+	s := i.gateway.settings
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&i.listener, s.Callers}, {&i.health, s.Health}, {&i.metrics, s.Metrics}} {
+		listener, err := net.Listen("tcp", open.address)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		*open.listener = listener
+	}
+	i.use(firstLimits)
+	health := http.NewServeMux()
+	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", i.gateway.metrics.handler())
+	i.aside(i.health, health)
+	i.aside(i.metrics, metrics)
+	return nil
+}
+
+// aside serves operators beside the callers.
+func (i *ingress) aside(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: firstLimits.HeaderTimeout}
+	i.asides = append(i.asides, server)
+	go i.run(server, listener)
+}
+
+func (i *ingress) run(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		i.gateway.log.Event("listener_lost", "address", listener.Addr().String(), "error", err.Error())
+	}
+}
+
+// use puts limits in force for connections that are accepted from now on.
+func (i *ingress) use(limits routes.Limits) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed || i.current != nil && limits == i.limits {
+		return
+	}
+	i.limits = limits
+	i.current = &handover{conns: make(chan net.Conn), addr: i.listener.Addr(), done: make(chan struct{})}
+	server := &http.Server{
+		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
+		ReadHeaderTimeout:            limits.HeaderTimeout,
+		IdleTimeout:                  limits.IdleTimeout,
+		MaxHeaderBytes:               limits.HeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     klog.NewStandardLogger("WARNING"),
+		BaseContext:                  func(net.Listener) context.Context { return i.gateway.background },
+	}
+	i.all = append(i.all, server)
+	go i.run(server, i.current)
+}
+
+// serve hands accepted connections to the server of the present limits.
+func (i *ingress) serve() {
+	for {
+		conn, err := i.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			i.gateway.log.Event("accept_failed", "error", err.Error())
+			pause(i.gateway.background, checkEvery)
+			continue
+		}
+		i.mu.Lock()
+		current := i.current
+		i.mu.Unlock()
+		select {
+		case current.conns <- conn:
+		case <-i.gateway.background.Done():
+			_ = conn.Close()
+		}
+	}
+}
+
+// stopAccepting closes the callers' listener; open connections go on.
+func (i *ingress) stopAccepting() { _ = i.listener.Close() }
+
+// close ends all connections.
+func (i *ingress) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closed = true
+	for _, server := range append(i.all, i.asides...) {
+		_ = server.Close()
+	}
+}
+
+// serveReady answers the balancer.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.leaving.Load() || !g.control.freshNow().Ready(suspendedClock()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
--- /dev/null
+++ b/process/gateway/reload.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/process/settings"
+)
+
+// settingsEvery is how often the settings file is looked at: it may change without
+// a signal.
+const settingsEvery = 2 * time.Second
+
+// reloadSettings takes up the bounds of a changed settings file. Addresses stay
+// until the next start.
+func (g *Gateway) reloadSettings() {
+	if g.settings.source == "" {
+		return
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	before := modified(g.settings.source)
+	for {
+		select {
+		case <-g.background.Done():
+			return
+		case <-signals:
+			g.reload("signal")
+		case <-ticker.C:
+			if now := modified(g.settings.source); !now.Equal(before) {
+				before = now
+				g.reload("file changed")
+			}
+		}
+	}
+}
+
+// modified returns when a file was written, or zero where that cannot be seen.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func (g *Gateway) reload(reason string) {
+	var next Settings
+	if err := settings.Read(g.settings.source, &next); err != nil {
+		g.log.Event("settings_rejected", "reason", reason, "error", err.Error())
+		return
+	}
+	g.control.do(func() {
+		g.control.bounds = next.Bounds
+		clear(g.control.budgets)
+	})
+	g.log.Event("settings_reloaded", "reason", reason)
+}
--- /dev/null
+++ b/process/gateway/settings.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/process/settings"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// Settings is the settings file of mlgateway. deploy/gateway.json.tmpl fills it in
+// from what the platform knows of a machine.
+type Settings struct {
+	// Name is unique among entries.
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	// Callers, Health and Metrics are IP addresses and TCP ports to listen at.
+	Callers string `json:"callers"`
+	Health  string `json:"health"`
+	Metrics string `json:"metrics"`
+	// Peers is the IP address and UDP port for other entries.
+	Peers string `json:"peers"`
+	// Store is the IP address and port of the platform's store.
+	Store string `json:"store"`
+	// MemoryMB is the memory that the process may take.
+	MemoryMB int    `json:"memoryMB"`
+	Bounds   Bounds `json:"bounds"`
+
+	// source is the file that the settings were read from, or empty.
+	source string
+}
+
+// SetSource tells the file that the settings were read from.
+func (s *Settings) SetSource(path string) { s.source = path }
+
+// Bounds are what the platform's operators promise and ask for.
+type Bounds struct {
+	// RevokeWithin is how soon a key that was taken away must be of no use; zero
+	// means that there is no such bound.
+	RevokeWithin version.Duration `json:"revokeWithin"`
+	// Grace is how long a process may take to end once it was asked to.
+	Grace version.Duration `json:"grace"`
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats that a service gets.
+	RetryRatio  float64          `json:"retryRatio"`
+	RetrySlack  float64          `json:"retrySlack"`
+	RetryWindow version.Duration `json:"retryWindow"`
+	// StoreHeartbeat is how often targets renew their registrations.
+	StoreHeartbeat version.Duration `json:"storeHeartbeat"`
+}
+
+// Check returns all errors of the settings.
+func (s *Settings) Check() error {
+	c := &settings.Checker{}
+	c.Required("name", s.Name)
+	c.Required("failureDomain", s.FailureDomain)
+	c.Address("callers", s.Callers)
+	c.Address("health", s.Health)
+	c.Address("metrics", s.Metrics)
+	c.Address("peers", s.Peers)
+	c.Address("store", s.Store)
+	if s.MemoryMB < 0 {
+		c.Errorf("memoryMB", "must not be negative")
+	}
+	positive := func(path string, value version.Duration) {
+		if value <= 0 {
+			c.Errorf(path, "must be longer than zero")
+		}
+	}
+	positive("bounds.grace", s.Bounds.Grace)
+	positive("bounds.retryWindow", s.Bounds.RetryWindow)
+	positive("bounds.storeHeartbeat", s.Bounds.StoreHeartbeat)
+	if s.Bounds.RevokeWithin < 0 {
+		c.Errorf("bounds.revokeWithin", "must not be negative")
+	}
+	if s.Bounds.RevokeWithin > 0 && s.Bounds.RevokeWithin.Std() < time.Second {
+		c.Errorf("bounds.revokeWithin", "%s is too short to ask the store in", s.Bounds.RevokeWithin.Std())
+	}
+	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
+		c.Errorf("bounds.retryRatio", "and bounds.retrySlack must not be negative")
+	}
+	return c.Err()
+}
--- /dev/null
+++ b/process/gateway/stream.go
@@ -0,0 +1,429 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// resumeWithin is how long a stream may stay without a running attempt: the time
+	// in which both deployments' users expect output to go on.
+	resumeWithin = 3 * time.Second
+	// fruitless is how many attempts in a row may bring no event.
+	fruitless = 5
+	// eventBuffer is how many messages of an attempt wait for a slow caller.
+	eventBuffer = 16
+	// writeWithin is how long one write to a caller may take.
+	writeWithin = 5 * time.Second
+	// steadyTokens is an answer's share of its largest length that is reckoned with.
+	steadyTokens = 0.9
+)
+
+// part is what an attempt tells the stream it works for.
+type part struct {
+	attempt *attempt
+	number  request.AttemptNumber
+	// head comes with the first events.
+	head   *http.Response
+	events []platform.Event
+	// ended says that the answer is complete, kind why the attempt failed else.
+	ended bool
+	kind  fault.Kind
+	// failure is the target's own answer of a failure, if it gave one.
+	failure *answer
+}
+
+// stream is one answer in events. Its recovery decides; positions in it count from
+// the first event that the caller lacks.
+type stream struct {
+	*exchange
+	ctx      context.Context
+	recovery *request.Recovery
+	parts    chan part
+	// over is closed when nobody listens to parts any more.
+	over    chan struct{}
+	running map[request.AttemptNumber]*attempt
+	next    *attempt
+	// lastCopy is where the memory of the last attempt can be gone on from.
+	lastCopy peers.Copy
+	copyID   request.TargetID
+	head     *http.Response
+	began    bool
+	lostAt   time.Time
+	failure  *answer
+	wake     *time.Timer
+	spent    int
+	raw      [][]byte
+	err      error
+	ended    bool
+	kind     fault.Kind
+}
+
+// stream serves a request on a streaming route.
+func (e *exchange) stream(ctx context.Context) {
+	limit := fruitless
+	if e.route.MaxAttempts > 0 {
+		limit = min(limit, e.route.MaxAttempts)
+	}
+	if !e.route.Resumable {
+		limit = 1
+	}
+	s := &stream{
+		exchange: e,
+		ctx:      ctx,
+		recovery: request.NewRecovery(request.Policy{
+			Deadline: e.deadline, ResumeWithin: resumeWithin, MaxAttempts: limit,
+		}, request.NewAnswer(e.in.MaxTokens)),
+		parts:   make(chan part, eventBuffer),
+		over:    make(chan struct{}),
+		running: map[request.AttemptNumber]*attempt{},
+		wake:    time.NewTimer(time.Until(e.deadline)),
+	}
+	defer s.wake.Stop()
+	defer close(s.over)
+	if e.in.Position > 0 {
+		s.findCopy()
+	}
+	s.step(request.Event{Type: request.EventStart})
+	for !s.ended {
+		select {
+		case p := <-s.parts:
+			s.take(p)
+		case <-s.wake.C:
+			s.step(request.Event{Type: request.EventTick})
+		case <-ctx.Done():
+			s.step(request.Event{Type: request.EventCallerLeft})
+		}
+	}
+	s.finish()
+}
+
+// findCopy looks for a copy that another entry's run of the same session made.
+func (s *stream) findCopy() {
+	c := s.gateway.control
+	c.do(func() {
+		if found, ok := c.copyOf(s.in.Session()); ok {
+			s.lastCopy = found
+		}
+	})
+}
+
+// step puts an event through the recovery and carries out what it decides.
+func (s *stream) step(event request.Event) {
+	queue := []request.Event{event}
+	for len(queue) > 0 && !s.ended {
+		event := queue[0]
+		queue = queue[1:]
+		for _, action := range s.recovery.Step(time.Now(), event) {
+			if follow, ok := s.carryOut(action); ok {
+				queue = append(queue, follow)
+			}
+		}
+	}
+}
+
+// carryOut does what the recovery asks and returns the event that follows, if any.
+func (s *stream) carryOut(action request.Action) (request.Event, bool) {
+	switch action.Type {
+	case request.ActionPick:
+		return s.pick(action), true
+	case request.ActionRun:
+		s.run(action)
+	case request.ActionCancel:
+		if a := s.running[action.Attempt]; a != nil {
+			a.cancel()
+		}
+	case request.ActionUnpick:
+		s.next.release()
+		s.next = nil
+	case request.ActionDeliver:
+		if err := s.deliver(len(action.Tokens)); err != nil {
+			return request.Event{Type: request.EventCallerLeft, Kind: fault.SlowCaller}, true
+		}
+	case request.ActionEnd:
+		s.ended, s.kind = true, action.Kind
+	case request.ActionWake:
+		s.wake.Reset(time.Until(action.At))
+	}
+	return request.Event{}, false
+}
+
+// pick chooses the target of the next attempt: the one that holds a copy of the
+// memory of the last, while there is one, else the best for the whole prompt.
+func (s *stream) pick(action request.Action) request.Event {
+	if s.recovery.Attempts() > 0 && !s.gateway.spend(s.service) {
+		s.gateway.metrics.denied.Add(s.ctx, 1)
+		s.gateway.log.Event("budget_denied", "request", s.in.ID, "attempts", s.recovery.Attempts())
+		return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
+	}
+	a := s.pickCopy()
+	if a == nil {
+		var err error
+		if a, err = s.place(s.ctx, s.need(action.Avoid)); err != nil {
+			return request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
+		}
+	}
+	s.next = a
+	return request.Event{Type: request.EventPicked, Target: a.target.ID}
+}
+
+func (s *stream) need(avoid []request.TargetID) placement.Need {
+	written := s.recovery.Answer().Len() + s.in.Position
+	return placement.Need{
+		Service: s.service, Avoid: avoid, Session: s.in.Session(),
+		Prompt: s.in.PromptTokens + written*s.tokensPerEvent(),
+		Memory: s.in.PromptTokens + int(steadyTokens*float64(s.in.MaxTokens)),
+	}
+}
+
+func (s *stream) tokensPerEvent() int {
+	service := s.gateway.table.Load().Service(s.service)
+	if service == nil || service.Engine == nil {
+		return 1
+	}
+	return max(1, service.Engine.TokensPerEvent)
+}
+
+// pickCopy returns an attempt at the target that holds the copy, or nil.
+func (s *stream) pickCopy() *attempt {
+	held := s.lastCopy
+	s.lastCopy = peers.Copy{}
+	if held.Address == "" {
+		return nil
+	}
+	c := s.gateway.control
+	a := &attempt{exchange: s.exchange, began: time.Now(), need: s.need(nil)}
+	a.need.Prompt = copyPrompt
+	found := false
+	c.do(func() {
+		for _, t := range c.table.Service(s.service) {
+			if t.Address == held.Address && !t.Down(a.began) && !t.Leaving {
+				c.occupy(a, t, s.ctx)
+				found = true
+				return
+			}
+		}
+	})
+	if !found {
+		return nil
+	}
+	a.spec.CopyFrom, a.spec.CopyOf = held.Address, held.Run
+	s.gateway.log.Event("resumed_from_copy", "request", s.in.ID, "target", a.target.ID,
+		"failureDomain", a.target.FailureDomain, "run", held.Run, "events", s.recovery.Answer().Len())
+	return a
+}
+
+// run starts the attempt that was picked.
+func (s *stream) run(action request.Action) {
+	a := s.next
+	s.next = nil
+	s.running[action.Attempt] = a
+	a.spec.Position = s.in.Position + s.recovery.Answer().Len()
+	if a.spec.CopyTo != "" {
+		s.copied(a)
+	}
+	go a.runStream(s.parts, s.over, action.Attempt)
+}
+
+// copied notes where the memory of an attempt is copied to, for this stream and for
+// other entries.
+func (s *stream) copied(a *attempt) {
+	s.lastCopy = peers.Copy{Run: s.in.ID, Address: a.spec.CopyTo}
+	if session := s.in.Session(); session != "" {
+		held := s.lastCopy
+		c := s.gateway.control
+		c.post(func() { c.copies[session] = held })
+	}
+}
+
+// take puts what an attempt tells through the recovery.
+func (s *stream) take(p part) {
+	switch {
+	case len(p.events) > 0:
+		s.takeEvents(p)
+	case p.ended:
+		s.step(request.Event{
+			Type: request.EventEnded, Attempt: p.number, Position: s.recovery.Answer().Len(),
+		})
+	default:
+		if p.failure != nil {
+			s.failure = p.failure
+		}
+		if s.running[p.number] != nil && s.lostAt.IsZero() {
+			s.lostAt = time.Now()
+		}
+		delete(s.running, p.number)
+		s.step(request.Event{Type: request.EventFailed, Attempt: p.number, Kind: p.kind})
+	}
+}
+
+func (s *stream) takeEvents(p part) {
+	if s.head == nil {
+		s.head = p.head
+	}
+	first := p.events[0].ID
+	tokens := make([]request.TokenID, len(p.events))
+	s.raw = s.raw[:0]
+	for i, event := range p.events {
+		if event.ID != first+i {
+			s.step(request.Event{Type: request.EventFailed, Attempt: p.number, Kind: fault.Crossed})
+			return
+		}
+		tokens[i] = request.TokenID(event.ID)
+		s.raw = append(s.raw, event.Raw)
+	}
+	s.step(request.Event{
+		Type: request.EventTokens, Attempt: p.number, Position: first - s.in.Position - 1, Tokens: tokens,
+	})
+}
+
+// deliver writes the last count events to the caller.
+func (s *stream) deliver(count int) error {
+	controller := http.NewResponseController(s.writer)
+	if err := controller.SetWriteDeadline(time.Now().Add(writeWithin)); err != nil {
+		return errors.WithStack(err)
+	}
+	if !s.began {
+		s.began = true
+		record(s.gateway.metrics.first, time.Since(s.arrived))
+		header := s.writer.Header()
+		for name, values := range platform.ReplyHeader(s.head.Header) {
+			header[name] = values
+		}
+		s.writer.WriteHeader(s.head.StatusCode)
+	}
+	if !s.lostAt.IsZero() {
+		record(s.gateway.metrics.resume, time.Since(s.lostAt))
+		s.lostAt = time.Time{}
+	}
+	for _, raw := range s.raw[len(s.raw)-count:] {
+		if _, err := s.writer.Write(raw); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return errors.WithStack(controller.Flush())
+}
+
+// finish ends the answer as it came out.
+func (s *stream) finish() {
+	for _, a := range s.running {
+		a.cancel()
+	}
+	if session := s.in.Session(); session != "" {
+		c := s.gateway.control
+		c.post(func() { delete(c.copies, session) })
+	}
+	attempts := int(s.recovery.Attempts())
+	events := s.recovery.Answer().Len()
+	switch {
+	case s.kind == fault.None:
+		s.exchange.ended(fault.None, attempts, "events", events)
+	case s.began:
+		s.exchange.ended(s.kind, attempts, "events", events, "brokenOff", true)
+		abort()
+	case s.failure != nil && s.kind != fault.CallerGone:
+		err := s.send(s.failure.head, s.failure.body)
+		s.exchange.ended(s.kind, attempts, "status", s.failure.head.StatusCode, "sent", err == nil)
+	default:
+		kind := s.kind
+		if s.recovery.WasRun() != request.RunNo && promises(kind.Answer().Status) {
+			kind = fault.TargetLost
+		}
+		s.refuse(fault.New(kind, "after %d attempts", attempts))
+	}
+}
+
+// runStream runs one attempt of a stream and tells what comes of it.
+func (a *attempt) runStream(parts chan<- part, over <-chan struct{}, number request.AttemptNumber) {
+	defer a.release()
+	tell := func(p part) bool {
+		p.attempt, p.number = a, number
+		select {
+		case parts <- p:
+			return true
+		case <-over:
+			return false
+		}
+	}
+	response, reply, outcome := a.do()
+	a.exchange.gateway.metrics.attempt(outcome.String())
+	if outcome != request.AttemptAnswered {
+		tell(a.failed(response, outcome, reply))
+		return
+	}
+	if reply.Status != http.StatusOK {
+		p := part{kind: fault.BadRequest}
+		if body, err := a.body(response); err == nil {
+			p.failure = &answer{head: response, body: body}
+		}
+		tell(p)
+		return
+	}
+	a.events(response, tell)
+}
+
+// failed describes an attempt whose answer is not a stream.
+func (a *attempt) failed(response *http.Response, outcome request.AttemptOutcome, reply request.Reply) part {
+	p := part{kind: fault.TargetLost}
+	switch outcome {
+	case request.AttemptUnsent:
+		p.kind = fault.Unreachable
+	case request.AttemptRefused:
+		p.kind = fault.Overloaded
+		a.conn.Close()
+	case request.AttemptFailed:
+		if body, err := a.body(response); err == nil && !promises(reply.Status) {
+			p.failure = &answer{head: response, body: body}
+		}
+	default:
+		if a.conn != nil {
+			a.conn.Close()
+		}
+	}
+	return p
+}
+
+// events reads the events of a stream until it ends or breaks off.
+func (a *attempt) events(response *http.Response, tell func(part) bool) {
+	reader := platform.NewEventReader(response.Body)
+	var batch []platform.Event
+	for {
+		event, err := reader.Next()
+		if err == nil {
+			a.watch.sign(a.exchange.gateway.control)
+			batch = append(batch, event)
+			if reader.Buffered() {
+				continue
+			}
+		}
+		if len(batch) > 0 {
+			a.reading()
+			if !tell(part{head: response, events: batch}) {
+				a.conn.Close()
+				return
+			}
+			batch = nil
+		}
+		if err == nil {
+			continue
+		}
+		if platform.Ended(err) {
+			a.exchange.gateway.pool.Put(a.conn, response)
+			tell(part{ended: true})
+			return
+		}
+		a.broke(err)
+		a.conn.Close()
+		tell(part{kind: fault.TargetLost})
+		return
+	}
+}
--- /dev/null
+++ b/process/lifecycle/lifecycle.go
@@ -0,0 +1,49 @@
+// Package lifecycle assembles, starts and stops a process with fx.
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// stopTimeout is how long a planned stop waits for running requests.
+	stopTimeout = 30 * time.Minute
+)
+
+// NewApp returns the application of a process.
+func NewApp(parts ...fx.Option) *fx.App {
+	common := fx.Options(fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout))
+	return fx.New(append(parts, common)...)
+}
+
+// Process is what starts and stops with an application.
+type Process interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+// Hook starts and stops p with its application.
+func Hook[P Process](lifecycle fx.Lifecycle, p P) {
+	lifecycle.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
+}
+
+// Run starts app, waits for a signal to end, and stops it.
+func Run(app *fx.App) error {
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "assemble")
+	}
+	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	<-app.Wait()
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	return errors.Wrap(app.Stop(stopCtx), "stop")
+}
--- /dev/null
+++ b/process/peers/peers.go
@@ -0,0 +1,137 @@
+// Package peers carries what entries tell each other of their work at the targets:
+// one datagram with the whole of it after each change, and again now and then. A
+// lost one is made good by the next. The word of another entry only steers the
+// choice of targets, so an entry that hears nothing goes on alone.
+//
+// Datagrams rather than links: a snapshot needs no order and no repeat, and a
+// handshake with each of many entries would cost a starting process more than all
+// that it says.
+package peers
+
+import (
+	"net"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// maxDatagram bounds a message; larger ones are not sent.
+const maxDatagram = 32 << 10
+
+// Message is the whole of what one entry has at the targets.
+type Message struct {
+	// Entry is the name of the sender, Boot tells its lives apart and Number counts
+	// the messages of one life.
+	Entry  string `cbor:"1,keyasint"`
+	Boot   int64  `cbor:"2,keyasint"`
+	Number uint64 `cbor:"3,keyasint"`
+	// Work maps a target to unread tokens, answering attempts and tokens in memory.
+	Work map[request.TargetID][3]int `cbor:"4,keyasint,omitempty"`
+	// Lost lists targets that the sender found dead a moment ago.
+	Lost []request.TargetID `cbor:"5,keyasint,omitempty"`
+	// Copies maps sessions to the copies of their running answers.
+	Copies map[string]Copy `cbor:"6,keyasint,omitempty"`
+}
+
+// Copy says where the memory of a running answer can be gone on from.
+type Copy struct {
+	// Run is the request that made it, Address the target that holds it.
+	Run     request.ID `cbor:"1,keyasint"`
+	Address string     `cbor:"2,keyasint"`
+}
+
+// PlacementWork returns Work in the form that placement takes.
+func (m *Message) PlacementWork() map[request.TargetID]placement.Work {
+	work := make(map[request.TargetID]placement.Work, len(m.Work))
+	for id, w := range m.Work {
+		work[id] = placement.Work{Unread: w[0], Answering: w[1], Memory: w[2]}
+	}
+	return work
+}
+
+// Conn sends and receives messages.
+type Conn struct {
+	conn *net.UDPConn
+
+	mu sync.Mutex
+	// last holds the number of the newest message of each sender's life.
+	last map[string]mark
+}
+
+type mark struct {
+	boot   int64
+	number uint64
+}
+
+// Listen opens the socket at an IP address and port.
+func Listen(address string) (*Conn, error) {
+	local, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	conn, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	return &Conn{conn: conn, last: map[string]mark{}}, nil
+}
+
+// Send sends a message to each address. The first error is returned after all were
+// tried.
+func (c *Conn) Send(message Message, addresses []string) error {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "peers")
+	}
+	if len(data) > maxDatagram {
+		return errors.Errorf("message of %d bytes is too long for a datagram", len(data))
+	}
+	var first error
+	for _, address := range addresses {
+		remote, err := net.ResolveUDPAddr("udp", address)
+		if err == nil {
+			_, err = c.conn.WriteToUDP(data, remote)
+		}
+		if err != nil && first == nil {
+			first = errors.Wrapf(err, "peer %s", address)
+		}
+	}
+	return first
+}
+
+// Receive returns the next message that is newer than those before it of the same
+// sender. It fails once the connection is closed.
+func (c *Conn) Receive() (Message, error) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := c.conn.ReadFromUDP(buffer)
+		if err != nil {
+			return Message{}, errors.Wrap(err, "peers")
+		}
+		var message Message
+		if cbor.Unmarshal(buffer[:n], &message) != nil || message.Entry == "" {
+			continue
+		}
+		if c.newer(message) {
+			return message, nil
+		}
+	}
+}
+
+func (c *Conn) newer(message Message) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.last[message.Entry]
+	if message.Boot < last.boot || message.Boot == last.boot && message.Number <= last.number {
+		return false
+	}
+	c.last[message.Entry] = mark{boot: message.Boot, number: message.Number}
+	return true
+}
+
+// Close closes the socket.
+func (c *Conn) Close() error { return errors.WithStack(c.conn.Close()) }
--- /dev/null
+++ b/process/placement/placement.go
@@ -0,0 +1,292 @@
+// Package placement is the deciding core that chooses the target of an attempt and
+// of the copy of its memory. Every entry keeps a table of all targets with its own
+// work there and what the other entries said of theirs, so that many entries place
+// as one.
+//
+// The package does no I/O and reads no clock. The load patterns that it answers:
+// many entries that each see few requests (herd), a failure domain that is lost
+// and comes back empty, and targets that are full.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// promptRate is how many prompt tokens an engine reads in a millisecond until
+	// one has been timed; the order of magnitude of current engines.
+	promptRate = 8.0
+	// rateWeight is the weight of one timed prompt in the estimate of that rate.
+	rateWeight = 0.1
+	// decodeTokens is what a running answer costs a new prompt, in prompt tokens: its
+	// steps take turns with the chunks of the prompt.
+	decodeTokens = 400
+	// alikeTokens is the difference in cost below which targets count as alike, and
+	// the one that has seen the session before is taken.
+	alikeTokens = 600
+	// fullTokens is the cost of a target whose memory has no room for the prompt:
+	// it would wait for another answer to end, or preempt one.
+	fullTokens = 40000
+	// memoryMargin is the part of an engine's memory that new prompts leave to the
+	// growth of running answers and to resumes.
+	memoryMargin = 0.1
+	// downFor is how long a target is left alone after a loss, doubled with each loss
+	// in a row up to downMost.
+	downFor  = 700 * time.Millisecond
+	downMost = 3 * time.Second
+	// peerLife is how long another entry's word on its work is believed without a
+	// newer one; entries repeat it several times in that time.
+	peerLife = 2 * time.Second
+	// failureWeight is the weight of one answer in a target's share of failures.
+	failureWeight = 0.15
+	// failureCost is the cost, in requests, of a target that fails all requests.
+	failureCost = 30.0
+	// loadLife is how long a reported load counts.
+	loadLife = 200 * time.Millisecond
+)
+
+// Registration is what a target says of itself.
+type Registration struct {
+	request.Endpoint
+	Service       string
+	FailureDomain string
+	Slots         int
+	// Leaving targets take no new work.
+	Leaving bool
+	// Incarnation is the start of the target; a later one knows nothing of before.
+	Incarnation request.Incarnation
+	// WarmUp is how much longer the target is slow.
+	WarmUp time.Duration
+}
+
+// Work is what one entry has at one target.
+type Work struct {
+	// Unread counts the prompt tokens of attempts that have not begun to answer.
+	Unread int
+	// Answering counts the attempts that have begun to answer.
+	Answering int
+	// Memory counts the tokens in the target's memory, copies included.
+	Memory int
+}
+
+func (w *Work) add(other Work) {
+	w.Unread += other.Unread
+	w.Answering += other.Answering
+	w.Memory += other.Memory
+}
+
+// Target is one life of one target.
+type Target struct {
+	Registration
+	// InFlight counts this entry's attempts.
+	InFlight int
+	own      Work
+	// downUntil is set after a loss; the target is on trial from then on until it
+	// answers.
+	downUntil time.Time
+	losses    int
+	// gone says that another target answers at the address.
+	gone     bool
+	failures float64
+	load     request.Load
+	loadAt   time.Time
+	engine   bool
+	memory   int
+}
+
+// Down says whether the target is left alone after a loss.
+func (t *Target) Down(now time.Time) bool { return t.gone || now.Before(t.downUntil) }
+
+// OnTrial says that the target was lost and has not answered since.
+func (t *Target) OnTrial() bool { return t.losses > 0 }
+
+// peerWork is what another entry said of its work.
+type peerWork struct {
+	at   time.Time
+	work map[request.TargetID]Work
+}
+
+// Table holds the targets of all services.
+type Table struct {
+	targets map[request.TargetID]*Target
+	// services lists the targets of each service, ordered by id.
+	services map[string][]*Target
+	peers    map[string]peerWork
+	rate     float64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		targets:  map[request.TargetID]*Target{},
+		services: map[string][]*Target{},
+		peers:    map[string]peerWork{},
+		rate:     promptRate,
+	}
+}
+
+// Register adds a target or takes up what changed of it. A new incarnation starts
+// without the losses of the one before.
+func (t *Table) Register(r Registration) *Target {
+	target, ok := t.targets[r.ID]
+	if ok && target.Service != r.Service {
+		t.Remove(r.ID)
+		ok = false
+	}
+	if !ok {
+		target = &Target{Registration: r}
+		t.targets[r.ID] = target
+		list := t.services[r.Service]
+		at, _ := slices.BinarySearchFunc(list, r.ID, func(a *Target, id request.TargetID) int {
+			return compareIDs(a.ID, id)
+		})
+		t.services[r.Service] = slices.Insert(list, at, target)
+		return target
+	}
+	if r.Incarnation != target.Incarnation || r.Endpoint != target.Endpoint {
+		target.downUntil, target.losses, target.gone, target.failures = time.Time{}, 0, false, 0
+	}
+	target.Registration = r
+	return target
+}
+
+func compareIDs(a, b request.TargetID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Remove forgets a target.
+func (t *Table) Remove(id request.TargetID) {
+	target, ok := t.targets[id]
+	if !ok {
+		return
+	}
+	delete(t.targets, id)
+	t.services[target.Service] = slices.DeleteFunc(t.services[target.Service], func(other *Target) bool {
+		return other == target
+	})
+}
+
+// Get returns a target, or nil.
+func (t *Table) Get(id request.TargetID) *Target { return t.targets[id] }
+
+// IDs returns the ids of all targets, in no order.
+func (t *Table) IDs() []request.TargetID {
+	ids := make([]request.TargetID, 0, len(t.targets))
+	for id := range t.targets {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Service returns the targets of a service. The caller must not change the list.
+func (t *Table) Service(name string) []*Target { return t.services[name] }
+
+// SetEngine tells the memory, in tokens, of the engines of a service; zero means
+// that the service has no engines.
+func (t *Table) SetEngine(service string, memory int) {
+	for _, target := range t.services[service] {
+		target.engine = memory > 0
+		target.memory = memory
+	}
+}
+
+// SetPeer notes what another entry has at the targets, as of now.
+func (t *Table) SetPeer(now time.Time, peer string, work map[request.TargetID]Work) {
+	t.peers[peer] = peerWork{at: now, work: work}
+}
+
+// RemovePeer forgets another entry.
+func (t *Table) RemovePeer(peer string) { delete(t.peers, peer) }
+
+// Own returns this entry's work at all targets where it has any.
+func (t *Table) Own() map[request.TargetID]Work {
+	own := map[request.TargetID]Work{}
+	for id, target := range t.targets {
+		if target.own != (Work{}) {
+			own[id] = target.own
+		}
+	}
+	return own
+}
+
+// Lost notes that a target failed: it is left alone for a while, the longer the
+// more losses there were in a row.
+func (t *Table) Lost(now time.Time, id request.TargetID) {
+	target, ok := t.targets[id]
+	if !ok || now.Before(target.downUntil) {
+		return
+	}
+	target.downUntil = now.Add(min(downMost, downFor<<min(target.losses, 8)))
+	target.losses++
+}
+
+// Replaced notes that another target answers at the address of this one.
+func (t *Table) Replaced(id request.TargetID) {
+	if target, ok := t.targets[id]; ok {
+		target.gone = true
+	}
+}
+
+// Answered notes an answer of a target that was its own; failed says that it
+// reports a failure of the target.
+func (t *Table) Answered(now time.Time, id request.TargetID, failed bool, load *request.Load) {
+	target, ok := t.targets[id]
+	if !ok {
+		return
+	}
+	target.downUntil, target.losses = time.Time{}, 0
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	target.failures += failureWeight * (share - target.failures)
+	if load != nil {
+		target.load, target.loadAt = *load, now
+	}
+}
+
+// Timed notes that a prompt of the given tokens was read in elapsed on a target
+// that had nothing else to read.
+func (t *Table) Timed(tokens int, elapsed time.Duration) {
+	if tokens <= 0 || elapsed <= 0 {
+		return
+	}
+	t.rate += rateWeight * (float64(tokens)/float64(elapsed.Milliseconds()+1) - t.rate)
+}
+
+// ReadTime estimates how long an engine reads so many prompt tokens.
+func (t *Table) ReadTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / t.rate * float64(time.Millisecond))
+}
+
+// work sums what all entries have at a target.
+func (t *Table) work(now time.Time, target *Target) Work {
+	sum := target.own
+	for _, peer := range t.peers {
+		if now.Sub(peer.at) < peerLife {
+			sum.add(peer.work[target.ID])
+		}
+	}
+	return sum
+}
+
+// affinity orders the targets for a session: the same for all entries.
+func affinity(session string, id request.TargetID) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(session)
+	_, _ = digest.WriteString("/")
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -160,12 +160,19 @@
 // checked is a settings type that can check itself.
 type checked interface{ Check() error }
 
+// Sourced is a settings type that is told the file it was read from, so that the
+// process can read it again.
+type Sourced interface{ SetSource(path string) }
+
 // Read reads the settings file at path into target and checks it.
 func Read(path string, target checked) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "settings")
 	}
+	if sourced, ok := target.(Sourced); ok {
+		sourced.SetSource(path)
+	}
 	return errors.Wrapf(Decode(data, target), "settings %s", path)
 }
 
--- /dev/null
+++ b/request/inbound.go
@@ -0,0 +1,110 @@
+package request
+
+import "time"
+
+// Inbound is one request of a caller, as an adapter read it.
+type Inbound struct {
+	ID     ID
+	Method string
+	// Path is the path as it was sent, Target the path and query.
+	Path   string
+	Target string
+	Host   string
+	// Key is the caller's secret; it is never logged or forwarded.
+	Key string
+	// TimeLeft is how long the caller waits; zero means that it did not say.
+	TimeLeft time.Duration
+	// Position is the id of the last event that the caller has of this answer.
+	Position int
+	Model    string
+	// PromptTokens and MaxTokens size a generation; zero means not known.
+	PromptTokens int
+	MaxTokens    int
+	Parts        []PromptPart
+	// Header holds the fields that are forwarded.
+	Header map[string][]string
+	Body   []byte
+}
+
+// PromptPart is one part of a prompt, shared by requests with the same ID.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Session returns the id of the last part of the prompt, which belongs to the
+// request or its session, or "" when there are no parts.
+func (in *Inbound) Session() string {
+	if len(in.Parts) == 0 {
+		return ""
+	}
+	return in.Parts[len(in.Parts)-1].ID
+}
+
+// Endpoint is where a target takes requests. ID names one life of the target: its
+// successor at the same address has another.
+type Endpoint struct {
+	ID      TargetID
+	Address string
+}
+
+// Attempt is one request to one target.
+type Attempt struct {
+	Target    Endpoint
+	Workspace string
+	// TimeLeft is how long the target may work.
+	TimeLeft time.Duration
+	// Position is the last event that the caller has.
+	Position int
+	// CopyTo is the address of a target that receives a copy of the attempt's memory
+	// while it runs, CopyFrom that of the copy to go on from. Both may be empty.
+	CopyTo   string
+	CopyFrom string
+	// CopyOf is the request whose run made the copy.
+	CopyOf ID
+	// Priority is the rank at the engine, 0 first; nil leaves the engine's default.
+	Priority *int
+}
+
+// Reply is what the head of a target's answer says.
+type Reply struct {
+	Status int
+	// Own says that the answer names the request, Foreign that it names another one.
+	Own     bool
+	Foreign bool
+	// Signed says that it bears the target's signature.
+	Signed bool
+	// NotRun says that the target did not run the request and will not.
+	NotRun bool
+	// WrongTarget says that another target has the address now.
+	WrongTarget bool
+	// Encoded says that the body is in a content encoding that nobody asked for.
+	Encoded bool
+	// Load is the target's load, nil where it did not say.
+	Load *Load
+}
+
+// Load counts the requests at a target.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Outcome says what a reply means for the request with its head alone. A success
+// needs the target's signature and must name the request.
+func (r Reply) Outcome() AttemptOutcome {
+	switch {
+	case r.Foreign:
+		return AttemptBroken
+	case r.NotRun:
+		return AttemptRefused
+	case r.Status >= 200 && r.Status < 300:
+		if r.Own && r.Signed && !r.Encoded {
+			return AttemptAnswered
+		}
+		return AttemptBroken
+	case r.Status >= 500:
+		return AttemptFailed
+	default:
+		return AttemptAnswered
+	}
+}
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -364,7 +364,7 @@
 // refused says whether an attempt that failed with kind never ran.
 func refused(kind fault.Kind) bool {
 	switch kind {
-	case fault.BadRequest, fault.TooLarge, fault.Overloaded, fault.Draining, fault.VersionGone:
+	case fault.BadRequest, fault.TooLarge, fault.Overloaded, fault.Draining, fault.VersionGone, fault.Unreachable:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/request/repeat.go
@@ -0,0 +1,86 @@
+package request
+
+import "github.com/mulberrylane/mulberrylane/fault"
+
+// AttemptOutcome is how one attempt of a call ended.
+type AttemptOutcome uint8
+
+// The outcomes of an attempt.
+const (
+	// AttemptAnswered means that the target answered the request.
+	AttemptAnswered AttemptOutcome = iota
+	// AttemptFailed means that the target answered with a failure of its own.
+	AttemptFailed
+	// AttemptRefused means that the target said it has not run the request.
+	AttemptRefused
+	// AttemptUnsent means that nothing of the request left this process.
+	AttemptUnsent
+	// AttemptBroken means that the request was sent and what became of it is not known.
+	AttemptBroken
+)
+
+// String returns the name of o for logs and metrics.
+func (o AttemptOutcome) String() string {
+	return [...]string{"answered", "failed", "refused", "unsent", "broken"}[o]
+}
+
+const (
+	// maxRefusals is how many targets may refuse one request: with more, the service
+	// is full and another target is no better.
+	maxRefusals = 2
+	// maxUnsent is how many targets that cannot be reached are tried.
+	maxUnsent = 5
+)
+
+// Repeat decides whether a call is sent once more. It answers targets that fail,
+// refuse or vanish while requests are under way.
+//
+// Invariant: a call that may not be repeated is sent again only while no attempt
+// can have run.
+type Repeat struct {
+	// Repeatable calls may run more than once.
+	Repeatable bool
+	// MaxRuns bounds the targets that the call may run on.
+	MaxRuns int
+
+	runs, refusals, unsent int
+}
+
+// MayHaveRun says that some attempt ran, or that it is not known that none did.
+func (r *Repeat) MayHaveRun() bool { return r.runs > 0 }
+
+// Again says whether the call is to be sent to another target. When it is, paid
+// says whether that counts as a repeat of something that reached a target.
+func (r *Repeat) Again(outcome AttemptOutcome) (again, paid bool) {
+	switch outcome {
+	case AttemptUnsent:
+		r.unsent++
+		return r.unsent <= maxUnsent && r.mayRunAgain(), false
+	case AttemptRefused:
+		r.refusals++
+		return r.refusals <= maxRefusals && r.mayRunAgain(), true
+	case AttemptFailed, AttemptBroken:
+		r.runs++
+		return r.mayRunAgain(), true
+	default:
+		r.runs++
+		return false, false
+	}
+}
+
+func (r *Repeat) mayRunAgain() bool {
+	return r.runs == 0 || r.Repeatable && r.runs < max(1, r.MaxRuns)
+}
+
+// Kind returns the error kind of a call that ended with outcome and is not sent
+// again.
+func (r *Repeat) Kind(outcome AttemptOutcome) fault.Kind {
+	switch {
+	case r.MayHaveRun():
+		return fault.TargetLost
+	case outcome == AttemptRefused:
+		return fault.Overloaded
+	default:
+		return fault.Unreachable
+	}
+}
