--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -24,6 +24,8 @@
 	eventBuffer = 16
 	// writeWithin is how long one write to a caller may take.
 	writeWithin = 5 * time.Second
+	// copiedAfter is how long a run takes until some of its memory was copied.
+	copiedAfter = 300 * time.Millisecond
 	// steadyTokens is an answer's share of its largest length that is reckoned with.
 	steadyTokens = 0.9
 )
@@ -53,9 +55,8 @@
 	over    chan struct{}
 	running map[request.AttemptNumber]*attempt
 	next    *attempt
-	// lastCopy is where the memory of the last attempt can be gone on from.
+	// lastCopy is where the memory of the last attempt that ran can be gone on from.
 	lastCopy peers.Copy
-	copyID   request.TargetID
 	head     *http.Response
 	began    bool
 	lostAt   time.Time
@@ -234,12 +235,10 @@
 	go a.runStream(s.parts, s.over, action.Attempt)
 }
 
-// copied notes where the memory of an attempt is copied to, for this stream and for
-// other entries.
+// copied tells other entries where the memory of an attempt is copied to.
 func (s *stream) copied(a *attempt) {
-	s.lastCopy = peers.Copy{Run: s.in.ID, Address: a.spec.CopyTo}
 	if session := s.in.Session(); session != "" {
-		held := s.lastCopy
+		held := peers.Copy{Run: s.in.ID, Address: a.spec.CopyTo}
 		c := s.gateway.control
 		c.post(func() { c.copies[session] = held })
 	}
@@ -258,14 +257,26 @@
 		if p.failure != nil {
 			s.failure = p.failure
 		}
-		if s.running[p.number] != nil && s.lostAt.IsZero() {
-			s.lostAt = time.Now()
-		}
-		delete(s.running, p.number)
+		s.fell(p)
 		s.step(request.Event{Type: request.EventFailed, Attempt: p.number, Kind: p.kind})
 	}
 }
 
+// fell notes that an attempt failed. Its memory can be gone on from where it ran for
+// long enough that some was copied.
+func (s *stream) fell(p part) {
+	if s.running[p.number] == nil {
+		return
+	}
+	delete(s.running, p.number)
+	if s.lostAt.IsZero() {
+		s.lostAt = time.Now()
+	}
+	if p.kind == fault.TargetLost && p.attempt.spec.CopyTo != "" && time.Since(p.attempt.began) > copiedAfter {
+		s.lastCopy = peers.Copy{Run: s.in.ID, Address: p.attempt.spec.CopyTo}
+	}
+}
+
 func (s *stream) takeEvents(p part) {
 	if s.head == nil {
 		s.head = p.head
