--- a/process/admission/window.go
+++ b/process/admission/window.go
@@ -5,9 +5,16 @@
 // buckets is how many parts a window is kept in.
 const buckets = 20
 
+// Usage counts what an entry had of a service in the present window.
+type Usage struct {
+	Requests, Repeats int
+}
+
 // WindowBudget bounds the repeats of a service's requests in any window by a
-// share of its requests in the same window and a fixed part. All entries together
-// keep the bound, since each takes the fixed part divided by their number.
+// share of its requests in the same window and a fixed part, over all entries
+// together. While the others tell what they use, all draw on one allowance; an
+// entry that does not hear them keeps to its own requests and its share of the
+// fixed part.
 //
 // It answers retries, resumes and rejected attempts that come in waves: a lost
 // failure domain, or targets that are full.
@@ -41,24 +48,39 @@
 // Request counts a request.
 func (b *WindowBudget) Request(now time.Time) { b.counts[b.bucket(now)].requests++ }
 
-// Spend counts a repeat, if entries so many leave room for one.
-func (b *WindowBudget) Spend(now time.Time, entries int) bool {
-	if b.Left(now, entries) < 1 {
+// Spend counts a repeat, if there is room for one. Others holds what each other
+// entry uses, and is nil where that is not known; entries is how many there are.
+func (b *WindowBudget) Spend(now time.Time, entries int, others []Usage) bool {
+	if b.Left(now, entries, others) < 1 {
 		return false
 	}
 	b.counts[b.bucket(now)].repeats++
 	return true
 }
 
-// Left returns how many repeats the window has room for.
-func (b *WindowBudget) Left(now time.Time, entries int) float64 {
+// Usage returns what this entry had in the window that ends now.
+func (b *WindowBudget) Usage(now time.Time) Usage {
 	newest := b.counts[b.bucket(now)].slot
-	requests, repeats := 0, 0
+	var sum Usage
 	for _, count := range b.counts {
 		if newest-count.slot < buckets {
-			requests += count.requests
-			repeats += count.repeats
+			sum.Requests += count.requests
+			sum.Repeats += count.repeats
 		}
 	}
-	return b.ratio*float64(requests) + b.slack/float64(max(1, entries)) - float64(repeats)
+	return sum
+}
+
+// Left returns how many repeats the window has room for.
+func (b *WindowBudget) Left(now time.Time, entries int, others []Usage) float64 {
+	sum := b.Usage(now)
+	slack := b.slack / float64(max(1, entries))
+	if others != nil {
+		slack = b.slack
+	}
+	for _, usage := range others {
+		sum.Requests += usage.Requests
+		sum.Repeats += usage.Repeats
+	}
+	return b.ratio*float64(sum.Requests) + slack - float64(sum.Repeats)
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -35,8 +36,8 @@
 	target   placement.Registration
 	need     placement.Need
 	spec     request.Attempt
-	// copyTo is the target that receives a copy of the memory, or "".
-	copyTo request.TargetID
+	// copy is where a copy of the memory goes, if anywhere.
+	copy   peers.Copy
 	ctx    context.Context
 	cancel context.CancelFunc
 	watch  *watch
@@ -46,9 +47,12 @@
 	alone bool
 	// patient attempts are not given up when their target seems lost: the request may
 	// have run, and no other target may be asked.
-	patient   bool
-	given     atomic.Bool
-	answering bool
+	patient bool
+	given   atomic.Bool
+	// done says that the answer came whole.
+	done       atomic.Bool
+	answering  bool
+	answeredAt time.Time
 }
 
 // abandon gives the attempt up because its target seems lost.
@@ -77,7 +81,7 @@
 		return nil, err
 	}
 	e.gateway.log.Event("placed", "request", e.in.ID, "target", a.target.ID, "failureDomain", a.target.FailureDomain,
-		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", a.copyTo)
+		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", a.copy.Target)
 	return a, nil
 }
 
@@ -89,7 +93,7 @@
 	c.table.Began(t.ID, a.need)
 	if a.need.Memory > 0 {
 		if copyTo := c.table.PickCopy(a.began, t, a.need); copyTo != nil && a.copies() {
-			a.copyTo = copyTo.ID
+			a.copy = peers.Copy{Run: a.exchange.in.ID, Target: copyTo.ID, Incarnation: copyTo.Incarnation}
 			a.spec.CopyTo = copyTo.Address
 			c.table.Copies(copyTo.ID, a.need.Memory)
 		}
@@ -110,8 +114,8 @@
 	c := a.exchange.gateway.control
 	c.post(func() {
 		c.table.Ended(a.target.ID, a.need, a.answering)
-		if a.copyTo != "" {
-			c.table.Copies(a.copyTo, -a.need.Memory)
+		if a.copy.Target != "" {
+			c.table.Copies(a.copy.Target, -a.need.Memory)
 		}
 		if a.need.Memory > 0 {
 			c.tell = true
@@ -128,7 +132,7 @@
 		if a.answering {
 			return
 		}
-		a.answering = true
+		a.answering, a.answeredAt = true, time.Now()
 		c.table.Answering(a.target.ID, a.need)
 		if a.alone {
 			c.table.Timed(a.need.Prompt, took)
@@ -170,6 +174,10 @@
 	a.watch.sign(g.control)
 	reply := platform.DecodeReply(response, in.ID)
 	a.note(reply)
+	if reply.Outcome() == request.AttemptRefused {
+		g.log.Event("refused_by_target", "request", in.ID, "target", a.target.ID, "status", reply.Status,
+			"fromCopy", a.spec.CopyFrom, "after", time.Since(a.began))
+	}
 	return response, reply, reply.Outcome()
 }
 
@@ -214,7 +222,7 @@
 
 // body reads the rest of an answer and gives its connection back.
 func (a *attempt) body(response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes))
+	body, err := readAtMost(response.Body, answerBytes)
 	if err != nil {
 		a.conn.Close()
 		return nil, errors.Wrap(err, "body")
@@ -222,3 +230,12 @@
 	a.exchange.gateway.pool.Put(a.conn, response)
 	return body, nil
 }
+
+// readAtMost reads a body that must not be longer than limit.
+func readAtMost(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = errors.Errorf("longer than %d bytes", limit)
+	}
+	return data, errors.WithStack(err)
+}
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -40,8 +40,7 @@
 			return
 		}
 		again, paid := repeat.Again(outcome)
-		if again && paid && !e.gateway.spend(e.service) {
-			e.gateway.metrics.denied.Add(ctx, 1)
+		if again && paid && !e.gateway.spend(e.in.ID, e.service) {
 			again = false
 		}
 		if !again {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -65,8 +65,10 @@
 	peers  map[string]string
 	heard  map[string]time.Time
 	copies map[string]peers.Copy
-	// theirs holds the copies that other entries told of.
-	theirs map[string]map[string]peers.Copy
+	// theirs holds the last word of each other entry.
+	theirs map[string]peers.Message
+	// dead maps targets that this entry found dead to when it did.
+	dead   map[request.TargetID]time.Time
 	number uint64
 	boot   int64
 	told   time.Time
@@ -91,7 +93,8 @@
 		peers:    map[string]string{},
 		heard:    map[string]time.Time{},
 		copies:   map[string]peers.Copy{},
-		theirs:   map[string]map[string]peers.Copy{},
+		theirs:   map[string]peers.Message{},
+		dead:     map[request.TargetID]time.Time{},
 		boot:     now.UnixNano(),
 	}
 	c.fresh.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
@@ -186,6 +189,7 @@
 	for _, w := range c.watches {
 		c.checkTarget(now, w)
 	}
+	c.tryAgain(now)
 	if now.Sub(c.told) > tellEvery {
 		c.tell = true
 	}
@@ -215,7 +219,7 @@
 
 // budgetShare is the part of the operators' bound on repeats that is used, since
 // callers' own counts and those of entries differ by what is under way.
-const budgetShare = 0.8
+const budgetShare = 0.9
 
 // freshNow returns the judge of the configuration's age.
 func (c *control) freshNow() *freshness.Freshness { return c.fresh.Load() }
@@ -236,7 +240,18 @@
 	}
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
-		Work: map[request.TargetID][3]int{}, Copies: c.copies,
+		Work: map[request.TargetID][3]int{}, Copies: c.copies, Usage: map[string][2]int{},
+	}
+	for service, budget := range c.budgets {
+		usage := budget.Usage(now)
+		message.Usage[service] = [2]int{usage.Requests, usage.Repeats}
+	}
+	for id, at := range c.dead {
+		if now.Sub(at) > tellEvery {
+			delete(c.dead, id)
+			continue
+		}
+		message.Lost = append(message.Lost, id)
 	}
 	c.number++
 	for id, work := range c.table.Own() {
@@ -272,14 +287,52 @@
 	now := time.Now()
 	c.heard[message.Entry] = now
 	c.table.SetPeer(now, message.Entry, message.PlacementWork())
-	c.theirs[message.Entry] = message.Copies
+	c.theirs[message.Entry] = message
+	for _, id := range message.Lost {
+		c.hint(now, id)
+	}
+}
+
+// hint takes up that another entry found a target dead, unless it gave this one a
+// sign of life since.
+func (c *control) hint(now time.Time, id request.TargetID) {
+	t := c.table.Get(id)
+	if t == nil || t.Down(now) {
+		return
+	}
+	w, watched := c.watches[id]
+	if watched && len(w.attempts) > 0 {
+		c.probe(w)
+		return
+	}
+	c.table.Hinted(now, id)
+	c.copyLost(id)
+	c.gateway.pool.Drop(t.Address)
+}
+
+// others returns what the other entries use of a service's budget, or nil when not
+// all of them were heard lately.
+func (c *control) others(now time.Time, service string) []admission.Usage {
+	usages := []admission.Usage{}
+	for name := range c.peers {
+		if name == c.gateway.settings.Name {
+			continue
+		}
+		at, heard := c.heard[name]
+		if !heard || now.Sub(at) > 2*tellEvery {
+			return nil
+		}
+		usage := c.theirs[name].Usage[service]
+		usages = append(usages, admission.Usage{Requests: usage[0], Repeats: usage[1]})
+	}
+	return usages
 }
 
 // copyOf returns a copy of the memory of an earlier run of the session, of which
 // another entry told.
 func (c *control) copyOf(session string) (peers.Copy, bool) {
-	for _, copies := range c.theirs {
-		if found, ok := copies[session]; ok {
+	for _, message := range c.theirs {
+		if found, ok := message.Copies[session]; ok {
 			return found, true
 		}
 	}
@@ -287,15 +340,28 @@
 }
 
 // spend takes a repeat for a service from the budget, or says that none is left.
-func (g *Gateway) spend(service string) bool {
+func (g *Gateway) spend(id request.ID, service string) bool {
 	granted := false
-	g.control.do(func() {
-		c := g.control
-		granted = c.budget(service).Spend(time.Now(), c.entries())
-	})
+	g.control.do(func() { granted = g.control.spend(id, service) })
 	return granted
 }
 
+func (c *control) spend(id request.ID, service string) bool {
+	now := time.Now()
+	budget := c.budget(service)
+	others := c.others(now, service)
+	if budget.Spend(now, c.entries(), others) {
+		c.tell = true
+		return true
+	}
+	own := budget.Usage(now)
+	c.gateway.metrics.denied.Add(context.Background(), 1)
+	c.gateway.log.Event("budget_denied", "request", id, "service", service, "entries", c.entries(),
+		"othersKnown", others != nil, "left", budget.Left(now, c.entries(), others),
+		"ownRequests", own.Requests, "ownRepeats", own.Repeats)
+	return false
+}
+
 // context of the background work that a request leaves behind.
 func (g *Gateway) withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(g.background, d)
--- /dev/null
+++ b/process/gateway/copies.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/connection/target"
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// copiedAfter is how long after a run began to answer some of its memory was
+	// copied; engines send it several times a second.
+	copiedAfter = 250 * time.Millisecond
+	// copyWithin is how long an engine may take to copy the memory of a run: about
+	// a gigabyte, behind other copies on the same link.
+	copyWithin = 1500 * time.Millisecond
+	// copyAgainShare is the part of a copy's life after which it is renewed.
+	copyAgainShare = 0.55
+)
+
+// usableCopy returns where the memory of a lost attempt can be gone on from, or
+// nothing. Engines copy from the first token on.
+func (a *attempt) usableCopy() peers.Copy {
+	var held peers.Copy
+	a.exchange.gateway.control.do(func() {
+		old := a.copy.Handle == "" && a.answering && time.Since(a.answeredAt) > copiedAfter
+		if old || a.copy.Handle != "" {
+			held = a.copy
+		}
+	})
+	return held
+}
+
+// copyLost finds another target for the copies that a lost target held.
+func (c *control) copyLost(id request.TargetID) {
+	for _, w := range c.watches {
+		for a := range w.attempts {
+			if a.copy.Target == id {
+				c.copyAnew(a)
+			}
+		}
+	}
+}
+
+// copyAnew has the memory of a running attempt copied to another target.
+func (c *control) copyAnew(a *attempt) {
+	c.table.Copies(a.copy.Target, -a.need.Memory)
+	a.copy = peers.Copy{}
+	run := c.table.Get(a.target.ID)
+	if run == nil || run.Down(time.Now()) {
+		return
+	}
+	next := c.table.PickCopy(time.Now(), run, a.need)
+	if next == nil {
+		return
+	}
+	c.table.Copies(next.ID, a.need.Memory)
+	a.copy = peers.Copy{Run: a.exchange.in.ID, Target: next.ID, Incarnation: next.Incarnation}
+	a.exchange.gateway.log.Event("copy_moved", "request", a.exchange.in.ID, "target", next.ID, "runs", a.target.ID)
+	go a.keepCopy(a.copy, next.Address)
+}
+
+// keepCopy makes a copy of a running attempt's memory and renews it until the
+// attempt ends or the copy is lost.
+func (a *attempt) keepCopy(held peers.Copy, address string) {
+	g := a.exchange.gateway
+	c := g.control
+	life := g.table.Load().Service(a.exchange.service).Engine.CopyLife
+	latest := ""
+	for a.ctx.Err() == nil {
+		if !a.hasAnswered() {
+			// Engines have nothing to copy before the first token.
+			pause(a.ctx, copiedAfter/2)
+			continue
+		}
+		name, err := a.copyOnce(address)
+		if err != nil {
+			g.log.Event("copy_failed", "request", a.exchange.in.ID, "target", held.Target, "error", err.Error())
+		}
+		current := false
+		c.do(func() {
+			current = a.copy.Target == held.Target
+			if current && err == nil {
+				a.copy.Handle, a.copy.Source = name, a.target.Address
+			}
+		})
+		if !current {
+			return
+		}
+		if err == nil {
+			latest = name
+		}
+		wait := time.Duration(copyAgainShare * float64(life))
+		if err != nil {
+			wait = copiedAfter
+		}
+		pause(a.ctx, wait)
+	}
+	if a.done.Load() && latest != "" {
+		a.freeCopy(latest)
+	}
+}
+
+func (a *attempt) hasAnswered() bool {
+	answered := false
+	a.exchange.gateway.control.do(func() { answered = a.answering })
+	return answered
+}
+
+// copyOnce has the engine copy what is new of the attempt's memory.
+func (a *attempt) copyOnce(address string) (string, error) {
+	call, err := platform.CopyCall(a.exchange.in.ID, address)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	status, body, err := a.exchange.gateway.callEngine(a.ctx, a.target.Address, call, reuseMost, copyWithin)
+	if err != nil {
+		return "", err
+	}
+	name, err := platform.DecodeCopy(status, body)
+	return name, errors.WithStack(err)
+}
+
+// freeCopy lets go of the copy of an attempt that is complete.
+func (a *attempt) freeCopy(name string) {
+	g := a.exchange.gateway
+	call := platform.FreeCopyCall(name)
+	if _, _, err := g.callEngine(g.background, a.target.Address, call, reuseMost, probeTimeout); err != nil {
+		g.log.Event("copy_not_freed", "request", a.exchange.in.ID, "error", err.Error())
+	}
+}
+
+// callEngine makes one call to an engine besides requests.
+func (g *Gateway) callEngine(ctx context.Context, address string, call platform.Call, idle, within time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	conn, err := g.pool.Get(ctx, address, idle)
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	response, err := conn.Do(target.Request{
+		Method: call.Method, Path: call.Path, Host: address, Header: call.Header, Body: call.Body,
+	})
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	body, err := readSmall(response)
+	if err != nil {
+		conn.Close()
+		return 0, nil, err
+	}
+	g.pool.Put(conn, response)
+	return response.StatusCode, body, nil
+}
+
+func readSmall(response *http.Response) ([]byte, error) {
+	body, err := readAtMost(response.Body, reportBytes)
+	return body, errors.Wrap(err, "body")
+}
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -15,15 +15,20 @@
 )
 
 const (
-	// watchShare is the part of the revocation bound that one watch waits, so that
-	// two of them fit in the time for which an entry counts as ready.
-	watchShare = 0.22
-	// watchMost is that wait where there is no such bound.
-	watchMost = 2 * time.Second
+	// pollEvery is how often the store is asked for changes. Calls are paid for, and
+	// each change of a target would wake every entry that waits for one; a second
+	// leaves the bounds on configurations and leaving targets another one.
+	pollEvery = 900 * time.Millisecond
+	// eagerFor is how long after its start an entry waits at the store for changes
+	// instead, so that it serves as soon as it can.
+	eagerFor = 6 * time.Second
+	// eagerWait is how long one such call waits.
+	eagerWait = time.Second
 	// answerWithin is how long the store may take besides the wait.
 	answerWithin = 600 * time.Millisecond
-	// gatherFor is the pause after changes, so that one call brings several.
-	gatherFor = 60 * time.Millisecond
+	// gatherFor is the pause after changes while waiting for them, so that one call
+	// brings several.
+	gatherFor = 200 * time.Millisecond
 	// storePause is the pause after a call that failed.
 	storePause = 100 * time.Millisecond
 	// leaseLife is how long an entry that is gone stays registered, keepAliveEvery
@@ -95,15 +100,13 @@
 	return nil
 }
 
-// watch waits for changes.
+// watch takes up what changed.
 func (f *follower) watch() error {
 	g := f.gateway
-	wait := watchMost
-	if revoke := g.settings.Bounds.RevokeWithin.Std(); revoke > 0 {
-		wait = min(wait, time.Duration(watchShare*float64(revoke)))
-	}
-	if f.away {
-		wait = time.Millisecond
+	eager := time.Since(g.control.began) < eagerFor && !f.away
+	wait := time.Millisecond
+	if eager {
+		wait = eagerWait
 	}
 	ctx, cancel := g.withTimeout(wait + answerWithin)
 	defer cancel()
@@ -124,8 +127,10 @@
 	}
 	f.confirm(sent)
 	f.revision = max(f.revision, revision)
-	if len(items) > 0 {
+	if eager {
 		f.pause(gatherFor)
+	} else {
+		f.pause(pollEvery)
 	}
 	return nil
 }
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mulberrylane/mulberrylane/connection/detector"
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
@@ -15,9 +16,7 @@
 const (
 	// probeTimeout is how long a target has to answer a probe, which needs no slot:
 	// some round trips and the set-up of a connection.
-	probeTimeout = 220 * time.Millisecond
-	// probes is how many are sent at once, so that one lost packet kills no target.
-	probes = 2
+	probeTimeout = 120 * time.Millisecond
 	// reportBytes bounds the body of a probe's answer.
 	reportBytes = 64 << 10
 	// idleSilence is the silence that is suspicious while no attempt runs.
@@ -29,6 +28,10 @@
 // 700 ms, the longest that both deployments count as on time.
 var silenceBounds = detector.Bounds{Min: 200 * time.Millisecond, Max: 350 * time.Millisecond}
 
+// readingBounds are those while no attempt answers: a prompt takes a second or so
+// to read, in which an engine is silent.
+var readingBounds = detector.Bounds{Min: 500 * time.Millisecond, Max: 700 * time.Millisecond}
+
 // sinceStart returns the time since the start of the process in nanoseconds.
 func (c *control) sinceStart() int64 { return int64(time.Since(c.began)) }
 
@@ -70,6 +73,13 @@
 	if len(w.attempts) == 0 {
 		return
 	}
+	bounds := readingBounds
+	for a := range w.attempts {
+		if a.answering {
+			bounds = silenceBounds
+		}
+	}
+	w.detector.SetBounds(bounds)
 	w.detector.Heard(c.began.Add(time.Duration(w.heard.Load())))
 	if w.detector.State(now) != detector.Trusted {
 		c.probe(w)
@@ -82,83 +92,86 @@
 		return
 	}
 	w.probing = true
+	c.ask(w.id, w.address, w.service, func(alive bool) {
+		w.probing = false
+		if !alive {
+			c.lost(w.id, "no answer to a probe")
+			return
+		}
+		w.sign(c)
+		w.detector.Heard(time.Now())
+	})
+}
+
+// ask finds out whether the life of a target that is registered still answers, and
+// tells it on the control goroutine.
+func (c *control) ask(id request.TargetID, address, service string, tell func(alive bool)) {
 	engine := false
 	if t := c.gateway.table.Load(); t != nil {
-		service := t.Service(w.service)
-		engine = service != nil && service.Engine != nil
+		s := t.Service(service)
+		engine = s != nil && s.Engine != nil
 	}
 	known := request.Incarnation(0)
-	if t := c.table.Get(w.id); t != nil {
+	if t := c.table.Get(id); t != nil {
 		known = t.Incarnation
 	}
 	go func() {
-		alive, born := c.gateway.askAlive(w.address, engine)
+		alive, born := c.gateway.askAlive(address, engine)
 		c.post(func() {
-			w.probing = false
-			switch {
-			case !alive:
-				c.lost(w.id, "no answer to a probe")
-			case engine && known != 0 && born != 0 && born != known:
-				c.table.Replaced(w.id)
-				c.lost(w.id, "started anew")
-			default:
-				w.sign(c)
-				w.detector.Heard(time.Now())
+			if alive && engine && known != 0 && born != 0 && born != known {
+				c.table.Replaced(id)
+				alive = false
 			}
+			tell(alive)
 		})
 	}()
 }
 
+// tryAgain asks targets that were lost and left alone for a while.
+func (c *control) tryAgain(now time.Time) {
+	for _, id := range c.table.Lapsed(now) {
+		t := c.table.Get(id)
+		c.table.Lost(now, id)
+		c.ask(id, t.Address, t.Service, func(alive bool) {
+			if alive {
+				c.table.Answered(time.Now(), id, false, nil)
+				c.gateway.log.Event("target_back", "target", id)
+			}
+		})
+	}
+}
+
 // askAlive says whether something answers at an address, and when it started if it
-// says so.
+// says so. A second probe, on a connection of its own, follows one without an
+// answer: open ones may have gone silent, and packets get lost.
 func (g *Gateway) askAlive(address string, engine bool) (bool, request.Incarnation) {
-	ctx, cancel := g.withTimeout(probeTimeout)
-	defer cancel()
-	type result struct {
-		alive bool
-		born  request.Incarnation
-	}
-	results := make(chan result, probes)
-	for range probes {
-		go func() {
-			born, err := g.askReport(ctx, address, engine)
-			results <- result{alive: err == nil, born: born}
-		}()
-	}
-	for range probes {
-		if r := <-results; r.alive {
-			return true, r.born
+	for _, idle := range []time.Duration{reuseMost, 0} {
+		born, err := g.askReport(g.background, address, engine, idle)
+		if err == nil {
+			return true, born
 		}
 	}
 	return false, 0
 }
 
-// askReport sends one probe on a connection of its own, since open ones may have
-// gone silent. Any answer is a sign of life.
-func (g *Gateway) askReport(ctx context.Context, address string, engine bool) (request.Incarnation, error) {
-	g.metrics.probes.Add(ctx, 1)
-	conn, err := target.Dial(ctx, address)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
+// askReport sends one probe, on a connection that was idle for less than idle or a
+// new one. Any answer is a sign of life.
+func (g *Gateway) askReport(ctx context.Context, address string, engine bool, idle time.Duration) (request.Incarnation, error) {
 	if !engine {
 		// A connection that is accepted is sign enough: probes of an application take
 		// one of its few slots.
-		return 0, nil
+		conn, err := target.Dial(ctx, address)
+		if err == nil {
+			conn.Close()
+		}
+		return 0, errors.WithStack(err)
 	}
-	response, err := conn.Do(target.Request{
-		Method: http.MethodGet, Path: platform.ReportPath, Host: address, Header: http.Header{},
-	})
+	g.metrics.probes.Add(ctx, 1)
+	call := platform.Call{Method: http.MethodGet, Path: platform.ReportPath, Header: http.Header{}}
+	_, body, err := g.callEngine(ctx, address, call, idle, probeTimeout)
 	if err != nil {
 		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, reportBytes))
-	if err != nil {
-		return 0, err //nolint:wrapcheck // only nil or not matters
-	}
 	report, err := platform.DecodeReport(body)
 	if err != nil {
 		g.log.Event("report_unreadable", "address", address, "error", err.Error())
@@ -173,6 +186,9 @@
 	t := c.table.Get(id)
 	now := time.Now()
 	c.table.Lost(now, id)
+	c.dead[id] = now
+	c.tell = true
+	c.copyLost(id)
 	w := c.watches[id]
 	running := 0
 	if w != nil {
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -15,17 +15,15 @@
 )
 
 const (
-	// resumeWithin is how long a stream may stay without a running attempt: the time
-	// in which both deployments' users expect output to go on.
-	resumeWithin = 3 * time.Second
+	// resumeWithin is how long a stream may stay without a running attempt. Output is
+	// to go on within 3 s; later is still better than never.
+	resumeWithin = 12 * time.Second
 	// fruitless is how many attempts in a row may bring no event.
 	fruitless = 5
 	// eventBuffer is how many messages of an attempt wait for a slow caller.
 	eventBuffer = 16
 	// writeWithin is how long one write to a caller may take.
 	writeWithin = 5 * time.Second
-	// copiedAfter is how long a run takes until some of its memory was copied.
-	copiedAfter = 300 * time.Millisecond
 	// steadyTokens is an answer's share of its largest length that is reckoned with.
 	steadyTokens = 0.9
 )
@@ -161,9 +159,7 @@
 // pick chooses the target of the next attempt: the one that holds a copy of the
 // memory of the last, while there is one, else the best for the whole prompt.
 func (s *stream) pick(action request.Action) request.Event {
-	if s.recovery.Attempts() > 0 && !s.gateway.spend(s.service) {
-		s.gateway.metrics.denied.Add(s.ctx, 1)
-		s.gateway.log.Event("budget_denied", "request", s.in.ID, "attempts", s.recovery.Attempts())
+	if s.recovery.Attempts() > 0 && !s.gateway.spend(s.in.ID, s.service) {
 		return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 	}
 	a := s.pickCopy()
@@ -198,7 +194,7 @@
 func (s *stream) pickCopy() *attempt {
 	held := s.lastCopy
 	s.lastCopy = peers.Copy{}
-	if held.Address == "" {
+	if held.Target == "" {
 		return nil
 	}
 	c := s.gateway.control
@@ -206,18 +202,17 @@
 	a.need.Prompt = copyPrompt
 	found := false
 	c.do(func() {
-		for _, t := range c.table.Service(s.service) {
-			if t.Address == held.Address && !t.Down(a.began) && !t.Leaving {
-				c.occupy(a, t, s.ctx)
-				found = true
-				return
-			}
+		t := c.table.Get(held.Target)
+		if t != nil && t.Incarnation == held.Incarnation && !t.Down(a.began) && !t.Leaving {
+			c.occupy(a, t, s.ctx)
+			found = true
 		}
 	})
 	if !found {
+		s.gateway.log.Event("copy_gone", "request", s.in.ID, "target", held.Target, "incarnation", held.Incarnation)
 		return nil
 	}
-	a.spec.CopyFrom, a.spec.CopyOf = held.Address, held.Run
+	a.spec.CopyFrom, a.spec.CopyName = held.From(a.target.Address)
 	s.gateway.log.Event("resumed_from_copy", "request", s.in.ID, "target", a.target.ID,
 		"failureDomain", a.target.FailureDomain, "run", held.Run, "events", s.recovery.Answer().Len())
 	return a
@@ -229,7 +224,7 @@
 	s.next = nil
 	s.running[action.Attempt] = a
 	a.spec.Position = s.in.Position + s.recovery.Answer().Len()
-	if a.spec.CopyTo != "" {
+	if a.copy.Target != "" {
 		s.copied(a)
 	}
 	go a.runStream(s.parts, s.over, action.Attempt)
@@ -238,7 +233,7 @@
 // copied tells other entries where the memory of an attempt is copied to.
 func (s *stream) copied(a *attempt) {
 	if session := s.in.Session(); session != "" {
-		held := peers.Copy{Run: s.in.ID, Address: a.spec.CopyTo}
+		held := a.copy
 		c := s.gateway.control
 		c.post(func() { c.copies[session] = held })
 	}
@@ -272,8 +267,8 @@
 	if s.lostAt.IsZero() {
 		s.lostAt = time.Now()
 	}
-	if p.kind == fault.TargetLost && p.attempt.spec.CopyTo != "" && time.Since(p.attempt.began) > copiedAfter {
-		s.lastCopy = peers.Copy{Run: s.in.ID, Address: p.attempt.spec.CopyTo}
+	if p.kind == fault.TargetLost {
+		s.lastCopy = p.attempt.usableCopy()
 	}
 }
 
@@ -346,8 +341,11 @@
 		s.exchange.ended(s.kind, attempts, "status", s.failure.head.StatusCode, "sent", err == nil)
 	default:
 		kind := s.kind
-		if s.recovery.WasRun() != request.RunNo && promises(kind.Answer().Status) {
+		switch ran := s.recovery.WasRun() != request.RunNo; {
+		case ran && promises(kind.Answer().Status):
 			kind = fault.TargetLost
+		case !ran && !promises(kind.Answer().Status):
+			kind = fault.Overloaded
 		}
 		s.refuse(fault.New(kind, "after %d attempts", attempts))
 	}
@@ -428,6 +426,7 @@
 			continue
 		}
 		if platform.Ended(err) {
+			a.done.Store(true)
 			a.exchange.gateway.pool.Put(a.conn, response)
 			tell(part{ended: true})
 			return
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -31,6 +31,8 @@
 	Number uint64 `cbor:"3,keyasint"`
 	// Work maps a target to unread tokens, answering attempts and tokens in memory.
 	Work map[request.TargetID][3]int `cbor:"4,keyasint,omitempty"`
+	// Usage maps a service to requests and repeats in the window of the budget.
+	Usage map[string][2]int `cbor:"7,keyasint,omitempty"`
 	// Lost lists targets that the sender found dead a moment ago.
 	Lost []request.TargetID `cbor:"5,keyasint,omitempty"`
 	// Copies maps sessions to the copies of their running answers.
@@ -39,9 +41,23 @@
 
 // Copy says where the memory of a running answer can be gone on from.
 type Copy struct {
-	// Run is the request that made it, Address the target that holds it.
-	Run     request.ID `cbor:"1,keyasint"`
-	Address string     `cbor:"2,keyasint"`
+	// Run is the request that made it.
+	Run request.ID `cbor:"1,keyasint"`
+	// Target holds it; the target's later lives do not.
+	Target      request.TargetID    `cbor:"2,keyasint"`
+	Incarnation request.Incarnation `cbor:"3,keyasint"`
+	// Handle and Source are set for a copy that was asked for while the run went on:
+	// its name, and the address of the target that ran it.
+	Handle string `cbor:"4,keyasint,omitempty"`
+	Source string `cbor:"5,keyasint,omitempty"`
+}
+
+// From returns what a target at address is told to go on from.
+func (c Copy) From(address string) (source, name string) {
+	if c.Handle != "" {
+		return c.Source, c.Handle
+	}
+	return address, string(c.Run)
 }
 
 // PlacementWork returns Work in the form that placement takes.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -39,6 +39,9 @@
 	// in a row up to downMost.
 	downFor  = 700 * time.Millisecond
 	downMost = 3 * time.Second
+	// hintLife is how long another entry's word that a target is dead is believed: a
+	// process takes a second or two to start anew and register.
+	hintLife = 3 * time.Second
 	// peerLife is how long another entry's word on its work is believed without a
 	// newer one; entries repeat it several times in that time.
 	peerLife = 2 * time.Second
@@ -91,7 +94,9 @@
 	downUntil time.Time
 	losses    int
 	// gone says that another target answers at the address.
-	gone     bool
+	gone bool
+	// hinted is until when the target is left alone on the word of another entry.
+	hinted   time.Time
 	failures float64
 	load     request.Load
 	loadAt   time.Time
@@ -100,7 +105,13 @@
 }
 
 // Down says whether the target is left alone after a loss.
-func (t *Target) Down(now time.Time) bool { return t.gone || now.Before(t.downUntil) }
+func (t *Target) Down(now time.Time) bool {
+	return t.gone || now.Before(t.downUntil) || now.Before(t.hinted)
+}
+
+// Trial says that the target was left alone for long enough after a loss to be
+// asked whether it lives.
+func (t *Target) Trial(now time.Time) bool { return t.OnTrial() && !t.Down(now) }
 
 // OnTrial says that the target was lost and has not answered since.
 func (t *Target) OnTrial() bool { return t.losses > 0 }
@@ -133,6 +144,7 @@
 // Register adds a target or takes up what changed of it. A new incarnation starts
 // without the losses of the one before.
 func (t *Table) Register(r Registration) *Target {
+	t.supersede(r)
 	target, ok := t.targets[r.ID]
 	if ok && target.Service != r.Service {
 		t.Remove(r.ID)
@@ -149,12 +161,28 @@
 		return target
 	}
 	if r.Incarnation != target.Incarnation || r.Endpoint != target.Endpoint {
-		target.downUntil, target.losses, target.gone, target.failures = time.Time{}, 0, false, 0
+		target.downUntil, target.hinted = time.Time{}, time.Time{}
+		target.losses, target.gone, target.failures = 0, false, 0
 	}
 	target.Registration = r
 	return target
 }
 
+// supersede marks targets as gone whose address another one registers: the target
+// there started anew, and the registration of its life before has yet to lapse.
+func (t *Table) supersede(r Registration) {
+	if known, ok := t.targets[r.ID]; ok && known.Endpoint == r.Endpoint {
+		return
+	}
+	for _, list := range t.services {
+		for _, other := range list {
+			if other.Address == r.Address && other.ID != r.ID && other.Incarnation <= r.Incarnation {
+				other.gone = true
+			}
+		}
+	}
+}
+
 func compareIDs(a, b request.TargetID) int {
 	switch {
 	case a < b:
@@ -232,6 +260,27 @@
 	target.losses++
 }
 
+// Lapsed returns the targets that were left alone for long enough after a loss to
+// be asked whether they live, in order.
+func (t *Table) Lapsed(now time.Time) []request.TargetID {
+	var ids []request.TargetID
+	for id, target := range t.targets {
+		if target.Trial(now) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Hinted notes that another entry found a target dead. It is left alone until it
+// registers anew, answers, or hintLife is over.
+func (t *Table) Hinted(now time.Time, id request.TargetID) {
+	if target, ok := t.targets[id]; ok {
+		target.hinted = now.Add(hintLife)
+	}
+}
+
 // Replaced notes that another target answers at the address of this one.
 func (t *Table) Replaced(id request.TargetID) {
 	if target, ok := t.targets[id]; ok {
@@ -246,7 +295,7 @@
 	if !ok {
 		return
 	}
-	target.downUntil, target.losses = time.Time{}, 0
+	target.downUntil, target.hinted, target.losses = time.Time{}, time.Time{}, 0
 	share := 0.0
 	if failed {
 		share = 1
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -57,11 +57,12 @@
 	// Position is the last event that the caller has.
 	Position int
 	// CopyTo is the address of a target that receives a copy of the attempt's memory
-	// while it runs, CopyFrom that of the copy to go on from. Both may be empty.
+	// while it runs, CopyFrom the address that the copy to go on from is known by.
+	// Both may be empty.
 	CopyTo   string
 	CopyFrom string
-	// CopyOf is the request whose run made the copy.
-	CopyOf ID
+	// CopyName is what the copy is known by there.
+	CopyName string
 	// Priority is the rank at the engine, 0 first; nil leaves the engine's default.
 	Priority *int
 }
