The store's return is noticed sooner; Retry-After by what other entries can do

Cause: while the store is silent each call waited 600 ms, so its return was seen after 0.5 s, and callers refused for an old configuration were told to come back at once though no other entry could take them either.

--- a/process/gateway/caller.go
+++ b/process/gateway/caller.go
@@ -22,6 +22,9 @@
 	// by returnSpread so that those who were refused together do not return together.
 	returnAfter  = 250 * time.Millisecond
 	returnSpread = 500 * time.Millisecond
+	// storeReturn is the Retry-After while no entry reaches the store, whose outages
+	// last for seconds.
+	storeReturn = 1500 * time.Millisecond
 	// defaultTimeout bounds requests that neither their caller nor their route bounds.
 	defaultTimeout = time.Minute
 )
@@ -141,13 +144,22 @@
 	return e.workspace.Name
 }
 
-// retryAfter says when a refused request is worth sending again.
-func retryAfter(kind fault.Kind) time.Duration {
+// retryAfter says when a refused request is worth sending again: at once where
+// another entry can take it, else when capacity or the store may be back.
+func (g *Gateway) retryAfter(kind fault.Kind) time.Duration {
+	spread := time.Duration(rand.Int64N(int64(returnSpread)))
 	switch kind {
-	case fault.StaleConfiguration, fault.Draining, fault.Unreachable:
+	case fault.Draining, fault.Unreachable:
 		return elsewhere
+	case fault.StaleConfiguration:
+		other := false
+		g.control.do(func() { other = g.control.otherReady() })
+		if other {
+			return elsewhere
+		}
+		return storeReturn + 2*spread
 	default:
-		return returnAfter + time.Duration(rand.Int64N(int64(returnSpread)))
+		return returnAfter + spread
 	}
 }
 
@@ -158,7 +170,7 @@
 	header := e.writer.Header()
 	after := time.Duration(0)
 	if answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests {
-		after = retryAfter(kind)
+		after = e.gateway.retryAfter(kind)
 	}
 	platform.SetRefusal(header, e.in.ID, after)
 	e.writer.WriteHeader(answer.Status)
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -241,6 +241,7 @@
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
 		Work: map[request.TargetID][3]int{}, Copies: c.copies, Usage: map[string][2]int{},
+		Ready: c.gateway.ready(),
 	}
 	for service, budget := range c.budgets {
 		usage := budget.Usage(now)
@@ -339,6 +340,16 @@
 	return peers.Copy{}, false
 }
 
+// otherReady says whether another entry takes requests, as far as is known.
+func (c *control) otherReady() bool {
+	for name, message := range c.theirs {
+		if _, heard := c.heard[name]; heard && message.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // spend takes a repeat for a service from the budget, or says that none is left.
 func (g *Gateway) spend(id request.ID, service string) bool {
 	granted := false
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -30,7 +30,11 @@
 	// brings several.
 	gatherFor = 200 * time.Millisecond
 	// storePause is the pause after a call that failed.
-	storePause = 100 * time.Millisecond
+	storePause = 50 * time.Millisecond
+	// awayWithin is how long most calls may take while the store is away, so that its
+	// return is seen soon; each third call gets awayLong, in case it is only slow.
+	awayWithin = 250 * time.Millisecond
+	awayLong   = 900 * time.Millisecond
 	// leaseLife is how long an entry that is gone stays registered, keepAliveEvery
 	// how often it renews that.
 	leaseLife      = 12 * time.Second
@@ -55,8 +59,21 @@
 	gateway *Gateway
 	// revision is the one to go on from; zero means that all is to be read.
 	revision int64
-	// away says that the last call failed.
-	away bool
+	// away says that the last call failed, failures counts the failed ones in a row.
+	away     bool
+	failures int
+}
+
+// within returns how long the store may take for a call besides what it waits.
+func (f *follower) within() time.Duration {
+	switch {
+	case f.failures == 0:
+		return answerWithin
+	case f.failures%3 == 0:
+		return awayLong
+	default:
+		return awayWithin
+	}
 }
 
 func (f *follower) step() error {
@@ -69,7 +86,7 @@
 // list reads everything there is.
 func (f *follower) list() error {
 	g := f.gateway
-	ctx, cancel := g.withTimeout(answerWithin)
+	ctx, cancel := g.withTimeout(f.within())
 	defer cancel()
 	sent := suspendedClock()
 	items, revision, err := g.store.Range(ctx, "")
@@ -108,7 +125,7 @@
 	if eager {
 		wait = eagerWait
 	}
-	ctx, cancel := g.withTimeout(wait + answerWithin)
+	ctx, cancel := g.withTimeout(wait + f.within())
 	defer cancel()
 	sent := suspendedClock()
 	items, revision, err := g.store.Watch(ctx, "", f.revision, wait)
@@ -145,6 +162,7 @@
 // returned notes that the store answers.
 func (f *follower) returned() {
 	g := f.gateway
+	f.failures = 0
 	if f.away {
 		f.away = false
 		g.log.Event("store_back", "configurationAge", g.control.freshNow().Age(suspendedClock()))
@@ -156,6 +174,7 @@
 // since the one of before may be silent for good.
 func (f *follower) failed(err error) {
 	g := f.gateway
+	f.failures++
 	if !f.away {
 		f.away = true
 		g.log.Event("store_away", "error", err.Error(),
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -158,9 +158,14 @@
 	}
 }
 
+// ready says whether the entry should get new connections.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.control.freshNow().Ready(suspendedClock())
+}
+
 // serveReady answers the balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.leaving.Load() || !g.control.freshNow().Ready(suspendedClock()) {
+	if !g.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
