Stand-in of the users' platform and tests of what binds the gateway

Cause of the mended fault: the retry budget kept ten seconds in twenty parts, so repeats made 9.5 s ago were no longer counted.

--- a/process/admission/window.go
+++ b/process/admission/window.go
@@ -22,7 +22,9 @@
 	ratio  float64
 	slack  float64
 	window time.Duration
-	counts [buckets]struct {
+	// counts holds one part more than a window has, since the newest is not full:
+	// repeats are counted over all, requests over as many as a window has.
+	counts [buckets + 1]struct {
 		slot              int64
 		requests, repeats int
 	}
@@ -36,7 +38,7 @@
 
 func (b *WindowBudget) bucket(now time.Time) int {
 	slot := now.UnixNano() / int64(b.window/buckets)
-	i := int(slot % buckets)
+	i := int(slot % int64(len(b.counts)))
 	if b.counts[i].slot != slot {
 		b.counts[i].slot = slot
 		b.counts[i].requests = 0
@@ -65,6 +67,8 @@
 	for _, count := range b.counts {
 		if newest-count.slot < buckets {
 			sum.Requests += count.requests
+		}
+		if newest-count.slot <= buckets {
 			sum.Repeats += count.repeats
 		}
 	}
--- a/process/eventlog/eventlog.go
+++ b/process/eventlog/eventlog.go
@@ -80,6 +80,9 @@
 
 // Close writes what waits and ends the log. Later lines are dropped.
 func (l *Log) Close() {
+	if l == nil {
+		return
+	}
 	klog.Flush()
 	l.sink.close()
 	<-l.sink.done
--- /dev/null
+++ b/process/eventlog/eventlog_test.go
@@ -0,0 +1,42 @@
+package eventlog
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReaderThatStandsStillBlocksNothing(t *testing.T) {
+	reader, writer := io.Pipe()
+	log := New(writer)
+	begun := time.Now()
+	for i := range 50 * buffered {
+		log.Event("kind", "number", i)
+	}
+	for i := range 3 * buffered {
+		_, err := log.sink.Write([]byte(strings.Repeat("x", i%100)))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(begun) < 5*time.Second)
+	assert.Assert(t, log.sink.dropped.Load() > 0)
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	log.Close()
+}
+
+func TestLinesOverTheRateAreCounted(t *testing.T) {
+	var out strings.Builder
+	log := New(&out)
+	for range lineBurst + 50 {
+		log.Event("often", "request", "r1")
+	}
+	log.Event("seldom", "request", "r2")
+	time.Sleep(100 * time.Millisecond)
+	log.Event("often", "request", "r3")
+	log.Close()
+	assert.Assert(t, strings.Contains(out.String(), `"seldom" request="r2"`))
+	assert.Assert(t, strings.Contains(out.String(), "leftOut="))
+	assert.Assert(t, strings.Count(out.String(), "\n") <= lineBurst+20)
+}
--- /dev/null
+++ b/process/freshness/freshness_test.go
@@ -0,0 +1,38 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const revoke = 5 * time.Second
+
+func TestNothingIsTrustedBeforeTheFirstWord(t *testing.T) {
+	f := New(revoke)
+	assert.Assert(t, !f.Known() && !f.Keys(0) && !f.Ready(0))
+}
+
+func TestKeysAreTrustedUntilShortlyBeforeTheBound(t *testing.T) {
+	f := New(revoke)
+	f.Confirm(10 * time.Second)
+	assert.Assert(t, f.Keys(10*time.Second+revoke-margin-1))
+	assert.Assert(t, !f.Keys(10*time.Second+revoke-margin))
+	assert.Assert(t, f.Ready(12*time.Second))
+	assert.Assert(t, !f.Ready(13*time.Second))
+}
+
+// An answer that was held up, or came after another, makes nothing younger.
+func TestLateAnswerDoesNotRejuvenate(t *testing.T) {
+	f := New(revoke)
+	f.Confirm(10 * time.Second)
+	f.Confirm(4 * time.Second)
+	assert.Equal(t, f.Age(11*time.Second), time.Second)
+}
+
+func TestNoBoundTrustsForever(t *testing.T) {
+	f := New(0)
+	f.Confirm(0)
+	assert.Assert(t, f.Keys(time.Hour) && f.Ready(time.Hour))
+}
--- /dev/null
+++ b/process/gateway/call_test.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+func booking() *ask { return newAsk(http.MethodPost, "/book/visit", "a visit") }
+
+func status() *ask { return newAsk(http.MethodGet, "/status/7", "") }
+
+func TestAnswerIsReturnedUnchanged(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	a := booking()
+	answer := s.send(g, a)
+	assert.Equal(t, answer.status, http.StatusOK)
+	assert.Equal(t, answer.body, "answer to "+a.id)
+	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.id))
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 1)
+	assert.Assert(t, runs[0].TimeLeft != "" && len(runs[0].TimeLeft) <= len("5000"))
+}
+
+func TestCallWithLostAnswerRunsOnce(t *testing.T) {
+	s := newSite(t)
+	for _, id := range []string{"a1", "a2", "a3"} {
+		s.application(id, "naxos").SetFaults(replica.Faults{LoseAnswers: true})
+	}
+	g := s.entry("entry-1")
+	a := booking()
+	answer := s.send(g, a)
+	assert.Equal(t, answer.status, http.StatusBadGateway)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 1)
+}
+
+func TestIdempotentCallWithLostAnswerIsRepeated(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos").SetFaults(replica.Faults{LoseAnswers: true})
+	s.application("a2", "naxos")
+	g := s.entry("entry-1")
+	for range 6 {
+		assert.Equal(t, s.send(g, status()).status, http.StatusOK)
+	}
+}
+
+func TestCallRefusedByAllIsNotRunAndSaysSo(t *testing.T) {
+	s := newSite(t)
+	for _, id := range []string{"a1", "a2", "a3"} {
+		s.application(id, "naxos").SetFaults(replica.Faults{Full: true})
+	}
+	g := s.entry("entry-1")
+	a := booking()
+	answer := s.send(g, a)
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.header.Get("Retry-After") != "")
+	assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 0)
+}
+
+func TestCallRefusedByOneRunsAtAnother(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos").SetFaults(replica.Faults{Full: true})
+	s.application("a2", "paros")
+	g := s.entry("entry-1")
+	for range 4 {
+		a := booking()
+		assert.Equal(t, s.send(g, a).status, http.StatusOK)
+		assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 1)
+	}
+}
+
+func TestCallIsNotLostToATargetThatIsGone(t *testing.T) {
+	s := newSite(t)
+	gone := s.application("a1", "naxos")
+	s.application("a2", "paros")
+	g := s.entry("entry-1")
+	gone.Crash()
+	for range 4 {
+		a := booking()
+		assert.Equal(t, s.send(g, a).status, http.StatusOK)
+		assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 1)
+	}
+}
+
+// The target at an address is another life than the one that is registered there.
+func TestCallIsNotRunByAnotherTargetAtTheAddress(t *testing.T) {
+	s := newSite(t)
+	old := s.application("a1", "naxos")
+	s.application("a2", "paros")
+	g := s.entry("entry-1")
+	old.Crash()
+	other, err := s.fleet.Start(replica.Config{ID: "b1", Service: "other", Address: old.Config().Address, Slots: 6})
+	assert.NilError(t, err)
+	t.Cleanup(other.Crash)
+	for range 4 {
+		a := booking()
+		assert.Equal(t, s.send(g, a).status, http.StatusOK)
+		assert.Equal(t, s.fleet.Ledger.Runs(a.id)[0].Target, "a2")
+	}
+}
+
+func TestFailureOfTheTargetIsReturnedWithItsSignature(t *testing.T) {
+	s := newSite(t)
+	for _, id := range []string{"a1", "a2", "a3"} {
+		s.application(id, "naxos").SetFaults(replica.Faults{Fail: true})
+	}
+	g := s.entry("entry-1")
+	a := status()
+	answer := s.send(g, a)
+	assert.Equal(t, answer.status, http.StatusInternalServerError)
+	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.id))
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+	b := booking()
+	assert.Equal(t, s.send(g, b).status, http.StatusInternalServerError)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(b.id), 1)
+}
+
+func TestSpoiledAnswersAreNoSuccess(t *testing.T) {
+	for name, faults := range map[string]replica.Faults{
+		"unsigned": {Unsigned: true}, "crossed": {Crossed: true}, "encoded": {Encoded: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.application("a1", "naxos").SetFaults(faults)
+			g := s.entry("entry-1")
+			a := booking()
+			answer := s.send(g, a)
+			assert.Equal(t, answer.status, http.StatusBadGateway)
+			assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 1)
+		})
+	}
+}
+
+func TestBytesAfterAnAnswerBelongToNoRequest(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos").SetFaults(replica.Faults{Extra: true})
+	g := s.entry("entry-1")
+	for range 5 {
+		a := status()
+		answer := s.send(g, a)
+		assert.Equal(t, answer.status, http.StatusOK)
+		assert.Equal(t, answer.body, "answer to "+a.id)
+	}
+}
+
+func TestCallAtASilentTargetEndsWithItsTime(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos").SetFaults(replica.Faults{Silent: true})
+	g := s.entry("entry-1")
+	a := booking()
+	a.timeLeft = 400 * time.Millisecond
+	begun := time.Now()
+	answer := s.send(g, a)
+	took := time.Since(begun)
+	assert.Equal(t, answer.status, http.StatusGatewayTimeout)
+	assert.Assert(t, took > 300*time.Millisecond && took < 650*time.Millisecond, "took %s", took)
+}
+
+func TestTargetStopsACallWhoseCallerLeft(t *testing.T) {
+	s := newSite(t)
+	e := s.start(replica.Config{ID: "a1", Service: "bookings", Zone: "naxos", Work: 2 * time.Second, Slots: 6})
+	g := s.entry("entry-1")
+	ctx, leave := context.WithCancel(context.Background())
+	a := status()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if response, err := http.DefaultClient.Do(a.request(ctx, g)); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.id)) == 1 })
+	leave()
+	<-done
+	deadline := time.Now().Add(500 * time.Millisecond)
+	for e.Left() == 0 {
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestLimitsOnWhatCallersSend(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	big := booking()
+	big.body = strings.Repeat("x", 5000)
+	assert.Equal(t, s.send(g, big).status, http.StatusRequestEntityTooLarge)
+	wide := booking()
+	wide.header = http.Header{"X-Wide": {strings.Repeat("x", 40000)}}
+	assert.Equal(t, s.send(g, wide).status, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, len(s.fleet.Ledger.Runs("")), 0)
+}
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -327,7 +327,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "register")
 	}
-	value, err := json.Marshal(entryRecord{Peers: g.settings.Peers})
+	value, err := json.Marshal(entryRecord{Peers: g.peers.Address()})
 	if err != nil {
 		return 0, errors.WithStack(err)
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -60,9 +60,7 @@
 	lostAt   time.Time
 	failure  *answer
 	wake     *time.Timer
-	spent    int
 	raw      [][]byte
-	err      error
 	ended    bool
 	kind     fault.Kind
 }
--- /dev/null
+++ b/process/gateway/stream_test.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+func report() *ask { return newAsk(http.MethodPost, "/report/x?y=1", "a prompt") }
+
+// runner returns the target that runs a request.
+func (s *site) runner(id string, replicas ...*replica.Replica) *replica.Replica {
+	s.t.Helper()
+	runs := s.fleet.Ledger.Runs(id)
+	last := runs[len(runs)-1]
+	for _, r := range replicas {
+		if r.Config().ID == last.Target {
+			return r
+		}
+	}
+	s.t.Fatalf("no target %s", last.Target)
+	return nil
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	s := newSite(t)
+	s.engine("e1", "naxos")
+	g := s.entry("entry-1")
+	a := report()
+	a.header = http.Header{"Tenant": {"someone-else"}, "Kv-Hold": {"h"}, "Pin-Duration": {"9"}, "Kv-From": {"1.2.3.4:5/x"}, "X-Note": {"kept"}}
+	r := s.open(context.Background(), g, a)
+	assert.Equal(t, r.response.StatusCode, http.StatusOK)
+	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.id))
+	r.events(t, a.id, 0)
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Workspace, "crew")
+	assert.Equal(t, runs[0].Key, "")
+	assert.Equal(t, runs[0].Path, "/report/x?y=1")
+	assert.Equal(t, runs[0].Body, "a prompt")
+	assert.Assert(t, !runs[0].Copied)
+}
+
+func TestStreamGoesOnFromCopyAfterCrash(t *testing.T) {
+	s := newSite(t)
+	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros"), s.engine("e3", "syros")}
+	g := s.entry("entry-1")
+	a := report()
+	r := s.open(context.Background(), g, a)
+	r.skip(t, 12)
+	s.runner(a.id, engines...).Crash()
+	begun := time.Now()
+	id, _, err := r.next()
+	assert.NilError(t, err)
+	for id < 14 {
+		id, _, err = r.next()
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(begun) < 700*time.Millisecond)
+	r.events(t, a.id, 14)
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1].Copied)
+	assert.Assert(t, runs[1].From >= 12)
+}
+
+func TestStreamGoesOnElsewhereWhenTargetFallsSilent(t *testing.T) {
+	s := newSite(t)
+	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros"), s.engine("e3", "syros")}
+	g := s.entry("entry-1")
+	a := report()
+	r := s.open(context.Background(), g, a)
+	r.skip(t, 13)
+	s.runner(a.id, engines...).SetFaults(replica.Faults{Silent: true})
+	r.events(t, a.id, 13)
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1].Copied)
+}
+
+// A copy is lost with its target; the run must not be left without one.
+func TestCopyIsMadeAnewWhenItsTargetIsLost(t *testing.T) {
+	s := newSite(t)
+	config := replica.Config{
+		Service: "writer", Engine: true, Events: 60, Prefill: 50 * time.Millisecond, Pause: 40 * time.Millisecond, Slots: 128,
+	}
+	var engines []*replica.Replica
+	for id, zone := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros"} {
+		config.ID, config.Zone = id, zone
+		engines = append(engines, s.start(config))
+	}
+	g := s.entry("entry-1")
+	a := report()
+	r := s.open(context.Background(), g, a)
+	r.skip(t, 10)
+	run := s.runner(a.id, engines...)
+	held := ""
+	g.control.do(func() {
+		for _, w := range g.control.watches {
+			for running := range w.attempts {
+				held = string(running.copy.Target)
+			}
+		}
+	})
+	for _, e := range engines {
+		if e.Config().ID == held {
+			e.Crash()
+			g.control.post(func() { g.control.lost(request.TargetID(held), "test") })
+		}
+	}
+	r.skip(t, 30)
+	run.Crash()
+	r.skip(t, 60)
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1].Copied)
+	assert.Assert(t, runs[1].Target != held)
+}
+
+func TestStreamLostBeforeItsFirstEventStartsElsewhere(t *testing.T) {
+	s := newSite(t)
+	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros")}
+	g := s.entry("entry-1")
+	a := report()
+	answered := make(chan *reader)
+	go func() { answered <- s.open(context.Background(), g, a) }()
+	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.id)) == 1 })
+	s.runner(a.id, engines...).Crash()
+	(<-answered).events(t, a.id, 0)
+	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, !runs[1].Copied)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+}
+
+func TestEventTornInTheMiddleIsNotPassedOn(t *testing.T) {
+	s := newSite(t)
+	first, second := s.engine("e1", "naxos"), s.engine("e2", "paros")
+	first.SetFaults(replica.Faults{CutAfter: 15})
+	second.SetFaults(replica.Faults{CutAfter: 17})
+	s.engine("e3", "syros")
+	s.engine("e4", "syros")
+	g := s.entry("entry-1")
+	for range 4 {
+		a := report()
+		s.open(context.Background(), g, a).events(t, a.id, 0)
+	}
+}
+
+func TestCallerReturnsToAnotherEntryWithItsPosition(t *testing.T) {
+	s := newSite(t)
+	for id, zone := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros"} {
+		s.engine(id, zone)
+	}
+	first, second := s.entry("entry-1"), s.entry("entry-2")
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	a := report()
+	s.open(ctx, first, a).skip(t, 9)
+	leave()
+	again := report()
+	again.id, again.position = a.id, 9
+	s.open(context.Background(), second, again).events(t, a.id, 9)
+}
+
+func TestTargetStopsWhenCallerLeaves(t *testing.T) {
+	s := newSite(t)
+	e := s.engine("e1", "naxos")
+	g := s.entry("entry-1")
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	s.open(ctx, g, report()).skip(t, 5)
+	leave()
+	deadline := time.Now().Add(500 * time.Millisecond)
+	for e.Left() == 0 {
+		assert.Assert(t, time.Now().Before(deadline), "the target still works half a second after the caller left")
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestStreamWithoutAnyTargetIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	g := s.entry("entry-1")
+	begun := time.Now()
+	answer := s.send(g, report())
+	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(begun) < 200*time.Millisecond)
+}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -98,6 +98,9 @@
 	return &Conn{conn: conn, last: map[string]mark{}}, nil
 }
 
+// Address returns the IP address and port that others send to.
+func (c *Conn) Address() string { return c.conn.LocalAddr().String() }
+
 // Send sends a message to each address. The first error is returned after all were
 // tried.
 func (c *Conn) Send(message Message, addresses []string) error {
--- /dev/null
+++ b/process/placement/placement_test.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	engineMemory = 88000
+	promptTokens = 8200
+)
+
+// engines returns a table of engines spread over three failure domains.
+func engines(count int) *Table {
+	t := NewTable()
+	for i := range count {
+		t.Register(Registration{
+			Endpoint: request.Endpoint{ID: id(i), Address: fmt.Sprintf("10.0.0.%d:80", i)},
+			Service:  "writer", FailureDomain: domain(i), Slots: 128, Incarnation: 1,
+		})
+	}
+	t.SetEngine("writer", engineMemory)
+	return t
+}
+
+func id(i int) request.TargetID { return request.TargetID(fmt.Sprintf("e-%03d", i)) }
+
+func domain(i int) string { return []string{"naxos", "paros", "syros"}[i%3] }
+
+func prompt(session string) Need {
+	return Need{Service: "writer", Session: session, Prompt: promptTokens, Memory: promptTokens + 600}
+}
+
+// herd replays arrivals at many entries that each see few of them, and returns the
+// most prompts that one target had to read at once. Prompts take a second to read.
+// Entries tell each other of their work after each change if told is set.
+func herd(t *testing.T, told bool) int {
+	t.Helper()
+	const entries, targets, arrivals = 26, 94, 600
+	perSecond := 28.0
+	random := rand.New(rand.NewPCG(7, 7))
+	tables := make([]*Table, entries)
+	for i := range tables {
+		tables[i] = engines(targets)
+	}
+	type reading struct {
+		entry  int
+		target request.TargetID
+		need   Need
+		until  time.Time
+	}
+	var running []reading
+	busiest, now := 0, start
+	tell := func(entry int) {
+		if !told {
+			return
+		}
+		for i, table := range tables {
+			if i != entry {
+				table.SetPeer(now, fmt.Sprint(entry), tables[entry].Own())
+			}
+		}
+	}
+	for arrival := range arrivals {
+		now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		var left []reading
+		for _, r := range running {
+			if now.Before(r.until) {
+				left = append(left, r)
+				continue
+			}
+			tables[r.entry].Ended(r.target, r.need, false)
+			tell(r.entry)
+		}
+		running = left
+		entry := random.IntN(entries)
+		need := prompt(fmt.Sprint(arrival))
+		choice, err := tables[entry].Pick(now, need)
+		assert.NilError(t, err)
+		tables[entry].Began(choice.Target.ID, need)
+		running = append(running, reading{entry, choice.Target.ID, need, now.Add(time.Second)})
+		tell(entry)
+		at := map[request.TargetID]int{}
+		for _, r := range running {
+			at[r.target]++
+			busiest = max(busiest, at[r.target])
+		}
+	}
+	return busiest
+}
+
+func TestEntriesThatTellEachOtherDoNotHerd(t *testing.T) {
+	assert.Assert(t, herd(t, false) > 2, "the pattern brings no herd, so it shows nothing")
+	assert.Equal(t, herd(t, true), 1)
+}
+
+func TestAnEntryThatHearsNothingForgetsWhatOthersHad(t *testing.T) {
+	table := engines(2)
+	table.SetPeer(start, "other", map[request.TargetID]Work{id(0): {Unread: 50000}})
+	for i := range 20 {
+		choice, err := table.Pick(start, prompt(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Target.ID, id(1))
+	}
+	later := start.Add(peerLife)
+	chosen := map[request.TargetID]bool{}
+	for i := range 20 {
+		choice, err := table.Pick(later, prompt(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		chosen[choice.Target.ID] = true
+	}
+	assert.Equal(t, len(chosen), 2)
+}
+
+func TestLostDomainGetsNothingUntilItRegistersAnew(t *testing.T) {
+	table := engines(9)
+	for i := 0; i < 9; i += 3 {
+		table.Lost(start, id(i))
+	}
+	picked := func(at time.Time) map[string]int {
+		domains := map[string]int{}
+		for i := range 60 {
+			choice, err := table.Pick(at, prompt(fmt.Sprint(i)))
+			assert.NilError(t, err)
+			domains[choice.Target.FailureDomain]++
+		}
+		return domains
+	}
+	assert.Equal(t, picked(start)["naxos"], 0)
+	assert.Equal(t, picked(start.Add(downMost))["naxos"], 0, "targets on trial were taken")
+	for i := 0; i < 9; i += 3 {
+		old := table.Get(id(i)).Registration
+		old.ID += "-anew"
+		old.Incarnation = 2
+		table.Register(old)
+	}
+	table.SetEngine("writer", engineMemory)
+	assert.Assert(t, picked(start.Add(downMost))["naxos"] > 0)
+	for i := 0; i < 9; i += 3 {
+		assert.Assert(t, table.Get(id(i)).Down(start.Add(time.Hour)), "the life before is still taken for alive")
+	}
+}
+
+func TestTargetOnTrialIsTheLastResort(t *testing.T) {
+	table := engines(1)
+	table.Lost(start, id(0))
+	_, err := table.Pick(start, prompt("s"))
+	assert.ErrorContains(t, err, "no_target")
+	choice, err := table.Pick(start.Add(downFor), prompt("s"))
+	assert.NilError(t, err)
+	table.Began(choice.Target.ID, prompt("s"))
+	_, err = table.Pick(start.Add(downFor), prompt("s"))
+	assert.ErrorContains(t, err, "no_target", "more than one attempt goes to a target on trial")
+	table.Answered(start.Add(downFor), id(0), false, nil)
+	_, err = table.Pick(start.Add(downFor), prompt("s"))
+	assert.NilError(t, err)
+}
+
+func TestLossesInARowAreWaitedForLonger(t *testing.T) {
+	table := engines(1)
+	table.Lost(start, id(0))
+	assert.DeepEqual(t, table.Lapsed(start.Add(downFor)), []request.TargetID{id(0)})
+	second := start.Add(downFor)
+	table.Lost(second, id(0))
+	assert.Equal(t, len(table.Lapsed(second.Add(downFor))), 0)
+	assert.Equal(t, len(table.Lapsed(second.Add(2*downFor))), 1)
+}
+
+func TestTargetWithoutMemoryIsLeftToOthers(t *testing.T) {
+	table := engines(2)
+	table.SetPeer(start, "other", map[request.TargetID]Work{id(0): {Memory: engineMemory - 9000}})
+	for i := range 20 {
+		choice, err := table.Pick(start, prompt(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Target.ID, id(1))
+	}
+}
+
+func TestEntriesAgreeOnTheTargetOfASession(t *testing.T) {
+	for i := range 30 {
+		session := fmt.Sprint("session-", i)
+		first, err := engines(12).Pick(start, prompt(session))
+		assert.NilError(t, err)
+		second, err := engines(12).Pick(start, prompt(session))
+		assert.NilError(t, err)
+		assert.Equal(t, first.Target.ID, second.Target.ID)
+	}
+}
+
+func TestCopyGoesToAnotherDomainWithRoom(t *testing.T) {
+	table := engines(6)
+	run := table.Get(id(0))
+	for i := 1; i < 5; i++ {
+		table.Copies(id(i), engineMemory)
+	}
+	assert.Equal(t, table.PickCopy(start, run, prompt("s")).ID, id(5))
+	table.Lost(start, id(5))
+	assert.Assert(t, table.PickCopy(start, run, prompt("s")) == nil)
+}
+
+func TestWorkIsTakenBackWhenAttemptsEnd(t *testing.T) {
+	table := engines(1)
+	need := prompt("s")
+	table.Began(id(0), need)
+	table.Answering(id(0), need)
+	table.Ended(id(0), need, true)
+	table.Began(id(0), need)
+	table.Ended(id(0), need, false)
+	assert.Equal(t, len(table.Own()), 0)
+	assert.Equal(t, table.Get(id(0)).InFlight, 0)
+}
+
+func applications(slots int) *Table {
+	t := NewTable()
+	for i := range 3 {
+		t.Register(Registration{
+			Endpoint: request.Endpoint{ID: id(i), Address: fmt.Sprint(i)}, Service: "bookings",
+			FailureDomain: domain(i), Slots: slots, Incarnation: 1,
+		})
+	}
+	return t
+}
+
+func TestCallsStayInTheDomainWhileItHasSlots(t *testing.T) {
+	table := applications(6)
+	need := Need{Service: "bookings", FailureDomain: "paros"}
+	for i := range 2 {
+		choice, err := table.Pick(start, need)
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Target.FailureDomain, "paros", "call %d", i)
+		table.Began(choice.Target.ID, need)
+	}
+	choice, err := table.Pick(start, need)
+	assert.NilError(t, err)
+	assert.Assert(t, choice.Target.FailureDomain != "paros")
+}
+
+func TestFailingReplicaIsLeftAndTriedAgain(t *testing.T) {
+	table := applications(6)
+	need := Need{Service: "bookings", FailureDomain: "paros"}
+	for range 6 {
+		table.Answered(start, id(1), true, nil)
+	}
+	choice, err := table.Pick(start, need)
+	assert.NilError(t, err)
+	assert.Assert(t, choice.Target.ID != id(1))
+	for range 20 {
+		table.Answered(start, id(1), false, nil)
+	}
+	choice, err = table.Pick(start, need)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Target.ID, id(1))
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -34,6 +34,9 @@
 // Away notes that the store does not answer.
 func (r *Registry) Away() { r.away = true }
 
+// IsAway says whether the store does not answer.
+func (r *Registry) IsAway() bool { return r.away }
+
 // Back notes that the store answers, and returns whether it was away.
 func (r *Registry) Back(now time.Time) bool {
 	was := r.away
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -11,6 +11,8 @@
 type Faults struct {
 	// Outage breaks every connection without an answer, running watches included.
 	Outage bool `json:"outage"`
+	// Silent takes calls and never answers them; only the users' platform has it.
+	Silent bool `json:"silent,omitempty"`
 	// Delay is added to every call but running watches.
 	Delay time.Duration `json:"delay"`
 	// LoseAnswer is the probability that a write takes effect and its answer is
@@ -34,7 +36,7 @@
 	defer s.mu.Unlock()
 	s.faults = faults
 	s.random = rand.New(rand.NewPCG(faults.Seed, 1))
-	if faults.Outage {
+	if faults.Outage || faults.Silent {
 		close(s.broken)
 		s.broken = make(chan struct{})
 	}
@@ -59,12 +61,13 @@
 type fate struct {
 	delay               time.Duration
 	dropped, answerLost bool
+	silent              bool
 }
 
 func (s *Store) fate(write bool) fate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := fate{delay: s.faults.Delay, dropped: s.faults.Outage}
+	f := fate{delay: s.faults.Delay, dropped: s.faults.Outage, silent: s.faults.Silent}
 	if write {
 		f.dropped = f.dropped || s.random.Float64() < s.faults.LoseWrite
 		f.answerLost = s.random.Float64() < s.faults.LoseAnswer
--- /dev/null
+++ b/standin/replica/replica.go
@@ -0,0 +1,428 @@
+// Package replica is a small stand-in for the targets of the users' platform: model
+// engines that answer in numbered events, and application replicas. It keeps a
+// ledger of what ran, and has switches for the failures that such targets have.
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Config describes one life of a target.
+type Config struct {
+	ID      string
+	Service string
+	Zone    string
+	// Address is the IP address and port, or an IP address and ":0".
+	Address string
+	// Engine targets answer with Events events, the first after Prefill and each next
+	// one Pause later; others answer after Work.
+	Engine  bool
+	Events  int
+	Prefill time.Duration
+	Pause   time.Duration
+	Work    time.Duration
+	Slots   int
+	// Born tells lives apart, in Unix milliseconds.
+	Born int64
+}
+
+// Faults are the failures that a target brings about.
+type Faults struct {
+	// Silent takes requests and never answers; running answers stop.
+	Silent bool
+	// Full refuses all requests as not run.
+	Full bool
+	// LoseAnswers runs calls and breaks the connection without an answer.
+	LoseAnswers bool
+	// Fail answers calls with a failure of the target's own.
+	Fail bool
+	// Unsigned leaves out the signature, Crossed names another request.
+	Unsigned bool
+	Crossed  bool
+	// Extra sends bytes after a complete answer.
+	Extra bool
+	// CutAfter breaks a stream in the middle of the event after so many; zero never.
+	CutAfter int
+	// NoCopies keeps no copy of other targets' runs.
+	NoCopies bool
+	// Encoded says that the body is in a content encoding.
+	Encoded bool
+}
+
+// Ledger records what ran on all targets of a test. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	runs    []Run
+	arrived map[string]int
+}
+
+// Run is one request that a target began to work on.
+type Run struct {
+	Request   string
+	Target    string
+	Path      string
+	Body      string
+	Workspace string
+	Key       string
+	TimeLeft  string
+	// From is the last event that the caller had.
+	From int
+	// Copied says that the run went on from a copy of its memory.
+	Copied bool
+	At     time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{arrived: map[string]int{}} }
+
+// Runs returns the runs of a request, oldest first; of all requests for "".
+func (l *Ledger) Runs(request string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []Run
+	for _, run := range l.runs {
+		if request == "" || run.Request == request {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+// Arrivals returns how often a request arrived at a target, run or not.
+func (l *Ledger) Arrivals(request string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrived[request]
+}
+
+func (l *Ledger) arrive(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrived[request]++
+}
+
+func (l *Ledger) add(run Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, run)
+}
+
+// copies holds the memory of runs that targets sent each other, by the address of
+// the holder and the name of the copy.
+type copies struct {
+	mu   sync.Mutex
+	held map[string]bool
+}
+
+// Fleet is what the targets of a test share.
+type Fleet struct {
+	Ledger *Ledger
+	copies copies
+}
+
+// NewFleet returns a fleet without targets.
+func NewFleet() *Fleet {
+	return &Fleet{Ledger: NewLedger(), copies: copies{held: map[string]bool{}}}
+}
+
+// Replica is one life of one target.
+type Replica struct {
+	config Config
+	fleet  *Fleet
+	server *http.Server
+	// stopped is cancelled when the target dies.
+	stopped context.Context
+	stop    context.CancelFunc
+
+	mu      sync.Mutex
+	faults  Faults
+	running int
+	// left counts requests whose caller closed the connection while they ran.
+	left int
+}
+
+// Start starts a target.
+func (f *Fleet) Start(config Config) (*Replica, error) {
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "replica")
+	}
+	config.Address = listener.Addr().String()
+	r := &Replica{config: config, fleet: f}
+	r.stopped, r.stop = context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/report", r.serveReport)
+	mux.HandleFunc("POST /v1/kv-move", r.serveCopy)
+	mux.HandleFunc("DELETE /v1/kv-handle/{id}", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/", r.serve)
+	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	go func() { _ = r.server.Serve(listener) }()
+	return r, nil
+}
+
+// Config returns the description, with the address that the target listens at.
+func (r *Replica) Config() Config { return r.config }
+
+// SetFaults replaces the failures.
+func (r *Replica) SetFaults(faults Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
+}
+
+// Left returns how many requests were running when their caller left.
+func (r *Replica) Left() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// Crash ends the target and breaks its connections.
+func (r *Replica) Crash() {
+	r.stop()
+	_ = r.server.Close()
+}
+
+// Registration returns the value that the target writes to the store.
+func (r *Replica) Registration(state string) []byte {
+	value, err := json.Marshal(map[string]any{
+		"Service": r.config.Service, "Address": r.config.Address, "Zone": r.config.Zone,
+		"Slots": r.config.Slots, "State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": r.config.Born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// EventData returns the data of an event of a request's answer.
+func EventData(request string, id int) string {
+	return strconv.FormatUint(xxhash.Sum64String(request+"/"+strconv.Itoa(id)), 16)
+}
+
+// Signature returns the signature of an answer to a request.
+func Signature(request string) string { return "s-" + request }
+
+func (r *Replica) state() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+func (r *Replica) serveReport(w http.ResponseWriter, q *http.Request) {
+	if r.state().Silent {
+		r.hang(q.Context())
+	}
+	r.mu.Lock()
+	running := r.running
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"Running": running, "KvTotal": 88000, "born": r.config.Born})
+}
+
+// hang holds a request until its caller leaves or the target dies.
+func (r *Replica) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-r.stopped.Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
+	faults := r.state()
+	id := q.Header.Get("Attempt-Id")
+	r.fleet.Ledger.arrive(id)
+	expects := q.Header.Get("Expected-Instance")
+	switch {
+	case faults.Silent:
+		r.hang(q.Context())
+	case expects != "" && expects != r.config.ID:
+		w.Header().Set("Instance-Id", r.config.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case faults.Full || !r.copyHeld(q):
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.enter(q, id)
+	defer r.leave(q)
+	r.head(w, id, faults)
+	if r.config.Engine {
+		r.stream(w, q, id)
+		return
+	}
+	r.answer(w, q, id, faults)
+}
+
+// copyHeld says whether the copy that a request is to go on from is there; it is
+// used up.
+func (r *Replica) copyHeld(q *http.Request) bool {
+	from := q.Header.Get("Kv-From")
+	if from == "" {
+		return true
+	}
+	c := &r.fleet.copies
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.held[r.config.Address+" "+from]
+	delete(c.held, r.config.Address+" "+from)
+	return held
+}
+
+func (r *Replica) enter(q *http.Request, id string) {
+	r.mu.Lock()
+	r.running++
+	r.mu.Unlock()
+	body := make([]byte, 1<<16)
+	n := 0
+	for n < len(body) {
+		m, err := q.Body.Read(body[n:])
+		n += m
+		if err != nil {
+			break
+		}
+	}
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	r.fleet.Ledger.add(Run{
+		Request: id, Target: r.config.ID, Path: q.RequestURI, Body: string(body[:n]),
+		Workspace: q.Header.Get("Tenant"), Key: q.Header.Get("Key"), TimeLeft: q.Header.Get("Deadline-Remaining"),
+		From: from, Copied: q.Header.Get("Kv-From") != "", At: time.Now(),
+	})
+}
+
+func (r *Replica) leave(q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	if q.Context().Err() != nil && r.stopped.Err() == nil {
+		r.left++
+	}
+}
+
+func (r *Replica) head(w http.ResponseWriter, id string, faults Faults) {
+	header := w.Header()
+	header.Set("Attempt-Id", id)
+	if faults.Crossed {
+		header.Set("Attempt-Id", "another-request")
+	}
+	if !faults.Unsigned {
+		header.Set("Response-Signature", Signature(id))
+	}
+	if faults.Encoded {
+		header.Set("Content-Encoding", "gzip")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	header.Set("Server-Load", fmt.Sprintf("%d,0,%d", r.running, r.config.Slots))
+}
+
+// pass waits, and ends the answer when the target dies or its caller leaves.
+func (r *Replica) pass(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	case <-r.stopped.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (r *Replica) answer(w http.ResponseWriter, q *http.Request, id string, faults Faults) {
+	r.pass(q.Context(), r.config.Work)
+	if faults.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if faults.Fail {
+		status = http.StatusInternalServerError
+	}
+	body := "answer to " + id
+	if faults.Extra {
+		r.extra(w, status, body)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body))
+}
+
+// extra writes a complete answer and bytes of another one after it.
+func (r *Replica) extra(w http.ResponseWriter, status int, body string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	var head strings.Builder
+	_ = w.Header().Write(&head)
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 %d OK\r\n%sContent-Length: %d\r\n\r\n%s", status, head.String(), len(body), body)
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nAttempt-Id: stray\r\nContent-Length: 5\r\n\r\nstray")
+	_ = buffer.Flush()
+	r.pass(context.Background(), 50*time.Millisecond)
+}
+
+func (r *Replica) stream(w http.ResponseWriter, q *http.Request, id string) {
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if q.Header.Get("Kv-From") == "" {
+		r.pass(q.Context(), r.config.Prefill)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for event := from + 1; event <= r.config.Events; event++ {
+		r.keepCopy(q.Header.Get("Kv-Backup"), id)
+		faults := r.state()
+		if faults.Silent {
+			r.hang(q.Context())
+		}
+		text := fmt.Sprintf("id: %d\ndata: %s\n\n", event, EventData(id, event))
+		if faults.CutAfter > 0 && event > faults.CutAfter {
+			_, _ = w.Write([]byte(text[:len(text)/2]))
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(text))
+		_ = controller.Flush()
+		r.pass(q.Context(), r.config.Pause)
+	}
+}
+
+// keepCopy notes that the target at an address holds a copy of a run.
+func (r *Replica) keepCopy(address, id string) {
+	if address == "" || r.state().NoCopies {
+		return
+	}
+	r.fleet.copies.put(address, address+"/"+id)
+}
+
+// put notes a copy under the name by which it is gone on from.
+func (c *copies) put(holder, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[holder+" "+name] = true
+}
+
+// serveCopy copies the memory of a run to another target.
+func (r *Replica) serveCopy(w http.ResponseWriter, q *http.Request) {
+	var ask struct{ Id, Target string } //nolint:revive // the platform's spelling
+	if err := json.NewDecoder(q.Body).Decode(&ask); err != nil || r.state().NoCopies {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	handle := "h-" + ask.Id
+	r.fleet.copies.put(ask.Target, r.config.Address+"/"+handle)
+	_ = json.NewEncoder(w).Encode(map[string]any{"Handle": handle, "CreateRevision": 1})
+}
