--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -17,48 +19,134 @@
 	body []byte
 }
 
+// hedgeShare is the part of a route's target latency after which an idempotent call
+// without an answer is sent to a second target: late enough that few calls are, and
+// early enough that the second answer may still be on time.
+const hedgeShare = 0.6
+
+// callResult is how one attempt of a call ended.
+type callResult struct {
+	attempt *attempt
+	answer  *answer
+	outcome request.AttemptOutcome
+}
+
+// call is one request whose answer is not a stream.
+type call struct {
+	*exchange
+	repeat  request.Repeat
+	need    placement.Need
+	results chan callResult
+	// running counts the attempts under way, attempts those that were started.
+	running, attempts int
+	// kept is the last answer of a target that reports a failure of its own.
+	kept *answer
+	// sent says that some attempt may have reached its target.
+	sent bool
+}
+
 // call serves a request whose answer is not a stream.
 func (e *exchange) call(ctx context.Context) {
 	ctx, cancel := e.withDeadline(ctx)
 	defer cancel()
-	repeat := request.Repeat{Repeatable: e.route.Kind == routes.Idempotent, MaxRuns: e.route.MaxAttempts}
-	need := placement.Need{Service: e.service, FailureDomain: e.gateway.settings.FailureDomain}
-	var kept *answer
-	for attempts := 1; ; attempts++ {
-		a, err := e.place(ctx, need)
-		if err != nil {
-			e.giveUp(kept, &repeat, fault.KindOf(err), attempts-1)
-			return
-		}
-		got, outcome := e.attemptCall(a)
-		e.gateway.metrics.attempt(outcome.String())
-		if got != nil {
-			kept = got
-		}
-		if ctx.Err() != nil && got == nil {
-			e.giveUp(kept, &repeat, lateKind(ctx, &repeat, outcome), attempts)
-			return
-		}
-		again, paid := repeat.Again(outcome)
-		if again && paid && !e.gateway.spend(e.in.ID, e.service) {
-			again = false
-		}
-		if !again {
-			e.giveUp(kept, &repeat, repeat.Kind(outcome), attempts)
-			return
+	idempotent := e.route.Kind == routes.Idempotent
+	c := &call{
+		exchange: e,
+		repeat:   request.Repeat{Repeatable: idempotent, MaxRuns: e.route.MaxAttempts},
+		need:     placement.Need{Service: e.service, FailureDomain: e.gateway.settings.FailureDomain},
+		// Nobody reads the results of attempts that lost a race.
+		results: make(chan callResult, mostAttempts),
+	}
+	if err := c.launch(ctx); err != nil {
+		e.refuse(err, 0)
+		return
+	}
+	hedge := time.NewTimer(time.Duration(hedgeShare * float64(e.route.TargetLatency)))
+	defer hedge.Stop()
+	for {
+		select {
+		case result := <-c.results:
+			if c.over(ctx, result) {
+				return
+			}
+		case <-hedge.C:
+			c.hedge(ctx)
 		}
-		e.gateway.log.Event("retried", "request", e.in.ID, "left", a.target.ID, "outcome", outcome.String())
-		need.Avoid = append(need.Avoid, a.target.ID)
 	}
 }
 
+// mostAttempts bounds the attempts of one call, whatever comes of them.
+const mostAttempts = 16
+
+// launch starts an attempt.
+func (c *call) launch(ctx context.Context) error {
+	a, err := c.place(ctx, c.need)
+	if err != nil {
+		return err
+	}
+	c.need.Avoid = append(c.need.Avoid, a.target.ID)
+	c.running++
+	c.attempts++
+	go func() {
+		got, outcome := c.attemptCall(a)
+		c.gateway.metrics.attempt(outcome.String())
+		c.results <- callResult{attempt: a, answer: got, outcome: outcome}
+	}()
+	return nil
+}
+
+// hedge starts a second attempt beside one that has not answered.
+func (c *call) hedge(ctx context.Context) {
+	if c.running != 1 || !c.repeat.MayRunBeside(c.running) || c.attempts >= mostAttempts ||
+		!c.gateway.spend(c.in.ID, c.service) {
+		return
+	}
+	if err := c.launch(ctx); err == nil {
+		c.gateway.log.Event("hedged", "request", c.in.ID, "after", time.Since(c.arrived))
+	}
+}
+
+// over takes the result of an attempt and says whether the call has ended.
+func (c *call) over(ctx context.Context, result callResult) bool {
+	c.running--
+	c.sent = c.sent || result.outcome != request.AttemptUnsent && result.outcome != request.AttemptRefused
+	if result.answer != nil {
+		c.kept = result.answer
+	}
+	again, paid := c.repeat.Again(result.outcome)
+	if result.outcome == request.AttemptAnswered {
+		c.giveUp(fault.None)
+		return true
+	}
+	if c.running > 0 {
+		return false
+	}
+	if ctx.Err() != nil {
+		c.giveUp(c.lateKind(ctx))
+		return true
+	}
+	again = again && c.attempts < mostAttempts
+	if again && paid && !c.gateway.spend(c.in.ID, c.service) {
+		again = false
+	}
+	if !again {
+		c.giveUp(c.repeat.Kind(result.outcome))
+		return true
+	}
+	c.gateway.log.Event("retried", "request", c.in.ID, "left", result.attempt.target.ID, "outcome", result.outcome.String())
+	if err := c.launch(ctx); err != nil {
+		c.giveUp(fault.KindOf(err))
+		return true
+	}
+	return false
+}
+
 // lateKind is the error kind of a call that ended with its deadline or caller.
-func lateKind(ctx context.Context, repeat *request.Repeat, outcome request.AttemptOutcome) fault.Kind {
-	sent := outcome == request.AttemptBroken || repeat.MayHaveRun()
+func (c *call) lateKind(ctx context.Context) fault.Kind {
 	switch {
-	case ctx.Err() == context.Canceled:
+	case errors.Is(ctx.Err(), context.Canceled):
 		return fault.CallerGone
-	case sent:
+	case c.sent:
 		return fault.DeadlineExceeded
 	default:
 		return fault.DeadlineTooNear
@@ -102,15 +190,15 @@
 }
 
 // giveUp ends a call with the last answer there was, or else with an error.
-func (e *exchange) giveUp(kept *answer, repeat *request.Repeat, kind fault.Kind, attempts int) {
-	if kept != nil {
-		err := e.send(kept.head, kept.body)
-		record(e.gateway.metrics.latency, time.Since(e.arrived))
-		e.ended(fault.None, attempts, "status", kept.head.StatusCode, "sent", err == nil)
+func (c *call) giveUp(kind fault.Kind) {
+	if c.kept != nil {
+		err := c.send(c.kept.head, c.kept.body)
+		record(c.gateway.metrics.latency, time.Since(c.arrived))
+		c.ended(fault.None, c.attempts, "status", c.kept.head.StatusCode, "sent", err == nil)
 		return
 	}
-	if repeat.MayHaveRun() && promises(kind.Answer().Status) {
+	if c.sent && promises(kind.Answer().Status) {
 		kind = fault.TargetLost
 	}
-	e.refuse(fault.New(kind, "after %d attempts", attempts))
+	c.refuse(fault.New(kind, "no target answered"), c.attempts)
 }
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -199,3 +199,21 @@
 	assert.Equal(t, s.send(g, wide).status, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, len(s.fleet.Ledger.Runs("")), 0)
 }
+
+// A replica that runs calls and loses their answers without a sign.
+func TestIdempotentCallIsHedged(t *testing.T) {
+	s := newSite(t)
+	s.start(replica.Config{ID: "a1", Service: "bookings", Zone: "naxos", Work: 3 * time.Second, Slots: 6})
+	s.application("a2", "paros")
+	g := s.entry("entry-1")
+	a := status()
+	begun := time.Now()
+	answer := s.send(g, a)
+	assert.Equal(t, answer.status, http.StatusOK)
+	assert.Assert(t, time.Since(begun) < 500*time.Millisecond, "over the route's target latency")
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+	b := booking()
+	b.timeLeft = time.Second
+	s.send(g, b)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(b.id), 1, "a call that may not be repeated was hedged")
+}
--- a/process/gateway/caller.go
+++ b/process/gateway/caller.go
@@ -54,7 +54,7 @@
 	}
 	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
 	if err := e.admit(r); err != nil {
-		e.refuse(err)
+		e.refuse(err, 0)
 		return
 	}
 	e.gateway.log.Event("accepted", "request", e.in.ID, "route", e.route.Name, "service", e.service,
@@ -164,7 +164,7 @@
 }
 
 // refuse answers a request that did not run, or of which that is not known.
-func (e *exchange) refuse(err error) {
+func (e *exchange) refuse(err error, attempts int) {
 	kind := fault.KindOf(err)
 	answer := kind.Answer()
 	header := e.writer.Header()
@@ -174,7 +174,7 @@
 	}
 	platform.SetRefusal(header, e.in.ID, after)
 	e.writer.WriteHeader(answer.Status)
-	e.ended(kind, 0, "status", answer.Status, "retryAfter", after, "error", err.Error())
+	e.ended(kind, attempts, "status", answer.Status, "retryAfter", after, "error", err.Error())
 }
 
 // ended logs and counts the end of a request.
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -165,7 +165,7 @@
 	f.failures = 0
 	if f.away {
 		f.away = false
-		g.log.Event("store_back", "configurationAge", g.control.freshNow().Age(suspendedClock()))
+		g.log.Event("store_back", "configurationAge", g.configurationAge())
 	}
 	g.control.do(func() { g.control.registry.Back(time.Now()) })
 }
@@ -178,12 +178,21 @@
 	if !f.away {
 		f.away = true
 		g.log.Event("store_away", "error", err.Error(),
-			"configurationAge", g.control.freshNow().Age(suspendedClock()))
+			"configurationAge", g.configurationAge())
 	}
 	g.control.do(func() { g.control.registry.Away() })
 	g.store.Reconnect()
 }
 
+// configurationAge is for logs.
+func (g *Gateway) configurationAge() string {
+	fresh := g.control.freshNow()
+	if !fresh.Known() {
+		return "unknown"
+	}
+	return fresh.Age(suspendedClock()).String()
+}
+
 func (f *follower) pause(d time.Duration) { pause(f.gateway.background, d) }
 
 // pause waits for d or the end of ctx.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -345,7 +345,7 @@
 		case !ran && !promises(kind.Answer().Status):
 			kind = fault.Overloaded
 		}
-		s.refuse(fault.New(kind, "after %d attempts", attempts))
+		s.refuse(fault.New(kind, "no target answered"), attempts)
 	}
 }
 
--- a/request/repeat.go
+++ b/request/repeat.go
@@ -72,6 +72,12 @@
 	return r.runs == 0 || r.Repeatable && r.runs < max(1, r.MaxRuns)
 }
 
+// MayRunBeside says whether the call may be sent to one more target while so many
+// attempts are under way.
+func (r *Repeat) MayRunBeside(running int) bool {
+	return r.Repeatable && r.runs+running < max(1, r.MaxRuns)
+}
+
 // Kind returns the error kind of a call that ended with outcome and is not sent
 // again.
 func (r *Repeat) Kind(outcome AttemptOutcome) fault.Kind {
