--- a/command/root.go
+++ b/command/root.go
@@ -22,7 +22,7 @@
 	addSettingsFile(root)
 	root.AddCommand(newKeys(), newSchema(), newValidate())
 	root.AddCommand(newPlan(), newApply(), newGet(), newHistory(), newRollback(), newStatus(), newDrain())
-	root.AddCommand(newStandin(), newDemo(), newTimeline(), newExplain())
+	root.AddCommand(newStandin(), newDemo(), newTimeline(), newExplain(), newSoak())
 	root.AddCommand(newBench())
 	return root
 }
--- a/process/admission/window.go
+++ b/process/admission/window.go
@@ -22,6 +22,9 @@
 	ratio  float64
 	slack  float64
 	window time.Duration
+	// began is the first instant seen. Parts are counted from it, since the time of
+	// day may jump.
+	began time.Time
 	// counts holds one part more than a window has, since the newest is not full:
 	// repeats are counted over all, requests over as many as a window has.
 	counts [buckets + 1]struct {
@@ -37,7 +40,11 @@
 }
 
 func (b *WindowBudget) bucket(now time.Time) int {
-	slot := now.UnixNano() / int64(b.window/buckets)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	// The first slot is not zero, which marks a part that was never used.
+	slot := int64(now.Sub(b.began)/(b.window/buckets)) + int64(len(b.counts))
 	i := int(slot % int64(len(b.counts)))
 	if b.counts[i].slot != slot {
 		b.counts[i].slot = slot
--- a/process/gateway/caller.go
+++ b/process/gateway/caller.go
@@ -95,10 +95,9 @@
 		timeout = min(timeout, e.in.TimeLeft)
 	}
 	e.deadline = e.arrived.Add(timeout)
-	if left := time.Duration(g.leftAt.Load()); left > 0 && e.route.Kind == routes.Streaming {
-		if e.arrived.Sub(time.Unix(0, int64(left))) > streamsFor {
-			return fault.New(fault.Draining, "the entry is about to end")
-		}
+	left := g.leftAt.Load()
+	if left != nil && e.route.Kind == routes.Streaming && e.arrived.Sub(*left) > streamsFor {
+		return fault.New(fault.Draining, "the entry is about to end")
 	}
 	g.control.post(func() { g.control.budget(e.service).Request(e.arrived) })
 	return nil
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -45,7 +45,7 @@
 	table atomic.Pointer[routes.Table]
 	// leaving is set when the process was asked to end, leftAt when that was.
 	leaving  atomic.Bool
-	leftAt   atomic.Int64
+	leftAt   atomic.Pointer[time.Time]
 	inFlight sync.WaitGroup
 	running  atomic.Int64
 
@@ -119,7 +119,7 @@
 // ended, but no longer than the grace time.
 func (g *Gateway) Stop(context.Context) error {
 	begun := time.Now()
-	g.leftAt.Store(begun.UnixNano())
+	g.leftAt.Store(&begun)
 	g.leaving.Store(true)
 	g.log.Event("leaving", "running", g.running.Load(), "grace", g.settings.Bounds.Grace.Std())
 	time.Sleep(leaveFor)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -25,6 +25,9 @@
 	Zone    string
 	// Address is the IP address and port, or an IP address and ":0".
 	Address string
+	// Advertised is the address that callers reach the target at, where that is not
+	// its own.
+	Advertised string
 	// Engine targets answer with Events events, the first after Prefill and each next
 	// one Pause later; others answer after Work.
 	Engine  bool
@@ -159,6 +162,9 @@
 		return nil, errors.Wrap(err, "replica")
 	}
 	config.Address = listener.Addr().String()
+	if config.Advertised == "" {
+		config.Advertised = config.Address
+	}
 	r := &Replica{config: config, fleet: f}
 	r.stopped, r.stop = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
@@ -197,7 +203,7 @@
 // Registration returns the value that the target writes to the store.
 func (r *Replica) Registration(state string) []byte {
 	value, err := json.Marshal(map[string]any{
-		"Service": r.config.Service, "Address": r.config.Address, "Zone": r.config.Zone,
+		"Service": r.config.Service, "Address": r.config.Advertised, "Zone": r.config.Zone,
 		"Slots": r.config.Slots, "State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": r.config.Born,
 	})
 	if err != nil {
@@ -277,8 +283,8 @@
 	c := &r.fleet.copies
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.held[r.config.Address+" "+from]
-	delete(c.held, r.config.Address+" "+from)
+	held := c.held[r.config.Advertised+" "+from]
+	delete(c.held, r.config.Advertised+" "+from)
 	return held
 }
 
@@ -423,6 +429,6 @@
 		return
 	}
 	handle := "h-" + ask.Id
-	r.fleet.copies.put(ask.Target, r.config.Address+"/"+handle)
+	r.fleet.copies.put(ask.Target, r.config.Advertised+"/"+handle)
 	_ = json.NewEncoder(w).Encode(map[string]any{"Handle": handle, "CreateRevision": 1})
 }
