--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -243,6 +243,9 @@
 	case len(p.events) > 0:
 		s.takeEvents(p)
 	case p.ended:
+		if s.head == nil {
+			s.head = p.head
+		}
 		s.step(request.Event{
 			Type: request.EventEnded, Attempt: p.number, Position: s.recovery.Answer().Len(),
 		})
@@ -296,15 +299,7 @@
 	if err := controller.SetWriteDeadline(time.Now().Add(writeWithin)); err != nil {
 		return errors.WithStack(err)
 	}
-	if !s.began {
-		s.began = true
-		record(s.gateway.metrics.first, time.Since(s.arrived))
-		header := s.writer.Header()
-		for name, values := range platform.ReplyHeader(s.head.Header) {
-			header[name] = values
-		}
-		s.writer.WriteHeader(s.head.StatusCode)
-	}
+	s.begin()
 	if !s.lostAt.IsZero() {
 		record(s.gateway.metrics.resume, time.Since(s.lostAt))
 		s.lostAt = time.Time{}
@@ -317,6 +312,20 @@
 	return errors.WithStack(controller.Flush())
 }
 
+// begin writes the head of the first target that answered.
+func (s *stream) begin() {
+	if s.began {
+		return
+	}
+	s.began = true
+	record(s.gateway.metrics.first, time.Since(s.arrived))
+	header := s.writer.Header()
+	for name, values := range platform.ReplyHeader(s.head.Header) {
+		header[name] = values
+	}
+	s.writer.WriteHeader(s.head.StatusCode)
+}
+
 // finish ends the answer as it came out.
 func (s *stream) finish() {
 	for _, a := range s.running {
@@ -330,6 +339,8 @@
 	events := s.recovery.Answer().Len()
 	switch {
 	case s.kind == fault.None:
+		// A caller that had all events gets an answer without any.
+		s.begin()
 		s.exchange.ended(fault.None, attempts, "events", events)
 	case s.began:
 		s.exchange.ended(s.kind, attempts, "events", events, "brokenOff", true)
@@ -426,7 +437,7 @@
 		if platform.Ended(err) {
 			a.done.Store(true)
 			a.exchange.gateway.pool.Put(a.conn, response)
-			tell(part{ended: true})
+			tell(part{head: response, ended: true})
 			return
 		}
 		a.broke(err)
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -193,3 +193,16 @@
 	assert.Assert(t, answer.header.Get("Retry-After") != "")
 	assert.Assert(t, time.Since(begun) < 200*time.Millisecond)
 }
+
+// A caller may have lost its connection right after the last event.
+func TestCallerThatHasAllEventsGetsASignedEnd(t *testing.T) {
+	s := newSite(t)
+	s.engine("e1", "naxos")
+	g := s.entry("entry-1")
+	a := report()
+	a.position = testEvents
+	r := s.open(context.Background(), g, a)
+	assert.Equal(t, r.response.StatusCode, http.StatusOK)
+	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.id))
+	r.events(t, a.id, testEvents)
+}
