A connection that was given back is not closed by the end of its attempt

An attempt closes its connection when it ends, which also happened after the connection had gone back to the pool: most were closed there, and some in the middle of the next request, which was lost if it may not be repeated. Tests: TestConnectionsAreUsedAgain (21 connections for 20 calls before, 1 after) and TestNoCallIsCutByTheEndOfTheOneBefore (502 before). Also: mlctl explain names an entry that was lost with its request.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -43,6 +43,7 @@
 	gateway := buildGateway(t)
 	for _, kept := range KeptSeeds {
 		t.Run(strconv.FormatUint(kept.Seed, 10), func(t *testing.T) {
+			t.Parallel()
 			play(t, gateway, kept.Seed, DefaultOptions().Faulty)
 		})
 	}
--- a/command/explain.go
+++ b/command/explain.go
@@ -159,6 +159,15 @@
 			}
 		}
 	}
+	// An entry that was lost logs no end, but its next start.
+	if lines[last].Event != "ended" {
+		next := slices.IndexFunc(lines[last+1:], func(l logLine) bool {
+			return l.Event == "started" && processes[l.Process]
+		})
+		if next >= 0 {
+			last += next + 1
+		}
+	}
 	var story []logLine
 	for _, line := range lines[first : last+1] {
 		request, about := line.values["request"], line.values["target"]
@@ -178,6 +187,9 @@
 	cause := "no end is logged: the entry was lost, or the line was left out"
 	last := ""
 	for _, line := range story {
+		if line.Event == "started" {
+			cause = fmt.Sprintf("the entry %s was lost with the request and started anew at %s", line.Process, line.Time[5:])
+		}
 		if line.values["request"] != id {
 			continue
 		}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -37,3 +37,15 @@
 	assert.NilError(t, err)
 	assert.ErrorContains(t, explainRequest(&strings.Builder{}, "r9", lines), "no line names request r9")
 }
+
+func TestExplainNamesALostEntry(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(`x entry-1 I0817 06:40:31.150745 2 c.go:5] "accepted" request="r1" route="x"
+x entry-1 I0817 06:40:31.150746 2 c.go:5] "placed" request="r1" target="t1"
+x entry-2 I0817 06:40:33.000000 2 c.go:5] "started" process="entry-2"
+x entry-1 I0817 06:40:34.000000 2 c.go:5] "started" process="entry-1"
+`))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explainRequest(&out, "r1", lines))
+	assert.Assert(t, strings.Contains(out.String(), "cause: the entry entry-1 was lost with the request"), out.String())
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -42,7 +42,10 @@
 	cancel context.CancelFunc
 	watch  *watch
 	conn   *target.Conn
-	began  time.Time
+	// keepOpen stops the end of the attempt from closing the connection. It returns
+	// false when that has begun.
+	keepOpen func() bool
+	began    time.Time
 	// alone says that the target had no other prompt to read when this one came.
 	alone bool
 	// patient attempts are not given up when their target seems lost: the request may
@@ -155,7 +158,7 @@
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
 	a.conn = conn
-	context.AfterFunc(a.ctx, conn.Close)
+	a.keepOpen = context.AfterFunc(a.ctx, conn.Close)
 	in := &a.exchange.in
 	a.spec.TimeLeft = a.exchange.timeLeft()
 	a.spec.Workspace = a.exchange.workspaceName()
@@ -227,10 +230,18 @@
 		a.conn.Close()
 		return nil, errors.Wrap(err, "body")
 	}
-	a.exchange.gateway.pool.Put(a.conn, response)
+	a.giveBack(response)
 	return body, nil
 }
 
+// giveBack returns the connection after the body of its answer was read whole. The
+// end of the attempt must not close it then: another request may be on it.
+func (a *attempt) giveBack(response *http.Response) {
+	if a.keepOpen() {
+		a.exchange.gateway.pool.Put(a.conn, response)
+	}
+}
+
 // readAtMost reads a body that must not be longer than limit.
 func readAtMost(body io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -217,3 +217,39 @@
 	s.send(g, b)
 	assert.Equal(t, s.fleet.Ledger.Arrivals(b.id), 1, "a call that may not be repeated was hedged")
 }
+
+// The end of an attempt closes its connection unless that was given back before.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	s := newSite(t)
+	application := s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	before := application.Connections()
+	for range 20 {
+		a := booking()
+		assert.Equal(t, s.send(g, a).status, http.StatusOK)
+	}
+	assert.Equal(t, application.Connections()-before, 1)
+}
+
+func TestNoCallIsCutByTheEndOfTheOneBefore(t *testing.T) {
+	s := newSite(t)
+	s.start(replica.Config{ID: "a1", Service: "bookings", Zone: "naxos", Work: time.Millisecond, Slots: 64})
+	g := s.entry("entry-1")
+	statuses := make(chan int)
+	for range 8 {
+		go func() {
+			for range 60 {
+				response, err := http.DefaultClient.Do(booking().request(context.Background(), g))
+				if err != nil {
+					statuses <- 0
+					continue
+				}
+				_ = response.Body.Close()
+				statuses <- response.StatusCode
+			}
+		}()
+	}
+	for range 8 * 60 {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+}
--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -144,8 +144,8 @@
 	if err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
+	keepOpen := context.AfterFunc(ctx, conn.Close)
+	defer keepOpen()
 	response, err := conn.Do(target.Request{
 		Method: call.Method, Path: call.Path, Host: address, Header: call.Header, Body: call.Body,
 	})
@@ -157,7 +157,9 @@
 		conn.Close()
 		return 0, nil, err
 	}
-	g.pool.Put(conn, response)
+	if keepOpen() {
+		g.pool.Put(conn, response)
+	}
 	return response.StatusCode, body, nil
 }
 
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -436,7 +436,7 @@
 		}
 		if platform.Ended(err) {
 			a.done.Store(true)
-			a.exchange.gateway.pool.Put(a.conn, response)
+			a.giveBack(response)
 			tell(part{head: response, ended: true})
 			return
 		}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,6 +149,9 @@
 	stopped context.Context
 	stop    context.CancelFunc
 
+	// connections counts those that were opened.
+	connections atomic.Int64
+
 	mu      sync.Mutex
 	faults  Faults
 	running int
@@ -172,7 +176,11 @@
 	mux.HandleFunc("POST /v1/kv-move", r.serveCopy)
 	mux.HandleFunc("DELETE /v1/kv-handle/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", r.serve)
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			r.connections.Add(1)
+		}
+	}}
 	go func() { _ = r.server.Serve(listener) }()
 	return r, nil
 }
@@ -187,6 +195,9 @@
 	r.faults = faults
 }
 
+// Connections returns how many connections were opened.
+func (r *Replica) Connections() int { return int(r.connections.Load()) }
+
 // Left returns how many requests were running when their caller left.
 func (r *Replica) Left() int {
 	r.mu.Lock()
