Copies of broken streams are kept for callers who come back

Copies are now kept for as long as engines keep them, for this entry and others, and streams are taken for 1 s. Test: TestCallerReturnsToAnotherEntryWithItsPosition asks for the copy.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -62,9 +62,10 @@
 
 	// peers maps the names of other entries to their addresses, heard to when they
 	// last said something.
-	peers  map[string]string
-	heard  map[string]time.Time
-	copies map[string]peers.Copy
+	peers map[string]string
+	heard map[string]time.Time
+	// copies maps the sessions of this entry's streams to copies of their memory.
+	copies map[string]heldCopy
 	// theirs holds the last word of each other entry.
 	theirs map[string]peers.Message
 	// dead maps targets that this entry found dead to when it did.
@@ -92,7 +93,7 @@
 		checked:  now,
 		peers:    map[string]string{},
 		heard:    map[string]time.Time{},
-		copies:   map[string]peers.Copy{},
+		copies:   map[string]heldCopy{},
 		theirs:   map[string]peers.Message{},
 		dead:     map[request.TargetID]time.Time{},
 		boot:     now.UnixNano(),
@@ -240,7 +241,7 @@
 	}
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
-		Work: map[request.TargetID][3]int{}, Copies: c.copies, Usage: map[string][2]int{},
+		Work: map[request.TargetID][3]int{}, Copies: c.heldCopies(now), Usage: map[string][2]int{},
 		Ready: c.gateway.ready(),
 	}
 	for service, budget := range c.budgets {
@@ -329,17 +330,6 @@
 	return usages
 }
 
-// copyOf returns a copy of the memory of an earlier run of the session, of which
-// another entry told.
-func (c *control) copyOf(session string) (peers.Copy, bool) {
-	for _, message := range c.theirs {
-		if found, ok := message.Copies[session]; ok {
-			return found, true
-		}
-	}
-	return peers.Copy{}, false
-}
-
 // otherReady says whether another entry takes requests, as far as is known.
 func (c *control) otherReady() bool {
 	for name, message := range c.theirs {
--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -24,6 +24,49 @@
 	copyAgainShare = 0.55
 )
 
+// heldCopy is a copy that callers who come back can be served from.
+type heldCopy struct {
+	peers.Copy
+	// until is when the copy of a stream that broke off is of no more use; zero while
+	// the stream runs.
+	until time.Time
+}
+
+// heldCopies returns the copies that other entries are told of.
+func (c *control) heldCopies(now time.Time) map[string]peers.Copy {
+	held := make(map[string]peers.Copy, len(c.copies))
+	for session, copied := range c.copies {
+		if !copied.until.IsZero() && now.After(copied.until) {
+			delete(c.copies, session)
+			continue
+		}
+		held[session] = copied.Copy
+	}
+	return held
+}
+
+// copyOf returns a copy of the memory of an earlier run of the session, here or at
+// another entry.
+func (c *control) copyOf(session string) (peers.Copy, bool) {
+	if own, ok := c.copies[session]; ok {
+		return own.Copy, true
+	}
+	for _, message := range c.theirs {
+		if found, ok := message.Copies[session]; ok {
+			return found, true
+		}
+	}
+	return peers.Copy{}, false
+}
+
+// keepFor says how long the copies of a service's broken streams are of use.
+func (g *Gateway) keepFor(service string) time.Duration {
+	if s := g.table.Load().Service(service); s != nil && s.Engine != nil {
+		return s.Engine.CopyLife
+	}
+	return 0
+}
+
 // usableCopy returns where the memory of a lost attempt can be gone on from, or
 // nothing. Engines copy from the first token on.
 func (a *attempt) usableCopy() peers.Copy {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -109,8 +109,9 @@
 	// leaveFor is how long a process that was asked to end still takes requests: the
 	// balancer asks each second and takes it out after two refusals.
 	leaveFor = 2300 * time.Millisecond
-	// streamsFor is how long it still takes streams, which last for seconds.
-	streamsFor = 2300 * time.Millisecond
+	// streamsFor is how long it still takes streams, which last for seconds and must
+	// end within the grace time; another entry takes later ones at once.
+	streamsFor = time.Second
 	// endMargin is left of the grace time for the end of the process itself.
 	endMargin = 500 * time.Millisecond
 )
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -198,6 +198,8 @@
 	position     int
 	timeLeft     time.Duration
 	header       http.Header
+	// session names the last part of the prompt; the id where it is empty.
+	session string
 }
 
 func newAsk(method, path, body string) *ask {
@@ -221,7 +223,11 @@
 	r.Header.Set("Key", a.key)
 	r.Header.Set("Model", "m")
 	r.Header.Set("Token-Counts", "800,100")
-	r.Header.Set("Prompt-Prefix", "aa:200,"+a.id+":600")
+	session := a.session
+	if session == "" {
+		session = a.id
+	}
+	r.Header.Set("Prompt-Prefix", "aa:200,"+session+":600")
 	if a.position > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(a.position))
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -231,7 +231,7 @@
 // copied tells other entries where the memory of an attempt is copied to.
 func (s *stream) copied(a *attempt) {
 	if session := s.in.Session(); session != "" {
-		held := a.copy
+		held := heldCopy{Copy: a.copy}
 		c := s.gateway.control
 		c.post(func() { c.copies[session] = held })
 	}
@@ -312,6 +312,31 @@
 	return errors.WithStack(controller.Flush())
 }
 
+// settleCopy forgets the copy of a whole answer. That of one that broke off is kept
+// for a while: its caller may come back for the rest, here or at another entry.
+func (s *stream) settleCopy() {
+	session := s.in.Session()
+	if session == "" {
+		return
+	}
+	held := s.lastCopy
+	for _, a := range s.running {
+		if usable := a.usableCopy(); usable.Target != "" {
+			held = usable
+		}
+	}
+	c := s.gateway.control
+	until := time.Now().Add(s.gateway.keepFor(s.service))
+	keep := s.kind != fault.None && held.Target != ""
+	c.post(func() {
+		delete(c.copies, session)
+		if keep {
+			c.copies[session] = heldCopy{Copy: held, until: until}
+		}
+		c.tell = true
+	})
+}
+
 // begin writes the head of the first target that answered.
 func (s *stream) begin() {
 	if s.began {
@@ -328,13 +353,10 @@
 
 // finish ends the answer as it came out.
 func (s *stream) finish() {
+	s.settleCopy()
 	for _, a := range s.running {
 		a.cancel()
 	}
-	if session := s.in.Session(); session != "" {
-		c := s.gateway.control
-		c.post(func() { delete(c.copies, session) })
-	}
 	attempts := int(s.recovery.Attempts())
 	events := s.recovery.Answer().Len()
 	switch {
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -162,11 +162,20 @@
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	a := report()
-	s.open(ctx, first, a).skip(t, 9)
+	s.open(ctx, first, a).skip(t, 13)
 	leave()
+	// Each attempt of a caller has an id of its own; the session is the same.
 	again := report()
-	again.id, again.position = a.id, 9
-	s.open(context.Background(), second, again).events(t, a.id, 9)
+	again.position, again.session = 13, a.id
+	s.eventually(func() bool {
+		known := false
+		second.control.do(func() { _, known = second.control.copyOf(a.id) })
+		return known
+	})
+	s.open(context.Background(), second, again).events(t, again.id, 13)
+	runs := s.fleet.Ledger.Runs(again.id)
+	assert.Equal(t, len(runs), 1)
+	assert.Assert(t, runs[0].Copied, "the prompt was read again")
 }
 
 func TestTargetStopsWhenCallerLeaves(t *testing.T) {
