--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -66,7 +66,7 @@
 	var callers sync.WaitGroup
 	for i := range options.Callers {
 		source := rand.New(rand.NewPCG(options.Seed, uint64(i)+1))
-		callers.Go(func() { newCaller(s, book, source).run(traffic) })
+		callers.Go(func() { newClient(s, book, source).run(traffic) })
 	}
 	plan := newPlan(s, rand.New(rand.NewPCG(options.Seed, 0)))
 	plan.play(ctx, options.Faulty)
--- a/command/explain.go
+++ b/command/explain.go
@@ -185,35 +185,50 @@
 // that went wrong before its end.
 func causeOf(id string, story []logLine) string {
 	cause := "no end is logged: the entry was lost, or the line was left out"
-	last := ""
+	trouble := ""
 	for _, line := range story {
-		if line.Event == "started" {
+		own := line.values["request"] == id
+		switch {
+		case line.Event == "started":
 			cause = fmt.Sprintf("the entry %s was lost with the request and started anew at %s", line.Process, line.Time[5:])
-		}
-		if line.values["request"] != id {
-			continue
-		}
-		switch line.Event {
-		case "broken", "not_reached", "refused_by_target", "budget_denied":
-			last = fmt.Sprintf("%s at %s (%s)", causes[line.Event], line.values["target"], line.Fields)
-			if line.Event == "budget_denied" {
-				last = fmt.Sprintf("%s (%s)", causes[line.Event], line.Fields)
-			}
-		case "ended":
-			cause = "outcome " + line.values["outcome"]
-			if line.values["outcome"] == "none" {
-				cause = "answered with status " + line.values["status"]
-				if line.values["status"] == "" {
-					cause = "answered whole, " + line.values["events"] + " events"
-				}
-			}
-			if line.values["error"] != "" {
-				cause += ": " + line.values["error"]
+		case own && line.Event == "ended":
+			cause = line.end()
+		case own:
+			if problem := line.problem(); problem != "" {
+				trouble = problem
 			}
 		}
 	}
-	if last != "" {
-		cause += "; before that " + last
+	if trouble != "" {
+		cause += "; before that " + trouble
+	}
+	return cause
+}
+
+// problem describes a line about something that went wrong, and is empty for others.
+func (l logLine) problem() string {
+	switch l.Event {
+	case "broken", "not_reached", "refused_by_target":
+		return fmt.Sprintf("%s at %s (%s)", causes[l.Event], l.values["target"], l.Fields)
+	case "budget_denied":
+		return fmt.Sprintf("%s (%s)", causes[l.Event], l.Fields)
+	default:
+		return ""
+	}
+}
+
+// end describes the line about the end of a request.
+func (l logLine) end() string {
+	cause := "outcome " + l.values["outcome"]
+	switch {
+	case l.values["outcome"] != "none":
+	case l.values["status"] != "":
+		cause = "answered with status " + l.values["status"]
+	default:
+		cause = "answered whole, " + l.values["events"] + " events"
+	}
+	if l.values["error"] != "" {
+		cause += ": " + l.values["error"]
 	}
 	return cause
 }
--- a/command/soak.go
+++ b/command/soak.go
@@ -25,32 +25,7 @@
 			if first == 0 {
 				first = rand.Uint64N(1 << 32)
 			}
-			failed := 0
-			for i := range uint64(count) {
-				options.Seed = first + i
-				options.Folder = filepath.Join(folder, strconv.FormatUint(options.Seed, 10))
-				report, err := soak.Run(cmd.Context(), options)
-				if err != nil {
-					return errors.Wrapf(err, "seed %d", options.Seed)
-				}
-				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d promises broken, requests %v\n",
-					report.Seed, len(report.Broken), report.Requests); err != nil {
-					return errors.Wrap(err, "write")
-				}
-				if len(report.Broken) == 0 {
-					continue
-				}
-				failed++
-				for _, line := range append(report.Broken, report.Schedule...) {
-					if _, err := fmt.Fprintln(cmd.OutOrStdout(), "   ", line); err != nil {
-						return errors.Wrap(err, "write")
-					}
-				}
-			}
-			if failed > 0 {
-				return errors.Errorf("%d of %d seeds broke a promise; logs are in %s", failed, count, folder)
-			}
-			return nil
+			return soakSeeds(cmd, options, folder, first, count)
 		},
 	}
 	flags := command.Flags()
@@ -66,3 +41,44 @@
 	flags.IntVar(&options.Callers, "callers", options.Callers, "callers at once")
 	return command
 }
+
+// soakSeeds plays count seeds from first on, one after the other.
+func soakSeeds(cmd *cobra.Command, options soak.Options, folder string, first uint64, count int) error {
+	failed := 0
+	for i := range uint64(max(0, count)) {
+		options.Seed = first + i
+		options.Folder = filepath.Join(folder, strconv.FormatUint(options.Seed, 10))
+		report, err := soak.Run(cmd.Context(), options)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", options.Seed)
+		}
+		if len(report.Broken) > 0 {
+			failed++
+		}
+		if err := printSoak(cmd, report); err != nil {
+			return errors.Wrap(err, "write")
+		}
+	}
+	if failed > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise; logs are in %s", failed, count, folder)
+	}
+	return nil
+}
+
+// printSoak prints what a seed found, and its faults where a promise was broken.
+func printSoak(cmd *cobra.Command, report soak.Report) error {
+	out := cmd.OutOrStdout()
+	if _, err := fmt.Fprintf(out, "seed %d: %d promises broken, requests %v\n",
+		report.Seed, len(report.Broken), report.Requests); err != nil {
+		return err //nolint:wrapcheck // wrapped by the caller
+	}
+	if len(report.Broken) == 0 {
+		return nil
+	}
+	for _, line := range append(report.Broken, report.Schedule...) {
+		if _, err := fmt.Fprintln(out, "   ", line); err != nil {
+			return err //nolint:wrapcheck // wrapped by the caller
+		}
+	}
+	return nil
+}
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -23,9 +23,9 @@
 	a := booking()
 	answer := s.send(g, a)
 	assert.Equal(t, answer.status, http.StatusOK)
-	assert.Equal(t, answer.body, "answer to "+a.id)
-	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.id))
-	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, answer.body, "answer to "+a.ID)
+	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.ID))
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 1)
 	assert.Assert(t, runs[0].TimeLeft != "" && len(runs[0].TimeLeft) <= len("5000"))
 }
@@ -39,7 +39,7 @@
 	a := booking()
 	answer := s.send(g, a)
 	assert.Equal(t, answer.status, http.StatusBadGateway)
-	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 1)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 1)
 }
 
 func TestIdempotentCallWithLostAnswerIsRepeated(t *testing.T) {
@@ -62,7 +62,7 @@
 	answer := s.send(g, a)
 	assert.Equal(t, answer.status, http.StatusServiceUnavailable)
 	assert.Assert(t, answer.header.Get("Retry-After") != "")
-	assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 0)
+	assert.Equal(t, len(s.fleet.Ledger.Runs(a.ID)), 0)
 }
 
 func TestCallRefusedByOneRunsAtAnother(t *testing.T) {
@@ -73,7 +73,7 @@
 	for range 4 {
 		a := booking()
 		assert.Equal(t, s.send(g, a).status, http.StatusOK)
-		assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 1)
+		assert.Equal(t, len(s.fleet.Ledger.Runs(a.ID)), 1)
 	}
 }
 
@@ -86,7 +86,7 @@
 	for range 4 {
 		a := booking()
 		assert.Equal(t, s.send(g, a).status, http.StatusOK)
-		assert.Equal(t, len(s.fleet.Ledger.Runs(a.id)), 1)
+		assert.Equal(t, len(s.fleet.Ledger.Runs(a.ID)), 1)
 	}
 }
 
@@ -103,7 +103,7 @@
 	for range 4 {
 		a := booking()
 		assert.Equal(t, s.send(g, a).status, http.StatusOK)
-		assert.Equal(t, s.fleet.Ledger.Runs(a.id)[0].Target, "a2")
+		assert.Equal(t, s.fleet.Ledger.Runs(a.ID)[0].Target, "a2")
 	}
 }
 
@@ -116,11 +116,11 @@
 	a := status()
 	answer := s.send(g, a)
 	assert.Equal(t, answer.status, http.StatusInternalServerError)
-	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.id))
-	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+	assert.Equal(t, answer.header.Get("Response-Signature"), replica.Signature(a.ID))
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 2)
 	b := booking()
 	assert.Equal(t, s.send(g, b).status, http.StatusInternalServerError)
-	assert.Equal(t, s.fleet.Ledger.Arrivals(b.id), 1)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(b.ID), 1)
 }
 
 func TestSpoiledAnswersAreNoSuccess(t *testing.T) {
@@ -134,7 +134,7 @@
 			a := booking()
 			answer := s.send(g, a)
 			assert.Equal(t, answer.status, http.StatusBadGateway)
-			assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 1)
+			assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 1)
 		})
 	}
 }
@@ -147,7 +147,7 @@
 		a := status()
 		answer := s.send(g, a)
 		assert.Equal(t, answer.status, http.StatusOK)
-		assert.Equal(t, answer.body, "answer to "+a.id)
+		assert.Equal(t, answer.body, "answer to "+a.ID)
 	}
 }
 
@@ -156,7 +156,7 @@
 	s.application("a1", "naxos").SetFaults(replica.Faults{Silent: true})
 	g := s.entry("entry-1")
 	a := booking()
-	a.timeLeft = 400 * time.Millisecond
+	a.TimeLeft = 400 * time.Millisecond
 	begun := time.Now()
 	answer := s.send(g, a)
 	took := time.Since(begun)
@@ -177,7 +177,7 @@
 			_ = response.Body.Close()
 		}
 	}()
-	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.id)) == 1 })
+	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.ID)) == 1 })
 	leave()
 	<-done
 	deadline := time.Now().Add(500 * time.Millisecond)
@@ -192,10 +192,10 @@
 	s.application("a1", "naxos")
 	g := s.entry("entry-1")
 	big := booking()
-	big.body = strings.Repeat("x", 5000)
+	big.Body = strings.Repeat("x", 5000)
 	assert.Equal(t, s.send(g, big).status, http.StatusRequestEntityTooLarge)
 	wide := booking()
-	wide.header = http.Header{"X-Wide": {strings.Repeat("x", 40000)}}
+	wide.Header = http.Header{"X-Wide": {strings.Repeat("x", 40000)}}
 	assert.Equal(t, s.send(g, wide).status, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, len(s.fleet.Ledger.Runs("")), 0)
 }
@@ -211,11 +211,11 @@
 	answer := s.send(g, a)
 	assert.Equal(t, answer.status, http.StatusOK)
 	assert.Assert(t, time.Since(begun) < 500*time.Millisecond, "over the route's target latency")
-	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 2)
 	b := booking()
-	b.timeLeft = time.Second
+	b.TimeLeft = time.Second
 	s.send(g, b)
-	assert.Equal(t, s.fleet.Ledger.Arrivals(b.id), 1, "a call that may not be repeated was hedged")
+	assert.Equal(t, s.fleet.Ledger.Arrivals(b.ID), 1, "a call that may not be repeated was hedged")
 }
 
 // The end of an attempt closes its connection unless that was given back before.
--- a/process/gateway/follow_test.go
+++ b/process/gateway/follow_test.go
@@ -30,12 +30,12 @@
 	s.application("a1", "naxos")
 	g := s.entry("entry-1")
 	stranger := booking()
-	stranger.key = "unknown"
+	stranger.Key = "unknown"
 	assert.Equal(t, s.send(g, stranger).status, http.StatusUnauthorized)
 	lost := newAsk(http.MethodGet, "/nowhere/1", "")
 	assert.Equal(t, s.send(g, lost).status, http.StatusNotFound)
 	anonymous := newAsk(http.MethodGet, "/open/1", "")
-	anonymous.key = "unknown"
+	anonymous.Key = "unknown"
 	assert.Equal(t, s.send(g, anonymous).status, http.StatusOK)
 }
 
@@ -84,7 +84,7 @@
 			open := newAsk(http.MethodGet, "/open/1", "")
 			assert.Equal(t, s.send(g, open).status, http.StatusOK)
 			stranger := booking()
-			stranger.key = "unknown"
+			stranger.Key = "unknown"
 			assert.Equal(t, s.send(g, stranger).status, http.StatusServiceUnavailable)
 			s.store.SetFaults(kv.Faults{})
 			s.within(applyWithin, func() bool { return s.send(g, booking()).status == http.StatusOK })
@@ -104,7 +104,7 @@
 	for range 12 {
 		a := status()
 		assert.Equal(t, s.send(g, a).status, http.StatusOK)
-		assert.Equal(t, s.fleet.Ledger.Runs(a.id)[0].Target, "a3")
+		assert.Equal(t, s.fleet.Ledger.Runs(a.ID)[0].Target, "a3")
 	}
 	_ = gone
 }
@@ -195,7 +195,7 @@
 	late := report()
 	again := s.open(context.Background(), g, late)
 	assert.Assert(t, again.response.Close, "a leaving entry keeps the connection")
-	again.events(t, late.id, 0)
-	r.events(t, a.id, 2)
+	again.events(t, late.ID, 0)
+	r.events(t, a.ID, 2)
 	assert.NilError(t, <-stopped)
 }
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,8 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/standin/caller"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 	"github.com/mulberrylane/mulberrylane/version"
@@ -38,6 +38,8 @@
 	config  map[string]any
 	version int
 	started int
+	// log is that of the entries; nil writes nothing.
+	log *eventlog.Log
 }
 
 func newSite(t *testing.T) *site {
@@ -141,7 +143,7 @@
 			RetryRatio: 0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
 			StoreHeartbeat: version.Duration(time.Second),
 		},
-	}, nil, platform.NewStore(s.address), target.NewPool(), m)
+	}, s.log, platform.NewStore(s.address), target.NewPool(), m)
 	assert.NilError(s.t, g.Start(context.Background()))
 	s.t.Cleanup(func() {
 		if !g.leaving.Load() {
@@ -172,7 +174,7 @@
 	return n
 }
 
-func (g *Gateway) callers() string { return "http://" + g.ingress.listener.Addr().String() }
+func (g *Gateway) callers() string { return g.ingress.listener.Addr().String() }
 
 // eventually waits until a condition holds, for as long as any bound of the pages
 // allows it to take.
@@ -189,48 +191,21 @@
 
 var lastRequest atomic.Int64
 
-// ask describes a request of a caller.
-type ask struct {
-	method, path string
-	id           string
-	key          string
-	body         string
-	position     int
-	timeLeft     time.Duration
-	header       http.Header
-	// session names the last part of the prompt; the id where it is empty.
-	session string
-}
+// ask is a request of a caller.
+type ask struct{ caller.Request }
 
 func newAsk(method, path, body string) *ask {
-	return &ask{
-		method: method, path: path, body: body, key: testKey, timeLeft: 5 * time.Second,
-		id: fmt.Sprintf("request-%d", lastRequest.Add(1)),
-	}
+	return &ask{caller.Request{
+		Method: method, Path: path, Body: body, Host: testHost, Key: testKey, TimeLeft: 5 * time.Second,
+		ID: fmt.Sprintf("request-%d", lastRequest.Add(1)),
+	}}
 }
 
 func (a *ask) request(ctx context.Context, g *Gateway) *http.Request {
-	r, err := http.NewRequestWithContext(ctx, a.method, g.callers()+a.path, strings.NewReader(a.body))
+	r, err := a.HTTP(ctx, g.callers())
 	if err != nil {
 		panic(err)
 	}
-	r.Host = testHost
-	for name, values := range a.header {
-		r.Header[name] = values
-	}
-	r.Header.Set("Attempt-Id", a.id)
-	r.Header.Set("Deadline-Remaining", strconv.FormatInt(a.timeLeft.Milliseconds(), 10))
-	r.Header.Set("Key", a.key)
-	r.Header.Set("Model", "m")
-	r.Header.Set("Token-Counts", "800,100")
-	session := a.session
-	if session == "" {
-		session = a.id
-	}
-	r.Header.Set("Prompt-Prefix", "aa:200,"+session+":600")
-	if a.position > 0 {
-		r.Header.Set("Last-Event-Id", strconv.Itoa(a.position))
-	}
 	return r
 }
 
@@ -256,7 +231,7 @@
 // reader reads the events of a stream as they come.
 type reader struct {
 	response *http.Response
-	lines    *bufio.Reader
+	stream   *caller.Events
 }
 
 func (s *site) open(ctx context.Context, g *Gateway, a *ask) *reader {
@@ -264,27 +239,7 @@
 	response, err := http.DefaultClient.Do(a.request(ctx, g))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(func() { _ = response.Body.Close() })
-	return &reader{response: response, lines: bufio.NewReader(response.Body)}
-}
-
-// next returns the id and data of the next event, or an error.
-func (r *reader) next() (id int, data string, err error) {
-	for {
-		line, err := r.lines.ReadString('\n')
-		if err != nil {
-			return 0, "", err
-		}
-		switch line = strings.TrimSpace(line); {
-		case strings.HasPrefix(line, "id: "):
-			if id, err = strconv.Atoi(line[4:]); err != nil {
-				return 0, "", err
-			}
-		case strings.HasPrefix(line, "data: "):
-			data = line[6:]
-		case line == "":
-			return id, data, nil
-		}
-	}
+	return &reader{response: response, stream: caller.NewEvents(response.Body)}
 }
 
 // events checks that the rest of a stream holds each event after from once, in
@@ -292,12 +247,12 @@
 func (r *reader) events(t *testing.T, request string, from int) {
 	t.Helper()
 	for want := from + 1; want <= testEvents; want++ {
-		id, data, err := r.next()
+		event, err := r.stream.Next()
 		assert.NilError(t, err)
-		assert.Equal(t, id, want)
-		assert.Equal(t, data, replica.EventData(request, want))
+		assert.Equal(t, event.ID, want)
+		assert.Equal(t, event.Data, replica.EventData(request, want))
 	}
-	_, _, err := r.next()
+	_, err := r.stream.Next()
 	assert.ErrorIs(t, err, io.EOF)
 }
 
@@ -305,8 +260,8 @@
 func (r *reader) skip(t *testing.T, until int) {
 	t.Helper()
 	for id := 0; id < until; {
-		var err error
-		id, _, err = r.next()
+		event, err := r.stream.Next()
 		assert.NilError(t, err)
+		id = event.ID
 	}
 }
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -33,12 +33,12 @@
 	s.engine("e1", "naxos")
 	g := s.entry("entry-1")
 	a := report()
-	a.header = http.Header{"Tenant": {"someone-else"}, "Kv-Hold": {"h"}, "Pin-Duration": {"9"}, "Kv-From": {"1.2.3.4:5/x"}, "X-Note": {"kept"}}
+	a.Header = http.Header{"Tenant": {"someone-else"}, "Kv-Hold": {"h"}, "Pin-Duration": {"9"}, "Kv-From": {"1.2.3.4:5/x"}, "X-Note": {"kept"}}
 	r := s.open(context.Background(), g, a)
 	assert.Equal(t, r.response.StatusCode, http.StatusOK)
-	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.id))
-	r.events(t, a.id, 0)
-	runs := s.fleet.Ledger.Runs(a.id)
+	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.ID))
+	r.events(t, a.ID, 0)
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 1)
 	assert.Equal(t, runs[0].Workspace, "crew")
 	assert.Equal(t, runs[0].Key, "")
@@ -54,17 +54,12 @@
 	a := report()
 	r := s.open(context.Background(), g, a)
 	r.skip(t, 12)
-	s.runner(a.id, engines...).Crash()
+	s.runner(a.ID, engines...).Crash()
 	begun := time.Now()
-	id, _, err := r.next()
-	assert.NilError(t, err)
-	for id < 14 {
-		id, _, err = r.next()
-		assert.NilError(t, err)
-	}
+	r.skip(t, 14)
 	assert.Assert(t, time.Since(begun) < 700*time.Millisecond)
-	r.events(t, a.id, 14)
-	runs := s.fleet.Ledger.Runs(a.id)
+	r.events(t, a.ID, 14)
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 2)
 	assert.Assert(t, runs[1].Copied)
 	assert.Assert(t, runs[1].From >= 12)
@@ -77,9 +72,9 @@
 	a := report()
 	r := s.open(context.Background(), g, a)
 	r.skip(t, 13)
-	s.runner(a.id, engines...).SetFaults(replica.Faults{Silent: true})
-	r.events(t, a.id, 13)
-	runs := s.fleet.Ledger.Runs(a.id)
+	s.runner(a.ID, engines...).SetFaults(replica.Faults{Silent: true})
+	r.events(t, a.ID, 13)
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 2)
 	assert.Assert(t, runs[1].Copied)
 }
@@ -99,7 +94,7 @@
 	a := report()
 	r := s.open(context.Background(), g, a)
 	r.skip(t, 10)
-	run := s.runner(a.id, engines...)
+	run := s.runner(a.ID, engines...)
 	held := ""
 	g.control.do(func() {
 		for _, w := range g.control.watches {
@@ -117,7 +112,7 @@
 	r.skip(t, 30)
 	run.Crash()
 	r.skip(t, 60)
-	runs := s.fleet.Ledger.Runs(a.id)
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 2)
 	assert.Assert(t, runs[1].Copied)
 	assert.Assert(t, runs[1].Target != held)
@@ -130,13 +125,13 @@
 	a := report()
 	answered := make(chan *reader)
 	go func() { answered <- s.open(context.Background(), g, a) }()
-	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.id)) == 1 })
-	s.runner(a.id, engines...).Crash()
-	(<-answered).events(t, a.id, 0)
-	runs := s.fleet.Ledger.Runs(a.id)
+	s.eventually(func() bool { return len(s.fleet.Ledger.Runs(a.ID)) == 1 })
+	s.runner(a.ID, engines...).Crash()
+	(<-answered).events(t, a.ID, 0)
+	runs := s.fleet.Ledger.Runs(a.ID)
 	assert.Equal(t, len(runs), 2)
 	assert.Assert(t, !runs[1].Copied)
-	assert.Equal(t, s.fleet.Ledger.Arrivals(a.id), 2)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 2)
 }
 
 func TestEventTornInTheMiddleIsNotPassedOn(t *testing.T) {
@@ -149,7 +144,7 @@
 	g := s.entry("entry-1")
 	for range 4 {
 		a := report()
-		s.open(context.Background(), g, a).events(t, a.id, 0)
+		s.open(context.Background(), g, a).events(t, a.ID, 0)
 	}
 }
 
@@ -166,14 +161,14 @@
 	leave()
 	// Each attempt of a caller has an id of its own; the session is the same.
 	again := report()
-	again.position, again.session = 13, a.id
+	again.Position, again.Session = 13, a.ID
 	s.eventually(func() bool {
 		known := false
-		second.control.do(func() { _, known = second.control.copyOf(a.id) })
+		second.control.do(func() { _, known = second.control.copyOf(a.ID) })
 		return known
 	})
-	s.open(context.Background(), second, again).events(t, again.id, 13)
-	runs := s.fleet.Ledger.Runs(again.id)
+	s.open(context.Background(), second, again).events(t, again.ID, 13)
+	runs := s.fleet.Ledger.Runs(again.ID)
 	assert.Equal(t, len(runs), 1)
 	assert.Assert(t, runs[0].Copied, "the prompt was read again")
 }
@@ -209,9 +204,9 @@
 	s.engine("e1", "naxos")
 	g := s.entry("entry-1")
 	a := report()
-	a.position = testEvents
+	a.Position = testEvents
 	r := s.open(context.Background(), g, a)
 	assert.Equal(t, r.response.StatusCode, http.StatusOK)
-	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.id))
-	r.events(t, a.id, testEvents)
+	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.ID))
+	r.events(t, a.ID, testEvents)
 }
--- a/standin/network/tcp.go
+++ b/standin/network/tcp.go
@@ -157,7 +157,8 @@
 		r.mu.Lock()
 		faults, changed := r.faults, r.changed
 		r.mu.Unlock()
-		if !faults.Silent && !(back && faults.MuteBack) {
+		held := faults.Silent || back && faults.MuteBack
+		if !held {
 			time.Sleep(faults.Delay)
 			return
 		}
