Soak: entries' ports are not those of outgoing connections

Entries were given ports that the system also gives to outgoing connections, so that an entry that started again could find its port taken. They now get ports below that range, each drawn once; a process that ends by itself is told with the last line of its log.

--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,7 +28,7 @@
 	// revokeWithin and grace are the bounds that the entries are told.
 	revokeWithin = 3 * time.Second
 	grace        = 4 * time.Second
-	// firstPort begins the addresses of the entries, which keep theirs.
+	// events is the length of each stream.
 	events = 30
 )
 
@@ -73,7 +74,8 @@
 	// revoked maps a key to when the store acknowledged that it was taken away.
 	revoked map[string]time.Time
 	added   int
-	unclean int
+	// unclean tells of each process that ended by itself with an error.
+	unclean []string
 }
 
 func startSite(options Options) (*site, error) {
@@ -208,13 +210,30 @@
 	return s.revoked
 }
 
+// Entries keep their addresses over restarts, so their ports must not be among those
+// that the system gives to outgoing connections, nor be drawn twice in one process.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(firstPort + os.Getpid()*64%(lastPort-firstPort)))
+}
+
 // freeAddress returns a loopback address that nothing listens at.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "address")
+	for range lastPort - firstPort {
+		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		return listener.Addr().String(), errors.Wrap(listener.Close(), "address")
 	}
-	return listener.Addr().String(), errors.Wrap(listener.Close(), "address")
+	return "", errors.New("no port is free")
 }
 
 func (s *site) addEntry(i int) error {
@@ -255,7 +274,7 @@
 }
 
 func (s *site) startProcess(p *process) error {
-	out, err := os.OpenFile(strings.TrimSuffix(p.settings, ".json")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
@@ -285,7 +304,7 @@
 		p.mu.Unlock()
 		if err != nil && !wanted {
 			s.mu.Lock()
-			s.unclean++
+			s.unclean = append(s.unclean, fmt.Sprintf("%s ended by itself (%v): %s", p.name, err, p.lastLine()))
 			s.mu.Unlock()
 		}
 		select {
@@ -299,6 +318,18 @@
 	}
 }
 
+func (p *process) logPath() string { return strings.TrimSuffix(p.settings, ".json") + ".log" }
+
+// lastLine returns the last line of the process's log.
+func (p *process) lastLine() string {
+	data, err := os.ReadFile(p.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process that runs now, by its id.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -86,9 +85,9 @@
 		Seed: options.Seed, Requests: book.counts(), Faults: plan.counts, Schedule: plan.log,
 		Broken: book.check(s.fleet.Ledger, s.revocations()),
 	}
-	if s.unclean > 0 {
-		report.Broken = append(report.Broken, fmt.Sprintf("%d processes ended by themselves with an error", s.unclean))
-	}
+	s.mu.Lock()
+	report.Broken = append(report.Broken, s.unclean...)
+	s.mu.Unlock()
 	slices.Sort(report.Broken)
 	return report, ctx.Err()
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -95,3 +96,18 @@
 	assert.Assert(t, strings.Contains(read(strings.NewReader(stream(1, 1))), "came after"))
 	assert.Assert(t, strings.Contains(read(strings.NewReader(strings.Replace(stream(1), "data: ", "data: x", 1))), "another request"))
 }
+
+func TestEntriesGetPortsThatNobodyElseIsGiven(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		address, err := freeAddress()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[address], "%s was drawn twice", address)
+		seen[address] = true
+		_, text, err := net.SplitHostPort(address)
+		assert.NilError(t, err)
+		port, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		assert.Assert(t, port >= firstPort && port < lastPort)
+	}
+}
