Entries tell each other of replaced targets; fewer calls to a store that is away

Test: TestOneEntryTellsOthersOfAReplacedTarget. Left: targets that start anew during an outage are not used before the store is back.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -189,7 +189,7 @@
 	c := a.exchange.gateway.control
 	c.post(func() {
 		if reply.WrongTarget {
-			c.table.Replaced(a.target.ID)
+			c.replace(a.target.ID)
 			return
 		}
 		c.table.Answered(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -253,3 +254,37 @@
 		assert.Equal(t, <-statuses, http.StatusOK)
 	}
 }
+
+// While the store is away, entries learn of targets that started anew from each other.
+func TestOneEntryTellsOthersOfAReplacedTarget(t *testing.T) {
+	s := newSite(t)
+	old := s.application("a1", "naxos")
+	s.application("a2", "paros")
+	first, second := s.entry("entry-1"), s.entry("entry-2")
+	knows := func() bool {
+		n := 0
+		first.control.do(func() { n = len(first.control.peers) })
+		return n == 2
+	}
+	s.eventually(knows)
+	s.store.SetFaults(kv.Faults{Outage: true})
+	old.Crash()
+	other, err := s.fleet.Start(replica.Config{ID: "b1", Service: "bookings", Address: old.Config().Address, Slots: 6})
+	assert.NilError(t, err)
+	t.Cleanup(other.Crash)
+	for range 4 {
+		s.send(first, booking())
+	}
+	s.within(time.Second, func() bool {
+		gone := false
+		second.control.do(func() { gone = second.control.table.Get("a1").Down(time.Now().Add(time.Hour)) })
+		return gone
+	})
+	before := s.fleet.Ledger.Runs("")
+	for range 4 {
+		a := booking()
+		assert.Equal(t, s.send(second, a).status, http.StatusOK)
+		assert.Equal(t, s.fleet.Ledger.Arrivals(a.ID), 1)
+	}
+	assert.Equal(t, len(s.fleet.Ledger.Runs(""))-len(before), 4)
+}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -68,12 +68,14 @@
 	copies map[string]heldCopy
 	// theirs holds the last word of each other entry.
 	theirs map[string]peers.Message
-	// dead maps targets that this entry found dead to when it did.
-	dead   map[request.TargetID]time.Time
-	number uint64
-	boot   int64
-	told   time.Time
-	tell   bool
+	// dead maps targets that this entry found dead to when it did, replaced those at
+	// whose addresses it found others.
+	dead     map[request.TargetID]time.Time
+	replaced map[request.TargetID]time.Time
+	number   uint64
+	boot     int64
+	told     time.Time
+	tell     bool
 
 	// fresh is read by requests; it is guarded by being replaced whole.
 	fresh atomic.Pointer[freshness.Freshness]
@@ -96,6 +98,7 @@
 		copies:   map[string]heldCopy{},
 		theirs:   map[string]peers.Message{},
 		dead:     map[request.TargetID]time.Time{},
+		replaced: map[request.TargetID]time.Time{},
 		boot:     now.UnixNano(),
 	}
 	c.fresh.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
@@ -248,13 +251,8 @@
 		usage := budget.Usage(now)
 		message.Usage[service] = [2]int{usage.Requests, usage.Repeats}
 	}
-	for id, at := range c.dead {
-		if now.Sub(at) > tellEvery {
-			delete(c.dead, id)
-			continue
-		}
-		message.Lost = append(message.Lost, id)
-	}
+	message.Lost = latest(now, c.dead)
+	message.Replaced = latest(now, c.replaced)
 	c.number++
 	for id, work := range c.table.Own() {
 		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
@@ -270,6 +268,30 @@
 	}
 }
 
+// latest returns what is worth telling others still, and forgets the rest.
+func latest(now time.Time, found map[request.TargetID]time.Time) []request.TargetID {
+	var ids []request.TargetID
+	for id, at := range found {
+		if now.Sub(at) > tellEvery {
+			delete(found, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// replace notes that another target answers at the address of this one. While the
+// store is away that is the only word of it.
+func (c *control) replace(id request.TargetID) {
+	if t := c.table.Get(id); t == nil || !c.table.Replaced(id) {
+		return
+	}
+	c.replaced[id] = time.Now()
+	c.tell = true
+	c.gateway.log.Event("target_replaced", "target", id)
+}
+
 // receivePeers takes up what other entries say.
 func (g *Gateway) receivePeers() {
 	for g.background.Err() == nil {
@@ -293,6 +315,9 @@
 	for _, id := range message.Lost {
 		c.hint(now, id)
 	}
+	for _, id := range message.Replaced {
+		c.table.Replaced(id)
+	}
 }
 
 // hint takes up that another entry found a target dead, unless it gave this one a
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -29,8 +29,10 @@
 	// gatherFor is the pause after changes while waiting for them, so that one call
 	// brings several.
 	gatherFor = 200 * time.Millisecond
-	// storePause is the pause after a call that failed.
+	// storePause is the least pause after a call that failed, retryEvery the least time
+	// between two calls while the store is away: refused calls are paid for as well.
 	storePause = 50 * time.Millisecond
+	retryEvery = 250 * time.Millisecond
 	// awayWithin is how long most calls may take while the store is away, so that its
 	// return is seen soon; each third call gets awayLong, in case it is only slow.
 	awayWithin = 250 * time.Millisecond
@@ -45,12 +47,13 @@
 func (g *Gateway) follow() {
 	f := &follower{gateway: g}
 	for g.background.Err() == nil {
+		begun := time.Now()
 		err := f.step()
 		if err == nil || g.background.Err() != nil {
 			continue
 		}
 		f.failed(err)
-		f.pause(storePause)
+		f.pause(max(storePause, retryEvery-time.Since(begun)))
 	}
 }
 
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -119,7 +119,7 @@
 		alive, born := c.gateway.askAlive(address, engine)
 		c.post(func() {
 			if alive && engine && known != 0 && born != 0 && born != known {
-				c.table.Replaced(id)
+				c.replace(id)
 				alive = false
 			}
 			tell(alive)
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -35,6 +35,8 @@
 	Usage map[string][2]int `cbor:"7,keyasint,omitempty"`
 	// Lost lists targets that the sender found dead a moment ago.
 	Lost []request.TargetID `cbor:"5,keyasint,omitempty"`
+	// Replaced lists targets at whose addresses the sender found others a moment ago.
+	Replaced []request.TargetID `cbor:"9,keyasint,omitempty"`
 	// Ready says that the sender takes requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// Copies maps sessions to the copies of their running answers.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -281,11 +281,15 @@
 	}
 }
 
-// Replaced notes that another target answers at the address of this one.
-func (t *Table) Replaced(id request.TargetID) {
-	if target, ok := t.targets[id]; ok {
-		target.gone = true
+// Replaced notes that another target answers at the address of this one, and says
+// whether that is news.
+func (t *Table) Replaced(id request.TargetID) bool {
+	target, ok := t.targets[id]
+	if !ok || target.gone {
+		return false
 	}
+	target.gone = true
+	return true
 }
 
 // Answered notes an answer of a target that was its own; failed says that it
