Ranks of routes and workspaces are passed to engines; unused names are gone

Cause: operators declare priorities, which the gateway did not pass on; reading the change as a newcomer found settings, fields and a call that nothing used.

--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -256,7 +256,7 @@
 		"metrics": addresses[2], "peers": addresses[3], "store": relay.Address(), "memoryMB": 256,
 		"bounds": map[string]any{
 			"revokeWithin": revokeWithin.String(), "grace": grace.String(), "retryRatio": 0.8, "retrySlack": 150,
-			"retryWindow": "10s", "storeHeartbeat": "1s",
+			"retryWindow": "10s",
 		},
 	}, "", "  ")
 	if err != nil {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -162,6 +162,10 @@
 	in := &a.exchange.in
 	a.spec.TimeLeft = a.exchange.timeLeft()
 	a.spec.Workspace = a.exchange.workspaceName()
+	if a.need.Memory > 0 {
+		priority := a.exchange.priority()
+		a.spec.Priority = &priority
+	}
 	response, err := conn.Do(target.Request{
 		Method: in.Method, Path: in.Target, Host: in.Host,
 		Header: platform.EncodeAttempt(*in, a.spec), Body: in.Body,
--- a/process/gateway/caller.go
+++ b/process/gateway/caller.go
@@ -143,6 +143,19 @@
 	return e.workspace.Name
 }
 
+// leastUrgent is the last rank that engines know.
+const leastUrgent = 9
+
+// priority returns the rank of the request at an engine, 0 first. That of the
+// workspace goes before that of the route.
+func (e *exchange) priority() int {
+	rank := e.route.Priority
+	if e.workspace != nil && e.workspace.Priority != nil {
+		rank = *e.workspace.Priority
+	}
+	return min(leastUrgent, max(0, rank))
+}
+
 // retryAfter says when a refused request is worth sending again: at once where
 // another entry can take it, else when capacity or the store may be back.
 func (g *Gateway) retryAfter(kind fault.Kind) time.Duration {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -388,7 +388,7 @@
 	return false
 }
 
-// context of the background work that a request leaves behind.
+// withTimeout returns a context that ends with the process or after d.
 func (g *Gateway) withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(g.background, d)
 }
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -141,7 +141,6 @@
 		Bounds: Bounds{
 			RevokeWithin: version.Duration(3 * time.Second), Grace: version.Duration(4 * time.Second),
 			RetryRatio: 0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
-			StoreHeartbeat: version.Duration(time.Second),
 		},
 	}, s.log, platform.NewStore(s.address), target.NewPool(), m)
 	assert.NilError(s.t, g.Start(context.Background()))
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -43,8 +43,6 @@
 	RetryRatio  float64          `json:"retryRatio"`
 	RetrySlack  float64          `json:"retrySlack"`
 	RetryWindow version.Duration `json:"retryWindow"`
-	// StoreHeartbeat is how often targets renew their registrations.
-	StoreHeartbeat version.Duration `json:"storeHeartbeat"`
 }
 
 // Check returns all errors of the settings.
@@ -67,7 +65,6 @@
 	}
 	positive("bounds.grace", s.Bounds.Grace)
 	positive("bounds.retryWindow", s.Bounds.RetryWindow)
-	positive("bounds.storeHeartbeat", s.Bounds.StoreHeartbeat)
 	if s.Bounds.RevokeWithin < 0 {
 		c.Errorf("bounds.revokeWithin", "must not be negative")
 	}
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -172,12 +172,12 @@
 	if err != nil {
 		return 0, err
 	}
-	report, err := platform.DecodeReport(body)
+	born, err := platform.DecodeReport(body)
 	if err != nil {
 		g.log.Event("report_unreadable", "address", address, "error", err.Error())
 		return 0, nil
 	}
-	return report.Incarnation, nil
+	return born, nil
 }
 
 // lost gives a target up: its attempts go elsewhere, and it is left alone for a
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -33,7 +33,7 @@
 	s.engine("e1", "naxos")
 	g := s.entry("entry-1")
 	a := report()
-	a.Header = http.Header{"Tenant": {"someone-else"}, "Kv-Hold": {"h"}, "Pin-Duration": {"9"}, "Kv-From": {"1.2.3.4:5/x"}, "X-Note": {"kept"}}
+	a.Header = http.Header{"Request-Priority": {"0"}, "Tenant": {"someone-else"}, "Kv-Hold": {"h"}, "Pin-Duration": {"9"}, "Kv-From": {"1.2.3.4:5/x"}, "X-Note": {"kept"}}
 	r := s.open(context.Background(), g, a)
 	assert.Equal(t, r.response.StatusCode, http.StatusOK)
 	assert.Equal(t, r.response.Header.Get("Response-Signature"), replica.Signature(a.ID))
@@ -42,6 +42,7 @@
 	assert.Equal(t, len(runs), 1)
 	assert.Equal(t, runs[0].Workspace, "crew")
 	assert.Equal(t, runs[0].Key, "")
+	assert.Equal(t, runs[0].Priority, "1", "the rank is that of the workspace")
 	assert.Equal(t, runs[0].Path, "/report/x?y=1")
 	assert.Equal(t, runs[0].Body, "a prompt")
 	assert.Assert(t, !runs[0].Copied)
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -63,8 +63,6 @@
 	Leaving bool
 	// Incarnation is the start of the target; a later one knows nothing of before.
 	Incarnation request.Incarnation
-	// WarmUp is how much longer the target is slow.
-	WarmUp time.Duration
 }
 
 // Work is what one entry has at one target.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -80,6 +80,8 @@
 	Workspace string
 	Key       string
 	TimeLeft  string
+	// Priority is the rank that the system gave the request, or "".
+	Priority string
 	// From is the last event that the caller had.
 	From int
 	// Copied says that the run went on from a copy of its memory.
@@ -315,7 +317,7 @@
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	r.fleet.Ledger.add(Run{
 		Request: id, Target: r.config.ID, Path: q.RequestURI, Body: string(body[:n]),
-		Workspace: q.Header.Get("Tenant"), Key: q.Header.Get("Key"), TimeLeft: q.Header.Get("Deadline-Remaining"),
+		Workspace: q.Header.Get("Tenant"), Key: q.Header.Get("Key"), TimeLeft: q.Header.Get("Deadline-Remaining"), Priority: q.Header.Get("Request-Priority"),
 		From: from, Copied: q.Header.Get("Kv-From") != "", At: time.Now(),
 	})
 }
