Copies of broken streams and servers of old limits are let go

Cause, found while reading the change: an entry without others never forgot the copies of streams that broke off, since that was done on the way to telling the others; and each set of limits left a server waiting for connections for good. Tests: TestCopiesOfBrokenStreamsAreForgotten (red before), TestLimitsChangeForNewConnectionsOnly (serves before and after; it guards the handing over of connections).

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -239,9 +239,6 @@
 	c.tell = false
 	now := time.Now()
 	c.told = now
-	if len(c.peers) <= 1 {
-		return
-	}
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
 		Work: map[request.TargetID][3]int{}, Copies: c.heldCopies(now), Usage: map[string][2]int{},
@@ -257,6 +254,9 @@
 	for id, work := range c.table.Own() {
 		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
 	}
+	if len(c.peers) <= 1 {
+		return
+	}
 	addresses := make([]string, 0, len(c.peers))
 	for name, address := range c.peers {
 		if name != c.gateway.settings.Name {
--- a/process/gateway/follow_test.go
+++ b/process/gateway/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,3 +200,47 @@
 	r.events(t, a.ID, 2)
 	assert.NilError(t, <-stopped)
 }
+
+func TestLimitsChangeForNewConnectionsOnly(t *testing.T) {
+	s := newSite(t)
+	s.engine("e1", "naxos")
+	s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	a := report()
+	r := s.open(context.Background(), g, a)
+	r.skip(t, 1)
+	for body := range 3 {
+		s.configure(func(config map[string]any) {
+			config["Limits"] = map[string]any{
+				"MaxHeaderBytes": 16384, "MaxBodyBytes": 100 + body, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 9000 + body,
+			}
+		})
+		big := booking()
+		big.Body = strings.Repeat("x", 101+body)
+		s.within(applyWithin, func() bool {
+			http.DefaultClient.CloseIdleConnections()
+			return s.send(g, big).status == http.StatusRequestEntityTooLarge
+		})
+		assert.Equal(t, s.send(g, booking()).status, http.StatusOK)
+	}
+	r.events(t, a.ID, 1)
+}
+
+// An entry without others tells nobody, and must forget all the same.
+func TestCopiesOfBrokenStreamsAreForgotten(t *testing.T) {
+	s := newSite(t)
+	for id, zone := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros"} {
+		s.engine(id, zone)
+	}
+	g := s.entry("entry-1")
+	ctx, leave := context.WithCancel(context.Background())
+	s.open(ctx, g, report()).skip(t, 14)
+	leave()
+	held := func() int {
+		n := 0
+		g.control.do(func() { n = len(g.control.copies) })
+		return n
+	}
+	s.eventually(func() bool { return held() == 1 })
+	s.eventually(func() bool { return held() == 0 })
+}
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -108,6 +108,10 @@
 		return
 	}
 	i.limits = limits
+	if i.current != nil {
+		// Connections that the server before has go on under its limits.
+		_ = i.current.Close()
+	}
 	i.current = &handover{conns: make(chan net.Conn), addr: i.listener.Addr(), done: make(chan struct{})}
 	server := &http.Server{
 		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
@@ -134,17 +138,28 @@
 			pause(i.gateway.background, checkEvery)
 			continue
 		}
-		i.mu.Lock()
-		current := i.current
-		i.mu.Unlock()
-		select {
-		case current.conns <- conn:
-		case <-i.gateway.background.Done():
-			_ = conn.Close()
+		for !i.hand(conn) {
 		}
 	}
 }
 
+// hand gives a connection to the server of the present limits. It returns false when
+// the limits changed meanwhile.
+func (i *ingress) hand(conn net.Conn) bool {
+	i.mu.Lock()
+	current := i.current
+	i.mu.Unlock()
+	select {
+	case current.conns <- conn:
+		return true
+	case <-current.done:
+		return false
+	case <-i.gateway.background.Done():
+		_ = conn.Close()
+		return true
+	}
+}
+
 // stopAccepting closes the callers' listener; open connections go on.
 func (i *ingress) stopAccepting() { _ = i.listener.Close() }
 
