Starting entries hold requests until they have read the store; second probes overlap

A silent target was given up only after two probes in a row, 240 ms, so streams of a dark failure domain went on after 0.65 to 0.75 s, on the edge of the 700 ms that count as on time.

Ruled out: not accepting connections until then, since a store that is away would leave callers without an answer; requests are held for an eighth of their time at most. Probing twice at once, since a live target answers within milliseconds and the second connection is paid for.

--- a/process/freshness/freshness.go
+++ b/process/freshness/freshness.go
@@ -14,8 +14,26 @@
 	readyShare = 0.6
 	// margin is kept from the revocation bound for differences between clocks.
 	margin = 150 * time.Millisecond
+	// startWithin is how long after its start an entry may hold requests until it has
+	// read the store: some answers of a store at its usual pace, and the set-up of a
+	// connection, on a busy processor.
+	startWithin = 500 * time.Millisecond
+	// startShare is the part of a request's time that it may be held for.
+	startShare = 0.125
 )
 
+// StartWait returns how long a request may wait for the first configuration of an
+// entry that started sinceStart ago; timeLeft is that of the caller, zero if it does
+// not say. It answers callers who come back to entries that were all lost at once:
+// many of them do so for the last time.
+func StartWait(sinceStart, timeLeft time.Duration) time.Duration {
+	wait := startWithin - sinceStart
+	if timeLeft > 0 {
+		wait = min(wait, time.Duration(startShare*float64(timeLeft)))
+	}
+	return max(0, wait)
+}
+
 // Freshness holds the instant up to which the configuration is known to be the
 // newest.
 type Freshness struct {
--- a/process/freshness/freshness_test.go
+++ b/process/freshness/freshness_test.go
@@ -31,6 +31,14 @@
 	assert.Equal(t, f.Age(11*time.Second), time.Second)
 }
 
+// All entries were lost; their callers come back while the entries read the store.
+func TestRequestsWaitForTheFirstConfigurationOfAStartingEntry(t *testing.T) {
+	assert.Equal(t, StartWait(10*time.Millisecond, 20*time.Second), startWithin-10*time.Millisecond)
+	assert.Equal(t, StartWait(10*time.Millisecond, time.Second), time.Second/8, "a short request must not wait its time away")
+	assert.Equal(t, StartWait(10*time.Millisecond, 0), startWithin-10*time.Millisecond)
+	assert.Equal(t, StartWait(startWithin, 20*time.Second), time.Duration(0), "the store does not answer")
+}
+
 func TestNoBoundTrustsForever(t *testing.T) {
 	f := New(0)
 	f.Confirm(0)
--- a/process/gateway/caller.go
+++ b/process/gateway/caller.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
@@ -75,6 +76,7 @@
 	if err != nil {
 		return fault.Wrap(fault.BadRequest, err, err.Error())
 	}
+	g.awaitFirstList(r.Context(), e.in.TimeLeft)
 	if err := e.authorize(); err != nil {
 		return err
 	}
@@ -103,6 +105,23 @@
 	return nil
 }
 
+// awaitFirstList holds a request that came to a starting entry until the store was
+// read, but not for long.
+func (g *Gateway) awaitFirstList(ctx context.Context, timeLeft time.Duration) {
+	select {
+	case <-g.listed:
+		return
+	default:
+	}
+	wait := freshness.StartWait(time.Since(g.control.began), timeLeft)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case <-g.listed:
+	case <-ctx.Done():
+	}
+}
+
 // authorize finds route and workspace. What an old configuration does not know may
 // have come since, so that is told from an up-to-date one only.
 func (e *exchange) authorize() error {
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -65,6 +65,8 @@
 	// away says that the last call failed, failures counts the failed ones in a row.
 	away     bool
 	failures int
+	// listed says that a configuration and the targets were read once.
+	listed bool
 }
 
 // within returns how long the store may take for a call besides what it waits.
@@ -116,6 +118,10 @@
 	}
 	f.confirm(sent)
 	f.revision = revision
+	if !f.listed && g.table.Load() != nil {
+		f.listed = true
+		close(g.listed)
+	}
 	g.log.Event("store_listed", "items", len(items), "revision", revision)
 	return nil
 }
--- a/process/gateway/follow_test.go
+++ b/process/gateway/follow_test.go
@@ -178,6 +178,29 @@
 	assert.Equal(t, s.send(<-begun, booking()).status, http.StatusOK)
 }
 
+// All entries died; callers that come back for the last time must not be refused for
+// the milliseconds that an entry takes to read the store.
+func TestStartingEntryHoldsRequestsUntilItHasReadTheStore(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos")
+	s.store.SetFaults(kv.Faults{Delay: 60 * time.Millisecond})
+	g := s.startEntry("entry-1")
+	assert.Equal(t, s.send(g, booking()).status, http.StatusOK)
+}
+
+// What cannot be served is refused soon: the store does not answer.
+func TestStartingEntryDoesNotHoldRequestsForLong(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos")
+	s.store.SetFaults(kv.Faults{Outage: true})
+	g := s.startEntry("entry-1")
+	a := booking()
+	a.TimeLeft = time.Second
+	begun := time.Now()
+	assert.Equal(t, s.send(g, a).status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begun) < a.TimeLeft/4, "held for %s", time.Since(begun))
+}
+
 func TestPlannedStopCutsNoRequestOff(t *testing.T) {
 	s := newSite(t)
 	s.engine("e1", "naxos")
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -43,6 +43,8 @@
 
 	// table is the configuration in force; nil until the first one is read.
 	table atomic.Pointer[routes.Table]
+	// listed is closed once a configuration and the targets were read from the store.
+	listed chan struct{}
 	// leaving is set when the process was asked to end, leftAt when that was.
 	leaving  atomic.Bool
 	leftAt   atomic.Pointer[time.Time]
@@ -73,7 +75,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		settings: s, log: log, store: store, pool: pool, metrics: m,
-		background: background, cancel: cancel,
+		background: background, cancel: cancel, listed: make(chan struct{}),
 	}
 	g.control = newControl(g)
 	g.ingress = newIngress(g)
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -133,6 +133,14 @@
 
 // entryKnowing starts an entry and waits until it is ready and knows so many targets.
 func (s *site) entryKnowing(name string, targets int) *Gateway {
+	g := s.startEntry(name)
+	s.eventually(func() bool { return g.ready() && g.targets() >= targets })
+	return g
+}
+
+// startEntry starts an entry.
+func (s *site) startEntry(name string) *Gateway {
+	s.t.Helper()
 	any0 := "127.0.0.1:0"
 	m, err := newInstruments()
 	assert.NilError(s.t, err)
@@ -152,7 +160,6 @@
 			_ = g.peers.Close()
 		}
 	})
-	s.eventually(func() bool { return g.ready() && g.targets() >= targets })
 	return g
 }
 
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -17,6 +17,9 @@
 	// probeTimeout is how long a target has to answer a probe, which needs no slot:
 	// some round trips and the set-up of a connection.
 	probeTimeout = 120 * time.Millisecond
+	// probeAgain is when a second probe joins the first: a live target answers within a
+	// few milliseconds.
+	probeAgain = 30 * time.Millisecond
 	// reportBytes bounds the body of a probe's answer.
 	reportBytes = 64 << 10
 	// idleSilence is the silence that is suspicious while no attempt runs.
@@ -142,16 +145,39 @@
 }
 
 // askAlive says whether something answers at an address, and when it started if it
-// says so. A second probe, on a connection of its own, follows one without an
-// answer: open ones may have gone silent, and packets get lost.
+// says so. A second probe, on a connection of its own, joins one that is not answered
+// soon: open connections may have gone silent, and packets get lost.
 func (g *Gateway) askAlive(address string, engine bool) (bool, request.Incarnation) {
-	for _, idle := range []time.Duration{reuseMost, 0} {
+	type result struct {
+		born request.Incarnation
+		err  error
+	}
+	// Nobody reads the result of the probe that comes second.
+	results := make(chan result, 2)
+	ask := func(idle time.Duration) {
 		born, err := g.askReport(g.background, address, engine, idle)
-		if err == nil {
-			return true, born
+		results <- result{born, err}
+	}
+	go ask(reuseMost)
+	second := time.NewTimer(probeAgain)
+	defer second.Stop()
+	for asked, failed := 1, 0; ; {
+		select {
+		case <-second.C:
+		case r := <-results:
+			if r.err == nil {
+				return true, r.born
+			}
+			failed++
+		}
+		switch {
+		case asked == 1:
+			asked++
+			go ask(0)
+		case failed == asked:
+			return false, 0
 		}
 	}
-	return false, 0
 }
 
 // askReport sends one probe, on a connection that was idle for less than idle or a
