Next lives of targets are adopted while the store is away

While the store is away, an entry asks at the address of a target that it lost who answers there. The address stays with its service for a while after a target ended, so an answer within that time is the next life; later ones are not used. Entries tell each other. What has not registered 2.2 s after the store's return is dropped. A host that was suspended lately adopts nothing, since it does not know how long a target was silent.

Ruled out: comparing the start that the target names with the own time of day, which jumps on some hosts; sending without the name of the target, since another service's target would run it.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -45,6 +45,10 @@
 	// attempts lists the running attempts.
 	attempts map[*attempt]struct{}
 	probing  bool
+	// seeking says that the next life of the target is being asked for, sought when it
+	// was last.
+	seeking bool
+	sought  time.Time
 }
 
 // control owns what the entry believes of targets, entries and budgets. One
@@ -72,10 +76,17 @@
 	// whose addresses it found others.
 	dead     map[request.TargetID]time.Time
 	replaced map[request.TargetID]time.Time
-	number   uint64
-	boot     int64
-	told     time.Time
-	tell     bool
+	// successors maps targets that this entry or another adopted to when it did.
+	successors map[peers.Successor]time.Time
+	// ahead is by how much the clock with suspended time is ahead of the one without,
+	// resumed when it was last seen to jump.
+	ahead   time.Duration
+	resumed time.Time
+
+	number uint64
+	boot   int64
+	told   time.Time
+	tell   bool
 
 	// fresh is read by requests; it is guarded by being replaced whole.
 	fresh atomic.Pointer[freshness.Freshness]
@@ -84,23 +95,25 @@
 func newControl(g *Gateway) *control {
 	now := time.Now()
 	c := &control{
-		gateway:  g,
-		commands: make(chan func(), commandBuffer),
-		table:    placement.NewTable(),
-		registry: registry.New(),
-		watches:  map[request.TargetID]*watch{},
-		budgets:  map[string]*admission.WindowBudget{},
-		bounds:   g.settings.Bounds,
-		began:    now,
-		checked:  now,
-		peers:    map[string]string{},
-		heard:    map[string]time.Time{},
-		copies:   map[string]heldCopy{},
-		theirs:   map[string]peers.Message{},
-		dead:     map[request.TargetID]time.Time{},
-		replaced: map[request.TargetID]time.Time{},
-		boot:     now.UnixNano(),
+		gateway:    g,
+		commands:   make(chan func(), commandBuffer),
+		table:      placement.NewTable(),
+		registry:   registry.New(),
+		watches:    map[request.TargetID]*watch{},
+		budgets:    map[string]*admission.WindowBudget{},
+		bounds:     g.settings.Bounds,
+		began:      now,
+		checked:    now,
+		peers:      map[string]string{},
+		heard:      map[string]time.Time{},
+		copies:     map[string]heldCopy{},
+		theirs:     map[string]peers.Message{},
+		dead:       map[request.TargetID]time.Time{},
+		replaced:   map[request.TargetID]time.Time{},
+		successors: map[peers.Successor]time.Time{},
+		boot:       now.UnixNano(),
 	}
+	c.registry.SetReuse(g.settings.Bounds.AddressReuse.Std())
 	c.fresh.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
 	return c
 }
@@ -193,7 +206,9 @@
 	for _, w := range c.watches {
 		c.checkTarget(now, w)
 	}
+	c.noteSuspension(now)
 	c.tryAgain(now)
+	c.seek(now)
 	if now.Sub(c.told) > tellEvery {
 		c.tell = true
 	}
@@ -250,6 +265,7 @@
 	}
 	message.Lost = latest(now, c.dead)
 	message.Replaced = latest(now, c.replaced)
+	message.Successors = latest(now, c.successors)
 	c.number++
 	for id, work := range c.table.Own() {
 		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
@@ -269,16 +285,16 @@
 }
 
 // latest returns what is worth telling others still, and forgets the rest.
-func latest(now time.Time, found map[request.TargetID]time.Time) []request.TargetID {
-	var ids []request.TargetID
-	for id, at := range found {
+func latest[K comparable](now time.Time, found map[K]time.Time) []K {
+	var keys []K
+	for key, at := range found {
 		if now.Sub(at) > tellEvery {
-			delete(found, id)
+			delete(found, key)
 			continue
 		}
-		ids = append(ids, id)
+		keys = append(keys, key)
 	}
-	return ids
+	return keys
 }
 
 // replace notes that another target answers at the address of this one. While the
@@ -318,6 +334,12 @@
 	for _, id := range message.Replaced {
 		c.table.Replaced(id)
 	}
+	if !c.registry.IsAway() {
+		return
+	}
+	for _, s := range message.Successors {
+		c.adopt(s)
+	}
 }
 
 // hint takes up that another entry found a target dead, unless it gave this one a
--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -181,11 +181,18 @@
 
 // callEngine makes one call to an engine besides requests.
 func (g *Gateway) callEngine(ctx context.Context, address string, call platform.Call, idle, within time.Duration) (int, []byte, error) {
+	status, _, body, err := g.callTarget(ctx, address, call, idle, within)
+	return status, body, err
+}
+
+// callTarget makes one call to a target besides requests, on a connection that was
+// idle for less than idle or a new one.
+func (g *Gateway) callTarget(ctx context.Context, address string, call platform.Call, idle, within time.Duration) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	conn, err := g.pool.Get(ctx, address, idle)
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return 0, nil, nil, errors.WithStack(err)
 	}
 	keepOpen := context.AfterFunc(ctx, conn.Close)
 	defer keepOpen()
@@ -193,20 +200,15 @@
 		Method: call.Method, Path: call.Path, Host: address, Header: call.Header, Body: call.Body,
 	})
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return 0, nil, nil, errors.WithStack(err)
 	}
-	body, err := readSmall(response)
+	body, err := readAtMost(response.Body, reportBytes)
 	if err != nil {
 		conn.Close()
-		return 0, nil, err
+		return 0, nil, nil, errors.Wrap(err, "body")
 	}
 	if keepOpen() {
 		g.pool.Put(conn, response)
 	}
-	return response.StatusCode, body, nil
-}
-
-func readSmall(response *http.Response) ([]byte, error) {
-	body, err := readAtMost(response.Body, reportBytes)
-	return body, errors.Wrap(err, "body")
+	return response.StatusCode, response.Header, body, nil
 }
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -69,10 +69,10 @@
 			route("/open/", "idempotent", "bookings", map[string]any{"Anonymous": true}),
 		},
 		"Services": []any{
-			map[string]any{"Name": "writer", "MaxConnections": 600, "Engine": map[string]any{
+			map[string]any{"Name": "writer", "MaxConnections": 600, "HealthPath": replica.HealthPath, "Engine": map[string]any{
 				"Slots": 128, "KvCapacityTokens": 88000, "Backups": true, "HandleS": 2.0, "Stride": 5,
 			}},
-			map[string]any{"Name": "bookings", "MaxConnections": 100},
+			map[string]any{"Name": "bookings", "MaxConnections": 100, "HealthPath": replica.HealthPath},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{"Name": "crew", "ApiKeys": []string{testKey}, "Priority": 1}},
@@ -148,7 +148,8 @@
 		Name: name, FailureDomain: "naxos", Callers: any0, Health: any0, Metrics: any0, Peers: any0, Store: s.address,
 		Bounds: Bounds{
 			RevokeWithin: version.Duration(3 * time.Second), Grace: version.Duration(4 * time.Second),
-			RetryRatio: 0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
+			AddressReuse: version.Duration(2 * time.Second),
+			RetryRatio:   0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
 		},
 	}, s.log, platform.NewStore(s.address), target.NewPool(), m)
 	assert.NilError(s.t, g.Start(context.Background()))
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -39,6 +39,9 @@
 	RevokeWithin version.Duration `json:"revokeWithin"`
 	// Grace is how long a process may take to end once it was asked to.
 	Grace version.Duration `json:"grace"`
+	// AddressReuse is how soon the address of a target that ended may be given to a
+	// target of another service; zero means at once.
+	AddressReuse version.Duration `json:"addressReuse"`
 	// RetryRatio, RetrySlack and RetryWindow bound the repeats that a service gets.
 	RetryRatio  float64          `json:"retryRatio"`
 	RetrySlack  float64          `json:"retrySlack"`
@@ -71,6 +74,9 @@
 	if s.Bounds.RevokeWithin > 0 && s.Bounds.RevokeWithin.Std() < time.Second {
 		c.Errorf("bounds.revokeWithin", "%s is too short to ask the store in", s.Bounds.RevokeWithin.Std())
 	}
+	if s.Bounds.AddressReuse < 0 {
+		c.Errorf("bounds.addressReuse", "must not be negative")
+	}
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		c.Errorf("bounds.retryRatio", "and bounds.retrySlack must not be negative")
 	}
--- /dev/null
+++ b/process/gateway/succession.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/version/routes"
+)
+
+const (
+	// seekEvery is how often the address of a lost target is asked for its next life
+	// while the store is away: several times within the time for which an address stays
+	// with its service.
+	seekEvery = 300 * time.Millisecond
+	// suspensionSlack is how far the clocks with and without suspended time may drift
+	// apart between two checks without the host having been suspended.
+	suspensionSlack = 50 * time.Millisecond
+)
+
+// noteSuspension notes whether the host was suspended since the last check. How long
+// a target was silent is not known for a while then.
+func (c *control) noteSuspension(now time.Time) {
+	ahead := suspendedClock() - now.Sub(c.began)
+	if c.ahead != 0 && ahead-c.ahead > suspensionSlack {
+		c.resumed = now
+	}
+	c.ahead = ahead
+}
+
+// succeeds says whether what answers now at the address of a lost target is its next
+// life.
+func (c *control) succeeds(now time.Time, w *watch) bool {
+	if now.Sub(c.resumed) < c.bounds.AddressReuse.Std() {
+		return false
+	}
+	return c.registry.Succeeds(time.Duration(c.sinceStart() - w.heard.Load()))
+}
+
+// seek asks at the addresses of lost targets for their next lives while the store
+// cannot tell of them.
+func (c *control) seek(now time.Time) {
+	for _, w := range c.watches {
+		t := c.table.Get(w.id)
+		if t == nil || t.Leaving || !t.OnTrial() || w.seeking || now.Sub(w.sought) < seekEvery || !c.succeeds(now, w) {
+			continue
+		}
+		w.seeking, w.sought = true, now
+		known := t.Incarnation
+		go func() {
+			id, born, err := c.gateway.identify(w.address, w.service)
+			c.post(func() {
+				w.seeking = false
+				switch {
+				case err != nil || id == "" || born == known && id == w.id:
+				case c.succeeds(time.Now(), w):
+					c.adopt(peers.Successor{Old: w.id, ID: id, Incarnation: born})
+				}
+			})
+		}()
+	}
+}
+
+// adopt takes up the next life of a target that has yet to be seen in the store.
+func (c *control) adopt(s peers.Successor) {
+	old := c.table.Get(s.Old)
+	if old == nil || old.Leaving || s.Old == s.ID && old.Incarnation == s.Incarnation {
+		return
+	}
+	if s.Old != s.ID && c.table.Get(s.ID) != nil {
+		return
+	}
+	next := old.Registration
+	next.ID, next.Incarnation = s.ID, max(s.Incarnation, old.Incarnation+1)
+	c.registry.Adopt(s.ID)
+	c.table.Register(next)
+	if table := c.gateway.table.Load(); table != nil {
+		c.setEngines(table)
+	}
+	c.successors[s] = time.Now()
+	c.tell = true
+	c.gateway.log.Event("target_adopted", "target", s.ID, "after", s.Old, "address", next.Address,
+		"incarnation", next.Incarnation, "configurationAge", c.gateway.configurationAge())
+}
+
+// identify asks which target answers at an address, and when it started if it says so.
+func (g *Gateway) identify(address, service string) (request.TargetID, request.Incarnation, error) {
+	var declared *routes.Service
+	if table := g.table.Load(); table != nil {
+		declared = table.Service(service)
+	}
+	if declared == nil || declared.HealthPath == "" {
+		return "", 0, errors.Errorf("service %s has no health path", service)
+	}
+	born := request.Incarnation(0)
+	if declared.Engine != nil {
+		var err error
+		if born, err = g.askReport(g.background, address, true, 0); err != nil {
+			return "", 0, err
+		}
+	}
+	id, err := g.askIdentity(g.background, address, declared.HealthPath)
+	return id, born, err
+}
+
+// askIdentity asks a target who it is.
+func (g *Gateway) askIdentity(ctx context.Context, address, path string) (request.TargetID, error) {
+	g.metrics.probes.Add(ctx, 1)
+	call := platform.Call{Method: http.MethodGet, Path: path, Header: http.Header{}}
+	status, header, _, err := g.callTarget(ctx, address, call, reuseMost, probeTimeout)
+	if err != nil {
+		return "", err
+	}
+	return platform.DecodeHealth(status, header), nil
+}
--- /dev/null
+++ b/process/gateway/succession_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/registry"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+// again starts the next life of a target, which the store does not hear of.
+func (s *site) again(old *replica.Replica, id, service string) *replica.Replica {
+	s.t.Helper()
+	config := old.Config()
+	config.ID, config.Service = id, service
+	config.Born++
+	r, err := s.fleet.Start(config)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(r.Crash)
+	return r
+}
+
+func (g *Gateway) knows(id request.TargetID) bool {
+	known := false
+	g.control.do(func() { known = g.control.table.Get(id) != nil })
+	return known
+}
+
+// All engines crash in the middle of an outage of the store and start anew.
+func TestNextLifeOfATargetServesWhileTheStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	old := s.engine("e1", "naxos")
+	first, second := s.entry("entry-1"), s.entry("entry-2")
+	s.eventually(func() bool { return len(s.items(platform.EntryPrefix)) == 2 })
+	time.Sleep(pollEvery + tellEvery)
+	a := report()
+	s.open(context.Background(), first, a).events(t, a.ID, 0)
+	s.store.SetFaults(kv.Faults{Outage: true})
+	a = report()
+	r := s.open(context.Background(), first, a)
+	r.skip(t, 5)
+	old.Crash()
+	s.again(old, "e2", "writer")
+	for _, g := range []*Gateway{first, second} {
+		s.within(reuseOfAddresses, func() bool { return g.knows("e2") })
+	}
+	r.events(t, a.ID, 5)
+	a = report()
+	s.open(context.Background(), second, a).events(t, a.ID, 0)
+
+	// The store does not know it two seconds after its return: it is gone.
+	s.store.SetFaults(kv.Faults{})
+	s.store.Delete(platform.TargetPrefix + "e1")
+	s.within(registry.LapseGrace+applyWithin, func() bool { return !first.knows("e2") && !second.knows("e2") })
+}
+
+// reuseOfAddresses is for how long an address stays with its service on both
+// deployments.
+const reuseOfAddresses = 2 * time.Second
+
+// What answers at an address later than that may belong to another service.
+func TestTargetThatAppearsLateAtAnAddressIsNotUsed(t *testing.T) {
+	s := newSite(t)
+	old := s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	assert.Equal(t, s.send(g, booking()).status, http.StatusOK)
+	s.store.SetFaults(kv.Faults{Outage: true})
+	old.Crash()
+	s.send(g, booking())
+	time.Sleep(reuseOfAddresses)
+	s.again(old, "b1", "writer")
+	time.Sleep(2 * seekEvery)
+	assert.Assert(t, !g.knows("b1"))
+}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -37,12 +37,22 @@
 	Lost []request.TargetID `cbor:"5,keyasint,omitempty"`
 	// Replaced lists targets at whose addresses the sender found others a moment ago.
 	Replaced []request.TargetID `cbor:"9,keyasint,omitempty"`
+	// Successors lists targets that the sender adopted a moment ago, while the store was
+	// away.
+	Successors []Successor `cbor:"10,keyasint,omitempty"`
 	// Ready says that the sender takes requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// Copies maps sessions to the copies of their running answers.
 	Copies map[string]Copy `cbor:"6,keyasint,omitempty"`
 }
 
+// Successor is the next life of a target, found at its address.
+type Successor struct {
+	Old         request.TargetID    `cbor:"1,keyasint"`
+	ID          request.TargetID    `cbor:"2,keyasint"`
+	Incarnation request.Incarnation `cbor:"3,keyasint"`
+}
+
 // Copy says where the memory of a running answer can be gone on from.
 type Copy struct {
 	// Run is the request that made it.
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -21,14 +21,22 @@
 	present map[request.TargetID]bool
 	// lapsed maps targets that may have lapsed to when they are dropped.
 	lapsed map[request.TargetID]time.Time
-	away   bool
+	// adopted lists the targets that are believed without a registration.
+	adopted map[request.TargetID]bool
+	away    bool
 	// believe is until when missing targets may only have lapsed.
 	believe time.Time
+	// reuse is how long the address of an ended target stays with its service.
+	reuse time.Duration
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{present: map[request.TargetID]bool{}, lapsed: map[request.TargetID]time.Time{}}
+	return &Registry{
+		present: map[request.TargetID]bool{},
+		lapsed:  map[request.TargetID]time.Time{},
+		adopted: map[request.TargetID]bool{},
+	}
 }
 
 // Away notes that the store does not answer.
@@ -43,6 +51,7 @@
 	if was {
 		r.away = false
 		r.believe = now.Add(LapseGrace)
+		r.settleAdopted()
 	}
 	return was
 }
@@ -51,6 +60,7 @@
 func (r *Registry) Added(id request.TargetID) {
 	r.present[id] = true
 	delete(r.lapsed, id)
+	delete(r.adopted, id)
 }
 
 // Removed notes that a registration went, and says whether its target is to be
@@ -102,4 +112,5 @@
 func (r *Registry) drop(id request.TargetID) {
 	delete(r.present, id)
 	delete(r.lapsed, id)
+	delete(r.adopted, id)
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -175,6 +175,7 @@
 	r.stopped, r.stop = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", r.serveReport)
+	mux.HandleFunc("GET "+HealthPath, r.serveHealth)
 	mux.HandleFunc("POST /v1/kv-move", r.serveCopy)
 	mux.HandleFunc("DELETE /v1/kv-handle/{id}", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", r.serve)
@@ -250,6 +251,16 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"Running": running, "KvTotal": 88000, "born": r.config.Born})
 }
 
+// HealthPath is where targets say who they are.
+const HealthPath = "/healthz"
+
+func (r *Replica) serveHealth(w http.ResponseWriter, q *http.Request) {
+	if r.state().Silent {
+		r.hang(q.Context())
+	}
+	w.Header().Set("Instance-Id", r.config.ID)
+}
+
 // hang holds a request until its caller leaves or the target dies.
 func (r *Replica) hang(ctx context.Context) {
 	select {
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -99,6 +99,8 @@
 	Name string
 	// MaxConnections bounds the connections to one target from all entries.
 	MaxConnections int
+	// HealthPath is where a target says who it is and whether it is well.
+	HealthPath string
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
