Entries that start anew look for the prompts that engines hold

An entry whose start is not the first of the system asks its share of the engines for the prompts they hold and tells the other entries. Placement takes what is already read off the cost of a target. What is remembered counts for less with age.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -73,8 +74,10 @@
 	var choice placement.Choice
 	var err error
 	if !c.do(func() {
+		need.Read = c.prompts.Find(a.began, need.Session)
 		if choice, err = c.table.Pick(a.began, need); err == nil {
 			a.alone = choice.Cost == 0
+			a.need = need.At(choice.Target)
 			c.occupy(a, choice.Target, ctx)
 		}
 	}) {
@@ -84,7 +87,8 @@
 		return nil, err
 	}
 	e.gateway.log.Event("placed", "request", e.in.ID, "target", a.target.ID, "failureDomain", a.target.FailureDomain,
-		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", a.copy.Target)
+		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", a.copy.Target,
+		"toRead", a.need.Prompt)
 	return a, nil
 }
 
@@ -136,6 +140,9 @@
 			return
 		}
 		a.answering, a.answeredAt = true, time.Now()
+		c.prompts.Note(a.answeredAt, a.need.Session, prompts.Place{
+			Target: a.target.ID, Incarnation: a.target.Incarnation, Tokens: a.exchange.in.PromptTokens,
+		})
 		c.table.Answering(a.target.ID, a.need)
 		if a.alone {
 			c.table.Timed(a.need.Prompt, took)
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/registry"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -78,6 +79,10 @@
 	replaced map[request.TargetID]time.Time
 	// successors maps targets that this entry or another adopted to when it did.
 	successors map[peers.Successor]time.Time
+	// prompts remembers where prompts were read, located what other entries are told of
+	// that.
+	prompts *prompts.Book
+	located map[peers.Located]time.Time
 	// ahead is by how much the clock with suspended time is ahead of the one without,
 	// resumed when it was last seen to jump.
 	ahead   time.Duration
@@ -111,6 +116,8 @@
 		dead:       map[request.TargetID]time.Time{},
 		replaced:   map[request.TargetID]time.Time{},
 		successors: map[peers.Successor]time.Time{},
+		prompts:    prompts.New(),
+		located:    map[peers.Located]time.Time{},
 		boot:       now.UnixNano(),
 	}
 	c.registry.SetReuse(g.settings.Bounds.AddressReuse.Std())
@@ -212,6 +219,7 @@
 	if now.Sub(c.told) > tellEvery {
 		c.tell = true
 	}
+	c.prompts.Sweep(now)
 	c.gateway.pool.Sweep()
 }
 
@@ -265,6 +273,7 @@
 	}
 	message.Lost = latest(now, c.dead)
 	message.Replaced = latest(now, c.replaced)
+	message.Located = latest(now, c.located)
 	message.Successors = latest(now, c.successors)
 	c.number++
 	for id, work := range c.table.Own() {
@@ -334,6 +343,9 @@
 	for _, id := range message.Replaced {
 		c.table.Replaced(id)
 	}
+	for _, found := range message.Located {
+		c.prompts.Note(now, found.Session, found.Place)
+	}
 	if !c.registry.IsAway() {
 		return
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -97,6 +97,7 @@
 	g.peers = conn
 	for _, run := range []func(){
 		g.control.run, g.follow, g.registerEntry, g.receivePeers, g.reloadSettings, g.ingress.serve,
+		g.locatePrompts,
 	} {
 		g.done.Go(run)
 	}
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -21,6 +21,9 @@
 	Peers string `json:"peers"`
 	// Store is the IP address and port of the platform's store.
 	Store string `json:"store"`
+	// FirstStart says that the whole system starts for the first time, so nothing of
+	// earlier lives is to be looked for.
+	FirstStart bool `json:"firstStart"`
 	// MemoryMB is the memory that the process may take.
 	MemoryMB int    `json:"memoryMB"`
 	Bounds   Bounds `json:"bounds"`
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -40,6 +41,9 @@
 	// Successors lists targets that the sender adopted a moment ago, while the store was
 	// away.
 	Successors []Successor `cbor:"10,keyasint,omitempty"`
+	// Located lists prompts that the sender found in the memory of engines a moment ago,
+	// after its start.
+	Located []Located `cbor:"11,keyasint,omitempty"`
 	// Ready says that the sender takes requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// Copies maps sessions to the copies of their running answers.
@@ -53,6 +57,12 @@
 	Incarnation request.Incarnation `cbor:"3,keyasint"`
 }
 
+// Located says where the prompt of a session was read.
+type Located struct {
+	Session string        `cbor:"1,keyasint"`
+	Place   prompts.Place `cbor:"2,keyasint"`
+}
+
 // Copy says where the memory of a running answer can be gone on from.
 type Copy struct {
 	// Run is the request that made it.
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -18,10 +19,26 @@
 	Session string
 	// Prompt counts the tokens to read, Memory those that the attempt may hold.
 	Prompt, Memory int
+	// Read is where the prompt, or a part of it, was read before.
+	Read prompts.Place
 	// FailureDomain is that of the entry, preferred for calls.
 	FailureDomain string
 }
 
+// readAt returns how many tokens of the prompt a target need not read.
+func (n *Need) readAt(target *Target) int {
+	if n.Read.Target != target.ID || n.Read.Incarnation != target.Incarnation {
+		return 0
+	}
+	return min(n.Read.Tokens, n.Prompt)
+}
+
+// At returns the need as it is at the target that was chosen.
+func (n Need) At(target *Target) Need {
+	n.Prompt -= n.readAt(target)
+	return n
+}
+
 // Choice is a chosen target and what decided.
 type Choice struct {
 	Target *Target
@@ -112,6 +129,7 @@
 	if !target.room(work, need.Memory) {
 		cost += fullTokens
 	}
+	cost -= float64(need.readAt(target))
 	return cost + failureCost*decodeTokens*target.failures
 }
 
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -219,6 +219,20 @@
 // Service returns the targets of a service. The caller must not change the list.
 func (t *Table) Service(name string) []*Target { return t.services[name] }
 
+// Engines returns the engines that are up as far as is known, in order.
+func (t *Table) Engines() []*Target {
+	var engines []*Target
+	for _, list := range t.services {
+		for _, target := range list {
+			if target.engine && !target.Leaving {
+				engines = append(engines, target)
+			}
+		}
+	}
+	slices.SortFunc(engines, func(a, b *Target) int { return compareIDs(a.ID, b.ID) })
+	return engines
+}
+
 // SetEngine tells the memory, in tokens, of the engines of a service; zero means
 // that the service has no engines.
 func (t *Table) SetEngine(service string, memory int) {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -184,6 +185,28 @@
 	}
 }
 
+// All entries died and their callers come back: waiting behind a short prompt at the
+// engine that has read theirs takes less time than reading it again elsewhere.
+func TestPromptGoesWhereItWasRead(t *testing.T) {
+	table := engines(6)
+	need := prompt("s")
+	need.Read = prompts.Place{Target: id(2), Incarnation: 1, Tokens: need.Prompt}
+	table.Began(id(2), Need{Prompt: promptTokens / 2})
+	choice, err := table.Pick(start, need)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Target.ID, id(2))
+	assert.Equal(t, need.At(choice.Target).Prompt, 0)
+
+	table.Began(id(2), Need{Prompt: promptTokens})
+	choice, err = table.Pick(start, need)
+	assert.NilError(t, err)
+	assert.Assert(t, choice.Target.ID != id(2), "more has to be read there than elsewhere")
+	assert.Equal(t, need.At(choice.Target).Prompt, need.Prompt)
+
+	need.Read.Incarnation = 0
+	assert.Equal(t, need.At(table.Get(id(2))).Prompt, need.Prompt, "an earlier life read it")
+}
+
 func TestEntriesAgreeOnTheTargetOfASession(t *testing.T) {
 	for i := range 30 {
 		session := fmt.Sprint("session-", i)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -32,6 +33,13 @@
 	Header http.Header
 }
 
+// The sizes of prompts and answers, in tokens: long prompts, as on both deployments.
+const (
+	sharedTokens = 200
+	ownTokens    = 6000
+	answerTokens = 100
+)
+
 // HTTP returns the request to the entry at an IP address and port.
 func (r Request) HTTP(ctx context.Context, address string) (*http.Request, error) {
 	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, strings.NewReader(r.Body))
@@ -52,8 +60,8 @@
 	out.Header.Set("Deadline-Remaining", strconv.FormatInt(r.TimeLeft.Milliseconds(), 10))
 	out.Header.Set("Key", r.Key)
 	out.Header.Set("Model", "m")
-	out.Header.Set("Token-Counts", "800,100")
-	out.Header.Set("Prompt-Prefix", "aa:200,"+session+":600")
+	out.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", sharedTokens+ownTokens, answerTokens))
+	out.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:%d,%s:%d", sharedTokens, session, ownTokens))
 	if r.Position > 0 {
 		out.Header.Set("Last-Event-Id", strconv.Itoa(r.Position))
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -157,6 +157,8 @@
 	mu      sync.Mutex
 	faults  Faults
 	running int
+	// prompts lists the parts of prompts that were read, with their tokens.
+	prompts [][4]any
 	// left counts requests whose caller closed the connection while they ran.
 	left int
 }
@@ -175,6 +177,7 @@
 	r.stopped, r.stop = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", r.serveReport)
+	mux.HandleFunc("GET /v1/kv-list", r.serveHeld)
 	mux.HandleFunc("GET "+HealthPath, r.serveHealth)
 	mux.HandleFunc("POST /v1/kv-move", r.serveCopy)
 	mux.HandleFunc("DELETE /v1/kv-handle/{id}", func(http.ResponseWriter, *http.Request) {})
@@ -251,6 +254,26 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"Running": running, "KvTotal": 88000, "born": r.config.Born})
 }
 
+// serveHeld lists the parts of prompts that the engine holds.
+func (r *Replica) serveHeld(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": r.config.Born, "Next": 1, "held": r.prompts})
+}
+
+// read notes the parts of a prompt.
+func (r *Replica) read(parts string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for part := range strings.SplitSeq(parts, ",") {
+		id, count, _ := strings.Cut(part, ":")
+		if tokens, err := strconv.Atoi(count); err == nil {
+			r.prompts = append(r.prompts, [4]any{"", id, tokens, "m"})
+		}
+	}
+}
+
 // HealthPath is where targets say who they are.
 const HealthPath = "/healthz"
 
@@ -325,6 +348,7 @@
 			break
 		}
 	}
+	r.read(q.Header.Get("Prompt-Prefix"))
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	r.fleet.Ledger.add(Run{
 		Request: id, Target: r.config.ID, Path: q.RequestURI, Body: string(body[:n]),
