Targets that reset connections are left by all entries and tried again

A new connection that breaks without an answer, and a failure of one target where another serves the request, raise a target's share of failures; the share halves every two seconds, so the target is tried again, and entries tell each other. A request that all targets fail counts against none.

Ruled out: counting each failure that a target reports, since one request in seven fails everywhere; probing, since the replica accepts connections and its health is good.

Tests: TestReplicaThatResetsConnectionsIsLeftByAllEntries, TestFailingReplicaIsLeftAndTriedAgain now also waits for the target to be tried again.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -229,8 +229,15 @@
 	g := a.exchange.gateway
 	g.log.Event("broken", "request", a.exchange.in.ID, "target", a.target.ID,
 		"givenUp", a.given.Load(), "after", time.Since(a.began), "error", err.Error())
-	if !a.given.Load() {
-		g.suspect(a.target.ID)
+	if a.given.Load() {
+		return
+	}
+	g.suspect(a.target.ID)
+	if a.conn != nil && !a.conn.Reused && !a.hasAnswered() {
+		g.control.post(func() {
+			g.control.table.Broke(time.Now(), a.target.ID)
+			g.control.tell = true
+		})
 	}
 }
 
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -39,6 +39,8 @@
 	results chan callResult
 	// running counts the attempts under way, attempts those that were started.
 	running, attempts int
+	// failed lists the targets that answered with a failure of their own.
+	failed []request.TargetID
 	// kept is the last answer of a target that reports a failure of its own.
 	kept *answer
 	// sent says that some attempt may have reached its target.
@@ -114,6 +116,17 @@
 		c.kept = result.answer
 	}
 	again, paid := c.repeat.Again(result.outcome)
+	switch result.outcome {
+	case request.AttemptFailed:
+		c.failed = append(c.failed, result.attempt.target.ID)
+	case request.AttemptAnswered:
+		// Where all targets fail a request, it is the request that is at fault.
+		c.gateway.control.post(func() {
+			for _, id := range c.failed {
+				c.gateway.control.table.Failed(time.Now(), id)
+			}
+		})
+	}
 	if result.outcome == request.AttemptAnswered {
 		c.giveUp(fault.None)
 		return true
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -273,6 +273,7 @@
 	}
 	message.Lost = latest(now, c.dead)
 	message.Replaced = latest(now, c.replaced)
+	message.SetFailing(c.table.Failing(now))
 	message.Located = latest(now, c.located)
 	message.Successors = latest(now, c.successors)
 	c.number++
@@ -335,7 +336,7 @@
 func (c *control) hear(message peers.Message) {
 	now := time.Now()
 	c.heard[message.Entry] = now
-	c.table.SetPeer(now, message.Entry, message.PlacementWork())
+	c.table.SetPeer(now, message.Entry, message.Word())
 	c.theirs[message.Entry] = message
 	for _, id := range message.Lost {
 		c.hint(now, id)
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -44,6 +44,8 @@
 	// Located lists prompts that the sender found in the memory of engines a moment ago,
 	// after its start.
 	Located []Located `cbor:"11,keyasint,omitempty"`
+	// Failing maps targets to the share of failures that the sender saw, in percent.
+	Failing map[request.TargetID]int `cbor:"12,keyasint,omitempty"`
 	// Ready says that the sender takes requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// Copies maps sessions to the copies of their running answers.
@@ -84,13 +86,30 @@
 	return address, string(c.Run)
 }
 
-// PlacementWork returns Work in the form that placement takes.
-func (m *Message) PlacementWork() map[request.TargetID]placement.Work {
-	work := make(map[request.TargetID]placement.Work, len(m.Work))
+// percent is what a share is multiplied by in a message.
+const percent = 100
+
+// SetFailing puts shares of failures into the message.
+func (m *Message) SetFailing(shares map[request.TargetID]float64) {
+	m.Failing = make(map[request.TargetID]int, len(shares))
+	for id, share := range shares {
+		m.Failing[id] = int(percent * share)
+	}
+}
+
+// Word returns what placement takes of the message.
+func (m *Message) Word() placement.Word {
+	word := placement.Word{
+		Work:    make(map[request.TargetID]placement.Work, len(m.Work)),
+		Failing: make(map[request.TargetID]float64, len(m.Failing)),
+	}
 	for id, w := range m.Work {
-		work[id] = placement.Work{Unread: w[0], Answering: w[1], Memory: w[2]}
+		word.Work[id] = placement.Work{Unread: w[0], Answering: w[1], Memory: w[2]}
+	}
+	for id, share := range m.Failing {
+		word.Failing[id] = float64(share) / percent
 	}
-	return work
+	return word
 }
 
 // Conn sends and receives messages.
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -122,7 +122,8 @@
 
 func (t *Table) cost(now time.Time, target *Target, need Need) float64 {
 	if !target.engine {
-		return target.callCost(now, need)
+		failing := t.failing(now, target)
+		return target.callCost(now, need) + failureCost*failing*failing
 	}
 	work := t.work(now, target)
 	cost := float64(work.Unread + work.Answering*decodeTokens)
@@ -130,7 +131,7 @@
 		cost += fullTokens
 	}
 	cost -= float64(need.readAt(target))
-	return cost + failureCost*decodeTokens*target.failures
+	return cost + failureCost*decodeTokens*t.failing(now, target)
 }
 
 // room says whether the memory of an engine holds so many tokens more.
@@ -150,7 +151,7 @@
 	if t.FailureDomain != need.FailureDomain {
 		cost += otherDomainCost
 	}
-	return cost + failureCost*t.failures*t.failures
+	return cost
 }
 
 // otherDomainCost is the cost of a call to another failure domain, in parts of a
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -45,10 +45,6 @@
 	// peerLife is how long another entry's word on its work is believed without a
 	// newer one; entries repeat it several times in that time.
 	peerLife = 2 * time.Second
-	// failureWeight is the weight of one answer in a target's share of failures.
-	failureWeight = 0.15
-	// failureCost is the cost, in requests, of a target that fails all requests.
-	failureCost = 30.0
 	// loadLife is how long a reported load counts.
 	loadLife = 200 * time.Millisecond
 )
@@ -95,7 +91,7 @@
 	gone bool
 	// hinted is until when the target is left alone on the word of another entry.
 	hinted   time.Time
-	failures float64
+	failures failures
 	load     request.Load
 	loadAt   time.Time
 	engine   bool
@@ -114,10 +110,17 @@
 // OnTrial says that the target was lost and has not answered since.
 func (t *Target) OnTrial() bool { return t.losses > 0 }
 
-// peerWork is what another entry said of its work.
-type peerWork struct {
-	at   time.Time
-	work map[request.TargetID]Work
+// Word is what another entry says of the targets.
+type Word struct {
+	// Work is what it has there, Failing the share of failures that it saw.
+	Work    map[request.TargetID]Work
+	Failing map[request.TargetID]float64
+}
+
+// peerWord is the last word of another entry.
+type peerWord struct {
+	Word
+	at time.Time
 }
 
 // Table holds the targets of all services.
@@ -125,7 +128,7 @@
 	targets map[request.TargetID]*Target
 	// services lists the targets of each service, ordered by id.
 	services map[string][]*Target
-	peers    map[string]peerWork
+	peers    map[string]peerWord
 	rate     float64
 }
 
@@ -134,7 +137,7 @@
 	return &Table{
 		targets:  map[request.TargetID]*Target{},
 		services: map[string][]*Target{},
-		peers:    map[string]peerWork{},
+		peers:    map[string]peerWord{},
 		rate:     promptRate,
 	}
 }
@@ -160,7 +163,7 @@
 	}
 	if r.Incarnation != target.Incarnation || r.Endpoint != target.Endpoint {
 		target.downUntil, target.hinted = time.Time{}, time.Time{}
-		target.losses, target.gone, target.failures = 0, false, 0
+		target.losses, target.gone, target.failures = 0, false, failures{}
 	}
 	target.Registration = r
 	return target
@@ -242,9 +245,9 @@
 	}
 }
 
-// SetPeer notes what another entry has at the targets, as of now.
-func (t *Table) SetPeer(now time.Time, peer string, work map[request.TargetID]Work) {
-	t.peers[peer] = peerWork{at: now, work: work}
+// SetPeer notes what another entry says, as of now.
+func (t *Table) SetPeer(now time.Time, peer string, word Word) {
+	t.peers[peer] = peerWord{at: now, Word: word}
 }
 
 // RemovePeer forgets another entry.
@@ -312,11 +315,7 @@
 		return
 	}
 	target.downUntil, target.hinted, target.losses = time.Time{}, time.Time{}, 0
-	share := 0.0
-	if failed {
-		share = 1
-	}
-	target.failures += failureWeight * (share - target.failures)
+	target.failures.note(now, failed, failureWeight)
 	if load != nil {
 		target.load, target.loadAt = *load, now
 	}
@@ -341,7 +340,7 @@
 	sum := target.own
 	for _, peer := range t.peers {
 		if now.Sub(peer.at) < peerLife {
-			sum.add(peer.work[target.ID])
+			sum.add(peer.Work[target.ID])
 		}
 	}
 	return sum
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -66,7 +66,7 @@
 		}
 		for i, table := range tables {
 			if i != entry {
-				table.SetPeer(now, fmt.Sprint(entry), tables[entry].Own())
+				table.SetPeer(now, fmt.Sprint(entry), Word{Work: tables[entry].Own()})
 			}
 		}
 	}
@@ -105,7 +105,7 @@
 
 func TestAnEntryThatHearsNothingForgetsWhatOthersHad(t *testing.T) {
 	table := engines(2)
-	table.SetPeer(start, "other", map[request.TargetID]Work{id(0): {Unread: 50000}})
+	table.SetPeer(start, "other", Word{Work: map[request.TargetID]Work{id(0): {Unread: 50000}}})
 	for i := range 20 {
 		choice, err := table.Pick(start, prompt(fmt.Sprint(i)))
 		assert.NilError(t, err)
@@ -177,7 +177,7 @@
 
 func TestTargetWithoutMemoryIsLeftToOthers(t *testing.T) {
 	table := engines(2)
-	table.SetPeer(start, "other", map[request.TargetID]Work{id(0): {Memory: engineMemory - 9000}})
+	table.SetPeer(start, "other", Word{Work: map[request.TargetID]Work{id(0): {Memory: engineMemory - 9000}}})
 	for i := range 20 {
 		choice, err := table.Pick(start, prompt(fmt.Sprint(i)))
 		assert.NilError(t, err)
@@ -275,6 +275,9 @@
 	choice, err := table.Pick(start, need)
 	assert.NilError(t, err)
 	assert.Assert(t, choice.Target.ID != id(1))
+	choice, err = table.Pick(start.Add(4*failureHalfLife), need)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Target.ID, id(1), "the one in the own domain is tried again after a while")
 	for range 20 {
 		table.Answered(start, id(1), false, nil)
 	}
@@ -282,3 +285,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, choice.Target.ID, id(1))
 }
+
+// A replica takes connections and resets them, by turns; every request that is sent
+// there once more may be one that must not be repeated.
+func TestReplicaThatResetsConnectionsIsLeftByAllEntries(t *testing.T) {
+	one, other := applications(6), applications(6)
+	need := Need{Service: "bookings", FailureDomain: "paros"}
+	one.Broke(start, id(1))
+	other.SetPeer(start, "one", Word{Failing: one.Failing(start)})
+	for _, table := range []*Table{one, other} {
+		choice, err := table.Pick(start.Add(time.Second), need)
+		assert.NilError(t, err)
+		assert.Assert(t, choice.Target.ID != id(1))
+	}
+	// All fail alike: none is better than the others.
+	for i := range 6 {
+		one.Broke(start, id(i))
+	}
+	_, err := one.Pick(start, need)
+	assert.NilError(t, err)
+}
