Entries tell each other only what changed, within a share of the slowest link

Each entry sent its whole state to all others after each change. Found by the new fields firstAfter and longestPause of the line that ends a stream.

Ruled out: a longer pause between whole states alone, since what entries know of each other would be too old to place by; multicast, which the platform does not offer.

Tests: process/peers/outbox_test.go.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -88,6 +88,7 @@
 	ahead   time.Duration
 	resumed time.Time
 
+	outbox *peers.Outbox
 	number uint64
 	boot   int64
 	told   time.Time
@@ -117,6 +118,7 @@
 		replaced:   map[request.TargetID]time.Time{},
 		successors: map[peers.Successor]time.Time{},
 		prompts:    prompts.New(),
+		outbox:     peers.NewOutbox(),
 		located:    map[peers.Located]time.Time{},
 		boot:       now.UnixNano(),
 	}
@@ -152,7 +154,7 @@
 			timer.Reset(c.period())
 		}
 		if c.tell && telling == nil {
-			telling = time.After(tellAfter)
+			telling = time.After(max(tellAfter, c.outbox.Wait(time.Now())))
 		}
 	}
 }
@@ -265,7 +267,7 @@
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
 		Work: map[request.TargetID][3]int{}, Copies: c.heldCopies(now), Usage: map[string][2]int{},
-		Ready: c.gateway.ready(),
+		Ready: c.gateway.ready(), LinkMbps: c.gateway.settings.LinkMbps,
 	}
 	for service, budget := range c.budgets {
 		usage := budget.Usage(now)
@@ -289,9 +291,22 @@
 			addresses = append(addresses, address)
 		}
 	}
-	if err := c.gateway.peers.Send(message, addresses); err != nil {
+	bytes, err := c.gateway.peers.Send(c.outbox.Compose(now, message), addresses)
+	if err != nil {
 		c.gateway.log.Event("peers_not_told", "error", err.Error())
 	}
+	c.outbox.Sent(now, bytes, len(addresses), c.slowestLink())
+}
+
+// slowestLink returns the least bandwidth of the entries' links, as far as is known.
+func (c *control) slowestLink() float64 {
+	slowest := c.gateway.settings.LinkMbps
+	for _, message := range c.theirs {
+		if link := message.LinkMbps; link > 0 && (slowest <= 0 || link < slowest) {
+			slowest = link
+		}
+	}
+	return slowest
 }
 
 // latest returns what is worth telling others still, and forgets the rest.
@@ -335,7 +350,12 @@
 
 func (c *control) hear(message peers.Message) {
 	now := time.Now()
+	if _, ok := c.heard[message.Entry]; !ok {
+		c.outbox.Renew()
+		c.tell = true
+	}
 	c.heard[message.Entry] = now
+	message = peers.Merge(c.theirs[message.Entry], message)
 	c.table.SetPeer(now, message.Entry, message.Word())
 	c.theirs[message.Entry] = message
 	for _, id := range message.Lost {
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -25,8 +25,11 @@
 	// earlier lives is to be looked for.
 	FirstStart bool `json:"firstStart"`
 	// MemoryMB is the memory that the process may take.
-	MemoryMB int    `json:"memoryMB"`
-	Bounds   Bounds `json:"bounds"`
+	MemoryMB int `json:"memoryMB"`
+	// LinkMbps is the bandwidth of the host's link in megabits a second; zero means that
+	// it is not known.
+	LinkMbps float64 `json:"linkMbps"`
+	Bounds   Bounds  `json:"bounds"`
 
 	// source is the file that the settings were read from, or empty.
 	source string
@@ -64,6 +67,9 @@
 	if s.MemoryMB < 0 {
 		c.Errorf("memoryMB", "must not be negative")
 	}
+	if s.LinkMbps < 0 {
+		c.Errorf("linkMbps", "must not be negative")
+	}
 	positive := func(path string, value version.Duration) {
 		if value <= 0 {
 			c.Errorf(path, "must be longer than zero")
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -58,11 +58,15 @@
 	head     *http.Response
 	began    bool
 	lostAt   time.Time
-	failure  *answer
-	wake     *time.Timer
-	raw      [][]byte
-	ended    bool
-	kind     fault.Kind
+	// firstAfter is how long the caller waited for the first event, longestPause for any
+	// later one, which came at wrote.
+	firstAfter, longestPause time.Duration
+	wrote                    time.Time
+	failure                  *answer
+	wake                     *time.Timer
+	raw                      [][]byte
+	ended                    bool
+	kind                     fault.Kind
 }
 
 // stream serves a request on a streaming route.
@@ -300,6 +304,7 @@
 		return errors.WithStack(err)
 	}
 	s.begin()
+	s.timed(time.Now())
 	if !s.lostAt.IsZero() {
 		record(s.gateway.metrics.resume, time.Since(s.lostAt))
 		s.lostAt = time.Time{}
@@ -312,6 +317,16 @@
 	return errors.WithStack(controller.Flush())
 }
 
+// timed notes when events are written.
+func (s *stream) timed(now time.Time) {
+	if s.wrote.IsZero() {
+		s.firstAfter = now.Sub(s.arrived)
+	} else {
+		s.longestPause = max(s.longestPause, now.Sub(s.wrote))
+	}
+	s.wrote = now
+}
+
 // settleCopy forgets the copy of a whole answer. That of one that broke off is kept
 // for a while: its caller may come back for the rest, here or at another entry.
 func (s *stream) settleCopy() {
@@ -363,9 +378,11 @@
 	case s.kind == fault.None:
 		// A caller that had all events gets an answer without any.
 		s.begin()
-		s.exchange.ended(fault.None, attempts, "events", events)
+		s.exchange.ended(fault.None, attempts, "events", events,
+			"firstAfter", s.firstAfter, "longestPause", s.longestPause)
 	case s.began:
-		s.exchange.ended(s.kind, attempts, "events", events, "brokenOff", true)
+		s.exchange.ended(s.kind, attempts, "events", events, "brokenOff", true,
+			"firstAfter", s.firstAfter, "longestPause", s.longestPause)
 		abort()
 	case s.failure != nil && s.kind != fault.CallerGone:
 		err := s.send(s.failure.head, s.failure.body)
--- /dev/null
+++ b/process/peers/outbox_test.go
@@ -0,0 +1,104 @@
+package peers
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+var start = time.Unix(1000, 0)
+
+// state is that of an entry with so many streams, which change at random.
+type state struct {
+	random *rand.Rand
+	Message
+}
+
+func newState(seed uint64, streams int) *state {
+	s := &state{random: rand.New(rand.NewPCG(seed, 1)), Message: Message{
+		Entry: "entry", Boot: 1, Work: map[request.TargetID][3]int{}, Copies: map[string]Copy{},
+	}}
+	for range streams {
+		s.change()
+	}
+	return s
+}
+
+// change begins a stream, or ends one, at some target.
+func (s *state) change() {
+	id := request.TargetID(fmt.Sprintf("i-%08x", s.random.IntN(94)))
+	session := fmt.Sprintf("%08x", s.random.IntN(40))
+	if s.random.IntN(2) == 0 {
+		delete(s.Work, id)
+		delete(s.Copies, session)
+		return
+	}
+	s.Work[id] = [3]int{s.random.IntN(8000), 1 + s.random.IntN(3), 8000}
+	s.Copies[session] = Copy{Run: request.ID(session), Target: id, Incarnation: 7}
+}
+
+func (s *state) message() Message {
+	m := s.Message
+	m.Work, m.Copies = maps.Clone(s.Work), maps.Clone(s.Copies)
+	return m
+}
+
+func TestLostMessagesAreMadeGoodByThoseThatFollow(t *testing.T) {
+	for seed := range uint64(50) {
+		s := newState(seed, 20)
+		outbox, known := NewOutbox(), Message{}
+		now := start
+		deliver := func(lost bool) {
+			if m := outbox.Compose(now, s.message()); !lost {
+				known = Merge(known, m)
+			}
+		}
+		for range 400 {
+			now = now.Add(time.Duration(s.random.IntN(60)) * time.Millisecond)
+			s.change()
+			deliver(s.random.IntN(3) == 0)
+		}
+		for range 3 {
+			now = now.Add(wholeEvery / 2)
+			deliver(false)
+		}
+		assert.DeepEqual(t, known.Work, s.Work)
+		assert.DeepEqual(t, known.Copies, s.Copies)
+	}
+}
+
+func TestNextLifeOfASenderStartsAnew(t *testing.T) {
+	before := Message{Boot: 1, Work: map[request.TargetID][3]int{"e1": {1, 1, 1}}}
+	after := Merge(before, Message{Boot: 2, Work: map[request.TargetID][3]int{"e2": {1, 1, 1}}})
+	assert.DeepEqual(t, after.Work, map[request.TargetID][3]int{"e2": {1, 1, 1}})
+}
+
+// A failure domain is lost: for a second all of 26 entries have something new every
+// few milliseconds. One of them has a link of 10 megabits a second.
+func TestBurstOfChangesLeavesTheSlowestLinkFree(t *testing.T) {
+	const entries, slowest = 26, 10.0
+	total := 0
+	for entry := range entries - 1 {
+		s := newState(uint64(entry), 20)
+		outbox := NewOutbox()
+		for now := start; now.Before(start.Add(time.Second)); now = now.Add(5 * time.Millisecond) {
+			s.change()
+			if outbox.Wait(now) > 0 {
+				continue
+			}
+			data, err := cbor.Marshal(outbox.Compose(now, s.message()))
+			assert.NilError(t, err)
+			outbox.Sent(now, len(data)+datagramOverhead, entries-1, slowest)
+			total += 8 * (len(data) + datagramOverhead)
+		}
+	}
+	// Each sender may be one message ahead.
+	assert.Assert(t, float64(total) < 1.5*linkShare*slowest*1e6, "%d bits", total)
+}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -1,6 +1,6 @@
 // Package peers carries what entries tell each other of their work at the targets:
-// one datagram with the whole of it after each change, and again now and then. A
-// lost one is made good by the next. The word of another entry only steers the
+// one datagram with what changed lately after each change, and with the whole of it
+// now and then. A lost one is made good by those that follow. The word of another entry only steers the
 // choice of targets, so an entry that hears nothing goes on alone.
 //
 // Datagrams rather than links: a snapshot needs no order and no repeat, and a
@@ -23,8 +23,12 @@
 // maxDatagram bounds a message; larger ones are not sent.
 const maxDatagram = 32 << 10
 
-// Message is the whole of what one entry has at the targets.
+// Message is what one entry has at the targets.
 type Message struct {
+	// Whole says that Work and Copies hold all there is, and not only what changed.
+	Whole bool `cbor:"13,keyasint,omitempty"`
+	// LinkMbps is the bandwidth of the sender's link; zero means that it is not known.
+	LinkMbps float64 `cbor:"14,keyasint,omitempty"`
 	// Entry is the name of the sender, Boot tells its lives apart and Number counts
 	// the messages of one life.
 	Entry  string `cbor:"1,keyasint"`
@@ -142,15 +146,19 @@
 // Address returns the IP address and port that others send to.
 func (c *Conn) Address() string { return c.conn.LocalAddr().String() }
 
-// Send sends a message to each address. The first error is returned after all were
-// tried.
-func (c *Conn) Send(message Message, addresses []string) error {
+// datagramOverhead is what the headers of UDP, IP and the link add to a message, in
+// bytes.
+const datagramOverhead = 46
+
+// Send sends a message to each address and returns how many bytes each one takes. The
+// first error is returned after all were tried.
+func (c *Conn) Send(message Message, addresses []string) (int, error) {
 	data, err := cbor.Marshal(message)
 	if err != nil {
-		return errors.Wrap(err, "peers")
+		return 0, errors.Wrap(err, "peers")
 	}
 	if len(data) > maxDatagram {
-		return errors.Errorf("message of %d bytes is too long for a datagram", len(data))
+		return 0, errors.Errorf("message of %d bytes is too long for a datagram", len(data))
 	}
 	var first error
 	for _, address := range addresses {
@@ -162,7 +170,7 @@
 			first = errors.Wrapf(err, "peer %s", address)
 		}
 	}
-	return first
+	return len(data) + datagramOverhead, first
 }
 
 // Receive returns the next message that is newer than those before it of the same
