Repeats that did not arrive are given back, and streams under way come first

Attempts at targets that could not be reached were counted as repeats, though the bound is on arrivals, and the first attempt after them as well; while the budget was used up, streams that callers were reading competed with those that had not begun, each asking again every 25 ms (3,600 refusals in two seconds).

A charge that did not arrive is refunded, 15% of the allowance is kept for answers under way, and a stream without budget asks again after 100 ms.

Ruled out: refusing the streams that have not begun, since their callers have one repeat of their own and would come back to the same shortage.

Tests: TestStreamsUnderWayAreRepeatedLongest, TestRepeatThatDidNotArriveIsGivenBack, TestTargetsOutOfReachCostNoRepeats.

--- a/process/admission/window.go
+++ b/process/admission/window.go
@@ -57,14 +57,36 @@
 // Request counts a request.
 func (b *WindowBudget) Request(now time.Time) { b.counts[b.bucket(now)].requests++ }
 
+// urgentShare is the part of the allowance that is kept for urgent repeats: a fifth
+// of the streams of a lost failure domain had not begun, the others have to go on
+// within their longest pause.
+const urgentShare = 0.15
+
+// Charge is a repeat that was counted; the zero Charge is none.
+type Charge struct{ slot int64 }
+
 // Spend counts a repeat, if there is room for one. Others holds what each other
 // entry uses, and is nil where that is not known; entries is how many there are.
-func (b *WindowBudget) Spend(now time.Time, entries int, others []Usage) bool {
-	if b.Left(now, entries, others) < 1 {
-		return false
+// Repeats for callers who can wait leave a part of the allowance to urgent ones.
+func (b *WindowBudget) Spend(now time.Time, entries int, others []Usage, urgent bool) (Charge, bool) {
+	allowance, left := b.state(now, entries, others)
+	if !urgent {
+		left -= urgentShare * allowance
+	}
+	if left < 1 {
+		return Charge{}, false
+	}
+	count := &b.counts[b.bucket(now)]
+	count.repeats++
+	return Charge{slot: count.slot}, true
+}
+
+// Refund takes a repeat back that did not reach its target.
+func (b *WindowBudget) Refund(charge Charge) {
+	count := &b.counts[charge.slot%int64(len(b.counts))]
+	if charge.slot != 0 && count.slot == charge.slot && count.repeats > 0 {
+		count.repeats--
 	}
-	b.counts[b.bucket(now)].repeats++
-	return true
 }
 
 // Usage returns what this entry had in the window that ends now.
@@ -84,6 +106,12 @@
 
 // Left returns how many repeats the window has room for.
 func (b *WindowBudget) Left(now time.Time, entries int, others []Usage) float64 {
+	_, left := b.state(now, entries, others)
+	return left
+}
+
+// state returns how many repeats the window allows, and how many are left of them.
+func (b *WindowBudget) state(now time.Time, entries int, others []Usage) (allowance, left float64) {
 	sum := b.Usage(now)
 	slack := b.slack / float64(max(1, entries))
 	if others != nil {
@@ -93,5 +121,6 @@
 		sum.Requests += usage.Requests
 		sum.Repeats += usage.Repeats
 	}
-	return b.ratio*float64(sum.Requests) + slack - float64(sum.Repeats)
+	allowance = b.ratio*float64(sum.Requests) + slack
+	return allowance, allowance - float64(sum.Repeats)
 }
--- a/process/admission/window_test.go
+++ b/process/admission/window_test.go
@@ -42,7 +42,7 @@
 			if !told {
 				others = nil
 			}
-			if budgets[entry].Spend(now, entries, others) {
+			if _, ok := budgets[entry].Spend(now, entries, others, true); ok {
 				granted++
 				events = append(events, event{now, true})
 				usages[entry] = budgets[entry].Usage(now)
@@ -85,11 +85,54 @@
 func TestBudgetIsFreeAgainAfterItsWindow(t *testing.T) {
 	b := NewWindowBudget(0.5, 2, testWindow)
 	now := time.Unix(1000, 0)
-	assert.Assert(t, b.Spend(now, 1, nil))
-	assert.Assert(t, b.Spend(now, 1, nil))
-	assert.Assert(t, !b.Spend(now, 1, nil))
+	assert.Equal(t, spent(b, now), true)
+	assert.Equal(t, spent(b, now), true)
+	assert.Equal(t, spent(b, now), false)
 	b.Request(now)
 	b.Request(now)
-	assert.Assert(t, b.Spend(now, 1, nil))
-	assert.Assert(t, b.Spend(now.Add(testWindow+time.Second), 1, nil))
+	assert.Equal(t, spent(b, now), true)
+	assert.Equal(t, spent(b, now.Add(testWindow+time.Second)), true)
+}
+
+func spent(b *WindowBudget, now time.Time) bool {
+	_, ok := b.Spend(now, 1, nil, true)
+	return ok
+}
+
+// The allowance runs out while streams that their callers read have to go on.
+func TestStreamsUnderWayAreRepeatedLongest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewWindowBudget(0, 100, testWindow)
+	waiting := 0
+	for {
+		if _, ok := b.Spend(now, 1, nil, false); !ok {
+			break
+		}
+		waiting++
+	}
+	assert.Equal(t, waiting, 85)
+	urgent := 0
+	for spent(b, now) {
+		urgent++
+	}
+	assert.Equal(t, urgent, 15)
+}
+
+// What did not reach a target is no repeat, or one that is out of reach would use up
+// the allowance of all.
+func TestRepeatThatDidNotArriveIsGivenBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewWindowBudget(0, 2, testWindow)
+	for range 50 {
+		charge, ok := b.Spend(now, 1, nil, true)
+		assert.Assert(t, ok)
+		b.Refund(charge)
+	}
+	assert.Equal(t, b.Usage(now).Repeats, 0)
+	charge, _ := b.Spend(now, 1, nil, true)
+	later := now.Add(2 * testWindow)
+	assert.Assert(t, spent(b, later))
+	b.Refund(charge)
+	b.Refund(Charge{})
+	assert.Equal(t, b.Usage(later).Repeats, 1, "its window is over")
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
@@ -47,6 +48,8 @@
 	// false when that has begun.
 	keepOpen func() bool
 	began    time.Time
+	// charge is what the budget of repeats was charged for it, if anything.
+	charge admission.Charge
 	// alone says that the target had no other prompt to read when this one came.
 	alone bool
 	// patient attempts are not given up when their target seems lost: the request may
@@ -209,10 +212,11 @@
 
 // unreached notes that no connection could be made.
 func (a *attempt) unreached(err error) {
+	c := a.exchange.gateway.control
+	c.post(func() { c.budget(a.exchange.service).Refund(a.charge) })
 	if a.ctx.Err() != nil {
 		return
 	}
-	c := a.exchange.gateway.control
 	a.exchange.gateway.log.Event("not_reached", "request", a.exchange.in.ID, "target", a.target.ID, "error", err.Error())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.post(func() { c.lost(a.target.ID, "connection refused") })
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
@@ -59,7 +60,7 @@
 		// Nobody reads the results of attempts that lost a race.
 		results: make(chan callResult, mostAttempts),
 	}
-	if err := c.launch(ctx); err != nil {
+	if err := c.launch(ctx, admission.Charge{}); err != nil {
 		e.refuse(err, 0)
 		return
 	}
@@ -80,12 +81,13 @@
 // mostAttempts bounds the attempts of one call, whatever comes of them.
 const mostAttempts = 16
 
-// launch starts an attempt.
-func (c *call) launch(ctx context.Context) error {
+// launch starts an attempt for which the budget was charged.
+func (c *call) launch(ctx context.Context, charge admission.Charge) error {
 	a, err := c.place(ctx, c.need)
 	if err != nil {
 		return err
 	}
+	a.charge = charge
 	c.need.Avoid = append(c.need.Avoid, a.target.ID)
 	c.running++
 	c.attempts++
@@ -99,11 +101,14 @@
 
 // hedge starts a second attempt beside one that has not answered.
 func (c *call) hedge(ctx context.Context) {
-	if c.running != 1 || !c.repeat.MayRunBeside(c.running) || c.attempts >= mostAttempts ||
-		!c.gateway.spend(c.in.ID, c.service) {
+	if c.running != 1 || !c.repeat.MayRunBeside(c.running) || c.attempts >= mostAttempts {
 		return
 	}
-	if err := c.launch(ctx); err == nil {
+	charge, ok := c.gateway.spend(c.in.ID, c.service, false)
+	if !ok {
+		return
+	}
+	if err := c.launch(ctx, charge); err == nil {
 		c.gateway.log.Event("hedged", "request", c.in.ID, "after", time.Since(c.arrived))
 	}
 }
@@ -139,15 +144,16 @@
 		return true
 	}
 	again = again && c.attempts < mostAttempts
-	if again && paid && !c.gateway.spend(c.in.ID, c.service) {
-		again = false
+	var charge admission.Charge
+	if again && paid {
+		charge, again = c.gateway.spend(c.in.ID, c.service, true)
 	}
 	if !again {
 		c.giveUp(c.repeat.Kind(result.outcome))
 		return true
 	}
 	c.gateway.log.Event("retried", "request", c.in.ID, "left", result.attempt.target.ID, "outcome", result.outcome.String())
-	if err := c.launch(ctx); err != nil {
+	if err := c.launch(ctx, charge); err != nil {
 		c.giveUp(fault.KindOf(err))
 		return true
 	}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -421,26 +421,28 @@
 }
 
 // spend takes a repeat for a service from the budget, or says that none is left.
-func (g *Gateway) spend(id request.ID, service string) bool {
+// Urgent repeats are those of answers that their callers are reading.
+func (g *Gateway) spend(id request.ID, service string, urgent bool) (admission.Charge, bool) {
+	var charge admission.Charge
 	granted := false
-	g.control.do(func() { granted = g.control.spend(id, service) })
-	return granted
+	g.control.do(func() { charge, granted = g.control.spend(id, service, urgent) })
+	return charge, granted
 }
 
-func (c *control) spend(id request.ID, service string) bool {
+func (c *control) spend(id request.ID, service string, urgent bool) (admission.Charge, bool) {
 	now := time.Now()
 	budget := c.budget(service)
 	others := c.others(now, service)
-	if budget.Spend(now, c.entries(), others) {
+	if charge, ok := budget.Spend(now, c.entries(), others, urgent); ok {
 		c.tell = true
-		return true
+		return charge, true
 	}
 	own := budget.Usage(now)
 	c.gateway.metrics.denied.Add(context.Background(), 1)
 	c.gateway.log.Event("budget_denied", "request", id, "service", service, "entries", c.entries(),
 		"othersKnown", others != nil, "left", budget.Left(now, c.entries(), others),
-		"ownRequests", own.Requests, "ownRepeats", own.Repeats)
-	return false
+		"ownRequests", own.Requests, "ownRepeats", own.Repeats, "urgent", urgent)
+	return admission.Charge{}, false
 }
 
 // withTimeout returns a context that ends with the process or after d.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -57,7 +58,9 @@
 	lastCopy peers.Copy
 	head     *http.Response
 	began    bool
-	lostAt   time.Time
+	// unsent counts the attempts that did not reach their targets.
+	unsent int
+	lostAt time.Time
 	// firstAfter is how long the caller waited for the first event, longestPause for any
 	// later one, which came at wrote.
 	firstAfter, longestPause time.Duration
@@ -161,16 +164,23 @@
 // pick chooses the target of the next attempt: the one that holds a copy of the
 // memory of the last, while there is one, else the best for the whole prompt.
 func (s *stream) pick(action request.Action) request.Event {
-	if s.recovery.Attempts() > 0 && !s.gateway.spend(s.in.ID, s.service) {
-		return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
+	var charge admission.Charge
+	if int(s.recovery.Attempts()) > s.unsent {
+		var ok bool
+		if charge, ok = s.gateway.spend(s.in.ID, s.service, s.began); !ok {
+			return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
+		}
 	}
 	a := s.pickCopy()
 	if a == nil {
 		var err error
 		if a, err = s.place(s.ctx, s.need(action.Avoid)); err != nil {
+			c := s.gateway.control
+			c.post(func() { c.budget(s.service).Refund(charge) })
 			return request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
 		}
 	}
+	a.charge = charge
 	s.next = a
 	return request.Event{Type: request.EventPicked, Target: a.target.ID}
 }
@@ -272,6 +282,9 @@
 	if s.lostAt.IsZero() {
 		s.lostAt = time.Now()
 	}
+	if p.kind == fault.Unreachable {
+		s.unsent++
+	}
 	if p.kind == fault.TargetLost {
 		s.lastCopy = p.attempt.usableCopy()
 	}
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -200,6 +200,24 @@
 }
 
 // A caller may have lost its connection right after the last event.
+// A domain is lost; streams that find nobody there must not use up the budget that
+// those which broke off need.
+func TestTargetsOutOfReachCostNoRepeats(t *testing.T) {
+	s := newSite(t)
+	for id, zone := range map[string]string{"e1": "naxos", "e2": "naxos", "e3": "naxos"} {
+		s.engine(id, zone).Crash()
+	}
+	s.engine("e4", "paros")
+	g := s.entry("entry-1")
+	for range 4 {
+		a := report()
+		s.open(context.Background(), g, a).events(t, a.ID, 0)
+	}
+	repeats := 0
+	g.control.do(func() { repeats = g.control.budget("writer").Usage(time.Now()).Repeats })
+	assert.Equal(t, repeats, 0)
+}
+
 func TestCallerThatHasAllEventsGetsASignedEnd(t *testing.T) {
 	s := newSite(t)
 	s.engine("e1", "naxos")
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -241,19 +241,20 @@
 	assert.Equal(t, table.Get(id(0)).InFlight, 0)
 }
 
-func applications(slots int) *Table {
+// applications returns a table of three replicas with six slots each.
+func applications() *Table {
 	t := NewTable()
 	for i := range 3 {
 		t.Register(Registration{
 			Endpoint: request.Endpoint{ID: id(i), Address: fmt.Sprint(i)}, Service: "bookings",
-			FailureDomain: domain(i), Slots: slots, Incarnation: 1,
+			FailureDomain: domain(i), Slots: 6, Incarnation: 1,
 		})
 	}
 	return t
 }
 
 func TestCallsStayInTheDomainWhileItHasSlots(t *testing.T) {
-	table := applications(6)
+	table := applications()
 	need := Need{Service: "bookings", FailureDomain: "paros"}
 	for i := range 2 {
 		choice, err := table.Pick(start, need)
@@ -267,7 +268,7 @@
 }
 
 func TestFailingReplicaIsLeftAndTriedAgain(t *testing.T) {
-	table := applications(6)
+	table := applications()
 	need := Need{Service: "bookings", FailureDomain: "paros"}
 	for range 6 {
 		table.Answered(start, id(1), true, nil)
@@ -289,7 +290,7 @@
 // A replica takes connections and resets them, by turns; every request that is sent
 // there once more may be one that must not be repeated.
 func TestReplicaThatResetsConnectionsIsLeftByAllEntries(t *testing.T) {
-	one, other := applications(6), applications(6)
+	one, other := applications(), applications()
 	need := Need{Service: "bookings", FailureDomain: "paros"}
 	one.Broke(start, id(1))
 	other.SetPeer(start, "one", Word{Failing: one.Failing(start)})
@@ -299,7 +300,7 @@
 		assert.Assert(t, choice.Target.ID != id(1))
 	}
 	// All fail alike: none is better than the others.
-	for i := range 6 {
+	for i := range 3 {
 		one.Broke(start, id(i))
 	}
 	_, err := one.Pick(start, need)
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -27,6 +27,9 @@
 	// repickAfter is the pause before another target is asked for when there was
 	// none, or when attempts fail in a row without a token.
 	repickAfter = 25 * time.Millisecond
+	// repeatAfter is that pause while the budget of repeats has no room: it frees with
+	// time only.
+	repeatAfter = 100 * time.Millisecond
 	// secondAfter is that pause while an attempt runs that another is to join.
 	secondAfter = 250 * time.Millisecond
 	// promptRepicks is how many attempts in a row may fail without such a pause.
@@ -235,6 +238,10 @@
 		r.repickAt = now.Add(secondAfter)
 		return
 	}
+	if kind == fault.RetriesExhausted {
+		r.repickAt = now.Add(repeatAfter)
+		return
+	}
 	r.avoid = r.avoid[:0]
 	r.repickAt = now.Add(repickAfter)
 }
