One builder of instruments; gauges of what an entry believes; no scans for a registration

The gateway built its instruments beside process/metrics, with bounds of its own; age of the configuration, targets and budget were in logs only; and each registration walked all targets twice, so that reading a list of N was quadratic.

Change. process/meter makes instruments for both fronts (a package of its own, since process/metrics brings the links and QUIC into the program). Gauges: version and age of the configuration, targets known and down, entries heard, budget left; a histogram of the longest pause; a counter of adopted targets. placement.Table remembers the memory of each service and indexes targets by address.

Ruled out: leaving the gauges to the logs, which are bounded and may leave lines out.

Behaviour is unchanged by this commit.

Test: TestGaugesTellWhatAnEntryBelieves.

--- a/process/entry/gauges.go
+++ b/process/entry/gauges.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
+	"github.com/mulberrylane/mulberrylane/process/meter"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 )
 
 // gauges returns the figures that operators watch on an entry.
-func (e *Entry) gauges() []metrics.Gauge {
-	return append(metrics.LinkGauges(&e.links), []metrics.Gauge{
+func (e *Entry) gauges() []meter.Gauge {
+	return append(metrics.LinkGauges(&e.links), []meter.Gauge{
 		{Name: "mulberrylane.revision", Description: "Configuration revision in force", Read: func() int64 {
 			return int64(e.revisions.Current().Revision)
 		}},
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -246,6 +246,19 @@
 	return budget
 }
 
+// leastBudget returns how many repeats are left to the service that has fewest, or
+// zero while no service had a request.
+func (c *control) leastBudget(now time.Time) int64 {
+	least, found := 0.0, false
+	for service, budget := range c.budgets {
+		left := budget.Left(now, c.entries(), c.others(now, service))
+		if !found || left < least {
+			least, found = left, true
+		}
+	}
+	return int64(least)
+}
+
 // budgetShare is the part of the operators' bound on repeats that is used, since
 // callers' own counts and those of entries differ by what is under way.
 const budgetShare = 0.9
--- a/process/gateway/follow.go
+++ b/process/gateway/follow.go
@@ -287,9 +287,6 @@
 			"failureDomain", r.FailureDomain, "leaving", r.Leaving, "incarnation", r.Incarnation)
 	}
 	c.table.Register(r)
-	if table := c.gateway.table.Load(); table != nil {
-		c.setEngines(table)
-	}
 }
 
 // entryRecord is what an entry registers of itself.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -90,6 +90,9 @@
 	if err := g.ingress.listen(); err != nil {
 		return err
 	}
+	if err := g.metrics.observe(g); err != nil {
+		return err
+	}
 	conn, err := peers.Listen(g.settings.Peers)
 	if err != nil {
 		return errors.WithStack(err)
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -142,16 +142,17 @@
 func (s *site) startEntry(name string) *Gateway {
 	s.t.Helper()
 	any0 := "127.0.0.1:0"
-	m, err := newInstruments()
-	assert.NilError(s.t, err)
-	g := newGateway(Settings{
+	settings := Settings{
 		Name: name, FailureDomain: "naxos", Callers: any0, Health: any0, Metrics: any0, Peers: any0, Store: s.address,
 		Bounds: Bounds{
 			RevokeWithin: version.Duration(3 * time.Second), Grace: version.Duration(4 * time.Second),
 			AddressReuse: version.Duration(2 * time.Second),
 			RetryRatio:   0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
 		},
-	}, s.log, platform.NewStore(s.address), target.NewPool(), m)
+	}
+	m, err := newInstruments(settings)
+	assert.NilError(s.t, err)
+	g := newGateway(settings, s.log, platform.NewStore(s.address), target.NewPool(), m)
 	assert.NilError(s.t, g.Start(context.Background()))
 	s.t.Cleanup(func() {
 		if !g.leaving.Load() {
@@ -177,7 +178,7 @@
 // targets returns how many targets an entry knows.
 func (g *Gateway) targets() int {
 	n := 0
-	g.control.do(func() { n = len(g.control.table.IDs()) })
+	g.control.do(func() { n = g.control.table.Len() })
 	return n
 }
 
--- a/process/gateway/instruments.go
+++ b/process/gateway/instruments.go
@@ -5,71 +5,101 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
-)
 
-// latencyBounds are the bucket bounds of latencies, in seconds.
-var latencyBounds = []float64{.01, .025, .05, .1, .15, .25, .4, .7, 1, 1.5, 2.5, 4.5, 7, 12, 25}
+	"github.com/mulberrylane/mulberrylane/process/meter"
+)
 
 // instruments are the metrics of a gateway.
 type instruments struct {
-	registry *prometheus.Registry
+	builder  *meter.Builder
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
 	first    metric.Float64Histogram
 	latency  metric.Float64Histogram
 	resume   metric.Float64Histogram
+	pause    metric.Float64Histogram
 	calls    metric.Int64Counter
 	probes   metric.Int64Counter
 	lost     metric.Int64Counter
+	adopted  metric.Int64Counter
 	denied   metric.Int64Counter
 }
 
-func newInstruments() (*instruments, error) {
-	registry := prometheus.NewRegistry()
-	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+func newInstruments(s Settings) (*instruments, error) {
+	b, err := meter.New(s.Name)
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics")
+		return nil, err
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("github.com/mulberrylane/mulberrylane/process/gateway")
-	m := &instruments{registry: registry}
-	var problem error
-	counter := func(name, description string) metric.Int64Counter {
-		instrument, err := meter.Int64Counter(name, metric.WithDescription(description))
-		if err != nil && problem == nil {
-			problem = err
+	return &instruments{
+		builder:  b,
+		requests: b.Counter("mulberrylane.requests", "Requests ended, by kind of route and error kind"),
+		attempts: b.Counter("mulberrylane.target.attempts", "Attempts ended, by outcome"),
+		first:    b.Seconds("mulberrylane.first_event.latency", "Time from the arrival of a stream until its first event"),
+		latency:  b.Seconds("mulberrylane.call.latency", "Time from the arrival of a call until its answer"),
+		resume:   b.Seconds("mulberrylane.resume.latency", "Time from the loss of an attempt until the answer went on"),
+		pause:    b.Seconds("mulberrylane.longest_pause", "Longest pause between the events of a whole answer"),
+		calls:    b.Counter("mulberrylane.store.calls", "Calls to the store, by call and result"),
+		probes:   b.Counter("mulberrylane.probes", "Probes of targets"),
+		lost:     b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
+		adopted:  b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
+		denied:   b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
+	}, b.Err()
+}
+
+// observe adds the gauges of what an entry believes.
+func (m *instruments) observe(g *Gateway) error {
+	believed := func(read func(c *control, now time.Time) int64) func() int64 {
+		return func() int64 {
+			value := int64(0)
+			g.control.do(func() { value = read(g.control, time.Now()) })
+			return value
 		}
-		return instrument
 	}
-	seconds := func(name, description string) metric.Float64Histogram {
-		instrument, err := meter.Float64Histogram(name, metric.WithDescription(description),
-			metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...))
-		if err != nil && problem == nil {
-			problem = err
-		}
-		return instrument
+	for _, gauge := range []meter.Gauge{
+		{
+			Name: "mulberrylane.configuration.version", Description: "Version of the configuration in force, 0 before the first",
+			Read: func() int64 {
+				if table := g.table.Load(); table != nil {
+					return table.Version()
+				}
+				return 0
+			},
+		},
+		{
+			Name: "mulberrylane.configuration.age", Description: "Time since the configuration was known to be the newest, -1 before the first",
+			Unit: "ms", Read: func() int64 {
+				fresh := g.control.freshNow()
+				if !fresh.Known() {
+					return -1
+				}
+				return fresh.Age(suspendedClock()).Milliseconds()
+			},
+		},
+		{
+			Name: "mulberrylane.targets.known", Description: "Targets that are believed to exist",
+			Read: believed(func(c *control, _ time.Time) int64 { return int64(c.table.Len()) }),
+		},
+		{
+			Name: "mulberrylane.targets.down", Description: "Targets that are left alone after a loss",
+			Read: believed(func(c *control, now time.Time) int64 { return int64(c.table.CountDown(now)) }),
+		},
+		{
+			Name: "mulberrylane.entries.heard", Description: "Other entries that were heard lately",
+			Read: believed(func(c *control, _ time.Time) int64 { return int64(len(c.heard)) }),
+		},
+		{
+			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
+			Read: believed((*control).leastBudget),
+		},
+	} {
+		m.builder.Gauge(gauge)
 	}
-	m.requests = counter("mulberrylane.requests", "Requests ended, by kind of route and error kind")
-	m.attempts = counter("mulberrylane.target.attempts", "Attempts ended, by outcome")
-	m.first = seconds("mulberrylane.first_event.latency", "Time from the arrival of a stream until its first event")
-	m.latency = seconds("mulberrylane.call.latency", "Time from the arrival of a call until its answer")
-	m.resume = seconds("mulberrylane.resume.latency", "Time from the loss of an attempt until the answer went on")
-	m.calls = counter("mulberrylane.store.calls", "Calls to the store, by call and result")
-	m.probes = counter("mulberrylane.probes", "Probes of targets")
-	m.lost = counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection")
-	m.denied = counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow")
-	return m, errors.Wrap(problem, "metrics")
+	return m.builder.Err()
 }
 
-func (m *instruments) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
+func (m *instruments) handler() http.Handler { return m.builder.Handler() }
 
 func (m *instruments) storeCall(call string, err error) {
 	result := "ok"
--- a/process/gateway/log_test.go
+++ b/process/gateway/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -42,3 +43,22 @@
 		assert.Assert(t, !strings.Contains(text, secret), "%s is logged", secret)
 	}
 }
+
+// Operators see what an entry believes without reading its log.
+func TestGaugesTellWhatAnEntryBelieves(t *testing.T) {
+	s := newSite(t)
+	s.application("a1", "naxos")
+	g := s.entry("entry-1")
+	assert.Equal(t, s.send(g, booking()).status, http.StatusOK)
+	response, err := http.Get("http://" + g.ingress.metrics.Addr().String() + "/metrics")
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	for gauge, value := range map[string]string{
+		"configuration_version": "1", "targets_known": "1", "targets_down": "0", "entries_heard": "0", "budget_left": "135",
+	} {
+		assert.Assert(t, strings.Contains(string(body), "\nmulberrylane_"+gauge+" "+value+"\n"), "%s in %s", gauge, body)
+	}
+	assert.Assert(t, strings.Contains(string(body), "\nmulberrylane_configuration_age_milliseconds "))
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -389,6 +389,7 @@
 	events := s.recovery.Answer().Len()
 	switch {
 	case s.kind == fault.None:
+		record(s.gateway.metrics.pause, s.longestPause)
 		// A caller that had all events gets an answer without any.
 		s.begin()
 		s.exchange.ended(fault.None, attempts, "events", events,
--- a/process/gateway/succession.go
+++ b/process/gateway/succession.go
@@ -79,10 +79,8 @@
 	next.ID, next.Incarnation = s.ID, max(s.Incarnation, old.Incarnation+1)
 	c.registry.Adopt(s.ID)
 	c.table.Register(next)
-	if table := c.gateway.table.Load(); table != nil {
-		c.setEngines(table)
-	}
 	c.successors[s] = time.Now()
+	c.gateway.metrics.adopted.Add(c.gateway.background, 1)
 	c.tell = true
 	c.gateway.log.Event("target_adopted", "target", s.ID, "after", s.Old, "address", next.Address,
 		"incarnation", next.Incarnation, "configurationAge", c.gateway.configurationAge())
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -8,28 +8,17 @@
 	"runtime"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/meter"
 )
 
-// meterName names the meter of all instruments.
-const meterName = "github.com/mulberrylane/mulberrylane"
-
-// latencyBounds are the bucket bounds of latencies, in seconds.
-var latencyBounds = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1, 1.5, 2, 3, 5, 10, 30}
-
 // Metrics holds the instruments of one process. A nil Metrics counts nothing.
 type Metrics struct {
-	registry *prometheus.Registry
-	provider *sdk.MeterProvider
+	builder *meter.Builder
 
 	resumeLatency metric.Float64Histogram
 	firstToken    metric.Float64Histogram
@@ -42,29 +31,23 @@
 
 // New returns the instruments of the named process.
 func New(process string) (*Metrics, error) {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	b, err := meter.New(process)
 	if err != nil {
-		return nil, errors.Wrap(err, "exporter")
+		return nil, err
 	}
-	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
-	m := &Metrics{registry: registry, provider: provider}
-	meter := provider.Meter(meterName, metric.WithInstrumentationAttributes(attribute.String("process", process)))
-	return m, m.instruments(meter)
-}
-
-func (m *Metrics) instruments(meter metric.Meter) error {
-	b := builder{meter: meter}
-	m.resumeLatency = b.seconds("mulberrylane.resume.latency", "Time from the loss of an attempt until the answer went on")
-	m.firstToken = b.seconds("mulberrylane.first_token.latency", "Time from the arrival of a request until its first token")
-	m.attempts = b.counter("mulberrylane.attempts", "Attempts started, by reason")
-	m.extraTokens = b.counter("mulberrylane.extra.prompt_tokens", "Prompt and answer tokens sent again to an engine by resumes and hedges")
-	m.tokens = b.counter("mulberrylane.tokens", "Tokens delivered to callers")
-	m.refusals = b.counter("mulberrylane.refusals", "Requests refused or failed, by error kind")
-	m.outcomes = b.counter("mulberrylane.outcomes", "Requests ended, by whether they were run")
-	b.gauge("mulberrylane.memory", "Memory obtained from the system", "By", heldMemory)
-	return b.err
+	b.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m := &Metrics{
+		builder:       b,
+		resumeLatency: b.Seconds("mulberrylane.resume.latency", "Time from the loss of an attempt until the answer went on"),
+		firstToken:    b.Seconds("mulberrylane.first_token.latency", "Time from the arrival of a request until its first token"),
+		attempts:      b.Counter("mulberrylane.attempts", "Attempts started, by reason"),
+		extraTokens:   b.Counter("mulberrylane.extra.prompt_tokens", "Prompt and answer tokens sent again to an engine by resumes and hedges"),
+		tokens:        b.Counter("mulberrylane.tokens", "Tokens delivered to callers"),
+		refusals:      b.Counter("mulberrylane.refusals", "Requests refused or failed, by error kind"),
+		outcomes:      b.Counter("mulberrylane.outcomes", "Requests ended, by whether they were run"),
+	}
+	b.Gauge(meter.Gauge{Name: "mulberrylane.memory", Description: "Memory obtained from the system", Unit: "By", Read: heldMemory})
+	return m, b.Err()
 }
 
 // heldMemory returns the bytes that the process holds.
@@ -74,62 +57,19 @@
 	return int64(stats.Sys - stats.HeapReleased)
 }
 
-// builder makes instruments and keeps the first error.
-type builder struct {
-	meter metric.Meter
-	err   error
-}
-
-func (b *builder) note(err error) {
-	if b.err == nil && err != nil {
-		b.err = errors.Wrap(err, "instrument")
-	}
-}
-
-func (b *builder) seconds(name, description string) metric.Float64Histogram {
-	instrument, err := b.meter.Float64Histogram(name, metric.WithDescription(description),
-		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBounds...))
-	b.note(err)
-	return instrument
-}
-
-func (b *builder) counter(name, description string) metric.Int64Counter {
-	instrument, err := b.meter.Int64Counter(name, metric.WithDescription(description))
-	b.note(err)
-	return instrument
-}
-
-func (b *builder) gauge(name, description, unit string, read func() int64) {
-	_, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(read())
-			return nil
-		}))
-	b.note(err)
-}
-
-// Gauge is a figure that is read at each collection.
-type Gauge struct {
-	Name, Description string
-	Read              func() int64
-}
-
 // Gauges adds gauges.
-func (m *Metrics) Gauges(gauges ...Gauge) error {
+func (m *Metrics) Gauges(gauges ...meter.Gauge) error {
 	if m == nil {
 		return nil
 	}
-	b := builder{meter: m.provider.Meter(meterName)}
 	for _, gauge := range gauges {
-		b.gauge(gauge.Name, gauge.Description, "", gauge.Read)
+		m.builder.Gauge(gauge)
 	}
-	return b.err
+	return m.builder.Err()
 }
 
 // Handler serves the metrics in the Prometheus text format.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
+func (m *Metrics) Handler() http.Handler { return m.builder.Handler() }
 
 // Reason is why an attempt was started.
 type Reason string
--- a/process/metrics/metrics_test.go
+++ b/process/metrics/metrics_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/meter"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 )
 
@@ -19,7 +20,7 @@
 	m.Attempt(metrics.ReasonResume, 120)
 	m.Resumed(300 * time.Millisecond)
 	m.Ended(60, fault.Overloaded, "no")
-	assert.NilError(t, m.Gauges(metrics.Gauge{Name: "mulberrylane.revision", Description: "Revision in force", Read: func() int64 { return 7 }}))
+	assert.NilError(t, m.Gauges(meter.Gauge{Name: "mulberrylane.revision", Description: "Revision in force", Read: func() int64 { return 7 }}))
 	recorder := httptest.NewRecorder()
 	m.Handler().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
 	text, err := io.ReadAll(recorder.Body)
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -5,6 +5,7 @@
 import (
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/process/meter"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 	"github.com/mulberrylane/mulberrylane/process/operator"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
@@ -40,7 +41,7 @@
 func (o *Observer) Record(event timeline.Event) timeline.Stamp { return o.Timeline.Record(event) }
 
 // Gauges adds gauges to the metrics. It must be called before the process starts.
-func (o *Observer) Gauges(gauges ...metrics.Gauge) {
+func (o *Observer) Gauges(gauges ...meter.Gauge) {
 	if err := o.Metrics.Gauges(gauges...); err != nil {
 		klog.ErrorS(err, "gauges not available")
 	}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -128,6 +128,11 @@
 	targets map[request.TargetID]*Target
 	// services lists the targets of each service, ordered by id.
 	services map[string][]*Target
+	// addresses lists the targets that registered each address: lives of one target, of
+	// which all but the last have yet to lapse.
+	addresses map[string][]*Target
+	// memories holds the memory, in tokens, of the engines of each service that has them.
+	memories map[string]int
 	peers    map[string]peerWord
 	rate     float64
 }
@@ -135,17 +140,18 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		targets:  map[request.TargetID]*Target{},
-		services: map[string][]*Target{},
-		peers:    map[string]peerWord{},
-		rate:     promptRate,
+		targets:   map[request.TargetID]*Target{},
+		services:  map[string][]*Target{},
+		addresses: map[string][]*Target{},
+		memories:  map[string]int{},
+		peers:     map[string]peerWord{},
+		rate:      promptRate,
 	}
 }
 
 // Register adds a target or takes up what changed of it. A new incarnation starts
 // without the losses of the one before.
 func (t *Table) Register(r Registration) *Target {
-	t.supersede(r)
 	target, ok := t.targets[r.ID]
 	if ok && target.Service != r.Service {
 		t.Remove(r.ID)
@@ -159,29 +165,51 @@
 			return compareIDs(a.ID, id)
 		})
 		t.services[r.Service] = slices.Insert(list, at, target)
+		target.memory, target.engine = t.memory(r.Service)
+		t.occupy(target)
 		return target
 	}
-	if r.Incarnation != target.Incarnation || r.Endpoint != target.Endpoint {
+	moved := r.Endpoint != target.Endpoint
+	if r.Incarnation != target.Incarnation || moved {
 		target.downUntil, target.hinted = time.Time{}, time.Time{}
 		target.losses, target.gone, target.failures = 0, false, failures{}
 	}
+	if moved {
+		t.leave(target)
+	}
 	target.Registration = r
+	if moved {
+		t.occupy(target)
+	}
 	return target
 }
 
-// supersede marks targets as gone whose address another one registers: the target
-// there started anew, and the registration of its life before has yet to lapse.
-func (t *Table) supersede(r Registration) {
-	if known, ok := t.targets[r.ID]; ok && known.Endpoint == r.Endpoint {
-		return
-	}
-	for _, list := range t.services {
-		for _, other := range list {
-			if other.Address == r.Address && other.ID != r.ID && other.Incarnation <= r.Incarnation {
-				other.gone = true
-			}
+// memory returns the memory of the engines of a service, if it has engines.
+func (t *Table) memory(service string) (int, bool) {
+	memory, ok := t.memories[service]
+	return memory, ok
+}
+
+// occupy notes a target at its address. Those that registered the address before are
+// gone: the target there started anew, and the registration of its life before has
+// yet to lapse.
+func (t *Table) occupy(target *Target) {
+	for _, other := range t.addresses[target.Address] {
+		if other.Incarnation <= target.Incarnation {
+			other.gone = true
 		}
 	}
+	t.addresses[target.Address] = append(t.addresses[target.Address], target)
+}
+
+// leave takes a target off its address.
+func (t *Table) leave(target *Target) {
+	others := slices.DeleteFunc(t.addresses[target.Address], func(other *Target) bool { return other == target })
+	if len(others) == 0 {
+		delete(t.addresses, target.Address)
+		return
+	}
+	t.addresses[target.Address] = others
 }
 
 func compareIDs(a, b request.TargetID) int {
@@ -202,6 +230,7 @@
 		return
 	}
 	delete(t.targets, id)
+	t.leave(target)
 	t.services[target.Service] = slices.DeleteFunc(t.services[target.Service], func(other *Target) bool {
 		return other == target
 	})
@@ -210,13 +239,18 @@
 // Get returns a target, or nil.
 func (t *Table) Get(id request.TargetID) *Target { return t.targets[id] }
 
-// IDs returns the ids of all targets, in no order.
-func (t *Table) IDs() []request.TargetID {
-	ids := make([]request.TargetID, 0, len(t.targets))
-	for id := range t.targets {
-		ids = append(ids, id)
+// Len returns how many targets there are.
+func (t *Table) Len() int { return len(t.targets) }
+
+// CountDown returns how many targets are left alone after a loss.
+func (t *Table) CountDown(now time.Time) int {
+	down := 0
+	for _, target := range t.targets {
+		if target.Down(now) {
+			down++
+		}
 	}
-	return ids
+	return down
 }
 
 // Service returns the targets of a service. The caller must not change the list.
@@ -239,9 +273,13 @@
 // SetEngine tells the memory, in tokens, of the engines of a service; zero means
 // that the service has no engines.
 func (t *Table) SetEngine(service string, memory int) {
+	if memory > 0 {
+		t.memories[service] = memory
+	} else {
+		delete(t.memories, service)
+	}
 	for _, target := range t.services[service] {
-		target.engine = memory > 0
-		target.memory = memory
+		target.memory, target.engine = t.memory(service)
 	}
 }
 
