Files of the gateway by what they hold: attempts of streams, what entries tell

Functions and constants moved as they are; no behaviour changes.

Ruled out: packages of their own, since both work on the control state.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -22,16 +22,10 @@
 	checkEvery = 50 * time.Millisecond
 	// idleEvery is that period while none do.
 	idleEvery = 250 * time.Millisecond
-	// tellEvery is how often other entries are told again what did not change.
-	tellEvery = 500 * time.Millisecond
-	// tellAfter is how long changes are gathered before other entries are told.
-	tellAfter = 5 * time.Millisecond
 	// pauseAfter is how late a check comes when the process itself stood still.
 	pauseAfter = 250 * time.Millisecond
 	// commandBuffer is how many commands may wait for the control goroutine.
 	commandBuffer = 256
-	// peerGone is how long another entry counts after its last word.
-	peerGone = 4 * time.Second
 )
 
 // watch is what is known of the signs of life of one target.
@@ -273,68 +267,6 @@
 	c.fresh.Store(&next)
 }
 
-func (c *control) tellPeers() {
-	c.tell = false
-	now := time.Now()
-	c.told = now
-	message := peers.Message{
-		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number,
-		Work: map[request.TargetID][3]int{}, Copies: c.heldCopies(now), Usage: map[string][2]int{},
-		Ready: c.gateway.ready(), LinkMbps: c.gateway.settings.LinkMbps,
-	}
-	for service, budget := range c.budgets {
-		usage := budget.Usage(now)
-		message.Usage[service] = [2]int{usage.Requests, usage.Repeats}
-	}
-	message.Lost = latest(now, c.dead)
-	message.Replaced = latest(now, c.replaced)
-	message.SetFailing(c.table.Failing(now))
-	message.Located = latest(now, c.located)
-	message.Successors = latest(now, c.successors)
-	c.number++
-	for id, work := range c.table.Own() {
-		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
-	}
-	if len(c.peers) <= 1 {
-		return
-	}
-	addresses := make([]string, 0, len(c.peers))
-	for name, address := range c.peers {
-		if name != c.gateway.settings.Name {
-			addresses = append(addresses, address)
-		}
-	}
-	bytes, err := c.gateway.peers.Send(c.outbox.Compose(now, message), addresses)
-	if err != nil {
-		c.gateway.log.Event("peers_not_told", "error", err.Error())
-	}
-	c.outbox.Sent(now, bytes, len(addresses), c.slowestLink())
-}
-
-// slowestLink returns the least bandwidth of the entries' links, as far as is known.
-func (c *control) slowestLink() float64 {
-	slowest := c.gateway.settings.LinkMbps
-	for _, message := range c.theirs {
-		if link := message.LinkMbps; link > 0 && (slowest <= 0 || link < slowest) {
-			slowest = link
-		}
-	}
-	return slowest
-}
-
-// latest returns what is worth telling others still, and forgets the rest.
-func latest[K comparable](now time.Time, found map[K]time.Time) []K {
-	var keys []K
-	for key, at := range found {
-		if now.Sub(at) > tellEvery {
-			delete(found, key)
-			continue
-		}
-		keys = append(keys, key)
-	}
-	return keys
-}
-
 // replace notes that another target answers at the address of this one. While the
 // store is away that is the only word of it.
 func (c *control) replace(id request.TargetID) {
@@ -346,93 +278,6 @@
 	c.gateway.log.Event("target_replaced", "target", id)
 }
 
-// receivePeers takes up what other entries say.
-func (g *Gateway) receivePeers() {
-	for g.background.Err() == nil {
-		message, err := g.peers.Receive()
-		if err != nil {
-			if g.background.Err() == nil {
-				g.log.Event("peers_lost", "error", err.Error())
-				time.Sleep(checkEvery)
-			}
-			continue
-		}
-		g.control.post(func() { g.control.hear(message) })
-	}
-}
-
-func (c *control) hear(message peers.Message) {
-	now := time.Now()
-	if _, ok := c.heard[message.Entry]; !ok {
-		c.outbox.Renew()
-		c.tell = true
-	}
-	c.heard[message.Entry] = now
-	message = peers.Merge(c.theirs[message.Entry], message)
-	c.table.SetPeer(now, message.Entry, message.Word())
-	c.theirs[message.Entry] = message
-	for _, id := range message.Lost {
-		c.hint(now, id)
-	}
-	for _, id := range message.Replaced {
-		c.table.Replaced(id)
-	}
-	for _, found := range message.Located {
-		c.prompts.Note(now, found.Session, found.Place)
-	}
-	if !c.registry.IsAway() {
-		return
-	}
-	for _, s := range message.Successors {
-		c.adopt(s)
-	}
-}
-
-// hint takes up that another entry found a target dead, unless it gave this one a
-// sign of life since.
-func (c *control) hint(now time.Time, id request.TargetID) {
-	t := c.table.Get(id)
-	if t == nil || t.Down(now) {
-		return
-	}
-	w, watched := c.watches[id]
-	if watched && len(w.attempts) > 0 {
-		c.probe(w)
-		return
-	}
-	c.table.Hinted(now, id)
-	c.copyLost(id)
-	c.gateway.pool.Drop(t.Address)
-}
-
-// others returns what the other entries use of a service's budget, or nil when not
-// all of them were heard lately.
-func (c *control) others(now time.Time, service string) []admission.Usage {
-	usages := []admission.Usage{}
-	for name := range c.peers {
-		if name == c.gateway.settings.Name {
-			continue
-		}
-		at, heard := c.heard[name]
-		if !heard || now.Sub(at) > 2*tellEvery {
-			return nil
-		}
-		usage := c.theirs[name].Usage[service]
-		usages = append(usages, admission.Usage{Requests: usage[0], Repeats: usage[1]})
-	}
-	return usages
-}
-
-// otherReady says whether another entry takes requests, as far as is known.
-func (c *control) otherReady() bool {
-	for name, message := range c.theirs {
-		if _, heard := c.heard[name]; heard && message.Ready {
-			return true
-		}
-	}
-	return false
-}
-
 // spend takes a repeat for a service from the budget, or says that none is left.
 // Urgent repeats are those of answers that their callers are reading.
 func (g *Gateway) spend(id request.ID, service string, urgent bool) (admission.Charge, bool) {
