--- a/command/explain.go
+++ b/command/explain.go
@@ -227,6 +227,9 @@
 	default:
 		cause = "answered whole, " + l.values["events"] + " events"
 	}
+	if l.values["firstAfter"] != "" {
+		cause += fmt.Sprintf(", the first after %s, the longest pause %s", l.values["firstAfter"], l.values["longestPause"])
+	}
 	if l.values["error"] != "" {
 		cause += ": " + l.values["error"]
 	}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -49,3 +49,15 @@
 	assert.NilError(t, explainRequest(&out, "r1", lines))
 	assert.Assert(t, strings.Contains(out.String(), "cause: the entry entry-1 was lost with the request"), out.String())
 }
+
+// A caller complains of an answer that came whole but stood still.
+func TestExplainTellsHowLongAnAnswerStoodStill(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(`x entry-1 I0817 06:40:31.150745 2 c.go:5] "accepted" request="r1" route="x"
+x entry-1 I0817 06:40:33.000000 2 c.go:5] "budget_denied" request="r1" left=0
+x entry-1 I0817 06:40:34.000000 2 c.go:5] "ended" request="r1" outcome="none" attempts=2 events=120 firstAfter="1.2s" longestPause="1.15s"
+`))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explainRequest(&out, "r1", lines))
+	assert.Assert(t, strings.Contains(out.String(), "120 events, the first after 1.2s, the longest pause 1.15s; before that"), out.String())
+}
