Failed look-ups of a target's next life are logged with their cause

Reading the change once more: the error of an unreadable report was dropped when reading it became a step of its own, and a look-up that failed while the store was away left no line.

Both are logged with the error (report_unreadable, target_not_identified). What is decided stays as it is.

--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -200,7 +200,7 @@
 	}
 	born, err := g.readReport(ctx, address, idle)
 	if errors.Is(err, errNoReport) {
-		g.log.Event("report_unreadable", "address", address)
+		g.log.Event("report_unreadable", "address", address, "error", err.Error())
 		return 0, nil
 	}
 	return born, err
@@ -220,7 +220,7 @@
 	}
 	born, err := platform.DecodeReport(body)
 	if err != nil {
-		return 0, errors.WithStack(errNoReport)
+		return 0, errors.WithMessage(errNoReport, err.Error())
 	}
 	return born, nil
 }
--- a/process/gateway/succession.go
+++ b/process/gateway/succession.go
@@ -60,7 +60,9 @@
 			c.post(func() {
 				w.seeking = false
 				switch {
-				case err != nil || id == "" || born == known && id == w.id:
+				case err != nil:
+					c.gateway.log.Event("target_not_identified", "target", w.id, "error", err.Error())
+				case id == "" || born == known && id == w.id:
 				case c.succeeds(time.Now(), w):
 					c.adopt(peers.Successor{Old: w.id, ID: id, Incarnation: born})
 				}
