Entries tell each other of placed prompts at once

A message of 100 bytes that names the engine alone now goes at once, over a share of the link of its own.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -113,6 +113,7 @@
 			c.table.Copies(copyTo.ID, a.need.Memory)
 		}
 		c.tell = true
+		c.placed = append(c.placed, t.ID)
 	}
 	c.begin(a)
 }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -92,6 +92,8 @@
 	boot   int64
 	told   time.Time
 	tell   bool
+	// placed lists the engines that were given prompts by the last command.
+	placed []request.TargetID
 
 	// fresh is read by requests; it is guarded by being replaced whole.
 	fresh atomic.Pointer[freshness.Freshness]
@@ -154,6 +156,7 @@
 			c.check(time.Now())
 			timer.Reset(c.period())
 		}
+		c.tellPlaced()
 		if c.tell && telling == nil {
 			telling = time.After(max(tellAfter, c.outbox.Wait(time.Now())))
 		}
--- a/process/gateway/telling.go
+++ b/process/gateway/telling.go
@@ -39,20 +39,49 @@
 	for id, work := range c.table.Own() {
 		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
 	}
-	if len(c.peers) <= 1 {
+	if len(c.peers) > 1 {
+		c.send(now, c.outbox.Compose(now, message))
+	}
+}
+
+// tellPlaced tells other entries at once which engines were given prompts: until they
+// know, those engines look idle to them.
+func (c *control) tellPlaced() {
+	if len(c.placed) == 0 {
+		return
+	}
+	now := time.Now()
+	message := peers.Message{
+		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number, Brief: true,
+		Work: make(map[request.TargetID][3]int, len(c.placed)),
+	}
+	for _, id := range c.placed {
+		if t := c.table.Get(id); t != nil {
+			work := t.Own()
+			message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+		}
+	}
+	c.placed = c.placed[:0]
+	if len(c.peers) <= 1 || !c.outbox.Brief(now) {
 		return
 	}
+	c.number++
+	c.send(now, message)
+}
+
+// send sends a message to all other entries.
+func (c *control) send(now time.Time, message peers.Message) {
 	addresses := make([]string, 0, len(c.peers))
 	for name, address := range c.peers {
 		if name != c.gateway.settings.Name {
 			addresses = append(addresses, address)
 		}
 	}
-	bytes, err := c.gateway.peers.Send(c.outbox.Compose(now, message), addresses)
+	bytes, err := c.gateway.peers.Send(message, addresses)
 	if err != nil {
 		c.gateway.log.Event("peers_not_told", "error", err.Error())
 	}
-	c.outbox.Sent(now, bytes, len(addresses), c.slowestLink())
+	c.outbox.Sent(now, message, bytes, len(addresses), c.slowestLink())
 }
 
 // slowestLink returns the least bandwidth of the entries' links, as far as is known.
@@ -96,14 +125,19 @@
 
 func (c *control) hear(message peers.Message) {
 	now := time.Now()
-	if _, ok := c.heard[message.Entry]; !ok {
+	_, known := c.heard[message.Entry]
+	if message.Brief {
+		if known && c.theirs[message.Entry].Boot == message.Boot {
+			c.takeWork(now, message)
+		}
+		return
+	}
+	if !known {
 		c.outbox.Renew()
 		c.tell = true
 	}
 	c.heard[message.Entry] = now
-	message = peers.Merge(c.theirs[message.Entry], message)
-	c.table.SetPeer(now, message.Entry, message.Word())
-	c.theirs[message.Entry] = message
+	c.takeWork(now, message)
 	for _, id := range message.Lost {
 		c.hint(now, id)
 	}
@@ -121,6 +155,13 @@
 	}
 }
 
+// takeWork takes up what another entry has at the targets.
+func (c *control) takeWork(now time.Time, message peers.Message) {
+	all := peers.Merge(c.theirs[message.Entry], message)
+	c.table.SetPeer(now, message.Entry, all.Word())
+	c.theirs[message.Entry] = all
+}
+
 // hint takes up that another entry found a target dead, unless it gave this one a
 // sign of life since.
 func (c *control) hint(now time.Time, id request.TargetID) {
--- a/process/peers/outbox.go
+++ b/process/peers/outbox.go
@@ -15,6 +15,10 @@
 	// linkShare is the part of an entry's link that the words of all others may take. A
 	// loss changes the work of all entries at once, just when streams have to go on.
 	linkShare = 0.1
+	// briefShare is the part besides that messages of placed prompts may take, and
+	// briefAhead how far ahead of it they may go: they are a hundred bytes each.
+	briefShare = 0.05
+	briefAhead = 100 * time.Millisecond
 )
 
 // change is the last value of an entry of the state and when it came to be.
@@ -32,20 +36,55 @@
 type Outbox struct {
 	work   map[request.TargetID]change[[3]int]
 	copies map[string]change[Copy]
-	// whole is when the whole state was last told, next when the next message may go.
-	whole, next time.Time
+	// whole is when the whole state was last told.
+	whole time.Time
+	// rest and brief pace the messages of all changes and those of placed prompts.
+	rest, brief pace
+}
+
+// pace spreads messages over the part of a link that they may take.
+type pace struct {
+	share float64
+	// next is when all that was sent has its part of the link.
+	next time.Time
+}
+
+func (p *pace) wait(now time.Time) time.Duration { return max(0, p.next.Sub(now)) }
+
+// sent notes that so many bits went over a link of linkMbps; zero means that it is
+// not known.
+func (p *pace) sent(now time.Time, bits, linkMbps float64) {
+	if linkMbps <= 0 {
+		return
+	}
+	const bitsPerMegabit = 1e6
+	if p.next.Before(now) {
+		p.next = now
+	}
+	p.next = p.next.Add(time.Duration(bits / (p.share * linkMbps * bitsPerMegabit) * float64(time.Second)))
 }
 
 // NewOutbox returns an outbox that has told nothing.
 func NewOutbox() *Outbox {
-	return &Outbox{work: map[request.TargetID]change[[3]int]{}, copies: map[string]change[Copy]{}}
+	return &Outbox{
+		work: map[request.TargetID]change[[3]int]{}, copies: map[string]change[Copy]{},
+		rest: pace{share: linkShare}, brief: pace{share: briefShare},
+	}
 }
 
 // Renew makes the next message tell the whole state: there is a new reader.
 func (o *Outbox) Renew() { o.whole = time.Time{} }
 
-// Wait returns how long the next message has to wait for room on the links.
-func (o *Outbox) Wait(now time.Time) time.Duration { return max(0, o.next.Sub(now)) }
+// Wait returns how long the next message of all changes has to wait for room on the
+// links.
+func (o *Outbox) Wait(now time.Time) time.Duration { return o.rest.wait(now) }
+
+// Brief says whether a message that tells of placed prompts alone may go now.
+//
+// The load pattern that it answers: many entries place long prompts within the
+// hundred milliseconds that a message of all changes waits for room on a slow link.
+// Each takes a target that seems idle, and one prompt is read behind the other.
+func (o *Outbox) Brief(now time.Time) bool { return o.brief.wait(now) < briefAhead }
 
 // Compose makes the message to send of one that holds the whole state.
 func (o *Outbox) Compose(now time.Time, m Message) Message {
@@ -84,22 +123,26 @@
 	return changed
 }
 
-// Sent notes that a message of so many bytes went to so many entries, the slowest of
-// which has a link of linkMbps; zero means that it is not known.
-func (o *Outbox) Sent(now time.Time, bytes, entries int, linkMbps float64) {
-	if linkMbps <= 0 {
-		return
+// Sent notes that m went to so many entries, in so many bytes each; the slowest of
+// them has a link of linkMbps, zero if that is not known.
+func (o *Outbox) Sent(now time.Time, m Message, bytes, entries int, linkMbps float64) {
+	lane := &o.rest
+	if m.Brief {
+		lane = &o.brief
 	}
-	const bitsPerMegabit = 1e6
-	bits := float64(8 * bytes * entries)
-	o.next = now.Add(time.Duration(bits / (linkShare * linkMbps * bitsPerMegabit) * float64(time.Second)))
+	lane.sent(now, float64(8*bytes*entries), linkMbps)
 }
 
-// Merge returns what a sender has after a message, given what it had before it.
+// Merge returns what a sender has after a message, given what it had before it. A
+// brief message must be of the same life of the sender as what it had before.
 func Merge(before, m Message) Message {
 	if m.Whole {
 		return m
 	}
+	if m.Brief {
+		before.Work = merged(before.Work, m.Work)
+		return before
+	}
 	if before.Boot != m.Boot {
 		before = Message{}
 	}
--- a/process/peers/outbox_test.go
+++ b/process/peers/outbox_test.go
@@ -93,12 +93,45 @@
 			if outbox.Wait(now) > 0 {
 				continue
 			}
-			data, err := cbor.Marshal(outbox.Compose(now, s.message()))
+			m := outbox.Compose(now, s.message())
+			data, err := cbor.Marshal(m)
 			assert.NilError(t, err)
-			outbox.Sent(now, len(data)+datagramOverhead, entries-1, slowest)
+			outbox.Sent(now, m, len(data)+datagramOverhead, entries-1, slowest)
 			total += 8 * (len(data) + datagramOverhead)
 		}
 	}
 	// Each sender may be one message ahead.
 	assert.Assert(t, float64(total) < 1.5*linkShare*slowest*1e6, "%d bits", total)
 }
+
+func TestBriefMessageChangesNothingButTheWorkItNames(t *testing.T) {
+	before := Message{
+		Entry: "entry", Boot: 1, Number: 3, Ready: true, LinkMbps: 10, Usage: map[string][2]int{"writer": {5, 1}},
+		Work:   map[request.TargetID][3]int{"e1": {0, 1, 8000}, "e2": {0, 2, 9000}},
+		Copies: map[string]Copy{"s": {Run: "r", Target: "e3"}},
+	}
+	after := Merge(before, Message{
+		Entry: "entry", Boot: 1, Number: 4, Brief: true, Work: map[request.TargetID][3]int{"e2": {7000, 2, 16000}},
+	})
+	want := before
+	want.Work = map[request.TargetID][3]int{"e1": {0, 1, 8000}, "e2": {7000, 2, 16000}}
+	assert.DeepEqual(t, after, want)
+	assert.DeepEqual(t, before.Work["e2"], [3]int{0, 2, 9000})
+}
+
+// Brief messages go ahead of the share of the link, but not without end.
+func TestBriefMessagesTakeTheirShareOfTheLink(t *testing.T) {
+	const bytes, entries, linkMbps = 110, 25, 10
+	outbox, now := NewOutbox(), start
+	sent := 0
+	for range 1000 {
+		if outbox.Brief(now) {
+			outbox.Sent(now, Message{Brief: true}, bytes, entries, linkMbps)
+			sent++
+		}
+		now = now.Add(time.Millisecond)
+	}
+	bits := float64(8 * sent * bytes * entries)
+	assert.Assert(t, bits <= linkMbps*1e6*briefShare*(1+2*briefAhead.Seconds()), "%d messages", sent)
+	assert.Assert(t, sent > 15)
+}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -1,7 +1,8 @@
 // Package peers carries what entries tell each other of their work at the targets:
 // one datagram with what changed lately after each change, and with the whole of it
-// now and then. A lost one is made good by those that follow. The word of another entry only steers the
-// choice of targets, so an entry that hears nothing goes on alone.
+// now and then. A prompt that was placed is told at once, in a datagram of its own. A
+// lost one is made good by those that follow. The word of another entry only steers
+// the choice of targets, so an entry that hears nothing goes on alone.
 //
 // Datagrams rather than links: a snapshot needs no order and no repeat, and a
 // handshake with each of many entries would cost a starting process more than all
@@ -27,6 +28,9 @@
 type Message struct {
 	// Whole says that Work and Copies hold all there is, and not only what changed.
 	Whole bool `cbor:"13,keyasint,omitempty"`
+	// Brief says that the message holds some of Work alone, and that all else is as the
+	// sender told before.
+	Brief bool `cbor:"15,keyasint,omitempty"`
 	// LinkMbps is the bandwidth of the sender's link; zero means that it is not known.
 	LinkMbps float64 `cbor:"14,keyasint,omitempty"`
 	// Entry is the name of the sender, Boot tells its lives apart and Number counts
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -291,6 +291,9 @@
 // RemovePeer forgets another entry.
 func (t *Table) RemovePeer(peer string) { delete(t.peers, peer) }
 
+// Own returns this entry's work at the target.
+func (t *Target) Own() Work { return t.own }
+
 // Own returns this entry's work at all targets where it has any.
 func (t *Table) Own() map[request.TargetID]Work {
 	own := map[request.TargetID]Work{}
