A prompt is not read beside running answers while engines are idle

Cause: a running answer cost a new prompt 400 tokens, and targets within 600 count as alike, so that prompts went to engines with an answer under way though others were idle. Each such prompt holds that answer up for some 0.8 s; answers took 38 ms for an event where an engine alone needs 31, and longer answers are cut more often.

Now 3,000 tokens. The cost of engines that fail has a constant of its own and stays as it was.

--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -131,7 +131,7 @@
 		cost += fullTokens
 	}
 	cost -= float64(need.readAt(target))
-	return cost + failureCost*decodeTokens*t.failing(now, target)
+	return cost + failureTokens*t.failing(now, target)
 }
 
 // room says whether the memory of an engine holds so many tokens more.
--- a/process/placement/failures.go
+++ b/process/placement/failures.go
@@ -19,6 +19,9 @@
 	failureHalfLife = 2 * time.Second
 	// failureCost is the cost, in requests, of a target that fails all requests.
 	failureCost = 30.0
+	// failureTokens is the cost, in prompt tokens, of an engine that fails all requests:
+	// 1.5 s of reading, about what another attempt takes to its first event.
+	failureTokens = 12000.0
 	// tellFailures is the share of failures from which on other entries are told.
 	tellFailures = 0.05
 )
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -23,9 +23,11 @@
 	promptRate = 8.0
 	// rateWeight is the weight of one timed prompt in the estimate of that rate.
 	rateWeight = 0.1
-	// decodeTokens is what a running answer costs a new prompt, in prompt tokens: its
-	// steps take turns with the chunks of the prompt.
-	decodeTokens = 400
+	// decodeTokens is what a running answer costs a new prompt, in prompt tokens. The
+	// reading of a prompt of 8,000 tokens holds an answer up for some 0.8 s, that is
+	// 6,400 tokens; a delay before the first event weighs twice one after it, since
+	// answers that have begun have copies.
+	decodeTokens = 3000
 	// alikeTokens is the difference in cost below which targets count as alike, and
 	// the one that has seen the session before is taken.
 	alikeTokens = 600
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -306,3 +306,35 @@
 	_, err := one.Pick(start, need)
 	assert.NilError(t, err)
 }
+
+// A prompt that is read beside a running answer holds that answer up; calm load leaves
+// engines without any.
+func TestPromptIsNotReadBesideAnswersWhileEnginesAreIdle(t *testing.T) {
+	table := engines(36)
+	need := prompt("running")
+	for i := range 26 {
+		table.Began(id(i), need)
+		table.Answering(id(i), need)
+	}
+	for i := range 200 {
+		choice, err := table.Pick(start, prompt(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Assert(t, choice.Target.ID >= id(26), "session %d went to %s", i, choice.Target.ID)
+	}
+}
+
+// The rest of a prompt is waited for rather than holding several answers up.
+func TestPromptWaitsForTheRestOfAnotherRatherThanHoldAnswersUp(t *testing.T) {
+	table := engines(2)
+	need := prompt("running")
+	for range 2 {
+		table.Began(id(0), need)
+		table.Answering(id(0), need)
+	}
+	rest := need
+	rest.Prompt = promptTokens / 4
+	table.Began(id(1), rest)
+	choice, err := table.Pick(start, prompt("s"))
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Target.ID, id(1))
+}
