A copy goes elsewhere when its target does not take it

After two refusals in a row another target is chosen, if there is one. The stand-in can refuse copies at their destination; the test fails without the change.

Ruled out: refused resumes (14 there) of answers lost within 0.3 s of their first event, whose first copy was still under way: not mended.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -59,8 +59,10 @@
 
 	// The control goroutine owns the fields below once the attempt is placed.
 
-	// copy is where a copy of the memory goes, if anywhere.
+	// copy is where a copy of the memory goes, if anywhere; copyless lists targets that
+	// did not take one.
 	copy       peers.Copy
+	copyless   []request.TargetID
 	answering  bool
 	answeredAt time.Time
 }
--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -20,6 +20,9 @@
 	// copyWithin is how long an engine may take to copy the memory of a run: about
 	// a gigabyte, behind other copies on the same link.
 	copyWithin = 1500 * time.Millisecond
+	// copyTries is how often in a row a target may refuse a copy, 250 ms apart: a call
+	// that is still under way ends in that time, a lack of room seldom does.
+	copyTries = 2
 	// copyAgainShare is the part of a copy's life after which it is renewed.
 	copyAgainShare = 0.55
 )
@@ -99,6 +102,18 @@
 	}
 }
 
+// copyElsewhere gives up a target that does not take the copy of a running attempt,
+// and says whether there is another one.
+func (c *control) copyElsewhere(a *attempt) bool {
+	a.copyless = append(a.copyless, a.copy.Target)
+	if run := c.table.Get(a.target.ID); run == nil || c.table.PickCopy(time.Now(), run, a.need, a.copyless...) == nil {
+		a.copyless = nil
+		return false
+	}
+	c.copyAnew(a)
+	return true
+}
+
 // copyAnew has the memory of a running attempt copied to another target.
 func (c *control) copyAnew(a *attempt) {
 	c.table.Copies(a.copy.Target, -a.need.Memory)
@@ -107,7 +122,7 @@
 	if run == nil || run.Down(time.Now()) {
 		return
 	}
-	next := c.table.PickCopy(time.Now(), run, a.need)
+	next := c.table.PickCopy(time.Now(), run, a.need, a.copyless...)
 	if next == nil {
 		return
 	}
@@ -127,7 +142,7 @@
 	g := a.exchange.gateway
 	c := g.control
 	life := g.table.Load().Service(a.exchange.service).Engine.CopyLife
-	latest := ""
+	latest, failures := "", 0
 	for a.ctx.Err() == nil {
 		if !a.hasAnswered() {
 			// Engines have nothing to copy before the first token.
@@ -137,12 +152,18 @@
 		name, err := a.copyOnce(address)
 		if err != nil {
 			g.log.Event("copy_failed", "request", a.exchange.in.ID, "target", held.Target, "error", err.Error())
+			failures++
+		} else {
+			failures = 0
 		}
 		current := false
 		c.do(func() {
 			current = a.copy.Target == held.Target
-			if current && err == nil {
+			switch {
+			case current && err == nil:
 				a.copy.Handle, a.copy.Source = name, a.target.Address
+			case current && failures >= copyTries && a.ctx.Err() == nil:
+				current = !c.copyElsewhere(a)
 			}
 		})
 		if !current {
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -125,6 +125,59 @@
 	assert.Assert(t, runs[1].Target != held)
 }
 
+// A target that does not take the copy is given up for another one.
+func TestCopyGoesElsewhereWhenItsTargetDoesNotTakeIt(t *testing.T) {
+	s := newSite(t)
+	config := replica.Config{
+		Service: "writer", Engine: true, Events: 60, Prefill: 50 * time.Millisecond, Pause: 40 * time.Millisecond, Slots: 128,
+	}
+	var engines []*replica.Replica
+	for id, zone := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros", "e4": "milos"} {
+		config.ID, config.Zone = id, zone
+		engines = append(engines, s.start(config))
+	}
+	g := s.entry("entry-1")
+	a := report()
+	r := s.open(context.Background(), g, a)
+	r.skip(t, 5)
+	run := s.runner(a.ID, engines...)
+	// holders returns the target of the copy and the one that would be the next.
+	holders := func() (held, next string) {
+		c := g.control
+		c.do(func() {
+			for _, w := range c.watches {
+				for running := range w.attempts {
+					held = string(running.copy.Target)
+					need := running.need
+					c.table.Copies(running.copy.Target, 88_000)
+					if other := c.table.PickCopy(time.Now(), c.table.Get(running.target.ID), need); other != nil {
+						next = string(other.ID)
+					}
+					c.table.Copies(running.copy.Target, -88_000)
+				}
+			}
+		})
+		return held, next
+	}
+	first, second := holders()
+	for _, e := range engines {
+		switch e.Config().ID {
+		case first:
+			e.Crash()
+		case second:
+			e.SetFaults(replica.Faults{NoRoom: true})
+		}
+	}
+	g.control.post(func() { g.control.lost(request.TargetID(first), "test") })
+	s.eventually(func() bool { held, _ := holders(); return held != "" && held != first && held != second })
+	r.skip(t, 50)
+	run.Crash()
+	r.skip(t, 60)
+	runs := s.fleet.Ledger.Runs(a.ID)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1].Copied)
+}
+
 func TestStreamLostBeforeItsFirstEventStartsElsewhere(t *testing.T) {
 	s := newSite(t)
 	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros")}
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -159,15 +159,16 @@
 const otherDomainCost = 0.2
 
 // PickCopy chooses the target that receives a copy of the memory of a run on
-// another: in another failure domain, with the most memory left.
-func (t *Table) PickCopy(now time.Time, run *Target, need Need) *Target {
+// another: in another failure domain, with the most memory left, and none of those to
+// avoid.
+func (t *Table) PickCopy(now time.Time, run *Target, need Need, avoid ...request.TargetID) *Target {
 	var best *Target
 	least := 0.0
 	for _, target := range t.services[need.Service] {
 		if target == run || target.FailureDomain == run.FailureDomain {
 			continue
 		}
-		if target.Leaving || target.Down(now) || target.OnTrial() {
+		if target.Leaving || target.Down(now) || target.OnTrial() || slices.Contains(avoid, target.ID) {
 			continue
 		}
 		work := t.work(now, target)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -58,8 +58,9 @@
 	Extra bool
 	// CutAfter breaks a stream in the middle of the event after so many; zero never.
 	CutAfter int
-	// NoCopies keeps no copy of other targets' runs.
+	// NoCopies sends no copies of its runs to other targets, NoRoom takes none of theirs.
 	NoCopies bool
+	NoRoom   bool
 	// Encoded says that the body is in a content encoding.
 	Encoded bool
 }
@@ -129,6 +130,22 @@
 type copies struct {
 	mu   sync.Mutex
 	held map[string]bool
+	// full names the holders that have no room.
+	full map[string]bool
+}
+
+// refuse says whether a holder has no room.
+func (c *copies) refuse(holder string, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full[holder] = full
+}
+
+// refused returns what was said of a holder.
+func (c *copies) refused(holder string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.full[holder]
 }
 
 // Fleet is what the targets of a test share.
@@ -139,7 +156,7 @@
 
 // NewFleet returns a fleet without targets.
 func NewFleet() *Fleet {
-	return &Fleet{Ledger: NewLedger(), copies: copies{held: map[string]bool{}}}
+	return &Fleet{Ledger: NewLedger(), copies: copies{held: map[string]bool{}, full: map[string]bool{}}}
 }
 
 // Replica is one life of one target.
@@ -199,6 +216,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = faults
+	r.fleet.copies.refuse(r.config.Advertised, faults.NoRoom)
 }
 
 // Connections returns how many connections were opened.
@@ -459,7 +477,7 @@
 
 // keepCopy notes that the target at an address holds a copy of a run.
 func (r *Replica) keepCopy(address, id string) {
-	if address == "" || r.state().NoCopies {
+	if address == "" || r.state().NoCopies || r.fleet.copies.refused(address) {
 		return
 	}
 	r.fleet.copies.put(address, address+"/"+id)
@@ -479,6 +497,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.fleet.copies.refused(ask.Target) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	handle := "h-" + ask.Id
 	r.fleet.copies.put(ask.Target, r.config.Advertised+"/"+handle)
 	_ = json.NewEncoder(w).Encode(map[string]any{"Handle": handle, "CreateRevision": 1})
