A copy that was not taken is not gone on from

Cause: a copy that was ordered while an answer ran counted as usable from 250 ms after the answer began, also before its target had taken it. The stream then went there first, was refused and had spent an arrival of the budget. Such a copy counts once it has a handle. Test that fails first: TestCopyThatWasNotTakenIsNotGoneOnFrom (3 arrivals before, 2 after).

Besides: names in the stand-in, one switch in call.go.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -59,9 +59,11 @@
 
 	// The control goroutine owns the fields below once the attempt is placed.
 
-	// copy is where a copy of the memory goes, if anywhere; copyless lists targets that
-	// did not take one.
+	// copy is where a copy of the memory goes, if anywhere. One that was ordered while
+	// the attempt ran is there once it has a handle. copyless lists targets that did not
+	// take one.
 	copy       peers.Copy
+	ordered    bool
 	copyless   []request.TargetID
 	answering  bool
 	answeredAt time.Time
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -131,8 +131,6 @@
 				c.gateway.control.table.Failed(time.Now(), id)
 			}
 		})
-	}
-	if result.outcome == request.AttemptAnswered {
 		c.giveUp(fault.None)
 		return true
 	}
--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -75,7 +75,7 @@
 func (a *attempt) usableCopy() peers.Copy {
 	var held peers.Copy
 	a.exchange.gateway.control.do(func() {
-		old := a.copy.Handle == "" && a.answering && time.Since(a.answeredAt) > copiedAfter
+		old := !a.ordered && a.answering && time.Since(a.answeredAt) > copiedAfter
 		if old || a.copy.Handle != "" {
 			held = a.copy
 		}
@@ -128,6 +128,7 @@
 	}
 	c.table.Copies(next.ID, a.need.Memory)
 	a.copy = peers.Copy{Run: a.exchange.in.ID, Target: next.ID, Incarnation: next.Incarnation}
+	a.ordered = true
 	if noted, ok := c.copies[a.exchange.in.Session()]; ok && noted.until.IsZero() {
 		c.noteCopy(a)
 		c.tell = true
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -125,59 +125,89 @@
 	assert.Assert(t, runs[1].Target != held)
 }
 
-// A target that does not take the copy is given up for another one.
-func TestCopyGoesElsewhereWhenItsTargetDoesNotTakeIt(t *testing.T) {
-	s := newSite(t)
+// copySite is a site whose engines are in failure domains of their own, with a stream
+// that has begun.
+type copySite struct {
+	*site
+	gateway *Gateway
+	engines []*replica.Replica
+	ask     *ask
+	reader  *reader
+	run     *replica.Replica
+}
+
+func newCopySite(t *testing.T) *copySite {
+	s := &copySite{site: newSite(t)}
 	config := replica.Config{
 		Service: "writer", Engine: true, Events: 60, Prefill: 50 * time.Millisecond, Pause: 40 * time.Millisecond, Slots: 128,
 	}
-	var engines []*replica.Replica
 	for id, zone := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros", "e4": "milos"} {
 		config.ID, config.Zone = id, zone
-		engines = append(engines, s.start(config))
+		s.engines = append(s.engines, s.start(config))
 	}
-	g := s.entry("entry-1")
-	a := report()
-	r := s.open(context.Background(), g, a)
-	r.skip(t, 5)
-	run := s.runner(a.ID, engines...)
-	// holders returns the target of the copy and the one that would be the next.
-	holders := func() (held, next string) {
-		c := g.control
-		c.do(func() {
-			for _, w := range c.watches {
-				for running := range w.attempts {
-					held = string(running.copy.Target)
-					need := running.need
-					c.table.Copies(running.copy.Target, 88_000)
-					if other := c.table.PickCopy(time.Now(), c.table.Get(running.target.ID), need); other != nil {
-						next = string(other.ID)
-					}
-					c.table.Copies(running.copy.Target, -88_000)
+	s.gateway, s.ask = s.entry("entry-1"), report()
+	s.reader = s.open(context.Background(), s.gateway, s.ask)
+	s.reader.skip(t, 5)
+	s.run = s.runner(s.ask.ID, s.engines...)
+	return s
+}
+
+// holders returns the target of the copy and the one that would be the next.
+func (s *copySite) holders() (held, next string) {
+	c := s.gateway.control
+	c.do(func() {
+		for _, w := range c.watches {
+			for running := range w.attempts {
+				held = string(running.copy.Target)
+				run := c.table.Get(running.target.ID)
+				if other := c.table.PickCopy(time.Now(), run, running.need, running.copy.Target); other != nil {
+					next = string(other.ID)
 				}
 			}
-		})
-		return held, next
-	}
-	first, second := holders()
-	for _, e := range engines {
-		switch e.Config().ID {
-		case first:
+		}
+	})
+	return held, next
+}
+
+// loseCopy has the target of the copy die, and those that full chooses take no copies.
+func (s *copySite) loseCopy(held string, full func(id string) bool) {
+	for _, e := range s.engines {
+		switch id := e.Config().ID; {
+		case id == held:
 			e.Crash()
-		case second:
+		case full(id):
 			e.SetFaults(replica.Faults{NoRoom: true})
 		}
 	}
-	g.control.post(func() { g.control.lost(request.TargetID(first), "test") })
-	s.eventually(func() bool { held, _ := holders(); return held != "" && held != first && held != second })
-	r.skip(t, 50)
-	run.Crash()
-	r.skip(t, 60)
-	runs := s.fleet.Ledger.Runs(a.ID)
+	s.gateway.control.post(func() { s.gateway.control.lost(request.TargetID(held), "test") })
+}
+
+// A target that does not take the copy is given up for another one.
+func TestCopyGoesElsewhereWhenItsTargetDoesNotTakeIt(t *testing.T) {
+	s := newCopySite(t)
+	first, second := s.holders()
+	s.loseCopy(first, func(id string) bool { return id == second })
+	s.eventually(func() bool { held, _ := s.holders(); return held != "" && held != first && held != second })
+	s.reader.skip(t, 50)
+	s.run.Crash()
+	s.reader.skip(t, 60)
+	runs := s.fleet.Ledger.Runs(s.ask.ID)
 	assert.Equal(t, len(runs), 2)
 	assert.Assert(t, runs[1].Copied)
 }
 
+// Where no target takes the copy, none is asked to go on from it.
+func TestCopyThatWasNotTakenIsNotGoneOnFrom(t *testing.T) {
+	s := newCopySite(t)
+	first, _ := s.holders()
+	s.loseCopy(first, func(string) bool { return true })
+	s.reader.skip(t, 40)
+	s.run.Crash()
+	s.reader.skip(t, 60)
+	assert.Equal(t, len(s.fleet.Ledger.Runs(s.ask.ID)), 2)
+	assert.Equal(t, s.fleet.Ledger.Arrivals(s.ask.ID), 2)
+}
+
 func TestStreamLostBeforeItsFirstEventStartsElsewhere(t *testing.T) {
 	s := newSite(t)
 	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros")}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -134,15 +134,15 @@
 	full map[string]bool
 }
 
-// refuse says whether a holder has no room.
-func (c *copies) refuse(holder string, full bool) {
+// setFull notes whether a holder has no room.
+func (c *copies) setFull(holder string, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.full[holder] = full
 }
 
-// refused returns what was said of a holder.
-func (c *copies) refused(holder string) bool {
+// isFull says whether a holder has no room.
+func (c *copies) isFull(holder string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.full[holder]
@@ -216,7 +216,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = faults
-	r.fleet.copies.refuse(r.config.Advertised, faults.NoRoom)
+	r.fleet.copies.setFull(r.config.Advertised, faults.NoRoom)
 }
 
 // Connections returns how many connections were opened.
@@ -477,7 +477,7 @@
 
 // keepCopy notes that the target at an address holds a copy of a run.
 func (r *Replica) keepCopy(address, id string) {
-	if address == "" || r.state().NoCopies || r.fleet.copies.refused(address) {
+	if address == "" || r.state().NoCopies || r.fleet.copies.isFull(address) {
 		return
 	}
 	r.fleet.copies.put(address, address+"/"+id)
@@ -497,7 +497,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if r.fleet.copies.refused(ask.Target) {
+	if r.fleet.copies.isFull(ask.Target) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
