A copy is asked for twice where the connection breaks

The target is now asked once more; if it used the copy before the connection broke, it refuses at once.

Ruled out: asking without end (each attempt draws on the budget), and targets given up for their silence, which are down. Test that fails first: TestCopyIsAskedForTwiceWhereTheConnectionBreaks.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -38,10 +38,12 @@
 	target   placement.Registration
 	need     placement.Need
 	spec     request.Attempt
-	ctx      context.Context
-	cancel   context.CancelFunc
-	watch    *watch
-	conn     *target.Conn
+	// from is the copy that it goes on from, if any.
+	from   peers.Copy
+	ctx    context.Context
+	cancel context.CancelFunc
+	watch  *watch
+	conn   *target.Conn
 	// keepOpen stops the end of the attempt from closing the connection. It returns
 	// false when that has begun.
 	keepOpen func() bool
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -41,9 +41,10 @@
 	running map[request.AttemptNumber]*attempt
 	next    *attempt
 	// lastCopy is where the memory of the last attempt that ran can be gone on from.
-	lastCopy peers.Copy
-	head     *http.Response
-	began    bool
+	// askedTwice is the copy that its target was asked for twice.
+	lastCopy, askedTwice peers.Copy
+	head                 *http.Response
+	began                bool
 	// unsent counts the attempts that did not reach their targets.
 	unsent int
 	lostAt time.Time
@@ -196,7 +197,7 @@
 		return nil
 	}
 	c := s.gateway.control
-	a := &attempt{exchange: s.exchange, began: time.Now(), need: s.need(nil)}
+	a := &attempt{exchange: s.exchange, began: time.Now(), need: s.need(nil), from: held}
 	a.need.Prompt = copyPrompt
 	found := false
 	c.do(func() {
@@ -260,8 +261,14 @@
 	if p.kind == fault.Unreachable {
 		s.unsent++
 	}
-	if p.kind == fault.TargetLost {
-		s.lastCopy = p.attempt.usableCopy()
+	if p.kind != fault.TargetLost {
+		return
+	}
+	s.lastCopy = p.attempt.usableCopy()
+	// A target that resets connections by turns still holds the copy. If it used the
+	// copy before the connection broke, it refuses the next attempt at once.
+	if from := p.attempt.from; p.unanswered && from.Target != "" && from != s.askedTwice {
+		s.lastCopy, s.askedTwice = from, from
 	}
 }
 
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -20,6 +20,8 @@
 	kind  fault.Kind
 	// failure is the target's own answer of a failure, if it gave one.
 	failure *answer
+	// unanswered says that the connection broke before the target answered.
+	unanswered bool
 }
 
 // runStream runs one attempt of a stream and tells what comes of it.
@@ -65,6 +67,7 @@
 			p.failure = &answer{head: response, body: body}
 		}
 	default:
+		p.unanswered = !a.given.Load()
 		if a.conn != nil {
 			a.conn.Close()
 		}
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -208,6 +208,29 @@
 	assert.Equal(t, s.fleet.Ledger.Arrivals(s.ask.ID), 2)
 }
 
+// A target that resets connections by turns still holds the copy.
+func TestCopyIsAskedForTwiceWhereTheConnectionBreaks(t *testing.T) {
+	for _, c := range []struct {
+		breaks, arrivals int
+		copied           bool
+	}{{breaks: 1, arrivals: 3, copied: true}, {breaks: 2, arrivals: 4, copied: false}} {
+		s := newCopySite(t)
+		held, _ := s.holders()
+		for _, e := range s.engines {
+			if e.Config().ID == held {
+				e.SetFaults(replica.Faults{BreakFirst: c.breaks})
+			}
+		}
+		s.reader.skip(t, 20)
+		s.run.Crash()
+		s.reader.skip(t, 60)
+		runs := s.fleet.Ledger.Runs(s.ask.ID)
+		assert.Equal(t, len(runs), 2)
+		assert.Equal(t, runs[1].Copied, c.copied)
+		assert.Equal(t, s.fleet.Ledger.Arrivals(s.ask.ID), c.arrivals)
+	}
+}
+
 func TestStreamLostBeforeItsFirstEventStartsElsewhere(t *testing.T) {
 	s := newSite(t)
 	engines := []*replica.Replica{s.engine("e1", "naxos"), s.engine("e2", "paros")}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -58,6 +58,8 @@
 	Extra bool
 	// CutAfter breaks a stream in the middle of the event after so many; zero never.
 	CutAfter int
+	// BreakFirst breaks the connections of so many requests before they are looked at.
+	BreakFirst int
 	// NoCopies sends no copies of its runs to other targets, NoRoom takes none of theirs.
 	NoCopies bool
 	NoRoom   bool
@@ -173,6 +175,7 @@
 
 	mu      sync.Mutex
 	faults  Faults
+	broken  atomic.Int64
 	running int
 	// prompts lists the parts of prompts that were read, with their tokens.
 	prompts [][4]any
@@ -318,6 +321,9 @@
 	faults := r.state()
 	id := q.Header.Get("Attempt-Id")
 	r.fleet.Ledger.arrive(id)
+	if faults.BreakFirst > 0 && int(r.broken.Add(1)) <= faults.BreakFirst {
+		panic(http.ErrAbortHandler)
+	}
 	expects := q.Header.Get("Expected-Instance")
 	switch {
 	case faults.Silent:
