One way to choose a copy's next holder, to tell work and to meet faults

Read once more, behaviour as before: copyElsewhere and copyAnew chose the next holder twice; the work at a target was put into a message in two places; tellPlaced built a message before it knew whether it may go; two handlers of the platform's store stand-in met its faults in the same way. No assertion changed. Linter clean; tests of the gateway, peers, adapter and stand-ins pass under the race detector.

--- a/process/gateway/copies.go
+++ b/process/gateway/copies.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -106,23 +107,33 @@
 // and says whether there is another one.
 func (c *control) copyElsewhere(a *attempt) bool {
 	a.copyless = append(a.copyless, a.copy.Target)
-	if run := c.table.Get(a.target.ID); run == nil || c.table.PickCopy(time.Now(), run, a.need, a.copyless...) == nil {
+	next := c.nextHolder(a)
+	if next == nil {
 		a.copyless = nil
 		return false
 	}
-	c.copyAnew(a)
+	c.copyTo(a, next)
 	return true
 }
 
-// copyAnew has the memory of a running attempt copied to another target.
-func (c *control) copyAnew(a *attempt) {
-	c.table.Copies(a.copy.Target, -a.need.Memory)
-	a.copy = peers.Copy{}
+// copyAnew has the memory of a running attempt copied to another target, or to none
+// if there is no other.
+func (c *control) copyAnew(a *attempt) { c.copyTo(a, c.nextHolder(a)) }
+
+// nextHolder chooses the target that takes the next copy of a running attempt.
+func (c *control) nextHolder(a *attempt) *placement.Target {
 	run := c.table.Get(a.target.ID)
 	if run == nil || run.Down(time.Now()) {
-		return
+		return nil
 	}
-	next := c.table.PickCopy(time.Now(), run, a.need, a.copyless...)
+	return c.table.PickCopy(time.Now(), run, a.need, a.copyless...)
+}
+
+// copyTo has the memory of a running attempt copied to next, if any, and no more to
+// the target before.
+func (c *control) copyTo(a *attempt, next *placement.Target) {
+	c.table.Copies(a.copy.Target, -a.need.Memory)
+	a.copy = peers.Copy{}
 	if next == nil {
 		return
 	}
--- a/process/gateway/telling.go
+++ b/process/gateway/telling.go
@@ -37,7 +37,7 @@
 	message.Successors = latest(now, c.successors)
 	c.number++
 	for id, work := range c.table.Own() {
-		message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+		message.SetWork(id, work)
 	}
 	if len(c.peers) > 1 {
 		c.send(now, c.outbox.Compose(now, message))
@@ -47,24 +47,20 @@
 // tellPlaced tells other entries at once which engines were given prompts: until they
 // know, those engines look idle to them.
 func (c *control) tellPlaced() {
-	if len(c.placed) == 0 {
+	placed, now := c.placed, time.Now()
+	c.placed = nil
+	if len(placed) == 0 || len(c.peers) <= 1 || !c.outbox.Brief(now) {
 		return
 	}
-	now := time.Now()
 	message := peers.Message{
 		Entry: c.gateway.settings.Name, Boot: c.boot, Number: c.number, Brief: true,
-		Work: make(map[request.TargetID][3]int, len(c.placed)),
+		Work: make(map[request.TargetID][3]int, len(placed)),
 	}
-	for _, id := range c.placed {
+	for _, id := range placed {
 		if t := c.table.Get(id); t != nil {
-			work := t.Own()
-			message.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+			message.SetWork(id, t.Own())
 		}
 	}
-	c.placed = c.placed[:0]
-	if len(c.peers) <= 1 || !c.outbox.Brief(now) {
-		return
-	}
 	c.number++
 	c.send(now, message)
 }
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// SetWork puts the sender's work at a target into the message.
+func (m *Message) SetWork(id request.TargetID, work placement.Work) {
+	m.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+}
+
 // Word returns what placement takes of the message.
 func (m *Message) Word() placement.Word {
 	word := placement.Word{
--- a/process/peers/replay_test.go
+++ b/process/peers/replay_test.go
@@ -128,11 +128,9 @@
 	r.after(read.Sub(r.now), func() { e.table.Answering(id, need); r.tell(e) })
 	r.after(read.Sub(r.now)+4500*time.Millisecond, func() { e.table.Ended(id, need, true); r.tell(e) })
 	if r.brief && e.outbox.Brief(r.now) {
-		work := e.table.Get(id).Own()
-		r.send(e, Message{
-			Entry: e.name, Boot: 1, Brief: true,
-			Work: map[request.TargetID][3]int{id: {work.Unread, work.Answering, work.Memory}},
-		})
+		m := Message{Entry: e.name, Boot: 1, Brief: true, Work: map[request.TargetID][3]int{}}
+		m.SetWork(id, e.table.Get(id).Own())
+		r.send(e, m)
 	}
 	r.tell(e)
 }
@@ -147,7 +145,7 @@
 		e.timed = false
 		m := Message{Entry: e.name, Boot: 1, LinkMbps: replayLink, Work: map[request.TargetID][3]int{}, Copies: map[string]Copy{}}
 		for id, work := range e.table.Own() {
-			m.Work[id] = [3]int{work.Unread, work.Answering, work.Memory}
+			m.SetWork(id, work)
 			// Each running answer has a copy that others are told of.
 			session := string("session-" + id)
 			m.Copies[session] = Copy{Run: request.ID(session), Target: id, Incarnation: 1_700_000_000_000}
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -75,6 +75,20 @@
 	return f
 }
 
+// arrives delays a call, drops it or keeps it waiting for its end as was decided, and
+// says whether it is to be carried out.
+func (f fate) arrives(ctx context.Context) bool {
+	wait(ctx, f.delay)
+	if f.silent {
+		<-ctx.Done()
+		return false
+	}
+	if f.dropped {
+		drop()
+	}
+	return true
+}
+
 // drop ends the connection of a call without an answer.
 func drop() { panic(http.ErrAbortHandler) }
 
--- a/standin/kv/platform.go
+++ b/standin/kv/platform.go
@@ -36,14 +36,9 @@
 func (s *Store) platformCall(count *int64, write bool, serve func(*http.Request) (int, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.fate(write)
-		wait(r.Context(), f.delay)
-		if f.silent {
-			<-r.Context().Done()
+		if !f.arrives(r.Context()) {
 			return
 		}
-		if f.dropped {
-			drop()
-		}
 		s.mu.Lock()
 		*count++
 		s.lapse()
@@ -147,15 +142,9 @@
 }
 
 func (s *Store) platformWatch(w http.ResponseWriter, r *http.Request) {
-	f := s.fate(false)
-	wait(r.Context(), f.delay)
-	if f.silent {
-		<-r.Context().Done()
+	if !s.fate(false).arrives(r.Context()) {
 		return
 	}
-	if f.dropped {
-		drop()
-	}
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("After"), 10, 64)
 	waitMs, _ := strconv.ParseInt(query.Get("WaitMs"), 10, 64)
