Planned stop: requests are accepted by what is left of the grace period

Cause: after SIGTERM an entry kept serving calls on connections that their callers had opened before, until 0.5 s before the end of the grace period, and then closed all connections.

Change: process/shutdown decides without I/O. A request is accepted if its time limit passes before the end of the stop; one that may be repeated if the mean duration of such requests, plus four mean deviations, still fits; one that can be resumed if the mean does. All others are refused as not run. When the balancer has stopped sending connections, those queued by the kernel are still accepted, idle connections are closed, and the others after their response. Calls and streams that are left at the end get a response before the connections are closed.

The entry of the product's own front (mlentry) does not use the plan yet.

--- a/core_test.go
+++ b/core_test.go
@@ -19,7 +19,8 @@
 	"request", "version", "connection/detector", "process/routing",
 	"process/admission", "process/membership", "process/callpage", "process/gate", "process/order",
 	"process/gossip",
-	"process/directory",
+	"process/directory", "process/placement", "process/registry", "process/freshness", "process/prompts",
+	"process/shutdown", "process/storesync",
 }
 
 func TestCorePackages_UseNoGoroutinesOrChannels(t *testing.T) {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -162,10 +162,12 @@
 	return false
 }
 
-// contextErrorKind returns the error kind of a call whose deadline passed or whose
-// caller disconnected.
+// contextErrorKind returns the error kind of a call whose deadline passed, whose caller
+// disconnected, or which a planned stop ended.
 func (c *call) contextErrorKind(ctx context.Context) fault.Kind {
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return fault.Draining
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fault.CallerGone
 	case c.mayHaveRun:
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/registry"
+	"github.com/mulberrylane/mulberrylane/process/shutdown"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -101,6 +102,9 @@
 	// newlyPlaced lists the engines that were given prompts by the last command.
 	newlyPlaced []request.TargetID
 
+	// durations maps services to the durations of the requests that they served.
+	durations map[string]*shutdown.DurationEstimate
+
 	// freshness is read by requests; it is never modified in place, only replaced as a
 	// whole.
 	freshness atomic.Pointer[freshness.Freshness]
@@ -129,6 +133,7 @@
 		promptIndex:       prompts.New(),
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
+		durations:         map[string]*shutdown.DurationEstimate{},
 		incarnation:       now.UnixNano(),
 	}
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -49,11 +49,9 @@
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
@@ -100,8 +98,7 @@
 		timeout = min(timeout, e.inbound.TimeLeft)
 	}
 	e.deadline = e.arrived.Add(timeout)
-	drainStart := g.drainStart.Load()
-	if drainStart != nil && e.route.Kind == routes.Streaming && e.arrived.Sub(*drainStart) > streamDrainPeriod {
+	if !g.acceptsWhileStopping(e) {
 		return fault.New(fault.Draining, "the entry is about to end")
 	}
 	g.control.post(func() { g.control.budget(e.service).CountRequest(e.arrived) })
@@ -215,6 +212,7 @@
 
 // finish logs and counts the end of a request.
 func (e *exchange) finish(kind fault.Kind, attempts int, more ...any) {
+	e.gateway.observeDuration(e, kind)
 	routeKind := "none"
 	if e.route != nil {
 		routeKind = e.route.Kind.String()
@@ -244,7 +242,11 @@
 
 func (e *exchange) timeLeft() time.Duration { return time.Until(e.deadline) }
 
-// withDeadline returns a context that ends at the request's deadline.
+// withDeadline returns a context that ends at the request's deadline, or when a planned stop
+// ends the requests in progress.
 func (e *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(ctx, e.deadline)
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.gateway.ending, func() { cancelCause(errStopping) })
+	return ctx, func() { stop(); cancel() }
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
 	"github.com/mulberrylane/mulberrylane/process/lifecycle"
 	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/shutdown"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
@@ -46,11 +47,11 @@
 	// synced is closed once a configuration and the targets have been read from the
 	// store.
 	synced chan struct{}
-	// draining is set when the process has been asked to stop, drainStart is when that
-	// was.
-	draining       atomic.Bool
-	drainStart     atomic.Pointer[time.Time]
-	inFlight       sync.WaitGroup
+	// stopPlan is set when the process has been asked to stop. ending is cancelled when the
+	// requests that are then still in progress have to end.
+	stopPlan       atomic.Pointer[shutdown.Plan]
+	ending         context.Context
+	endRequests    context.CancelFunc
 	activeRequests atomic.Int64
 
 	// background is cancelled when the process has stopped serving.
@@ -80,6 +81,7 @@
 		settings: s, log: log, store: store, pool: pool, metrics: m,
 		background: background, cancel: cancel, synced: make(chan struct{}),
 	}
+	g.ending, g.endRequests = context.WithCancel(background)
 	g.control = newControl(g)
 	g.ingress = newIngress(g)
 	return g
@@ -114,37 +116,29 @@
 // errStopping is the error of work that is cancelled because the process is stopping.
 var errStopping = errors.New("the process is stopping")
 
-const (
-	// drainPeriod is how long a process that was asked to stop still accepts requests:
-	// the balancer probes it every second and removes it after two failures.
-	drainPeriod = 2300 * time.Millisecond
-	// streamDrainPeriod is how long it still accepts streams, which last for seconds
-	// and must end within the grace period; another entry accepts later ones at once.
-	streamDrainPeriod = time.Second
-	// shutdownMargin is the part of the grace period that is reserved for shutting down
-	// the process itself.
-	shutdownMargin = 500 * time.Millisecond
-)
+// responseFlushTime is how long requests that are ended by a planned stop have for writing
+// their responses.
+const responseFlushTime = 150 * time.Millisecond
 
 // Stop keeps serving until callers have moved to other entries and running requests
 // have ended, but no longer than the grace period.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
-	g.drainStart.Store(&start)
-	g.draining.Store(true)
+	plan := shutdown.NewPlan(start, g.settings.Bounds.Grace.Std())
+	g.stopPlan.Store(plan)
 	g.log.Event("leaving", "running", g.activeRequests.Load(), "grace", g.settings.Bounds.Grace.Std())
-	time.Sleep(drainPeriod)
+	time.Sleep(time.Until(plan.CloseIdle()))
 	g.ingress.stopAccepting()
-	idle := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(idle)
-	}()
-	remaining := g.settings.Bounds.Grace.Std() - shutdownMargin - time.Since(start)
-	select {
-	case <-idle:
-	case <-time.After(remaining):
+	untilEnd, cancel := context.WithDeadline(g.background, plan.End())
+	defer cancel()
+	if err := g.ingress.shutdown(untilEnd); err != nil {
 		g.log.Event("cut_off", "running", g.activeRequests.Load())
+		g.endRequests()
+		flush, cancelFlush := context.WithTimeout(g.background, responseFlushTime)
+		defer cancelFlush()
+		if err := g.ingress.shutdown(flush); err != nil {
+			g.log.Event("connections_closed", "running", g.activeRequests.Load())
+		}
 	}
 	g.ingress.close()
 	g.cancel()
@@ -153,3 +147,6 @@
 	g.log.Close()
 	return errors.Wrap(err, "peers")
 }
+
+// draining reports whether the process has been asked to stop.
+func (g *Gateway) draining() bool { return g.stopPlan.Load() != nil }
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -157,7 +157,7 @@
 	g := newGateway(settings, d.log, platform.NewStore(d.address), target.NewPool(), m)
 	assert.NilError(d.t, g.Start(context.Background()))
 	d.t.Cleanup(func() {
-		if !g.draining.Load() {
+		if !g.draining() {
 			g.ingress.stopAccepting()
 			g.ingress.close()
 			g.cancel()
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,8 @@
 	current       *connListener
 	callerServers []*http.Server
 	closed        bool
+	// acceptDone is closed when no more connections are accepted.
+	acceptDone chan struct{}
 }
 
 // connListener is a listener whose connections are passed to it through a channel.
@@ -63,7 +67,7 @@
 // Addr implements net.Listener.
 func (l *connListener) Addr() net.Addr { return l.addr }
 
-func newIngress(g *Gateway) *ingress { return &ingress{gateway: g} }
+func newIngress(g *Gateway) *ingress { return &ingress{gateway: g, acceptDone: make(chan struct{})} }
 
 func (i *ingress) listen() error {
 	s := i.gateway.settings
@@ -128,11 +132,16 @@
 
 // serve passes accepted connections to the server with the current limits.
 func (i *ingress) serve() {
+	defer close(i.acceptDone)
 	for {
 		conn, err := i.callerListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = i.callerListener.Close()
+			return
+		}
 		if err != nil {
 			i.gateway.log.Event("accept_failed", "error", err.Error())
 			pause(i.gateway.background, checkInterval)
@@ -147,8 +156,12 @@
 // if the limits changed meanwhile.
 func (i *ingress) dispatch(conn net.Conn) bool {
 	i.mu.Lock()
-	current := i.current
+	current, closed := i.current, i.closed
 	i.mu.Unlock()
+	if closed {
+		_ = conn.Close()
+		return true
+	}
 	select {
 	case current.conns <- conn:
 		return true
@@ -160,8 +173,41 @@
 	}
 }
 
-// stopAccepting closes the callers' listener; open connections are still served.
-func (i *ingress) stopAccepting() { _ = i.callerListener.Close() }
+// acceptQueueTime is how long connections are still accepted that the kernel had queued when
+// the listener was about to close: closing it would reset them.
+const acceptQueueTime = 20 * time.Millisecond
+
+// stopAccepting accepts the queued connections and closes the callers' listener. Open
+// connections are still served.
+func (i *ingress) stopAccepting() {
+	if listener, ok := i.callerListener.(*net.TCPListener); ok {
+		if err := listener.SetDeadline(time.Now().Add(acceptQueueTime)); err == nil {
+			<-i.acceptDone
+			return
+		}
+	}
+	_ = i.callerListener.Close()
+}
+
+// shutdown closes idle callers' connections, and the others after the response in progress.
+// It returns an error if ctx ends before all are closed.
+func (i *ingress) shutdown(ctx context.Context) error {
+	i.mu.Lock()
+	i.closed = true
+	servers := slices.Clone(i.callerServers)
+	i.mu.Unlock()
+	results := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() { results <- server.Shutdown(ctx) }()
+	}
+	var first error
+	for range servers {
+		if err := <-results; err != nil && first == nil {
+			first = errors.WithStack(err)
+		}
+	}
+	return first
+}
 
 // close closes all connections.
 func (i *ingress) close() {
@@ -175,7 +221,7 @@
 
 // ready reports whether the entry should get new connections.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.control.currentFreshness().Ready(bootClock())
+	return !g.draining() && g.control.currentFreshness().Ready(bootClock())
 }
 
 // serveReady responds to the balancer's health checks.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -95,6 +95,9 @@
 			s.handleEvent(request.Event{Type: request.EventTimer})
 		case <-ctx.Done():
 			s.handleEvent(request.Event{Type: request.EventCallerDisconnected})
+		case <-s.gateway.ending.Done():
+			// The caller resumes at another entry.
+			s.handleEvent(request.Event{Type: request.EventCallerDisconnected, Kind: fault.Draining})
 		}
 	}
 	s.finish()
--- /dev/null
+++ b/process/shutdown/shutdown_test.go
@@ -0,0 +1,100 @@
+package shutdown
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stopLoad is a kind of request that keeps arriving at a process that stops.
+type stopLoad struct {
+	name          string
+	timeLimit     time.Duration
+	work          time.Duration
+	repeatability Repeatability
+}
+
+const testGrace = 8 * time.Second
+
+// replayStop lets requests arrive throughout the grace period. It returns how many were
+// accepted, how many of them were cut off at its end, and when the last was accepted.
+func replayStop(seed uint64, load stopLoad) (accepted, cutOff int, last time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(1000, 0)
+	plan := NewPlan(start, testGrace)
+	var expected DurationEstimate
+	duration := func() time.Duration {
+		return min(load.timeLimit, time.Duration(float64(load.work)*(0.5+random.ExpFloat64())))
+	}
+	for range 200 {
+		expected.Observe(duration())
+	}
+	for at := time.Duration(0); at < testGrace; at += 2 * time.Millisecond {
+		now := start.Add(at)
+		if !plan.Accept(now, Request{TimeLimit: load.timeLimit, Repeatability: load.repeatability, Expected: expected}) {
+			continue
+		}
+		accepted, last = accepted+1, at
+		if now.Add(duration()).After(plan.End()) {
+			cutOff++
+		}
+	}
+	return accepted, cutOff, last
+}
+
+func TestPlan_BusyStopCutsOffNoRequestThatMustNotBeRepeated(t *testing.T) {
+	for _, load := range []stopLoad{
+		{name: "slow calls", timeLimit: 4 * time.Second, work: 60 * time.Millisecond},
+		{name: "fast calls", timeLimit: 600 * time.Millisecond, work: 15 * time.Millisecond},
+	} {
+		accepted, cutOff, last := replayStop(1, load)
+		assert.Equal(t, cutOff, 0, load.name)
+		assert.Assert(t, accepted > 0, load.name)
+		end := NewPlan(time.Time{}, testGrace).End().Sub(time.Time{})
+		assert.Assert(t, last > end-load.timeLimit-10*time.Millisecond, "%s: refused although their time limit still fits", load.name)
+	}
+}
+
+// A hundredth of the repeatable requests are accepted and cut off at most, and none is
+// refused while most would still end in time.
+func TestPlan_RepeatableRequestsAcceptedWhileTheyFit(t *testing.T) {
+	for _, load := range []stopLoad{
+		{name: "slow calls", timeLimit: 4 * time.Second, work: 60 * time.Millisecond, repeatability: Repeatable},
+		{name: "fast calls", timeLimit: 600 * time.Millisecond, work: 15 * time.Millisecond, repeatability: Repeatable},
+	} {
+		accepted, cutOff, last := replayStop(2, load)
+		assert.Assert(t, cutOff*100 <= accepted, "%s: %d of %d cut off", load.name, cutOff, accepted)
+		assert.Assert(t, last > 7*time.Second, load.name)
+	}
+}
+
+func TestPlan_LongGenerationsAreRefusedAtOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	plan := NewPlan(start, testGrace)
+	r := Request{TimeLimit: 25 * time.Second, Repeatability: Resumable}
+	assert.Assert(t, plan.Accept(start, r), "of unknown duration")
+	assert.Assert(t, !plan.Accept(start.Add(2*time.Second), r), "of unknown duration")
+	for range 50 {
+		r.Expected.Observe(20 * time.Second)
+	}
+	assert.Assert(t, !plan.Accept(start, r))
+	r.Repeatability = NotRepeatable
+	assert.Assert(t, !plan.Accept(start, r))
+}
+
+func TestPlan_ShortGracePeriod(t *testing.T) {
+	start := time.Unix(1000, 0)
+	plan := NewPlan(start, time.Second)
+	assert.Equal(t, plan.CloseIdle(), start.Add(500*time.Millisecond))
+	assert.Equal(t, plan.End(), start.Add(900*time.Millisecond))
+}
+
+// A stream that can be resumed is accepted while most would end in time, and refused later.
+func TestPlan_ResumableStreamsAcceptedUntilTheirMeanNoLongerFits(t *testing.T) {
+	accepted, cutOff, last := replayStop(3, stopLoad{timeLimit: 25 * time.Second, work: 4 * time.Second, repeatability: Resumable})
+	assert.Assert(t, accepted > 0)
+	assert.Assert(t, cutOff*2 <= accepted, "%d of %d cut off", cutOff, accepted)
+	assert.Assert(t, last < testGrace/2, "accepted at %s", last)
+}
