Changes of the store are read by one entry and passed on

Cause: every entry polled the store about once a second.

Change: process/storesync decides without I/O. One entry reads the store, the relays of the other failure domains ask it, and all others ask the relay of their failure domain, by datagrams between entries. The age of an answer counts from the sending of the question less the age that the answer names, on a clock that runs while a host is suspended, so neither a paused relay nor a delayed datagram can make old knowledge look new. A relay without an answer reads the store at once; others ask another relay first; an entry that the store turns away asks relays. Changes, outages and their end are announced. During an outage entries other than the reader back off up to 4 s.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/registry"
 	"github.com/mulberrylane/mulberrylane/process/shutdown"
+	"github.com/mulberrylane/mulberrylane/process/storesync"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -66,9 +67,11 @@
 	startedAt time.Time
 	lastCheck time.Time
 
-	// peers maps the names of all entries to their addresses. peerLastSeen maps the names
+	// storeLog holds the newest changes of the store for other entries.
+	storeLog storesync.Log
+	// peers maps the names of all entries to their registrations. peerLastSeen maps the names
 	// of other entries to when their last full or delta update was received.
-	peers        map[string]string
+	peers        map[string]peer
 	peerLastSeen map[string]time.Time
 	// sessionCopies maps the sessions of this entry's streams to their KV copies.
 	sessionCopies map[string]sessionCopy
@@ -123,7 +126,7 @@
 		bounds:            g.settings.Bounds,
 		startedAt:         now,
 		lastCheck:         now,
-		peers:             map[string]string{},
+		peers:             map[string]peer{},
 		peerLastSeen:      map[string]time.Time{},
 		sessionCopies:     map[string]sessionCopy{},
 		peerUpdates:       map[string]peers.Update{},
@@ -231,7 +234,7 @@
 		c.deregister(id, "lapsed")
 	}
 	for name, seen := range c.peerLastSeen {
-		if now.Sub(seen) > peerTimeout {
+		if now.Sub(seen) > c.peerTimeout() {
 			delete(c.peerLastSeen, name)
 			delete(c.peerUpdates, name)
 			c.table.RemovePeer(name)
@@ -331,7 +334,7 @@
 	local := budget.Usage(now)
 	c.gateway.metrics.retriesDenied.Add(context.Background(), 1)
 	c.gateway.log.Event("budget_denied", "request", id, "service", service, "entries", c.entryCount(),
-		"othersKnown", peerUsage != nil, "left", budget.Remaining(now, c.entryCount(), peerUsage),
+		"othersKnown", len(peerUsage), "left", budget.Remaining(now, c.entryCount(), peerUsage),
 		"ownRequests", local.Requests, "ownRepeats", local.Retries, "urgent", urgent)
 	return admission.Charge{}, false
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -31,6 +31,9 @@
 // before it collects garbage more often; the rest is for stacks and sockets.
 const memoryLimitFraction = 0.6
 
+// syncBuffer is how many messages of other entries may queue for the watch on the store.
+const syncBuffer = 4
+
 // Gateway is one entry.
 type Gateway struct {
 	settings Settings
@@ -44,6 +47,10 @@
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
+	// syncAnswers and syncAnnouncements pass messages of other entries to the watch on the
+	// store.
+	syncAnswers       chan peers.SyncAnswer
+	syncAnnouncements chan announcement
 	// synced is closed once a configuration and the targets have been read from the
 	// store.
 	synced chan struct{}
@@ -80,6 +87,7 @@
 	g := &Gateway{
 		settings: s, log: log, store: store, pool: pool, metrics: m,
 		background: background, cancel: cancel, synced: make(chan struct{}),
+		syncAnswers: make(chan peers.SyncAnswer, syncBuffer), syncAnnouncements: make(chan announcement, syncBuffer),
 	}
 	g.ending, g.endRequests = context.WithCancel(background)
 	g.control = newControl(g)
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/storesync"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
@@ -24,7 +25,7 @@
 	// that it serves as soon as it can.
 	longPollPeriod = 6 * time.Second
 	// longPollWait is how long the store may hold one such call.
-	longPollWait = time.Second
+	longPollWait = 500 * time.Millisecond
 	// storeTimeout is how long the store may take for a call, not counting
 	// longPollWait.
 	storeTimeout = 600 * time.Millisecond
@@ -35,6 +36,10 @@
 	// time between two calls during an outage: refused calls are paid for as well.
 	minRetryDelay = 50 * time.Millisecond
 	retryInterval = 250 * time.Millisecond
+	// maxRetryInterval limits that time for entries that are told of the end of an outage;
+	// it doubles with each failure, maxRetryDoublings times at most.
+	maxRetryInterval  = 4 * time.Second
+	maxRetryDoublings = 4
 	// outageTimeout is how long most calls may take during an outage, so that its end
 	// is seen soon. Every third call may take outageLongTimeout, in case the store is
 	// only slow.
@@ -57,7 +62,7 @@
 			continue
 		}
 		w.storeFailed(err)
-		w.pause(max(minRetryDelay, retryInterval-time.Since(start)))
+		w.pauseUntilAnnounced(max(minRetryDelay, w.retryDelay()-time.Since(start)))
 	}
 }
 
@@ -73,26 +78,71 @@
 	failures    int
 	// synced is set once a configuration and the targets have been read.
 	synced bool
+	// schedule decides where the next changes come from. questionID is the ID of the last
+	// question to another entry.
+	schedule   storesync.Schedule
+	questionID uint64
+	// readsStore is set while this entry reads the store for all others.
+	readsStore bool
+	// announcer is the entry that last announced changes, until it has been asked for them.
+	announcer string
+	// outageSuspected is set when another entry announced that it does not reach the store,
+	// until this one has read it.
+	outageSuspected bool
 }
 
 // timeout returns how long the store may take for a call, not counting the wait of a
 // long poll.
 func (w *storeWatcher) timeout() time.Duration {
 	switch {
-	case w.failures == 0:
+	case w.failures == 0 && !w.outageSuspected:
 		return storeTimeout
-	case w.failures%3 == 0:
+	case w.failures > 0 && w.failures%3 == 0:
 		return outageLongTimeout
 	default:
 		return outageTimeout
 	}
 }
 
+// retryDelay returns the time between two reads of the store during an outage. The entry that
+// reads it for the others keeps the pace, and tells them when it is available again.
+func (w *storeWatcher) retryDelay() time.Duration {
+	if w.readsStore {
+		return retryInterval
+	}
+	return min(maxRetryInterval, retryInterval<<min(w.failures, maxRetryDoublings))
+}
+
+// step gets the next changes: from the store, or from another entry that reads it.
 func (w *storeWatcher) step() error {
+	var view storesync.View
+	w.gateway.control.do(func() { view = w.gateway.control.syncView() })
+	w.readsStore = view.ReadsStore()
+	if announcer := w.announcer; announcer != "" && w.revision > 0 {
+		w.announcer = ""
+		if w.unavailable && w.ask(announcer) {
+			return nil
+		}
+	}
+	if w.revision > 0 && !w.outageSuspected {
+		if name := w.schedule.Next(view); name != "" {
+			if !w.ask(name) {
+				w.schedule.RecordNoAnswer()
+				return nil
+			}
+			w.schedule.RecordAnswer()
+			w.pauseUntilAnnounced(questionInterval)
+			return nil
+		}
+	}
+	read := func() error { return w.poll() }
 	if w.revision == 0 {
-		return w.list()
+		read = w.list
 	}
-	return w.poll()
+	err := read()
+	w.outageSuspected = false
+	w.schedule.RecordRead(err == nil)
+	return err
 }
 
 // list reads all keys and reconciles the registrations with them.
@@ -123,6 +173,7 @@
 	for _, item := range items {
 		w.apply(item)
 	}
+	g.control.do(func() { g.control.recordChanges(items, revision, true) })
 	w.confirmFreshness(sent)
 	w.revision = revision
 	if !w.synced && g.table.Load() != nil {
@@ -136,7 +187,7 @@
 // poll reads and applies what changed since the last revision.
 func (w *storeWatcher) poll() error {
 	g := w.gateway
-	longPoll := time.Since(g.control.startedAt) < longPollPeriod && !w.unavailable
+	longPoll := time.Since(g.control.startedAt) < longPollPeriod && !w.unavailable && w.readsStore && !g.settings.FirstStart
 	wait := time.Millisecond
 	if longPoll {
 		wait = longPollWait
@@ -158,12 +209,18 @@
 	for _, item := range items {
 		w.apply(item)
 	}
-	w.confirmFreshness(sent)
 	w.revision = max(w.revision, revision)
+	g.control.do(func() {
+		g.control.recordChanges(items, w.revision, false)
+		if len(items) > 0 {
+			g.control.announceChanges()
+		}
+	})
+	w.confirmFreshness(sent)
 	if longPoll {
 		w.pause(batchDelay)
 	} else {
-		w.pause(pollInterval)
+		w.pauseUntilAnnounced(pollInterval)
 	}
 	return nil
 }
@@ -183,7 +240,11 @@
 		w.unavailable = false
 		g.log.Event("store_back", "configurationAge", g.configurationAge())
 	}
-	g.control.do(func() { g.control.registry.MarkStoreAvailable(time.Now()) })
+	g.control.do(func() {
+		if g.control.registry.MarkStoreAvailable(time.Now()) {
+			g.control.announceAvailability()
+		}
+	})
 }
 
 // storeFailed records that a call to the store failed. Later calls use new connections,
@@ -196,7 +257,13 @@
 		g.log.Event("store_away", "error", err.Error(),
 			"configurationAge", g.configurationAge())
 	}
-	g.control.do(func() { g.control.registry.MarkStoreUnavailable() })
+	g.control.do(func() {
+		first := !g.control.registry.StoreUnavailable()
+		g.control.registry.MarkStoreUnavailable()
+		if first && w.readsStore {
+			g.control.announceAvailability()
+		}
+	})
 	g.store.Reconnect()
 }
 
@@ -298,14 +365,18 @@
 
 // entryRecord is the value that an entry registers.
 type entryRecord struct {
-	Peers string `json:"peers"`
+	Peers         string `json:"peers"`
+	FailureDomain string `json:"failureDomain,omitempty"`
 }
 
 func (w *storeWatcher) applyEntry(item platform.Item) {
 	g := w.gateway
 	name := strings.TrimPrefix(item.Key, platform.EntryPrefix)
 	if item.Removed {
-		g.control.do(func() { delete(g.control.peers, name) })
+		g.control.do(func() {
+			delete(g.control.peers, name)
+			g.control.peersChanged()
+		})
 		return
 	}
 	var record entryRecord
@@ -313,7 +384,10 @@
 		g.log.Event("entry_unreadable", "key", item.Key)
 		return
 	}
-	g.control.do(func() { g.control.peers[name] = record.Peers })
+	g.control.do(func() {
+		g.control.peers[name] = peer{address: record.Peers, failureDomain: record.FailureDomain}
+		g.control.peersChanged()
+	})
 }
 
 // maintainRegistration keeps this entry registered, so that other entries find it.
@@ -349,7 +423,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "register")
 	}
-	value, err := json.Marshal(entryRecord{Peers: g.peers.Address()})
+	value, err := json.Marshal(entryRecord{Peers: g.peers.Address(), FailureDomain: g.settings.FailureDomain})
 	if err != nil {
 		return 0, errors.WithStack(err)
 	}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -11,6 +11,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -59,6 +60,10 @@
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// KVCopies maps sessions to the KV copies of their running streams.
 	KVCopies map[string]KVCopy `cbor:"6,keyasint,omitempty"`
+	// Question and Answer make the message one about the store, which reports nothing else
+	// and has no sequence number.
+	Question *SyncQuestion `cbor:"16,keyasint,omitempty"`
+	Answer   *SyncAnswer   `cbor:"17,keyasint,omitempty"`
 }
 
 // Successor is a restarted target that was found at the address of its previous
@@ -185,21 +190,22 @@
 	return len(data) + datagramOverhead, first
 }
 
-// Receive returns the next update that is newer than all before it from the same sender. It
-// returns an error after the connection is closed.
-func (c *Conn) Receive() (Update, error) {
+// Receive returns the next message about the store, or the next update that is newer than all
+// before it from the same sender, and the address of the sender. It returns an error after the
+// connection is closed.
+func (c *Conn) Receive() (Update, netip.AddrPort, error) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := c.conn.ReadFromUDP(buffer)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			return Update{}, errors.Wrap(err, "peers")
+			return Update{}, netip.AddrPort{}, errors.Wrap(err, "peers")
 		}
 		var update Update
 		if cbor.Unmarshal(buffer[:n], &update) != nil || update.Entry == "" {
 			continue
 		}
-		if c.recordIfNewer(update) {
-			return update, nil
+		if update.Question != nil || update.Answer != nil || c.recordIfNewer(update) {
+			return update, from, nil
 		}
 	}
 }
--- /dev/null
+++ b/process/storesync/schedule.go
@@ -0,0 +1,161 @@
+package storesync
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxAge is the age beyond which the knowledge of another entry is not used. The store is
+	// read about once a second, and two relays add half a second each. maxAgeShare limits it to a fraction of a short bound on
+	// revocations.
+	maxAge      = 2 * time.Second
+	maxAgeShare = 0.4
+	// maxAsksAfterFailure is how many usable answers of other entries follow a failed read of
+	// the store before the next one.
+	maxAsksAfterFailure = 4
+)
+
+// first returns the entry that rendezvous hashing ranks first: the loss of another entry does
+// not change the choice.
+func first(entries []string) string {
+	return slices.MinFunc(entries, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+}
+
+// View is what an entry knows of the entries that pass on changes. Each failure domain has one
+// such relay. One of the relays reads the store, and the others ask it.
+type View struct {
+	self string
+	// upstream is the entry to ask, or self for the entry that reads the store.
+	upstream string
+	// isRelay reports whether self is the relay of its failure domain. otherRelays lists those
+	// of the other failure domains.
+	isRelay     bool
+	otherRelays []string
+	// downstream lists the entries that ask self.
+	downstream []string
+}
+
+// NewView returns the view of the entry self. domains maps failure domains to their entries;
+// the one of self includes self.
+func NewView(self, domain string, domains map[string][]string) View {
+	relay := first(domains[domain])
+	v := View{self: self, upstream: relay, isRelay: relay == self}
+	for _, other := range slices.Sorted(maps.Keys(domains)) {
+		if other != domain && len(domains[other]) > 0 {
+			v.otherRelays = append(v.otherRelays, first(domains[other]))
+		}
+	}
+	if !v.isRelay {
+		return v
+	}
+	v.downstream = slices.DeleteFunc(slices.Clone(domains[domain]), func(name string) bool { return name == self })
+	v.upstream = first(append([]string{self}, v.otherRelays...))
+	if v.ReadsStore() {
+		v.downstream = append(v.downstream, v.otherRelays...)
+	}
+	return v
+}
+
+// ReadsStore reports whether the entry reads the store while nothing fails.
+func (v *View) ReadsStore() bool { return v.upstream == v.self }
+
+// Downstream returns the entries that are told of new changes.
+func (v *View) Downstream() []string { return v.downstream }
+
+// Schedule decides where an entry gets its next changes from. An entry asks the relay of its
+// failure domain, then that of another one, and reads the store itself when neither has usable
+// knowledge; a relay that gets no answer reads the store at once, since the other relays may
+// wait for the same entry. After a failed read of its own, any entry asks relays before it reads
+// again: the store may turn away single hosts.
+type Schedule struct {
+	// unanswered counts the questions without a usable answer in a row.
+	unanswered int
+	// readFailed is set while the last own read of the store failed. asks counts the
+	// questions since then.
+	readFailed bool
+	asks       int
+	// rotation is the index of the relay of another failure domain that was asked last.
+	rotation int
+}
+
+// Next returns the entry to ask for changes, or "" to read the store.
+func (s *Schedule) Next(view View) string {
+	switch {
+	case s.readFailed && s.asks >= maxAsksAfterFailure:
+		s.asks = 0
+		return ""
+	case s.readFailed:
+		s.asks++
+		return s.nextRelay(view)
+	case view.ReadsStore():
+		return ""
+	case s.unanswered == 0:
+		return view.upstream
+	case s.unanswered == 1 && !view.isRelay:
+		return s.nextRelay(view)
+	default:
+		return ""
+	}
+}
+
+func (s *Schedule) nextRelay(view View) string {
+	if len(view.otherRelays) == 0 {
+		return ""
+	}
+	s.rotation++
+	return view.otherRelays[s.rotation%len(view.otherRelays)]
+}
+
+// RecordAnswer records that the entry that was asked had usable knowledge.
+func (s *Schedule) RecordAnswer() { s.unanswered = 0 }
+
+// RecordNoAnswer records that it had none, or did not answer.
+func (s *Schedule) RecordNoAnswer() {
+	s.unanswered++
+	s.asks = maxAsksAfterFailure
+}
+
+// RecordRead records the result of a read of the store.
+func (s *Schedule) RecordRead(ok bool) {
+	s.readFailed, s.asks = !ok, 0
+	if ok {
+		s.unanswered = 0
+	}
+}
+
+// Answer is what an entry knows of the store when it is asked.
+type Answer struct {
+	// Revision is the revision up to which it knows all changes.
+	Revision int64 `cbor:"1,keyasint"`
+	// Age is the time since the sending of the store call that confirmed this.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Changes holds the changes after the revision that was asked for.
+	Changes []Change `cbor:"3,keyasint,omitempty"`
+	// Incomplete means that the changes since then are not known any more, or do not fit.
+	Incomplete bool `cbor:"4,keyasint,omitempty"`
+	// Unavailable means that its own last call to the store failed.
+	Unavailable bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Usable reports whether an answer brings the asking entry up to date. revocationBound is how
+// soon a revoked key must no longer be accepted, zero for no bound.
+func (a *Answer) Usable(revocationBound time.Duration) bool {
+	limit := maxAge
+	if revocationBound > 0 {
+		limit = min(limit, time.Duration(maxAgeShare*float64(revocationBound)))
+	}
+	return !a.Incomplete && !a.Unavailable && a.Age >= 0 && a.Age < limit
+}
+
+// ConfirmedAt returns when the store confirmed the knowledge in an answer to a question that
+// was sent at the given time. Times are those of a clock of the asking entry that runs while
+// its host is suspended. The answer was composed after the question was sent, so however long
+// either was under way, the confirmation is not older than that.
+func (a *Answer) ConfirmedAt(asked time.Duration) time.Duration { return asked - a.Age }
