Peer updates are paced by their number, work of peers is summed as it arrives

Cause: with 103 entries each received some 900 updates a second, which took a third of the processor of the smallest hosts; and each pick added up the work of 102 peers at each of 360 engines.

Change: an entry receives at most 400 full updates and deltas a second from all its peers together; timeouts of peers follow the period. The sum of peers' work is kept as updates arrive. Above 128 entries each engine has eight owners by rendezvous hashing, which prefer it and are the only ones told at once of a prompt placed there. The retry budget counts the peers that it knows instead of none when one is missing.

--- a/process/admission/retry_budget.go
+++ b/process/admission/retry_budget.go
@@ -12,8 +12,8 @@
 
 // RetryBudget bounds the retries of a service's requests, in any window and over all
 // entries together, by a fixed number and a ratio of the requests in the same window.
-// While the usage of the peers is known, all entries draw on one allowance. An entry that
-// receives no updates counts its own requests only, and its part of the fixed number.
+// All entries draw on one allowance as far as an entry knows the usage of its peers: it counts
+// the requests, and the parts of the fixed number, of itself and of the peers that it knows.
 //
 // It is designed for retries, resumes and rejected attempts that come in waves, as when a
 // failure domain fails or targets are full.
@@ -66,8 +66,8 @@
 type Charge struct{ epoch int64 }
 
 // Spend counts a retry if the allowance has room for one, and reports whether it did.
-// peerUsage holds the usage of each peer and is nil if that is not known; entries is the
-// number of entries. Retries that are not urgent leave urgentShare of the allowance unused.
+// peerUsage holds the usage of the peers for which it is known; entries is the number of all
+// entries. Retries that are not urgent leave urgentShare of the allowance unused.
 func (b *RetryBudget) Spend(now time.Time, entries int, peerUsage []Usage, urgent bool) (Charge, bool) {
 	allowed, remaining := b.allowance(now, entries, peerUsage)
 	if !urgent {
@@ -113,10 +113,8 @@
 // allowance returns how many retries the window allows, and how many of them remain.
 func (b *RetryBudget) allowance(now time.Time, entries int, peerUsage []Usage) (allowed, remaining float64) {
 	total := b.Usage(now)
-	fixedRetries := b.fixedRetries / float64(max(1, entries))
-	if peerUsage != nil {
-		fixedRetries = b.fixedRetries
-	}
+	known := len(peerUsage) + 1
+	fixedRetries := b.fixedRetries * float64(known) / float64(max(known, entries))
 	for _, usage := range peerUsage {
 		total.Requests += usage.Requests
 		total.Retries += usage.Retries
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/process/admission"
@@ -13,10 +15,35 @@
 	updateInterval = 500 * time.Millisecond
 	// updateDebounce is how long changes are collected before an update is sent.
 	updateDebounce = 5 * time.Millisecond
-	// peerTimeout is how long another entry counts as running after its last update.
-	peerTimeout = 4 * time.Second
+	// minPeerTimeout is how long another entry counts as running after its last update, or
+	// peerTimeoutPeriods times the period of updates if that is longer.
+	minPeerTimeout     = 4 * time.Second
+	peerTimeoutPeriods = 4
 )
 
+// updatePeriod returns the longest time between two updates of an entry.
+func (c *control) updatePeriod() time.Duration {
+	return max(updateInterval, peers.UpdatePeriod(len(c.peers)))
+}
+
+// peerTimeout returns how long another entry counts as running after its last update.
+func (c *control) peerTimeout() time.Duration {
+	return max(minPeerTimeout, peerTimeoutPeriods*c.updatePeriod())
+}
+
+// peersChanged passes the registered entries to the placement.
+func (c *control) peersChanged() {
+	self := c.gateway.settings.Name
+	entries := []string{self}
+	for name := range c.peers {
+		if name != self {
+			entries = append(entries, name)
+		}
+	}
+	c.table.SetEntries(self, entries)
+	c.table.SetPeerStateTTL(peerTimeoutPeriods * c.updatePeriod())
+}
+
 func (c *control) sendPeerUpdate() {
 	c.updatePending = false
 	now := time.Now()
@@ -40,12 +67,12 @@
 		update.SetWork(id, work)
 	}
 	if len(c.peers) > 1 {
-		c.broadcast(now, c.updateScheduler.Compose(now, update))
+		c.send(now, c.updateScheduler.Compose(now, update), slices.Collect(maps.Keys(c.peers)))
 	}
 }
 
-// sendPartialUpdate tells other entries at once which engines were given prompts: until
-// they know, those engines look idle to them.
+// sendPartialUpdate tells the other owners of the engines that were given prompts at once:
+// until they know, those engines look idle to them.
 func (c *control) sendPartialUpdate() {
 	placed, now := c.newlyPlaced, time.Now()
 	c.newlyPlaced = nil
@@ -56,23 +83,22 @@
 		Entry: c.gateway.settings.Name, Incarnation: c.incarnation, Sequence: c.sequence, Partial: true,
 		Work: make(map[request.TargetID][3]int, len(placed)),
 	}
+	owners := map[string]struct{}{}
 	for _, id := range placed {
 		if t := c.table.Get(id); t != nil {
 			update.SetWork(id, t.LocalWork())
+			for _, name := range c.table.Owners(t) {
+				owners[name] = struct{}{}
+			}
 		}
 	}
 	c.sequence++
-	c.broadcast(now, update)
+	c.send(now, update, slices.Collect(maps.Keys(owners)))
 }
 
-// broadcast sends an update to all other entries.
-func (c *control) broadcast(now time.Time, update peers.Update) {
-	addresses := make([]string, 0, len(c.peers))
-	for name, address := range c.peers {
-		if name != c.gateway.settings.Name {
-			addresses = append(addresses, address)
-		}
-	}
+// send sends an update to the given entries, but not to this one.
+func (c *control) send(now time.Time, update peers.Update, entries []string) {
+	addresses := c.addressesOf(entries)
 	bytes, err := c.gateway.peers.Send(update, addresses)
 	if err != nil {
 		c.gateway.log.Event("peers_not_told", "error", err.Error())
@@ -80,6 +106,17 @@
 	c.updateScheduler.RecordSent(now, update, bytes, len(addresses), c.slowestLink())
 }
 
+// addressesOf returns the addresses of entries other than this one.
+func (c *control) addressesOf(entries []string) []string {
+	addresses := make([]string, 0, len(entries))
+	for _, name := range entries {
+		if p, ok := c.peers[name]; ok && name != c.gateway.settings.Name {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
 // slowestLink returns the lowest known bandwidth of the entries' links, or zero if none
 // is known.
 func (c *control) slowestLink() float64 {
@@ -109,7 +146,7 @@
 // receivePeerUpdates processes the updates of other entries until the process stops.
 func (g *Gateway) receivePeerUpdates() {
 	for g.background.Err() == nil {
-		update, err := g.peers.Receive()
+		update, from, err := g.peers.Receive()
 		if err != nil {
 			if g.background.Err() == nil {
 				g.log.Event("peers_lost", "error", err.Error())
@@ -117,7 +154,14 @@
 			}
 			continue
 		}
-		g.control.post(func() { g.control.handlePeerUpdate(update) })
+		switch {
+		case update.Question != nil:
+			g.control.post(func() { g.control.answerQuestion(*update.Question, from) })
+		case update.Answer != nil:
+			g.handleSyncAnswer(update.Entry, *update.Answer)
+		default:
+			g.control.post(func() { g.control.handlePeerUpdate(update) })
+		}
 	}
 }
 
@@ -178,20 +222,18 @@
 	c.gateway.pool.CloseIdle(t.Address)
 }
 
-// peerUsage returns the other entries' usage of a service's retry budget, or nil unless
-// each of them sent an update recently.
+// peerUsage returns the usage of a service's retry budget by the other entries that sent an
+// update recently.
 func (c *control) peerUsage(now time.Time, service string) []admission.Usage {
 	usages := []admission.Usage{}
 	for name := range c.peers {
 		if name == c.gateway.settings.Name {
 			continue
 		}
-		seen, known := c.peerLastSeen[name]
-		if !known || now.Sub(seen) > 2*updateInterval {
-			return nil
+		if seen, known := c.peerLastSeen[name]; known && now.Sub(seen) <= 2*c.updatePeriod() {
+			usage := c.peerUpdates[name].Usage[service]
+			usages = append(usages, admission.Usage{Requests: usage[0], Retries: usage[1]})
 		}
-		usage := c.peerUpdates[name].Usage[service]
-		usages = append(usages, admission.Usage{Requests: usage[0], Retries: usage[1]})
 	}
 	return usages
 }
--- a/process/peers/update_scheduler.go
+++ b/process/peers/update_scheduler.go
@@ -18,8 +18,11 @@
 	updateLinkShare = 0.1
 	// partialLinkShare is the additional fraction for partial updates. maxPartialBacklog is
 	// how far ahead of that fraction they may be sent: they have about a hundred bytes each.
-	partialLinkShare  = 0.05
-	maxPartialBacklog = 100 * time.Millisecond
+	partialLinkShare = 0.05
+	// maxUpdatesPerSecond is how many full updates and deltas an entry receives from all its
+	// peers together: each costs processor time, which small hosts need for requests.
+	maxUpdatesPerSecond = 400
+	maxPartialBacklog   = 100 * time.Millisecond
 )
 
 // change is the latest value of one key of the state and when it changed.
@@ -75,6 +78,12 @@
 // ForceFull makes the next composed update a full one, for a new peer.
 func (s *UpdateScheduler) ForceFull() { s.lastFull = time.Time{} }
 
+// UpdatePeriod returns the least time between two full updates or deltas of an entry with the
+// given number of peers.
+func UpdatePeriod(peers int) time.Duration {
+	return time.Duration(peers) * time.Second / maxUpdatesPerSecond
+}
+
 // Delay returns how long the next full update or delta has to wait for bandwidth.
 func (s *UpdateScheduler) Delay(now time.Time) time.Duration { return s.updatePacer.delay(now) }
 
@@ -132,6 +141,9 @@
 		p = &s.partialPacer
 	}
 	p.recordSent(now, float64(8*bytes*entries), linkMbps)
+	if next := now.Add(UpdatePeriod(entries)); !update.Partial && p.freeAt.Before(next) {
+		p.freeAt = next
+	}
 }
 
 // Merge returns the state of a sender after update, given its state before it. A partial
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -55,6 +55,7 @@
 // Pick chooses a target. Targets that await a probe, or that the request is to avoid, are
 // chosen only when no other is available.
 func (t *Table) Pick(now time.Time, requirements Requirements) (Choice, error) {
+	t.expirePeers(now)
 	for _, lastResort := range []bool{false, true} {
 		if choice, ok := t.pick(now, requirements, lastResort); ok {
 			return choice, nil
@@ -129,11 +130,14 @@
 		failureRate := t.failureRate(now, target)
 		return target.callCost(now, requirements) + failureCost*failureRate*failureRate
 	}
-	work := t.totalWork(now, target)
+	work := t.totalWork(target)
 	cost := float64(work.PrefillTokens + work.Decoding*decodingCostTokens)
 	if !target.hasMemoryFor(work, requirements.MemoryTokens) {
 		cost += noMemoryCostTokens
 	}
+	if !t.subsets.owns(target.Address) {
+		cost += outsideSubsetCostTokens
+	}
 	cost -= float64(requirements.cachedTokens(target))
 	return cost + failureCostTokens*t.failureRate(now, target)
 }
@@ -167,6 +171,7 @@
 // source: in another failure domain, with the least memory in use and prefill pending,
 // and none of those to avoid. It returns nil if there is none.
 func (t *Table) PickKVCopyTarget(now time.Time, source *Target, requirements Requirements, avoid ...request.TargetID) *Target {
+	t.expirePeers(now)
 	var best *Target
 	leastCost := 0.0
 	for _, target := range t.services[requirements.Service] {
@@ -176,7 +181,7 @@
 		if target.Draining || target.Down(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
 			continue
 		}
-		work := t.totalWork(now, target)
+		work := t.totalWork(target)
 		if !target.hasMemoryFor(work, requirements.MemoryTokens) {
 			continue
 		}
--- a/process/placement/failures.go
+++ b/process/placement/failures.go
@@ -84,11 +84,10 @@
 // seen.
 func (t *Table) failureRate(now time.Time, target *Target) float64 {
 	rate := target.failureRate.valueAt(now)
-	for _, peer := range t.peers {
-		if now.Sub(peer.receivedAt) < peerStateTTL {
-			peerRate := decayingRate{rate: peer.FailureRates[target.ID], updatedAt: peer.receivedAt}
-			rate = max(rate, peerRate.valueAt(now))
-		}
+	for name := range t.reportingPeers {
+		peer := t.peers[name]
+		peerRate := decayingRate{rate: peer.FailureRates[target.ID], updatedAt: peer.receivedAt}
+		rate = max(rate, peerRate.valueAt(now))
 	}
 	return rate
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -44,9 +44,9 @@
 	// peerDownTTL is how long a peer's report that a target is down is used: a process
 	// takes a second or two to restart and register.
 	peerDownTTL = 3 * time.Second
-	// peerStateTTL is how long the last update of a peer is used; peers send several in
-	// that time.
-	peerStateTTL = 2 * time.Second
+	// defaultPeerStateTTL is how long the last update of a peer is used; peers send several
+	// in that time.
+	defaultPeerStateTTL = 2 * time.Second
 	// loadReportTTL is how long a load report of a target is used.
 	loadReportTTL = 200 * time.Millisecond
 )
@@ -136,18 +136,27 @@
 	// engineMemory maps services that have engines to the memory of each engine, in tokens.
 	engineMemory map[string]int
 	peers        map[string]receivedPeerState
-	prefillRate  float64
+	peerStateTTL time.Duration
+	// peerWork is the sum of the work in peers.
+	peerWork map[request.TargetID]Work
+	// reportingPeers holds the peers that report failure rates.
+	reportingPeers map[string]bool
+	subsets        subsets
+	prefillRate    float64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		targets:      map[request.TargetID]*Target{},
-		services:     map[string][]*Target{},
-		addresses:    map[string][]*Target{},
-		engineMemory: map[string]int{},
-		peers:        map[string]receivedPeerState{},
-		prefillRate:  initialPrefillRate,
+		targets:        map[request.TargetID]*Target{},
+		services:       map[string][]*Target{},
+		addresses:      map[string][]*Target{},
+		engineMemory:   map[string]int{},
+		peers:          map[string]receivedPeerState{},
+		peerStateTTL:   defaultPeerStateTTL,
+		peerWork:       map[request.TargetID]Work{},
+		reportingPeers: map[string]bool{},
+		prefillRate:    initialPrefillRate,
 	}
 }
 
@@ -286,13 +295,49 @@
 	}
 }
 
+// SetPeerStateTTL sets how long the last update of a peer is used, if that is longer than by
+// default.
+func (t *Table) SetPeerStateTTL(ttl time.Duration) { t.peerStateTTL = max(defaultPeerStateTTL, ttl) }
+
 // UpdatePeer stores the state that a peer reports, as of now.
 func (t *Table) UpdatePeer(now time.Time, peer string, state PeerState) {
+	t.RemovePeer(peer)
 	t.peers[peer] = receivedPeerState{receivedAt: now, PeerState: state}
+	t.addPeerWork(state, 1)
+	if len(state.FailureRates) > 0 {
+		t.reportingPeers[peer] = true
+	}
 }
 
 // RemovePeer removes the state of a peer.
-func (t *Table) RemovePeer(peer string) { delete(t.peers, peer) }
+func (t *Table) RemovePeer(peer string) {
+	if old, ok := t.peers[peer]; ok {
+		t.addPeerWork(old.PeerState, -1)
+		delete(t.peers, peer)
+		delete(t.reportingPeers, peer)
+	}
+}
+
+func (t *Table) addPeerWork(state PeerState, sign int) {
+	for id, work := range state.Work {
+		total := t.peerWork[id]
+		total.add(Work{PrefillTokens: sign * work.PrefillTokens, Decoding: sign * work.Decoding, MemoryTokens: sign * work.MemoryTokens})
+		if total == (Work{}) {
+			delete(t.peerWork, id)
+			continue
+		}
+		t.peerWork[id] = total
+	}
+}
+
+// expirePeers removes the state of peers that sent no update for too long.
+func (t *Table) expirePeers(now time.Time) {
+	for peer, state := range t.peers {
+		if now.Sub(state.receivedAt) >= t.peerStateTTL {
+			t.RemovePeer(peer)
+		}
+	}
+}
 
 // LocalWork returns this entry's work at the target.
 func (t *Target) LocalWork() Work { return t.localWork }
@@ -379,13 +424,9 @@
 }
 
 // totalWork returns the work of all entries at a target.
-func (t *Table) totalWork(now time.Time, target *Target) Work {
+func (t *Table) totalWork(target *Target) Work {
 	total := target.localWork
-	for _, peer := range t.peers {
-		if now.Sub(peer.receivedAt) < peerStateTTL {
-			total.add(peer.Work[target.ID])
-		}
-	}
+	total.add(t.peerWork[target.ID])
 	return total
 }
 
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -111,7 +111,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, choice.Target.ID, targetID(1))
 	}
-	later := start.Add(peerStateTTL)
+	later := start.Add(defaultPeerStateTTL)
 	chosen := map[request.TargetID]bool{}
 	for i := range 20 {
 		choice, err := table.Pick(later, promptRequirements(fmt.Sprint(i)))
