--- a/process/peers/simulation_test.go
+++ b/process/peers/simulation_test.go
@@ -41,6 +41,8 @@
 	partialUpdates bool
 	// placed counts all prompts, delayed those that had to wait for the prefill of another.
 	placed, delayed int
+	// received counts the updates received by all entries.
+	received int
 }
 
 type simulatedEntry struct {
@@ -168,6 +170,7 @@
 			continue
 		}
 		s.schedule(simulatedLatency, func() {
+			s.received++
 			merged := Merge(to.received[from.name], update)
 			to.received[from.name] = merged
 			to.table.UpdatePeer(s.now, from.name, merged.PeerState())
@@ -194,3 +197,18 @@
 	assert.Assert(t, withPartial < 0.01)
 	assert.Assert(t, withPartial < withoutPartial/2)
 }
+
+// In a fleet of hundreds of hosts, entries receive their peers' updates at a bounded rate. At
+// light load nine of ten prompts are still placed at an engine without a prompt in prefill, and
+// no entry receives more than that rate.
+func TestUpdatePace_LargeFleetKeepsPromptsApart(t *testing.T) {
+	const entries, engines, promptsPerSecond = 103, 360, 108
+	s := newSimulation(1, entries, engines, true)
+	const period = 5 * time.Second
+	s.run(promptsPerSecond, period)
+	t.Logf("%d of %d prompts delayed", s.delayed, s.placed)
+	assert.Assert(t, s.delayed*10 < s.placed)
+	perSecond := float64(s.received) / entries / s.now.Sub(start).Seconds()
+	t.Logf("%.0f updates a second to each entry", perSecond)
+	assert.Assert(t, perSecond <= maxUpdatesPerSecond+promptsPerSecond)
+}
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,7 +68,7 @@
 // pick chooses among the targets that are up. As a last resort it also considers targets
 // that await a probe, with at most one attempt in flight at each, and those to avoid.
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
-	var candidates []candidate
+	candidates := make([]candidate, 0, len(t.services[requirements.Service]))
 	for _, target := range t.services[requirements.Service] {
 		if target.Draining || target.Down(now) {
 			continue
@@ -93,38 +94,30 @@
 
 // choose returns, among the engines whose cost is within similarCostTokens of the lowest,
 // the one with the highest affinity to the session. Among applications, it considers only
-// those of the lowest cost.
+// those of the lowest cost. The runner-up is the one with the lowest cost of the others.
 func choose(candidates []candidate, requirements Requirements) Choice {
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		default:
-			return 0
-		}
-	})
-	slack := 0.0
+	limit := slices.MinFunc(candidates, compareCosts).cost
 	if candidates[0].target.isEngine {
-		slack = similarCostTokens
+		limit += similarCostTokens
 	}
-	best, highestAffinity := 0, uint64(0)
+	best, highestAffinity := -1, uint64(0)
 	for i, c := range candidates {
-		if c.cost > candidates[0].cost+slack {
-			break
+		if c.cost > limit {
+			continue
 		}
-		if rank := affinity(requirements.Session, c.target.ID); rank >= highestAffinity {
+		if rank := affinity(requirements.Session, c.target.ID); best < 0 || rank > highestAffinity {
 			best, highestAffinity = i, rank
 		}
 	}
 	choice := Choice{Target: candidates[best].target, Cost: candidates[best].cost}
-	if next := (best + 1) % len(candidates); next != best {
-		choice.RunnerUp = candidates[next].target.ID
+	if others := slices.Delete(candidates, best, best+1); len(others) > 0 {
+		choice.RunnerUp = slices.MinFunc(others, compareCosts).target.ID
 	}
 	return choice
 }
 
+func compareCosts(a, b candidate) int { return cmp.Compare(a.cost, b.cost) }
+
 func (t *Table) cost(now time.Time, target *Target, requirements Requirements) float64 {
 	if !target.isEngine {
 		failureRate := t.failureRate(now, target)
