Bytes without end and panics end one request only

Cause: the head of a target's response had no limit, so a target that sends one without end filled the memory of the entry until the request's deadline; bodies of several such targets together had none either, nor had answers of the key-value service, host list, engines and applications. A panic outside the handler of a request ended the process.

Change: heads end at 64 KiB and eight interim responses. Larger responses that are being received share a fifth of the process's memory. connection/bounded decodes JSON within 16 MiB. The control goroutine's commands, attempts, probes, KV copies, the watch on the store and each of its items are run so that a panic ends them only, is logged with its stack and counted (mulberrylane.panics).

Tests: heads, header lines, interim responses and bodies without end against raw targets; TestConn_EndlessHeadIsGivenUp fails on the old code (header lines: not given up after 5 s). Fuzzing of the decoders of configurations, registrations, events, requests and peer updates: 8 s each by hand, no finding.

--- a/command/processes.go
+++ b/command/processes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/outside/hostlist"
 )
 
@@ -132,6 +132,6 @@
 		result.Err = errors.Errorf("response status %d: %s", response.StatusCode, strings.TrimSpace(string(message)))
 		return result
 	}
-	result.Err = errors.Wrap(json.NewDecoder(response.Body).Decode(&result.Body), "decode response")
+	result.Err = errors.Wrap(bounded.DecodeJSON(response.Body, &result.Body), "decode response")
 	return result
 }
--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -30,8 +30,15 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
 	readBufferSize    = 4096
+	// maxHeadBytes limits the head of a response, interim responses before it included.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim responses before a response.
+	maxInterimResponses = 8
 )
 
+// ErrHeadTooLong means that the head of a response exceeds its limit.
+var ErrHeadTooLong = errors.New("the head of the response exceeds the size limit")
+
 // ErrNotSent means that no part of the request was written to the connection.
 var ErrNotSent = errors.New("no part of the request was sent")
 
@@ -47,10 +54,13 @@
 
 // Conn is one connection to a target. It carries one request at a time.
 type Conn struct {
-	raw          net.Conn
-	reader       *bufio.Reader
-	address      string
-	bytesWritten atomic.Int64
+	raw    net.Conn
+	reader *bufio.Reader
+	// headBytesLeft limits what is read while readingHead is set.
+	readingHead   bool
+	headBytesLeft int
+	address       string
+	bytesWritten  atomic.Int64
 	// sendDone is closed when the write of the request has ended. sendErr may be read
 	// only after that.
 	sendDone chan struct{}
@@ -69,7 +79,23 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	c := &Conn{raw: raw, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
+}
+
+// Read reads from the connection, and no more than the limit while a head is read: a failing
+// target may send one that never ends.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	if c.readingHead {
+		if c.headBytesLeft <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		buffer = buffer[:min(len(buffer), c.headBytesLeft)]
+	}
+	n, err := c.raw.Read(buffer)
+	c.headBytesLeft -= n
+	return n, err //nolint:wrapcheck // io.Reader
 }
 
 // Write writes data to the connection and counts the bytes written.
@@ -124,7 +150,9 @@
 }
 
 func (c *Conn) readResponseHeader(httpRequest *http.Request) (*http.Response, error) {
-	for {
+	c.readingHead, c.headBytesLeft = true, maxHeadBytes
+	defer func() { c.readingHead = false }()
+	for range maxInterimResponses {
 		response, err := http.ReadResponse(c.reader, httpRequest)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
@@ -133,6 +161,7 @@
 			return response, nil
 		}
 	}
+	return nil, errors.WithMessagef(ErrHeadTooLong, "more than %d interim responses", maxInterimResponses)
 }
 
 // reusable reports whether the connection may carry another request after response,
--- a/outside/application/target.go
+++ b/outside/application/target.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -114,5 +114,5 @@
 	if response.StatusCode != http.StatusOK {
 		return load, fault.New(fault.TargetLost, "the target answered %d", response.StatusCode)
 	}
-	return load, errors.Wrap(json.NewDecoder(response.Body).Decode(&load), "decode load")
+	return load, errors.Wrap(bounded.DecodeJSON(response.Body, &load), "decode load")
 }
--- a/outside/etcd/store.go
+++ b/outside/etcd/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 )
@@ -158,7 +159,7 @@
 		status := &statusError{status: response.StatusCode, text: string(bytes.TrimSpace(text))}
 		return fault.Wrap(fault.StoreUnavailable, status, "the key-value service refused the call")
 	}
-	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+	if err := bounded.DecodeJSON(response.Body, reply); err != nil {
 		return fault.Wrap(fault.StoreUnavailable, err, "the key-value service's answer broke off")
 	}
 	return nil
--- a/outside/etcd/watch.go
+++ b/outside/etcd/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 )
@@ -95,7 +96,7 @@
 // forwardEvents sends changes to the events channel until the stream ends. It reports
 // whether the stream ended because the requested changes were compacted.
 func (w *watch) forwardEvents(ctx context.Context, body io.Reader) (compacted bool) {
-	decoder := json.NewDecoder(body)
+	decoder := bounded.NewDecoder(body)
 	for {
 		var message watchResponse
 		if decoder.Decode(&message) != nil {
--- a/outside/hostlist/hostlist.go
+++ b/outside/hostlist/hostlist.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/outside"
 )
 
@@ -57,7 +57,7 @@
 // readList decodes a list and stores it with its entity tag.
 func (c *Client) readList(response *http.Response) ([]outside.ListedTarget, error) {
 	var targets []outside.ListedTarget
-	if err := json.NewDecoder(response.Body).Decode(&targets); err != nil {
+	if err := bounded.DecodeJSON(response.Body, &targets); err != nil {
 		return nil, errors.Wrap(err, "decode host list")
 	}
 	c.etag = response.Header.Get("ETag")
--- a/outside/openai/engine.go
+++ b/outside/openai/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -58,7 +59,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var reply tokenizeReply
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+	if err := bounded.DecodeJSON(response.Body, &reply); err != nil {
 		return nil, fault.Wrap(fault.TargetLost, err, "tokenize reply")
 	}
 	return reply.Tokens, nil
--- a/outside/openai/models.go
+++ b/outside/openai/models.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 )
@@ -49,7 +49,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+	if err := bounded.DecodeJSON(response.Body, reply); err != nil {
 		return fault.Wrap(fault.TargetLost, err, path)
 	}
 	return nil
--- a/outside/openai/orders.go
+++ b/outside/openai/orders.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 )
@@ -52,6 +52,6 @@
 	var reply struct {
 		Role string `json:"role"`
 	}
-	err = json.NewDecoder(response.Body).Decode(&reply)
+	err = bounded.DecodeJSON(response.Body, &reply)
 	return reply.Role, errors.Wrap(err, "decode role")
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -267,7 +267,7 @@
 
 // readBody reads the rest of a response and releases its connection.
 func (a *attempt) readBody(response *http.Response) ([]byte, error) {
-	body, err := readAtMost(response.Body, maxResponseBytes)
+	body, err := a.exchange.gateway.responseMemory.readAll(response.Body, maxResponseBytes)
 	if err != nil {
 		a.conn.Close()
 		return nil, errors.Wrap(err, "body")
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -95,9 +95,10 @@
 	c.running++
 	c.attempts++
 	go func() {
-		response, outcome := c.runCallAttempt(a)
-		c.gateway.metrics.countAttempt(outcome.String())
-		c.results <- callResult{attempt: a, response: response, outcome: outcome}
+		result := callResult{attempt: a, outcome: request.AttemptBroken}
+		c.gateway.protect("attempt", func() { result.response, result.outcome = c.runCallAttempt(a) })
+		c.gateway.metrics.countAttempt(result.outcome.String())
+		c.results <- result
 	}()
 	return nil
 }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -164,15 +164,15 @@
 		case <-c.gateway.background.Done():
 			return
 		case command := <-c.commands:
-			command()
+			c.gateway.protect("control", command)
 		case <-updateTimer:
 			updateTimer = nil
-			c.sendPeerUpdate()
+			c.gateway.protect("peer update", c.sendPeerUpdate)
 		case <-timer.C:
-			c.check(time.Now())
+			c.gateway.protect("check", func() { c.check(time.Now()) })
 			timer.Reset(c.nextCheckInterval())
 		}
-		c.sendPartialUpdate()
+		c.gateway.protect("peer update", c.sendPartialUpdate)
 		if c.updatePending && updateTimer == nil {
 			updateTimer = time.After(max(updateDebounce, c.updateScheduler.Delay(time.Now())))
 		}
@@ -190,11 +190,12 @@
 
 // do runs a command on the control goroutine and waits for it. It returns false if the
 // process stopped before the command started; a command that has started is always
-// finished when do returns, so the caller may read what it wrote.
+// finished when do returns, so the caller may read what it wrote. A command that panics
+// counts as finished.
 func (c *control) do(command func()) bool {
 	done := make(chan struct{})
 	select {
-	case c.commands <- func() { command(); close(done) }:
+	case c.commands <- func() { defer close(done); command() }:
 	case <-c.stopped:
 		return false
 	}
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -49,6 +49,7 @@
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	defer g.protectHandler()
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	if g.draining() {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -43,7 +43,9 @@
 	pool     *target.Pool
 	store    *platform.Store
 	peers    *peers.Conn
-	ingress  *ingress
+	// responseMemory limits the memory of targets' responses.
+	responseMemory *responseMemory
+	ingress        *ingress
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
@@ -91,6 +93,7 @@
 	}
 	g.ending, g.endRequests = context.WithCancel(background)
 	g.control = newControl(g)
+	g.responseMemory = newResponseMemory(s.MemoryMB)
 	g.ingress = newIngress(g)
 	return g
 }
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -148,7 +148,8 @@
 		c.updatePending = true
 	}
 	a.exchange.gateway.log.Event("copy_moved", "request", a.exchange.inbound.ID, "target", next.ID, "runs", a.target.ID)
-	go a.maintainCopy(a.kvCopy, next.Address)
+	kvCopy := a.kvCopy
+	go c.gateway.protect("KV copy", func() { a.maintainCopy(kvCopy, next.Address) })
 }
 
 // maintainCopy requests a copy of a running attempt's KV memory and renews it until the
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -129,7 +129,8 @@
 		known = t.Incarnation
 	}
 	go func() {
-		alive, incarnation := c.gateway.probeAddress(address, engine)
+		alive, incarnation := true, request.Incarnation(0)
+		c.gateway.protect("probe", func() { alive, incarnation = c.gateway.probeAddress(address, engine) })
 		c.post(func() {
 			if alive && engine && known != 0 && incarnation != 0 && incarnation != known {
 				c.markReplaced(id)
@@ -165,8 +166,9 @@
 	// The buffer lets the slower probe finish when nobody reads its result.
 	results := make(chan result, 2)
 	send := func(maxIdle time.Duration) {
-		incarnation, err := g.sendProbe(g.background, address, engine, maxIdle)
-		results <- result{incarnation, err}
+		r := result{err: errors.New("panic")}
+		g.protect("probe", func() { r.incarnation, r.err = g.sendProbe(g.background, address, engine, maxIdle) })
+		results <- r
 	}
 	go send(maxIdleTime)
 	secondProbe := time.NewTimer(secondProbeDelay)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -25,6 +25,7 @@
 	targetsLost       metric.Int64Counter
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
+	panics            metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -44,6 +45,7 @@
 		probes:            b.Counter("mulberrylane.probes", "Probes of targets"),
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
+		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -162,8 +162,8 @@
 	items := make([]platform.Item, len(answer.Changes))
 	for i, change := range answer.Changes {
 		items[i] = platform.Item(change)
-		w.apply(items[i])
 	}
+	w.applyAll(items)
 	w.confirmFreshness(answer.ConfirmedAt(asked))
 	w.revision = max(w.revision, answer.Revision)
 	g.control.do(func() {
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -57,7 +57,8 @@
 	w := &storeWatcher{gateway: g}
 	for g.background.Err() == nil {
 		start := time.Now()
-		err := w.step()
+		err := errors.New("panic")
+		g.protect("store watch", func() { err = w.step() })
 		if err == nil || g.background.Err() != nil {
 			continue
 		}
@@ -170,9 +171,7 @@
 		}
 		clear(c.peers)
 	})
-	for _, item := range items {
-		w.apply(item)
-	}
+	w.applyAll(items)
 	g.control.do(func() { g.control.recordChanges(items, revision, true) })
 	w.confirmFreshness(sent)
 	w.revision = revision
@@ -206,9 +205,7 @@
 		return errors.Wrap(err, "watch")
 	}
 	w.storeAvailable()
-	for _, item := range items {
-		w.apply(item)
-	}
+	w.applyAll(items)
 	w.revision = max(w.revision, revision)
 	g.control.do(func() {
 		g.control.recordChanges(items, w.revision, false)
@@ -288,6 +285,13 @@
 	}
 }
 
+// applyAll applies items. One whose processing panics is skipped.
+func (w *storeWatcher) applyAll(items []platform.Item) {
+	for _, item := range items {
+		w.gateway.protect("item "+item.Key, func() { w.apply(item) })
+	}
+}
+
 // apply applies one item. Invalid items are skipped, so that the others still apply.
 func (w *storeWatcher) apply(item platform.Item) {
 	switch {
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -29,6 +29,17 @@
 // runStreamAttempt runs one attempt of a stream and sends its updates.
 func (a *attempt) runStreamAttempt(updates chan<- attemptUpdate, stopped <-chan struct{}, number request.AttemptNumber) {
 	defer a.release()
+	if !a.exchange.gateway.protect("attempt", func() { a.exchangeStream(updates, stopped, number) }) {
+		a.cancel()
+		select {
+		case updates <- attemptUpdate{attempt: a, number: number, kind: fault.TargetLost}:
+		case <-stopped:
+		}
+	}
+}
+
+// exchangeStream sends the request and the updates.
+func (a *attempt) exchangeStream(updates chan<- attemptUpdate, stopped <-chan struct{}, number request.AttemptNumber) {
 	send := func(update attemptUpdate) bool {
 		update.attempt, update.number = a, number
 		select {
--- a/process/gateway/successor.go
+++ b/process/gateway/successor.go
@@ -56,7 +56,10 @@
 		m.identifying, m.lastIdentifyAttempt = true, now
 		known := t.Incarnation
 		go func() {
-			id, incarnation, err := c.gateway.identifyTarget(m.address, m.service)
+			var id request.TargetID
+			var incarnation request.Incarnation
+			err := errors.New("panic")
+			c.gateway.protect("probe", func() { id, incarnation, err = c.gateway.identifyTarget(m.address, m.service) })
 			c.post(func() {
 				m.identifying = false
 				switch {
