Reload: retries counted so far are kept, all bounds take effect

Cause: a reload by SIGHUP replaced the retry budgets by empty ones, which allowed as many retries once more; changed bounds on revocation and on the grace period were logged as reloaded and had no effect until the next start. Change: budgets, the revocation bound and the grace period take the new values in place; other changed settings are logged as needing a restart. Test: TestReload_KeepsRetriesAndAppliesBounds.

--- a/process/admission/retry_budget.go
+++ b/process/admission/retry_budget.go
@@ -39,6 +39,14 @@
 	return &RetryBudget{ratio: ratio, fixedRetries: fixedRetries, window: window}
 }
 
+// SetLimits changes the bound and keeps what was counted, unless the window changes.
+func (b *RetryBudget) SetLimits(ratio, fixedRetries float64, window time.Duration) {
+	if window != b.window {
+		*b = *NewRetryBudget(ratio, fixedRetries, window)
+	}
+	b.ratio, b.fixedRetries = ratio, fixedRetries
+}
+
 func (b *RetryBudget) bucketIndex(now time.Time) int {
 	if b.startedAt.IsZero() {
 		b.startedAt = now
--- a/process/freshness/freshness.go
+++ b/process/freshness/freshness.go
@@ -48,6 +48,9 @@
 	return &Freshness{revocationBound: revocationBound}
 }
 
+// SetRevocationBound changes the revocation bound; zero means that there is none.
+func (f *Freshness) SetRevocationBound(bound time.Duration) { f.revocationBound = bound }
+
 // Confirm records that the store responded to a call sent at the given time with all
 // changes up to then.
 func (f *Freshness) Confirm(sent time.Duration) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -135,9 +135,10 @@
 // have ended, but no longer than the grace period.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
-	plan := shutdown.NewPlan(start, g.settings.Bounds.Grace.Std())
+	grace := g.currentBounds().Grace.Std()
+	plan := shutdown.NewPlan(start, grace)
 	g.stopPlan.Store(plan)
-	g.log.Event("leaving", "running", g.activeRequests.Load(), "grace", g.settings.Bounds.Grace.Std())
+	g.log.Event("leaving", "running", g.activeRequests.Load(), "grace", grace)
 	time.Sleep(time.Until(plan.CloseIdle()))
 	g.ingress.stopAccepting()
 	untilEnd, cancel := context.WithDeadline(g.background, plan.End())
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -13,8 +13,8 @@
 // a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reloadSettings applies AddressReuse and the bounds on retries of a changed settings
-// file. All other settings change at the next start only.
+// reloadSettings applies the bounds of a changed settings file. All other settings change at
+// the next start only; a changed one is logged.
 func (g *Gateway) reloadSettings() {
 	if g.settings.source == "" {
 		return
@@ -55,10 +55,29 @@
 		g.log.Event("settings_rejected", "reason", reason, "error", err.Error())
 		return
 	}
-	g.control.do(func() {
-		g.control.bounds = next.Bounds
-		g.control.registry.SetAddressReuse(next.Bounds.AddressReuse.Std())
-		clear(g.control.budgets)
-	})
+	g.control.do(func() { g.control.setBounds(next.Bounds) })
 	g.log.Event("settings_reloaded", "reason", reason)
+	next.Bounds, next.source = g.settings.Bounds, g.settings.source
+	if next != g.settings {
+		g.log.Event("settings_need_restart", "reason", reason)
+	}
+}
+
+// setBounds applies changed bounds. What the retry budgets have counted is kept.
+func (c *control) setBounds(bounds Bounds) {
+	c.bounds = bounds
+	c.registry.SetAddressReuse(bounds.AddressReuse.Std())
+	for _, budget := range c.budgets {
+		budget.SetLimits(budgetFraction*bounds.RetryRatio, budgetFraction*bounds.RetrySlack, bounds.RetryWindow.Std())
+	}
+	freshness := *c.freshness.Load()
+	freshness.SetRevocationBound(bounds.RevokeWithin.Std())
+	c.freshness.Store(&freshness)
+}
+
+// currentBounds returns the bounds in force.
+func (g *Gateway) currentBounds() Bounds {
+	bounds := g.settings.Bounds
+	g.control.do(func() { bounds = g.control.bounds })
+	return bounds
 }
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -142,7 +142,7 @@
 			if answer.ID != w.questionID {
 				continue
 			}
-			if !answer.Usable(g.settings.Bounds.RevokeWithin.Std()) {
+			if !answer.Usable(g.currentBounds().RevokeWithin.Std()) {
 				return false
 			}
 			w.applyAnswer(answer.Answer, asked)
