Answers about the store carry their revision

Cause: the identifier of an answer and the revision in it had the same key on the wire, so the revision was left out. Entries that ask got every change since their start again with each answer, and announcements of changes had no effect. Found by the record of the new messages, which checks that each field is decoded (records_test.go, peers-answer.cbor). Change: the answer is a value of its own in the message. The records of the earlier build stay as they are; their lists of fields that are not set name the two fields that this build has added.

--- a/process/gateway/store_sync_test.go
+++ b/process/gateway/store_sync_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -112,3 +113,20 @@
 	}
 	assert.Assert(t, time.Since(start) < pollInterval+questionInterval, "took %s", time.Since(start))
 }
+
+// An entry that asks another one advances its own revision, so that it gets each change once.
+func TestStoreSync_RevisionAdvancesWithAnswers(t *testing.T) {
+	d := newDeployment(t)
+	entries := d.startEntries("entry-1", "entry-2", "entry-3")
+	time.Sleep(peerDiscoveryTime)
+	for i := range 3 {
+		d.startApplication(fmt.Sprintf("a%d", i), "naxos")
+	}
+	for _, g := range entries {
+		d.waitWithin(applyTimeout, func() bool {
+			revision := int64(0)
+			g.control.do(func() { revision = g.control.storeLog.Revision() })
+			return revision == d.store.Revision() && g.targetCount() == 3
+		})
+	}
+}
--- a/process/peers/sync.go
+++ b/process/peers/sync.go
@@ -13,6 +13,6 @@
 // SyncAnswer answers a SyncQuestion. Without an ID it only announces that there are changes
 // up to its revision.
 type SyncAnswer struct {
-	ID uint64 `cbor:"1,keyasint,omitempty"`
-	storesync.Answer
+	ID               uint64 `cbor:"1,keyasint,omitempty"`
+	storesync.Answer `cbor:"2,keyasint"`
 }
--- a/records_test.go
+++ b/records_test.go
@@ -91,15 +91,23 @@
 	}
 }
 
+// zeroUpdateFields are the fields that are not set in a message about the store.
+var zeroUpdateFields = []string{
+	".Full", ".LinkMbps", ".Incarnation", ".Sequence", ".Work", ".Usage", ".Down", ".Replaced", ".Successors",
+	".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies",
+}
+
 // A renamed field or tag must not change the datagrams that entries of different builds
 // exchange.
 func TestPeerUpdates_OfEarlierBuild(t *testing.T) {
 	for _, r := range []record{
-		{file: "peers-update.cbor", value: &peers.Update{}},
+		{file: "peers-update.cbor", value: &peers.Update{}, unset: []string{".Question", ".Answer"}},
 		{file: "peers-brief-update.cbor", value: &peers.Update{}, unset: []string{
 			".Full", ".LinkMbps", ".Usage", ".Down", ".Replaced", ".Successors",
-			".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies",
+			".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies", ".Question", ".Answer",
 		}},
+		{file: "peers-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Answer")},
+		{file: "peers-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question")},
 	} {
 		t.Run(r.file, func(t *testing.T) {
 			data := readRecord(t, r.file)
