Changes are recorded before their confirmation; outages are announced once

Cause, found by reading the diff: an entry that got an answer confirmed it before it recorded the changes for others, so a question that came between the two was answered with the new age and without the changes. A reader that the store turns away announced each of its failures to all entries, which then all read the store. An entry whose own read failed did not ask the relay of its only failure domain. Every entry announced the end of an outage. Change: recorded first; only a failure after a successful read, and only the entry that reads the store again, is announced; the entries to ask include the relay.

--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -157,19 +157,26 @@
 
 // applyAnswer applies the changes in an answer to a question that was sent at the given time.
 func (w *storeWatcher) applyAnswer(answer storesync.Answer, asked time.Duration) {
-	g := w.gateway
-	w.storeAvailable()
+	w.storeAvailable(false)
 	items := make([]platform.Item, len(answer.Changes))
 	for i, change := range answer.Changes {
 		items[i] = platform.Item(change)
 	}
 	w.applyAll(items)
-	w.confirmFreshness(answer.ConfirmedAt(asked))
 	w.revision = max(w.revision, answer.Revision)
-	g.control.do(func() {
-		g.control.recordChanges(items, w.revision, false)
+	w.recordChanges(items)
+	w.confirmFreshness(answer.ConfirmedAt(asked))
+}
+
+// recordChanges records the changes up to the current revision for other entries. They must be
+// recorded before their confirmation: an answer that names the age of the confirmation has to
+// hold all changes before it.
+func (w *storeWatcher) recordChanges(items []platform.Item) {
+	c := w.gateway.control
+	c.do(func() {
+		c.recordChanges(items, w.revision, false)
 		if len(items) > 0 {
-			g.control.announceChanges()
+			c.announceChanges()
 		}
 	})
 }
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -77,6 +77,9 @@
 	// row.
 	unavailable bool
 	failures    int
+	// lastReadFailed is set while this entry's own last read failed, though others may have
+	// answered since.
+	lastReadFailed bool
 	// synced is set once a configuration and the targets have been read.
 	synced bool
 	// schedule decides where the next changes come from. questionID is the ID of the last
@@ -163,7 +166,7 @@
 			ids = append(ids, request.TargetID(id))
 		}
 	}
-	w.storeAvailable()
+	w.storeAvailable(true)
 	g.control.do(func() {
 		c := g.control
 		for _, id := range c.registry.Reconcile(time.Now(), ids) {
@@ -204,15 +207,10 @@
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
-	w.storeAvailable()
+	w.storeAvailable(true)
 	w.applyAll(items)
 	w.revision = max(w.revision, revision)
-	g.control.do(func() {
-		g.control.recordChanges(items, w.revision, false)
-		if len(items) > 0 {
-			g.control.announceChanges()
-		}
-	})
+	w.recordChanges(items)
 	w.confirmFreshness(sent)
 	if longPoll {
 		w.pause(batchDelay)
@@ -229,16 +227,17 @@
 	}
 }
 
-// storeAvailable records that the store responded.
-func (w *storeWatcher) storeAvailable() {
+// storeAvailable records that the store responded, to this entry if ownRead is set.
+func (w *storeWatcher) storeAvailable(ownRead bool) {
 	g := w.gateway
 	w.failures = 0
+	w.lastReadFailed = w.lastReadFailed && !ownRead
 	if w.unavailable {
 		w.unavailable = false
 		g.log.Event("store_back", "configurationAge", g.configurationAge())
 	}
 	g.control.do(func() {
-		if g.control.registry.MarkStoreAvailable(time.Now()) {
+		if g.control.registry.MarkStoreAvailable(time.Now()) && ownRead {
 			g.control.announceAvailability()
 		}
 	})
@@ -255,12 +254,12 @@
 			"configurationAge", g.configurationAge())
 	}
 	g.control.do(func() {
-		first := !g.control.registry.StoreUnavailable()
 		g.control.registry.MarkStoreUnavailable()
-		if first && w.readsStore {
+		if !w.lastReadFailed && w.readsStore {
 			g.control.announceAvailability()
 		}
 	})
+	w.lastReadFailed = true
 	g.store.Reconnect()
 }
 
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -72,7 +72,7 @@
 // Schedule decides where an entry gets its next changes from. An entry asks the relay of its
 // failure domain, then that of another one, and reads the store itself when neither has usable
 // knowledge; a relay that gets no answer reads the store at once, since the other relays may
-// wait for the same entry. After a failed read of its own, any entry asks relays before it reads
+// wait for the same entry. After a failed read of its own, any entry asks others before it reads
 // again: the store may turn away single hosts.
 type Schedule struct {
 	// unanswered counts the questions without a usable answer in a row.
@@ -81,7 +81,7 @@
 	// questions since then.
 	readFailed bool
 	asks       int
-	// rotation is the index of the relay of another failure domain that was asked last.
+	// rotation counts the questions to entries that are asked in turn.
 	rotation int
 }
 
@@ -93,24 +93,29 @@
 		return ""
 	case s.readFailed:
 		s.asks++
-		return s.nextRelay(view)
+		others := view.otherRelays
+		if !view.ReadsStore() && !slices.Contains(others, view.upstream) {
+			others = append([]string{view.upstream}, others...)
+		}
+		return s.nextOf(others)
 	case view.ReadsStore():
 		return ""
 	case s.unanswered == 0:
 		return view.upstream
 	case s.unanswered == 1 && !view.isRelay:
-		return s.nextRelay(view)
+		return s.nextOf(view.otherRelays)
 	default:
 		return ""
 	}
 }
 
-func (s *Schedule) nextRelay(view View) string {
-	if len(view.otherRelays) == 0 {
+// nextOf returns the entries in turn, or "" if there are none.
+func (s *Schedule) nextOf(entries []string) string {
+	if len(entries) == 0 {
 		return ""
 	}
 	s.rotation++
-	return view.otherRelays[s.rotation%len(view.otherRelays)]
+	return entries[s.rotation%len(entries)]
 }
 
 // RecordAnswer records that the entry that was asked had usable knowledge.
--- a/process/storesync/storesync_test.go
+++ b/process/storesync/storesync_test.go
@@ -104,7 +104,12 @@
 // The store turns one host away and serves all others.
 func TestSchedule_EntryTurnedAwayAsksRelays(t *testing.T) {
 	domains := fleet(3, 4)
-	v := NewView(domains["d0"][0], "d0", domains)
+	relay := first(domains["d0"])
+	v := NewView(domains["d0"][(slices.Index(domains["d0"], relay)+1)%4], "d0", domains)
+	only := NewView(v.self, "d0", map[string][]string{"d0": domains["d0"]})
+	single := Schedule{}
+	single.RecordRead(false)
+	assert.Equal(t, single.Next(only), relay, "the only failure domain")
 	var s Schedule
 	reads := 0
 	for range 50 {
