--- a/process/gateway/faulty_input_test.go
+++ b/process/gateway/faulty_input_test.go
@@ -4,9 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +18,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
 // startEndlessTarget registers a target of bookings that responds with a body without end.
@@ -109,3 +114,65 @@
 	assert.NilError(t, err)
 	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
 }
+
+// startTricklingEngine registers an engine that answers probes, and whose streams send a byte
+// now and then but never an event. aborted counts the streams that the entry closed.
+func (d *deployment) startTricklingEngine(id string, aborted *atomic.Int64) {
+	d.t.Helper()
+	const incarnation = 5000
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReportPath, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"Stage":"unified","Models":[],"Waiting":0,"Running":1,"KvUsed":0,"KvTotal":88000,"born":%d}`, incarnation)
+	})
+	mux.HandleFunc("/report/", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Signature", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for {
+			if _, err := io.WriteString(w, "d"); err != nil || http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+				aborted.Add(1)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	server := httptest.NewServer(mux)
+	d.t.Cleanup(server.CloseClientConnections)
+	value, err := json.Marshal(map[string]any{
+		"Service": "writer", "Address": strings.TrimPrefix(server.URL, "http://"), "Zone": "naxos", "Slots": 64, "State": "ready",
+		"Sequence": 1, "born": incarnation,
+	})
+	assert.NilError(d.t, err)
+	d.store.Put(platform.TargetPrefix+id, value)
+}
+
+func TestStream_BytesWithoutAnEventEndAtTheDeadline(t *testing.T) {
+	d := newDeployment(t)
+	var aborted atomic.Int64
+	d.startTricklingEngine("e1", &aborted)
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	req.DeadlineRemaining = 2 * time.Second
+	start := time.Now()
+	response, err := http.DefaultClient.Do(req.httpRequest(context.Background(), g))
+	if err == nil {
+		_ = response.Body.Close()
+		assert.Assert(t, response.StatusCode >= http.StatusInternalServerError)
+	}
+	assert.Assert(t, time.Since(start) < req.DeadlineRemaining+500*time.Millisecond, "ended after %s", time.Since(start))
+	d.waitWithin(time.Second, func() bool { return aborted.Load() > 0 })
+}
+
+// Events that come slower than the silence after which a busy target is probed.
+func TestStream_SlowButSoundIsNotCut(t *testing.T) {
+	d := newDeployment(t)
+	d.startReplica(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: 5,
+		PrefillTime: 900 * time.Millisecond, EventInterval: 600 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, 5)
+	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 1)
+}
