--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxAge is the age beyond which the knowledge of another entry is not used. The store is
-	// read about once a second, and two relays add half a second each. maxAgeShare limits it to a fraction of a short bound on
-	// revocations.
+	// maxAge is the age beyond which the knowledge of another entry is not used: the store is
+	// read about once a second, and two relays add half a second each. maxAgeShare limits it to
+	// a fraction of a short bound on revocations.
 	maxAge      = 2 * time.Second
 	maxAgeShare = 0.4
 	// maxAsksAfterFailure is how many usable answers of other entries follow a failed read of
