A reader that the store turns away does not answer questions

Cause: with the store turning away the one entry that reads it, a relay answered that entry, which then counted as informed and answered the relays; all knew the same state of the store and nobody read it until its age reached 2 s. Change: the reader says that it is unavailable until its own read succeeds. It asks the entries that ask it, also in the only failure domain. Answers of the reader are used up to 1.25 s, of relays up to 1.7 s. Ruled out: a lower age limit alone, which leaves the circle in place. Test: TestStoreSync_ReaderTurnedAwayDoesNotAnswer.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -69,6 +69,9 @@
 
 	// storeLog holds the newest changes of the store for other entries.
 	storeLog storesync.Log
+	// lastReadFailed is set while this entry's own last read of the store failed, though
+	// others may have answered since.
+	lastReadFailed bool
 	// peers maps the names of all entries to their registrations. peerLastSeen maps the names
 	// of other entries to when their last full or delta update was received.
 	peers        map[string]peer
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -65,7 +65,8 @@
 	changes, complete := c.storeLog.Since(question.Revision)
 	answer.Changes, answer.Incomplete = changes, !complete
 	answer.Age = freshness.Age(bootClock())
-	answer.Unavailable = c.registry.StoreUnavailable() || !freshness.HasConfiguration()
+	view := c.syncView()
+	answer.Unavailable = c.registry.StoreUnavailable() || !freshness.HasConfiguration() || c.lastReadFailed && view.ReadsStore()
 	message := peers.Update{Entry: c.gateway.settings.Name, Partial: true, Answer: &answer}
 	if _, err := c.gateway.peers.Send(message, []string{from.String()}); err != nil {
 		answer.Changes, answer.Incomplete = nil, true
@@ -123,8 +124,12 @@
 // entry had usable knowledge.
 func (w *storeWatcher) ask(name string) bool {
 	g := w.gateway
-	address := ""
-	g.control.do(func() { address = g.control.peers[name].address })
+	address, maxAge := "", time.Duration(0)
+	g.control.do(func() {
+		c := g.control
+		view := c.syncView()
+		address, maxAge = c.peers[name].address, view.MaxAge(c.bounds.RevokeWithin.Std())
+	})
 	w.questionID++
 	message := peers.Update{
 		Entry: g.settings.Name, Partial: true,
@@ -142,7 +147,7 @@
 			if answer.ID != w.questionID {
 				continue
 			}
-			if !answer.Usable(g.currentBounds().RevokeWithin.Std()) {
+			if !answer.Usable(maxAge) {
 				return false
 			}
 			w.applyAnswer(answer.Answer, asked)
--- a/process/gateway/store_sync_test.go
+++ b/process/gateway/store_sync_test.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/storesync"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 )
@@ -114,6 +120,67 @@
 	assert.Assert(t, time.Since(start) < pollInterval+questionInterval, "took %s", time.Since(start))
 }
 
+// The store turns away the entry that reads it. Others may answer that entry, but it must not
+// answer them: all would wait for each other instead of reading the store.
+func TestStoreSync_ReaderTurnedAwayDoesNotAnswer(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	names := []string{"entry-1", "entry-2", "entry-3"}
+	var turnedAway atomic.Bool
+	backend, err := url.Parse("http://" + d.address)
+	assert.NilError(t, err)
+	forward := httputil.NewSingleHostReverseProxy(backend)
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if turnedAway.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		forward.ServeHTTP(w, r)
+	}))
+	t.Cleanup(proxy.CloseClientConnections)
+	direct := d.address
+	var entries []*Gateway
+	for _, name := range names {
+		d.address = direct
+		if v := storesync.NewView(name, "naxos", map[string][]string{"naxos": names}); v.ReadsStore() {
+			d.address = strings.TrimPrefix(proxy.URL, "http://")
+		}
+		entries = append(entries, d.startEntry(name))
+	}
+	d.address = direct
+	d.waitUntil(func() bool {
+		for _, g := range entries {
+			known := 0
+			g.control.do(func() { known = len(g.control.peerLastSeen) })
+			if known < len(names)-1 || !g.ready() {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(peerDiscoveryTime)
+	_, readerEntry := reader(entries)
+	turnedAway.Store(true)
+	stranger, err := peers.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = stranger.Close() }()
+	time.Sleep(pollInterval + questionInterval)
+	for id := range uint64(10) {
+		question := peers.Update{Entry: "stranger", Question: &peers.SyncQuestion{ID: id + 1, Revision: 1}}
+		_, err = stranger.Send(question, []string{readerEntry.peers.Address()})
+		assert.NilError(t, err)
+		answer, _, err := stranger.Receive()
+		assert.NilError(t, err)
+		assert.Assert(t, answer.Answer.Unavailable, "question %d", id)
+		time.Sleep(100 * time.Millisecond)
+	}
+	d.configure(func(config map[string]any) {
+		config["Tenants"] = []any{map[string]any{"Name": "crew", "ApiKeys": []string{"another key"}}}
+	})
+	for _, g := range entries {
+		d.waitWithin(applyTimeout, func() bool { return d.send(g, bookingRequest()).status == http.StatusUnauthorized })
+	}
+}
+
 // An entry that asks another one advances its own revision, so that it gets each change once.
 func TestStoreSync_RevisionAdvancesWithAnswers(t *testing.T) {
 	d := newDeployment(t)
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -77,9 +77,6 @@
 	// row.
 	unavailable bool
 	failures    int
-	// lastReadFailed is set while this entry's own last read failed, though others may have
-	// answered since.
-	lastReadFailed bool
 	// synced is set once a configuration and the targets have been read.
 	synced bool
 	// schedule decides where the next changes come from. questionID is the ID of the last
@@ -231,12 +228,12 @@
 func (w *storeWatcher) storeAvailable(ownRead bool) {
 	g := w.gateway
 	w.failures = 0
-	w.lastReadFailed = w.lastReadFailed && !ownRead
 	if w.unavailable {
 		w.unavailable = false
 		g.log.Event("store_back", "configurationAge", g.configurationAge())
 	}
 	g.control.do(func() {
+		g.control.lastReadFailed = g.control.lastReadFailed && !ownRead
 		if g.control.registry.MarkStoreAvailable(time.Now()) && ownRead {
 			g.control.announceAvailability()
 		}
@@ -255,11 +252,11 @@
 	}
 	g.control.do(func() {
 		g.control.registry.MarkStoreUnavailable()
-		if !w.lastReadFailed && w.readsStore {
+		if !g.control.lastReadFailed && w.readsStore {
 			g.control.announceAvailability()
 		}
+		g.control.lastReadFailed = true
 	})
-	w.lastReadFailed = true
 	g.store.Reconnect()
 }
 
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// maxAge is the age beyond which the knowledge of another entry is not used: the store is
-	// read about once a second, and two relays add half a second each. maxAgeShare limits it to
-	// a fraction of a short bound on revocations.
-	maxAge      = 2 * time.Second
-	maxAgeShare = 0.4
+	// maxReaderAge is the age beyond which a relay does not use the knowledge of the entry that
+	// reads the store about once a second; maxRelayAge is that of the knowledge of a relay, which
+	// asks twice a second. maxAgeShare limits both to a fraction of a short bound on revocations.
+	maxReaderAge = 1250 * time.Millisecond
+	maxRelayAge  = 1700 * time.Millisecond
+	maxAgeShare  = 0.4
 	// maxAsksAfterFailure is how many usable answers of other entries follow a failed read of
 	// the store before the next one.
 	maxAsksAfterFailure = 4
@@ -66,6 +67,19 @@
 // ReadsStore reports whether the entry reads the store while nothing fails.
 func (v *View) ReadsStore() bool { return v.upstream == v.self }
 
+// MaxAge returns the age beyond which an answer is not used. revocationBound is how soon a
+// revoked key must no longer be accepted, zero for no bound.
+func (v *View) MaxAge(revocationBound time.Duration) time.Duration {
+	limit := maxRelayAge
+	if v.isRelay {
+		limit = maxReaderAge
+	}
+	if revocationBound > 0 {
+		limit = min(limit, time.Duration(maxAgeShare*float64(revocationBound)))
+	}
+	return limit
+}
+
 // Downstream returns the entries that are told of new changes.
 func (v *View) Downstream() []string { return v.downstream }
 
@@ -93,11 +107,13 @@
 		return ""
 	case s.readFailed:
 		s.asks++
-		others := view.otherRelays
-		if !view.ReadsStore() && !slices.Contains(others, view.upstream) {
-			others = append([]string{view.upstream}, others...)
+		if view.ReadsStore() {
+			return s.nextOf(view.downstream)
+		}
+		if slices.Contains(view.otherRelays, view.upstream) {
+			return s.nextOf(view.otherRelays)
 		}
-		return s.nextOf(others)
+		return s.nextOf(append([]string{view.upstream}, view.otherRelays...))
 	case view.ReadsStore():
 		return ""
 	case s.unanswered == 0:
@@ -145,18 +161,15 @@
 	Changes []Change `cbor:"3,keyasint,omitempty"`
 	// Incomplete means that the changes since then are not known any more, or do not fit.
 	Incomplete bool `cbor:"4,keyasint,omitempty"`
-	// Unavailable means that its own last call to the store failed.
+	// Unavailable means that it does not reach the store. The entry that reads the store for
+	// all others says so even if another one has answered it: they could keep each other from
+	// reading.
 	Unavailable bool `cbor:"5,keyasint,omitempty"`
 }
 
-// Usable reports whether an answer brings the asking entry up to date. revocationBound is how
-// soon a revoked key must no longer be accepted, zero for no bound.
-func (a *Answer) Usable(revocationBound time.Duration) bool {
-	limit := maxAge
-	if revocationBound > 0 {
-		limit = min(limit, time.Duration(maxAgeShare*float64(revocationBound)))
-	}
-	return !a.Incomplete && !a.Unavailable && a.Age >= 0 && a.Age < limit
+// Usable reports whether an answer brings the asking entry up to date.
+func (a *Answer) Usable(maxAge time.Duration) bool {
+	return !a.Incomplete && !a.Unavailable && a.Age >= 0 && a.Age < maxAge
 }
 
 // ConfirmedAt returns when the store confirmed the knowledge in an answer to a question that
--- a/process/storesync/storesync_test.go
+++ b/process/storesync/storesync_test.go
@@ -128,12 +128,18 @@
 }
 
 func TestAnswer_AgeLimitFollowsTheRevocationBound(t *testing.T) {
-	a := Answer{Age: 900 * time.Millisecond}
-	assert.Assert(t, a.Usable(0))
-	assert.Assert(t, a.Usable(5*time.Second))
-	assert.Assert(t, !a.Usable(2*time.Second))
-	a.Age = -time.Millisecond
-	assert.Assert(t, !a.Usable(0), "an age below zero")
+	domains := fleet(2, 3)
+	for domain, entries := range domains {
+		for _, self := range entries {
+			v := NewView(self, domain, domains)
+			a := Answer{Age: 900 * time.Millisecond}
+			assert.Assert(t, a.Usable(v.MaxAge(0)))
+			assert.Assert(t, a.Usable(v.MaxAge(5*time.Second)))
+			assert.Assert(t, !a.Usable(v.MaxAge(2*time.Second)))
+			a.Age = -time.Millisecond
+			assert.Assert(t, !a.Usable(v.MaxAge(0)), "an age below zero")
+		}
+	}
 }
 
 // modelEntry is an entry of the model: its copy of the store and when that was confirmed, on
