--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -58,6 +58,7 @@
 		promptID = r.AttemptID
 	}
 	out.Header.Set("Attempt-Id", r.AttemptID)
+	out.Header.Set(replica.EntryHeader, address)
 	out.Header.Set("Deadline-Remaining", strconv.FormatInt(r.DeadlineRemaining.Milliseconds(), 10))
 	out.Header.Set("Key", r.APIKey)
 	out.Header.Set("Model", "m")
