Logs tell whether an engine had begun to respond when it crashed

Callers saw: streams that broke off and resumed, while 40 engines of one deployment crashed within 25 s. Cause of the gap: `broken` did not say whether the response had begun, and no line said which prompts share parts. A request that an engine crashed on could not be told from its neighbours, which only waited there or had events. Change: `accepted` lists hashes of the IDs of the prompt's parts (the IDs stay out of the log); `broken` has responseStarted and events. Evidence: TestLog_TellsWaitingFromStartedAttemptsOfACrashedEngine fails on the code before, which writes neither field.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -61,6 +61,10 @@
 	targetDown   atomic.Bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
+	// responseStarted is set when the target has begun to respond.
+	responseStarted atomic.Bool
+	// eventCount counts the events received; the goroutine of the attempt owns it.
+	eventCount int
 
 	// The control goroutine owns the fields below once the attempt is placed.
 
@@ -252,7 +256,8 @@
 	}
 	g := a.exchange.gateway
 	g.log.Event("broken", "request", a.exchange.inbound.ID, "target", a.target.ID,
-		"givenUp", a.targetDown.Load(), "after", time.Since(a.startedAt), "error", err.Error())
+		"givenUp", a.targetDown.Load(), "after", time.Since(a.startedAt), "error", err.Error(),
+		"responseStarted", a.responseStarted.Load(), "events", a.eventCount)
 	if a.targetDown.Load() {
 		return
 	}
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -5,8 +5,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -62,7 +64,7 @@
 	}
 	e.gateway.log.Event("accepted", "request", e.inbound.ID, "route", e.route.Name, "service", e.service,
 		"workspace", e.workspaceName(), "configuration", e.configVersion, "timeLeft", time.Until(e.deadline),
-		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens)
+		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens, "parts", partHashes(e.inbound.PartIDs()))
 	if e.route.Kind == routes.Streaming {
 		e.serveStream(r.Context())
 		return
@@ -70,6 +72,18 @@
 	e.serveCall(r.Context())
 }
 
+// partHashes returns the hashes of the IDs of prompt parts, which show in logs which prompts
+// share parts.
+func partHashes(ids []string) []string {
+	hashes := make([]string, len(ids))
+	for i, id := range ids {
+		hashes[i] = partHash(id)
+	}
+	return hashes
+}
+
+func partHash(id string) string { return strconv.FormatUint(xxhash.Sum64String(id), 16) }
+
 // admit reads the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
--- a/process/gateway/log_test.go
+++ b/process/gateway/log_test.go
@@ -44,6 +44,41 @@
 	}
 }
 
+// After a crash, logs tell the requests that waited at the engine from the one to which it had
+// begun to respond.
+func TestLog_TellsWaitingFromStartedAttemptsOfACrashedEngine(t *testing.T) {
+	var out strings.Builder
+	d := newDeployment(t)
+	d.log = eventlog.New(&out)
+	engine := d.startReplica(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+		PrefillTime: 300 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	started, waiting := streamRequest(), streamRequest()
+	r := d.openStream(context.Background(), g, started)
+	r.skipTo(t, 3)
+	go func() {
+		response, err := http.DefaultClient.Do(waiting.httpRequest(context.Background(), g))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(waiting.AttemptID) == 1 })
+	engine.Crash()
+	time.Sleep(200 * time.Millisecond)
+	d.log.Close()
+	for request, fields := range map[string]string{
+		started.AttemptID: "responseStarted=true events=", waiting.AttemptID: "responseStarted=false events=0",
+	} {
+		found := false
+		for line := range strings.Lines(out.String()) {
+			found = found || strings.Contains(line, `"broken" request="`+request+`"`) && strings.Contains(line, fields)
+		}
+		assert.Assert(t, found, "%s of %s is missing in %s", fields, request, out.String())
+	}
+}
+
 // Operators see the state of an entry without reading its log.
 func TestMetrics_GaugesShowEntryState(t *testing.T) {
 	d := newDeployment(t)
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -90,12 +90,14 @@
 
 // forwardEvents sends the events of a stream until it ends or breaks.
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
+	a.responseStarted.Store(true)
 	reader := platform.NewEventReader(response.Body)
 	var batch []platform.Event
 	for {
 		event, err := reader.Next()
 		if err == nil {
 			a.monitor.recordIdentified(a.exchange.gateway.control)
+			a.eventCount++
 			batch = append(batch, event)
 			if reader.Buffered() {
 				continue
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -42,6 +42,21 @@
 	return in.Parts[len(in.Parts)-1].ID
 }
 
+// maxPartIDs is how many parts of a prompt PartIDs returns.
+const maxPartIDs = 32
+
+// PartIDs returns the IDs of the parts of the prompt, in order: the last, and as many of the
+// first as its limit allows.
+func (in *Inbound) PartIDs() []string {
+	ids := make([]string, 0, min(len(in.Parts), maxPartIDs))
+	for i, part := range in.Parts {
+		if i < maxPartIDs-1 || i == len(in.Parts)-1 {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // Endpoint is the identity and address of a target. ID identifies one incarnation
 // of the target: its successor at the same address has a different ID.
 type Endpoint struct {
