--- a/command/explain.go
+++ b/command/explain.go
@@ -45,6 +45,7 @@
 	"copy_moved":        "a new copy was asked for",
 	"copy_failed":       "the new copy could not be made",
 	"budget_denied":     "the retry budget allowed no further attempt",
+	"quarantined":       "engines crash on a part of its prompt",
 	"ended":             "the request was over",
 }
 
@@ -212,7 +213,7 @@
 	switch l.Event {
 	case "broken", "not_reached", "refused_by_target":
 		return fmt.Sprintf("%s at %s (%s)", eventMeanings[l.Event], l.values["target"], l.Fields)
-	case "budget_denied":
+	case "budget_denied", "quarantined":
 		return fmt.Sprintf("%s (%s)", eventMeanings[l.Event], l.Fields)
 	default:
 		return ""
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -50,6 +50,19 @@
 	assert.Assert(t, strings.Contains(out.String(), "cause: the entry entry-1 was lost with the request"), out.String())
 }
 
+// A caller complains about a refusal that lasts.
+func TestExplain_NamesQuarantinedPart(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(`x entry-1 I0817 06:40:31.150745 2 c.go:5] "accepted" request="r1" route="x" parts=["1f","2f"]
+x entry-1 I0817 06:40:31.150746 2 c.go:5] "quarantined" request="r1" part="1f" for="9m"
+x entry-1 I0817 06:40:31.150747 2 c.go:5] "ended" request="r1" outcome="quarantined" status=503 error="quarantined: engines crash on part 1 of the prompt"
+`))
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, explainRequest(&out, "r1", lines))
+	assert.Assert(t, strings.Contains(out.String(), "before that engines crash on a part of its prompt"), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `part="1f"`), out.String())
+}
+
 // A caller complains about a response that was complete but paused for long.
 func TestExplain_ReportsLongestPause(t *testing.T) {
 	lines, err := parseLog(strings.NewReader(`x entry-1 I0817 06:40:31.150745 2 c.go:5] "accepted" request="r1" route="x"
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -73,8 +73,10 @@
 	// Unreachable means that no connection to the target could be established, so
 	// nothing was sent.
 	Unreachable Kind = 28
+	// Quarantined is a request whose prompt has a part on which engines crash.
+	Quarantined Kind = 29
 
-	kindCount = 29
+	kindCount = 30
 )
 
 // Response is how an error of one kind is reported to the caller.
@@ -131,6 +133,7 @@
 	RevisionConflict:   {"revision_conflict", http.StatusConflict, typeInvalidRequest, "the configuration was changed by another operator", false},
 	SlowCaller:         {"slow_caller", http.StatusRequestTimeout, typeInvalidRequest, "the caller did not read its answer in time", false},
 	OrderFailed:        {"order_failed", http.StatusBadGateway, typeServer, "the engine could not carry out the order", false},
+	Quarantined:        {"quarantined", http.StatusServiceUnavailable, typeServer, "engines crash on a part of the prompt", true},
 	Unreachable:        {"unreachable", http.StatusServiceUnavailable, typeServer, "the target could not be connected to", true},
 }
 
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -61,8 +61,14 @@
 	targetDown   atomic.Bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
-	// responseStarted is set when the target has begun to respond.
-	responseStarted atomic.Bool
+	// responseStarted is set when the target has begun to respond, at responseStartedAt;
+	// survived when it has gone on for long enough, so that it does not crash on the
+	// prompt. quarantined is set when the attempt is cancelled because of its prompt.
+	responseStarted   atomic.Bool
+	responseStartedAt time.Time
+	survived          atomic.Bool
+	quarantined       atomic.Bool
+
 	// eventCount counts the events received; the goroutine of the attempt owns it.
 	eventCount int
 
@@ -94,6 +100,9 @@
 	var copyTarget request.TargetID
 	var err error
 	if !c.do(func() {
+		if err = c.checkQuarantine(e); err != nil {
+			return
+		}
 		requirements.CachedPrompt = c.promptIndex.Find(a.startedAt, requirements.Session)
 		if choice, err = c.table.Pick(a.startedAt, requirements); err == nil {
 			a.prefillUncontended = choice.Cost == 0
@@ -261,6 +270,7 @@
 	if a.targetDown.Load() {
 		return
 	}
+	g.control.recordBroken(a)
 	g.probeAfterFailure(a.target.ID)
 	if a.conn != nil && !a.conn.Reused && !a.isStreaming() {
 		g.control.post(func() {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -196,6 +196,8 @@
 	case outcome == request.AttemptBroken:
 		return nil, outcome
 	}
+	a.responseStartedAt = time.Now()
+	a.recordSurvival()
 	if guaranteesNotRun(reply.Status) {
 		// The target does not guarantee that it has not run the request, so neither may
 		// the entry.
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/process/registry"
 	"github.com/mulberrylane/mulberrylane/process/shutdown"
 	"github.com/mulberrylane/mulberrylane/process/storesync"
@@ -46,6 +47,9 @@
 	// attempts holds the running attempts.
 	attempts map[*attempt]struct{}
 	probing  bool
+	// broken holds the attempts whose responses broke off, until it is known whether the
+	// target has crashed.
+	broken []brokenAttempt
 	// identifying is set while the address is probed for the target's successor,
 	// lastIdentifyAttempt is when that was last started.
 	identifying         bool
@@ -92,6 +96,12 @@
 	// those that engines reported and that are still to be sent to other entries.
 	promptIndex       *prompts.Index
 	discoveredPrompts map[peers.CachedPrompt]time.Time
+	// quarantine knows the prompt parts on which engines crash. recentCrashes and
+	// recentSurvivals hold what this entry saw and the others may not know yet, with the
+	// time until which it is sent.
+	quarantine      *quarantine.Tracker
+	recentCrashes   map[crashID]sentCrash
+	recentSurvivals map[quarantine.Part]sentSurvival
 	// bootClockOffset is the difference between the clock that includes suspended time
 	// and the time since the start of the process, which excludes it; it grows when the
 	// host is suspended. lastResume is when the host or the process was last seen to
@@ -137,6 +147,9 @@
 		recentlyReplaced:  map[request.TargetID]time.Time{},
 		recentSuccessors:  map[peers.Successor]time.Time{},
 		promptIndex:       prompts.New(),
+		quarantine:        quarantine.New(),
+		recentCrashes:     map[crashID]sentCrash{},
+		recentSurvivals:   map[quarantine.Part]sentSurvival{},
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
 		durations:         map[string]*shutdown.DurationEstimate{},
@@ -254,6 +267,7 @@
 		c.updatePending = true
 	}
 	c.promptIndex.RemoveExpired(now)
+	c.quarantineParts(c.quarantine.Evaluate(now))
 	c.gateway.pool.CloseExpired()
 }
 
@@ -312,6 +326,7 @@
 	if t := c.table.Get(id); t == nil || !c.table.MarkReplaced(id) {
 		return
 	}
+	c.recordCrash(id)
 	c.recentlyReplaced[id] = time.Now()
 	c.updatePending = true
 	c.gateway.log.Event("target_replaced", "target", id)
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,10 @@
 	deadline  time.Time
 	// configVersion is the version of the configuration that applies to the request.
 	configVersion int64
+	// survived is set when a target has survived the request. quarantinedUntil is the end of
+	// the quarantine of a part of its prompt, if there is one.
+	survived         atomic.Bool
+	quarantinedUntil time.Time
 }
 
 // serveCaller serves one request of a caller.
@@ -220,6 +225,9 @@
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = e.gateway.retryAfter(kind)
 	}
+	if kind == fault.Quarantined {
+		retryAfter = time.Until(e.quarantinedUntil)
+	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
 	e.writer.WriteHeader(response.Status)
 	e.finish(kind, attempts, "status", response.Status, "retryAfter", retryAfter, "error", err.Error())
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -132,9 +132,13 @@
 		alive, incarnation := true, request.Incarnation(0)
 		c.gateway.protect("probe", func() { alive, incarnation = c.gateway.probeAddress(address, engine) })
 		c.post(func() {
-			if alive && engine && known != 0 && incarnation != 0 && incarnation != known {
+			switch {
+			case !alive || !engine || known == 0 || incarnation == 0:
+			case incarnation != known:
 				c.markReplaced(id)
 				alive = false
+			default:
+				c.retractCrash(id, incarnation)
 			}
 			done(alive)
 		})
@@ -242,6 +246,7 @@
 	c.recentlyDown[id] = now
 	c.updatePending = true
 	c.replaceCopiesOn(id)
+	c.recordCrash(id)
 	m := c.monitors[id]
 	running := 0
 	if m != nil {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -26,6 +26,7 @@
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
+	partsQuarantined  metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -45,6 +46,7 @@
 		probes:            b.Counter("mulberrylane.probes", "Probes of targets"),
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
+		partsQuarantined:  b.Counter("mulberrylane.prompt.parts.quarantined", "Prompt parts put in quarantine because engines crashed on them"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
@@ -91,6 +93,10 @@
 			Name: "mulberrylane.entries.heard", Description: "Other entries that were heard lately",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(len(c.peerLastSeen)) }),
 		},
+		{
+			Name: "mulberrylane.prompt.parts.in_quarantine", Description: "Prompt parts in quarantine now",
+			Read: fromControl(func(c *control, now time.Time) int64 { return int64(len(c.quarantine.Quarantined(now))) }),
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -62,6 +62,7 @@
 	update.SetFailureRates(c.table.FailureRates(now))
 	update.CachedPrompts = recent(now, c.discoveredPrompts)
 	update.Successors = recent(now, c.recentSuccessors)
+	c.addQuarantine(now, &update)
 	c.sequence++
 	for id, work := range c.table.LocalWork() {
 		update.SetWork(id, work)
@@ -189,6 +190,7 @@
 	for _, prompt := range update.CachedPrompts {
 		c.promptIndex.Record(now, prompt.Session, prompt.Location)
 	}
+	c.handleQuarantine(now, update)
 	if !c.registry.StoreUnavailable() {
 		return
 	}
--- /dev/null
+++ b/process/gateway/quarantine.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/mulberrylane/mulberrylane/fault"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+const (
+	// crashConfirmationTime is how long after a response broke off a target that is found
+	// down or replaced counts as crashed: the time of a probe on a loaded host.
+	crashConfirmationTime = 2 * time.Second
+	// crashUpdateCount is how many updates repeat a crash or a survived request, so that it
+	// arrives though some updates are lost.
+	crashUpdateCount = 3
+	// maxSentCrashes and maxSentSurvivals limit them in one update: links are busy just when
+	// a failure domain fails, and an update has to fit into a datagram.
+	maxSentCrashes   = 8
+	maxSentSurvivals = 32
+)
+
+// brokenAttempt is an attempt whose response broke off.
+type brokenAttempt struct {
+	*attempt
+	at time.Time
+}
+
+// crashID identifies the crash of one incarnation of a target.
+type crashID struct {
+	target      request.TargetID
+	incarnation request.Incarnation
+}
+
+// sentCrash is a crash that updates report.
+type sentCrash struct {
+	quarantine.Crash
+	at    time.Time
+	count int
+}
+
+// sentSurvival is a survived request that updates report.
+type sentSurvival struct {
+	startedAt time.Time
+	count     int
+}
+
+// startResponse records that the target has begun to respond.
+func (a *attempt) startResponse() {
+	a.responseStartedAt = time.Now()
+	a.responseStarted.Store(true)
+}
+
+// checkSurvival records that the target survived the request once its response has gone on for
+// long enough.
+func (a *attempt) checkSurvival() {
+	if !a.survived.Load() && time.Since(a.responseStartedAt) >= quarantine.SurvivalPeriod {
+		a.recordSurvival()
+	}
+}
+
+func (a *attempt) recordSurvival() {
+	if a.survived.Swap(true) || len(a.exchange.inbound.Parts) == 0 {
+		return
+	}
+	a.exchange.survived.Store(true)
+	c := a.exchange.gateway.control
+	c.post(func() { c.recordSurvival(a.responseStartedAt, a.exchange.service, a.exchange.inbound.PartIDs()) })
+}
+
+// recordSurvival records a survived request. The other entries are told if it may clear a part.
+func (c *control) recordSurvival(startedAt time.Time, service string, parts []string) {
+	for _, part := range c.quarantine.Suspected(service, parts) {
+		c.recentSurvivals[part] = sentSurvival{startedAt: startedAt}
+		c.updatePending = true
+	}
+	c.release(c.quarantine.RecordSurvival(startedAt, service, parts))
+}
+
+// release logs that parts are no longer in quarantine.
+func (c *control) release(parts []quarantine.Part) {
+	for _, part := range parts {
+		c.gateway.log.Event("part_released", "service", part.Service, "part", partHash(part.ID))
+	}
+}
+
+// recordBroken records that the response to an attempt broke off.
+func (c *control) recordBroken(a *attempt) {
+	c.post(func() {
+		m := a.monitor
+		m.broken = append(m.broken, brokenAttempt{attempt: a, at: time.Now()})
+		if _, crashed := c.recentCrashes[crashID{a.target.ID, a.target.Incarnation}]; crashed {
+			c.recordCrash(a.target.ID)
+		}
+	})
+}
+
+// recordCrash records the crash of a target that was found down or replaced, if responses of it
+// broke off just before. A target that drains may end at any time.
+func (c *control) recordCrash(id request.TargetID) {
+	t, m := c.table.Get(id), c.monitors[id]
+	if t == nil || m == nil || t.Draining {
+		return
+	}
+	now := time.Now()
+	m.broken = slices.DeleteFunc(m.broken, func(b brokenAttempt) bool { return now.Sub(b.at) > crashConfirmationTime })
+	if len(m.broken) == 0 {
+		return
+	}
+	lost := make([]*attempt, 0, len(m.broken)+len(m.attempts))
+	for _, b := range m.broken {
+		lost = append(lost, b.attempt)
+	}
+	for a := range m.attempts {
+		if !slices.Contains(lost, a) {
+			lost = append(lost, a)
+		}
+	}
+	crash := quarantine.Crash{Service: t.Service, Target: id, Incarnation: lost[0].target.Incarnation}
+	for _, a := range lost {
+		if parts := a.exchange.inbound.PartIDs(); len(parts) > 0 && !a.survived.Load() {
+			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts, Started: a.responseStarted.Load()})
+		}
+	}
+	m.broken = nil
+	if len(crash.Suspects) == 0 {
+		return
+	}
+	crash.Limit()
+	c.gateway.log.Event("target_crashed", "target", id, "incarnation", crash.Incarnation, "suspects", len(crash.Suspects))
+	key := crashID{id, crash.Incarnation}
+	crash.Suspects = append(crash.Suspects, c.recentCrashes[key].Suspects...)
+	c.recentCrashes[key] = sentCrash{Crash: crash, at: now}
+	c.updatePending = true
+	c.handleCrash(now, now, crash)
+	c.quarantineParts(c.quarantine.Evaluate(now))
+}
+
+// handleCrash evaluates a crash that this or another entry saw.
+func (c *control) handleCrash(now, at time.Time, crash quarantine.Crash) {
+	c.quarantine.RecordCrash(now, at, crash)
+	for _, suspect := range crash.Suspects {
+		for _, survival := range c.quarantine.Survivals(now, crash.Service, suspect.Parts) {
+			c.recentSurvivals[survival.Part] = sentSurvival{startedAt: survival.StartedAt}
+		}
+	}
+}
+
+// retractCrash forgets a crash of a target of which the same incarnation responds again.
+func (c *control) retractCrash(id request.TargetID, incarnation request.Incarnation) {
+	if m := c.monitors[id]; m != nil {
+		m.broken = nil
+	}
+	delete(c.recentCrashes, crashID{id, incarnation})
+	c.release(c.quarantine.RetractCrash(time.Now(), id, incarnation))
+}
+
+// quarantineParts ends the attempts that wait with parts that are now in quarantine.
+func (c *control) quarantineParts(records []quarantine.Record) {
+	for _, r := range records {
+		c.updatePending = true
+		ended := 0
+		for _, m := range c.monitors {
+			for a := range m.attempts {
+				if a.exchange.service == r.Service && !a.streaming && slices.Contains(a.exchange.inbound.PartIDs(), r.ID) {
+					a.quarantined.Store(true)
+					a.cancel()
+					ended++
+				}
+			}
+		}
+		c.gateway.metrics.partsQuarantined.Add(context.Background(), 1)
+		c.gateway.log.Event("part_quarantined", "service", r.Service, "part", partHash(r.ID), "since", time.Since(r.From),
+			"for", time.Until(r.Until), "ended", ended)
+	}
+}
+
+// checkQuarantine returns an error if a part of the prompt is in quarantine.
+func (e *exchange) checkQuarantine() error {
+	if len(e.inbound.Parts) == 0 {
+		return nil
+	}
+	var err error
+	c := e.gateway.control
+	c.do(func() { err = c.checkQuarantine(e) })
+	return err
+}
+
+func (c *control) checkQuarantine(e *exchange) error {
+	if len(e.inbound.Parts) == 0 || e.survived.Load() {
+		return nil
+	}
+	r, found := c.quarantine.Find(time.Now(), e.service, e.inbound.PartIDs())
+	if !found {
+		return nil
+	}
+	e.quarantinedUntil = r.Until
+	c.gateway.log.Event("quarantined", "request", e.inbound.ID, "part", partHash(r.ID), "for", time.Until(r.Until))
+	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(e.inbound.PartIDs(), r.ID))
+}
+
+// addQuarantine adds what other entries need to know of crashes and quarantines to an update.
+func (c *control) addQuarantine(now time.Time, update *peers.Update) {
+	for id, sent := range c.recentCrashes {
+		if sent.count >= crashUpdateCount {
+			if now.Sub(sent.at) > crashConfirmationTime {
+				delete(c.recentCrashes, id)
+			}
+			continue
+		}
+		if len(update.Crashes) < maxSentCrashes {
+			update.Crashes = append(update.Crashes, peers.Crash{Crash: sent.Crash, Age: now.Sub(sent.at)})
+			sent.count++
+			c.recentCrashes[id] = sent
+		}
+	}
+	for part, sent := range c.recentSurvivals {
+		if sent.count >= crashUpdateCount {
+			delete(c.recentSurvivals, part)
+			continue
+		}
+		if len(update.Survivals) < maxSentSurvivals {
+			update.Survivals = append(update.Survivals, peers.Survival{Part: part, Age: now.Sub(sent.startedAt)})
+			sent.count++
+			c.recentSurvivals[part] = sent
+		}
+	}
+	for _, r := range c.quarantine.Quarantined(now) {
+		update.Quarantined = append(update.Quarantined, peers.QuarantinedPart{Part: r.Part, Age: now.Sub(r.From), Remaining: r.Until.Sub(now)})
+	}
+}
+
+// handleQuarantine learns of crashes and quarantines from an update of another entry.
+func (c *control) handleQuarantine(now time.Time, update peers.Update) {
+	for _, s := range update.Survivals {
+		c.release(c.quarantine.RecordPeerSurvival(quarantine.Survival{Part: s.Part, StartedAt: now.Add(-s.Age)}))
+	}
+	for _, crash := range update.Crashes {
+		c.handleCrash(now, now.Add(-crash.Age), crash.Crash)
+	}
+	for _, q := range update.Quarantined {
+		r := quarantine.Record{Part: q.Part, From: now.Add(-q.Age), Until: now.Add(q.Remaining)}
+		if c.quarantine.Adopt(now, r) {
+			c.quarantineParts([]quarantine.Record{r})
+		}
+	}
+}
--- /dev/null
+++ b/process/gateway/quarantine_test.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+const (
+	deadlyPart  = "dead"
+	sharedPart  = "aa"
+	engineCount = 12
+)
+
+// startDeadlyEngines starts engines that crash on a part.
+func (d *deployment) startDeadlyEngines() []*replica.Replica {
+	engines := make([]*replica.Replica, engineCount)
+	for i := range engines {
+		engines[i] = d.startEngine(fmt.Sprint("e", i), []string{"naxos", "paros", "syros"}[i%3])
+		engines[i].SetFaults(replica.Faults{CrashOnPart: deadlyPart})
+	}
+	return engines
+}
+
+func deadlyRequest() *callerRequest {
+	req := streamRequest()
+	req.SharedParts = []string{sharedPart, deadlyPart}
+	return req
+}
+
+// crashedEngines returns how many engines no longer respond.
+func crashedEngines(engines []*replica.Replica) int {
+	crashed := 0
+	for _, e := range engines {
+		response, err := http.Get("http://" + e.Config().Address + replica.HealthPath)
+		if err != nil {
+			crashed++
+			continue
+		}
+		_ = response.Body.Close()
+	}
+	return crashed
+}
+
+func (g *Gateway) quarantinedParts() []quarantine.Record {
+	var parts []quarantine.Record
+	g.control.do(func() { parts = g.control.quarantine.Quarantined(time.Now()) })
+	return parts
+}
+
+// Callers send requests with the part to two entries, and retry them; the entries retry them,
+// too.
+func TestStream_PartThatCrashesEnginesEndsFewEngines(t *testing.T) {
+	d := newDeployment(t)
+	engines := d.startDeadlyEngines()
+	first, second := d.startReadyEntry("entry-1"), d.startReadyEntry("entry-2")
+	d.waitForPeers(first, second)
+	for i := range 8 {
+		g := []*Gateway{first, second}[i%2]
+		response := d.send(g, deadlyRequest())
+		assert.Assert(t, response.status != http.StatusOK, response.status)
+		if response.status == http.StatusServiceUnavailable {
+			// The refusal says that the request has not run and when to come back.
+			after, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, after > 60, after)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	crashed := crashedEngines(engines)
+	assert.Assert(t, crashed <= 5, "%d of %d engines crashed", crashed, len(engines))
+	// Requests of the same caller with the same first part are served.
+	for _, g := range []*Gateway{first, second} {
+		req := streamRequest()
+		response := d.send(g, req)
+		assert.Equal(t, response.status, http.StatusOK)
+		assert.Equal(t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 1)
+	}
+	// An entry that starts later learns of the part from the others.
+	third := d.startReadyEntry("entry-3")
+	d.waitUntil(func() bool { return len(third.quarantinedParts()) > 0 })
+	req := deadlyRequest()
+	assert.Equal(t, d.send(third, req).status, http.StatusServiceUnavailable)
+	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 0)
+}
+
+// A request that reached an engine is not told that it has not run.
+func TestStream_RequestThatCrashedEnginesIsNotRefusedAsNotRun(t *testing.T) {
+	d := newDeployment(t)
+	d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	for range 6 {
+		req := deadlyRequest()
+		response := d.send(g, req)
+		ran := d.fleet.ExecutionLog.Arrivals(req.AttemptID) > 0
+		assert.Equal(t, response.status == http.StatusServiceUnavailable, !ran, "status %d", response.status)
+	}
+}
+
+// Sound requests run and wait at the engines that requests with the part crash.
+func TestStream_NeighboursOfPartThatCrashesEnginesAreServed(t *testing.T) {
+	d := newDeployment(t)
+	d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	var group sync.WaitGroup
+	responses := make(chan callerResponse, 40)
+	for i := range cap(responses) {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			responses <- d.send(g, streamRequest())
+		})
+	}
+	for range 5 {
+		d.send(g, deadlyRequest())
+	}
+	group.Wait()
+	close(responses)
+	for response := range responses {
+		assert.Equal(t, response.status, http.StatusOK)
+		assert.Assert(t, response.complete)
+	}
+	for _, part := range g.quarantinedParts() {
+		assert.Assert(t, part.ID != sharedPart)
+	}
+}
+
+// A sound engine is silent for a second, others are cut off or leave as announced, under
+// requests that share a part and that have not got an event yet.
+func TestStream_SilentAndLeavingEnginesBlameNoPart(t *testing.T) {
+	d := newDeployment(t)
+	var engines []*replica.Replica
+	for i := range 6 {
+		engines = append(engines, d.startReplica(replica.Config{
+			ID: fmt.Sprint("e", i), Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+			PrefillTime: 300 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+		}))
+	}
+	g := d.startReadyEntry("entry-1")
+	var group sync.WaitGroup
+	for i := range 24 {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			req := streamRequest()
+			req.SharedParts = []string{sharedPart, "sound"}
+			d.send(g, req)
+		})
+	}
+	for _, engine := range engines[:4] {
+		time.Sleep(400 * time.Millisecond)
+		engine.SetFaults(replica.Faults{Silent: true})
+		time.AfterFunc(time.Second, func() { engine.SetFaults(replica.Faults{}) })
+	}
+	leaving := engines[4]
+	d.register(leaving, "draining")
+	d.waitUntil(func() bool {
+		draining := false
+		g.control.do(func() { draining = g.control.table.Get("e4").Draining })
+		return draining
+	})
+	leaving.Crash()
+	group.Wait()
+	crashes := 0
+	g.control.do(func() { crashes = len(g.control.quarantine.Suspected("writer", []string{"sound"})) })
+	assert.Equal(t, crashes, 0)
+}
+
+// waitForPeers waits until entries have received updates of each other.
+func (d *deployment) waitForPeers(entries ...*Gateway) {
+	d.t.Helper()
+	d.waitUntil(func() bool {
+		for _, g := range entries {
+			known := 0
+			g.control.do(func() { known = len(g.control.peerLastSeen) })
+			if known < len(entries)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A request with the part waits at an engine while the part is quarantined.
+func TestStream_WaitingRequestIsEndedWhenItsPartIsQuarantined(t *testing.T) {
+	d := newDeployment(t)
+	slow := d.startReplica(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+		PrefillTime: 4 * time.Second, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	req := deadlyRequest()
+	done := make(chan callerResponse, 1)
+	go func() { done <- d.send(g, req) }()
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(req.AttemptID) > 0 })
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: deadlyPart}, From: now, Until: now.Add(time.Minute)}
+	g.control.do(func() {
+		assert.Assert(t, g.control.quarantine.Adopt(now, record))
+		g.control.quarantineParts([]quarantine.Record{record})
+	})
+	select {
+	case response := <-done:
+		assert.Equal(t, response.status, http.StatusBadGateway)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the request still waits")
+	}
+	d.waitUntil(func() bool { return slow.AbandonedRequests() == 1 })
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -158,6 +158,9 @@
 // selectTarget selects the target of the next attempt: the one that holds the KV copy
 // if there is one, else the best for prefilling the whole prompt.
 func (s *stream) selectTarget(action request.Action) request.Event {
+	if err := s.checkQuarantine(); err != nil {
+		return request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
+	}
 	var charge admission.Charge
 	if int(s.recovery.Attempts()) > s.unsentAttempts {
 		var ok bool
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -51,6 +51,11 @@
 	}
 	response, reply, outcome := a.do()
 	a.exchange.gateway.metrics.countAttempt(outcome.String())
+	if a.quarantined.Load() {
+		a.closeConnection()
+		send(attemptUpdate{kind: fault.Quarantined})
+		return
+	}
 	if outcome != request.AttemptAnswered {
 		send(a.failureUpdate(response, outcome, reply))
 		return
@@ -81,16 +86,21 @@
 		}
 	default:
 		update.noResponse = !a.targetDown.Load()
-		if a.conn != nil {
-			a.conn.Close()
-		}
+		a.closeConnection()
 	}
 	return update
 }
 
+// closeConnection closes the connection, if there is one.
+func (a *attempt) closeConnection() {
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
 // forwardEvents sends the events of a stream until it ends or breaks.
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
-	a.responseStarted.Store(true)
+	a.startResponse()
 	reader := platform.NewEventReader(response.Body)
 	var batch []platform.Event
 	for {
@@ -98,6 +108,7 @@
 		if err == nil {
 			a.monitor.recordIdentified(a.exchange.gateway.control)
 			a.eventCount++
+			a.checkSurvival()
 			batch = append(batch, event)
 			if reader.Buffered() {
 				continue
@@ -116,13 +127,18 @@
 		}
 		if platform.IsEndOfStream(err) {
 			a.complete.Store(true)
+			a.recordSurvival()
 			a.releaseConnection(response)
 			send(attemptUpdate{head: response, complete: true})
 			return
 		}
 		a.responseFailed(err)
 		a.conn.Close()
-		send(attemptUpdate{kind: fault.TargetLost})
+		kind := fault.TargetLost
+		if a.quarantined.Load() {
+			kind = fault.Quarantined
+		}
+		send(attemptUpdate{kind: kind})
 		return
 	}
 }
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -13,12 +13,14 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -60,12 +62,40 @@
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// KVCopies maps sessions to the KV copies of their running streams.
 	KVCopies map[string]KVCopy `cbor:"6,keyasint,omitempty"`
+	// Crashes lists engines that crashed lately, Survivals requests with suspected parts that
+	// an engine survived, and Quarantined the parts that are not sent to engines.
+	Crashes     []Crash           `cbor:"18,keyasint,omitempty"`
+	Survivals   []Survival        `cbor:"19,keyasint,omitempty"`
+	Quarantined []QuarantinedPart `cbor:"20,keyasint,omitempty"`
 	// Question and Answer make the message one about the store, which reports nothing else
 	// and has no sequence number.
 	Question *SyncQuestion `cbor:"16,keyasint,omitempty"`
 	Answer   *SyncAnswer   `cbor:"17,keyasint,omitempty"`
 }
 
+// Crash is the crash of an engine as the sender saw it.
+type Crash struct {
+	quarantine.Crash `cbor:"1,keyasint"`
+	// Age is the time since the crash, in nanoseconds; the clocks of entries differ.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// Survival is a request that an engine survived.
+type Survival struct {
+	Part quarantine.Part `cbor:"1,keyasint"`
+	// Age is the time since the engine began to respond, in nanoseconds.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// QuarantinedPart is a part in quarantine.
+type QuarantinedPart struct {
+	Part quarantine.Part `cbor:"1,keyasint"`
+	// Age is the time since the first crash that counted, Remaining the time until the end
+	// of the quarantine, in nanoseconds.
+	Age       time.Duration `cbor:"2,keyasint"`
+	Remaining time.Duration `cbor:"3,keyasint"`
+}
+
 // Successor is a restarted target that was found at the address of its previous
 // incarnation.
 type Successor struct {
--- /dev/null
+++ b/process/quarantine/evidence.go
@@ -0,0 +1,263 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// standard says which evidence suffices for the quarantine of a part.
+type standard struct {
+	// startedOnly leaves out requests that only waited at the engine.
+	startedOnly bool
+	// survived admits parts that engines have survived before: such a part was sound, and
+	// is harmful only since a change of the engines.
+	survived bool
+	// crashes is the least number of crashes, requests that of different requests.
+	crashes, requests int
+	// rivalRequests is how many requests another part has to be in so that it explains
+	// their crashes instead.
+	rivalRequests int
+}
+
+// standards lists the kinds of evidence that suffice. Requests to which the engine had begun
+// to respond are rarely there by chance, so that few crashes suffice if no other part of
+// these requests explains them.
+var standards = []standard{
+	{startedOnly: true, crashes: 3, requests: 2, rivalRequests: 1},
+	{survived: true, crashes: 5, requests: 3, rivalRequests: 2},
+}
+
+const (
+	// rivalCrashes is how many crashes another part needs to explain them.
+	rivalCrashes = 2
+	// sessionCrashes is how many crashes lead to the quarantine of a last part, which
+	// belongs to one request or session.
+	sessionCrashes = 3
+)
+
+// lostRequest is a request that was lost in a crash.
+type lostRequest struct {
+	at      time.Time
+	request string
+}
+
+// evidence is what the crashes say about one part.
+type evidence struct {
+	lost     []lostRequest
+	requests map[string]struct{}
+	// survived reports whether engines have survived the part.
+	survived bool
+	// crashes is the number of crashes, set by count.
+	crashes int
+}
+
+func (e *evidence) add(at time.Time, request string) {
+	e.lost = append(e.lost, lostRequest{at: at, request: request})
+	if e.requests == nil {
+		e.requests = map[string]struct{}{}
+	}
+	e.requests[request] = struct{}{}
+}
+
+// count orders the requests by time and counts the crashes. Those of different requests within
+// correlatedInterval count as one; a single request is lost in one crash after the other.
+func (e *evidence) count() {
+	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
+	e.crashes = 0
+	var start time.Time
+	var lost map[string]int
+	for _, l := range e.lost {
+		if lost == nil || l.at.Sub(start) >= correlatedInterval {
+			e.crashes += most(lost)
+			start, lost = l.at, map[string]int{}
+		}
+		lost[l.request]++
+	}
+	e.crashes += most(lost)
+}
+
+func most(counts map[string]int) int {
+	result := 0
+	for _, n := range counts {
+		result = max(result, n)
+	}
+	return result
+}
+
+// position is a part of the prompt of a suspect.
+type position struct {
+	Part
+	crash *crash
+	// request is the last part of the prompt, shared holds the others.
+	request string
+	shared  []string
+	index   int
+}
+
+func (p position) last() bool { return p.index == len(p.shared) }
+
+// Evaluate quarantines the parts that the crashes known by now show to be harmful and returns
+// them. It also ends quarantines and forgets old crashes.
+func (t *Tracker) Evaluate(now time.Time) []Record {
+	t.expire(now)
+	if !t.evaluationDue(now) {
+		return nil
+	}
+	var added []Record
+	for _, s := range standards {
+		for part, e := range t.unexplained(now, s) {
+			if _, known := t.Find(now, part.Service, []string{part.ID}); !known {
+				added = append(added, t.quarantine(now, part, e.lost[0].at))
+			}
+		}
+	}
+	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+	return added
+}
+
+// evaluationDue reports whether there is evidence that has not been evaluated: a new crash, or
+// one from which the requests that waited count by now.
+func (t *Tracker) evaluationDue(now time.Time) bool {
+	settled := !t.settlesAt.IsZero() && !now.Before(t.settlesAt)
+	if !t.changed && !settled {
+		return false
+	}
+	t.changed = false
+	if settled {
+		t.settlesAt = time.Time{}
+		if next := t.changedAt.Add(reportDelay); next.After(now) {
+			t.settlesAt = next
+		}
+	}
+	return true
+}
+
+// quarantine adds a part whose first crash was at the given time.
+func (t *Tracker) quarantine(now time.Time, part Part, from time.Time) Record {
+	period := quarantinePeriod
+	if past, ok := t.parts[part]; ok {
+		period = min(maxQuarantinePeriod, 2*past.period)
+	}
+	r := Record{Part: part, From: from, Until: now.Add(period)}
+	t.add(part, quarantined{from: from, until: r.Until, period: period})
+	return r
+}
+
+// expire forgets crashes after crashTTL, and quarantines one period after their end.
+func (t *Tracker) expire(now time.Time) {
+	for key, c := range t.crashes {
+		if now.Sub(c.at) >= crashTTL {
+			delete(t.crashes, key)
+		}
+	}
+	for part, q := range t.parts {
+		if now.Sub(q.until) >= q.period {
+			delete(t.parts, part)
+		}
+	}
+}
+
+// unexplained returns the parts for which the evidence suffices, leaving out what other parts
+// of the same requests explain.
+func (t *Tracker) unexplained(now time.Time, s standard) map[Part]*evidence {
+	index := map[Part]*evidence{}
+	t.forEachPosition(now, s, func(p position) { t.addEvidence(now, index, p) })
+	for _, e := range index {
+		e.count()
+	}
+	result := map[Part]*evidence{}
+	t.forEachPosition(now, s, func(p position) {
+		if e := index[p.Part]; !explained(index, p, s, e.survived) && (s.survived || !e.survived) {
+			t.addEvidence(now, result, p)
+		}
+	})
+	for part, e := range result {
+		e.count()
+		if !t.sufficient(part, e, s) {
+			delete(result, part)
+		}
+	}
+	return result
+}
+
+func (t *Tracker) addEvidence(now time.Time, index map[Part]*evidence, p position) {
+	e, ok := index[p.Part]
+	if !ok {
+		_, survived := t.survived(now, p.Part)
+		e = &evidence{survived: survived}
+		index[p.Part] = e
+	}
+	e.add(p.crash.at, p.request)
+}
+
+// sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
+// last quarantine one crash does.
+func (t *Tracker) sufficient(part Part, e *evidence, s standard) bool {
+	if past, ok := t.parts[part]; ok && e.lost[len(e.lost)-1].at.After(past.until) {
+		return true
+	}
+	if _, last := e.requests[part.ID]; last {
+		return e.crashes >= sessionCrashes && s.startedOnly
+	}
+	return e.crashes >= s.crashes && len(e.requests) >= s.requests
+}
+
+// explained reports whether another part of the prompt explains the crash better. A part
+// that no engine has survived is more likely to be at fault than one that some have, and a
+// later one, which fewer requests share, more likely than those before it. The last part is
+// at fault only if no other is.
+func explained(index map[Part]*evidence, p position, s standard, survived bool) bool {
+	for i, id := range p.shared {
+		rival, ok := index[Part{Service: p.Service, ID: id}]
+		if !ok || i == p.index || rival.crashes < rivalCrashes {
+			continue
+		}
+		if p.last() {
+			if len(rival.requests) > 1 {
+				return true
+			}
+			continue
+		}
+		if len(rival.requests) < s.rivalRequests {
+			continue
+		}
+		if survived && !rival.survived || survived == rival.survived && i > p.index {
+			return true
+		}
+	}
+	return false
+}
+
+// forEachPosition calls visit for the parts of each request that counts.
+func (t *Tracker) forEachPosition(now time.Time, s standard, visit func(p position)) {
+	for _, c := range t.crashes {
+		started, quarantined := false, false
+		for _, suspect := range c.suspects {
+			started = started || suspect.Started
+			_, found := t.Find(now, c.service, suspect.Parts)
+			quarantined = quarantined || found
+		}
+		if !started && (s.startedOnly || now.Sub(c.at) < reportDelay) {
+			continue
+		}
+		for last, suspect := range c.suspects {
+			_, found := t.Find(now, c.service, suspect.Parts)
+			if started && !suspect.Started || quarantined && !found {
+				continue
+			}
+			t.visitParts(c, last, suspect, visit)
+		}
+	}
+}
+
+// visitParts calls visit for the parts of a prompt that no engine has survived since.
+func (t *Tracker) visitParts(c *crash, last string, suspect Suspect, visit func(p position)) {
+	for i, id := range suspect.Parts {
+		part := Part{Service: c.service, ID: id}
+		if survived, ok := t.survivals.Peek(part); ok && !c.at.After(survived) {
+			continue
+		}
+		visit(position{Part: part, crash: c, request: last, shared: suspect.Parts[:len(suspect.Parts)-1], index: i})
+	}
+}
--- /dev/null
+++ b/process/quarantine/quarantine_test.go
@@ -0,0 +1,246 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// replay feeds a tracker with crashes and survived requests at times in milliseconds.
+type replay struct {
+	tracker *Tracker
+	start   time.Time
+	crashes int
+}
+
+func newReplay() *replay { return &replay{tracker: New(), start: time.Unix(1000, 0)} }
+
+func (r *replay) at(ms int) time.Time { return r.start.Add(time.Duration(ms) * time.Millisecond) }
+
+// crash reports the crash of another engine.
+func (r *replay) crash(ms int, suspects ...Suspect) []string {
+	r.crashes++
+	r.tracker.RecordCrash(r.at(ms), r.at(ms), Crash{
+		Service: "writer", Target: request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), Incarnation: 1, Suspects: suspects,
+	})
+	return r.evaluate(ms)
+}
+
+func (r *replay) evaluate(ms int) []string { return ids(r.tracker.Evaluate(r.at(ms))) }
+
+func (r *replay) survived(ms int, parts ...string) []Part {
+	return r.tracker.RecordSurvival(r.at(ms), "writer", parts)
+}
+
+func (r *replay) quarantined(ms int, part string) bool {
+	_, found := r.tracker.Find(r.at(ms), "writer", []string{part})
+	return found
+}
+
+func ids(records []Record) []string {
+	result := []string{}
+	for _, r := range records {
+		result = append(result, r.ID)
+	}
+	return result
+}
+
+func started(parts ...string) Suspect { return Suspect{Parts: parts, Started: true} }
+
+func waiting(parts ...string) Suspect { return Suspect{Parts: parts} }
+
+// Load: requests of one caller that share their first part with sound ones are passed from
+// engine to engine, and each crashes.
+func TestTracker_PartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	r := newReplay()
+	assert.DeepEqual(t, r.crash(0, started("first", "deadly", "a")), []string{})
+	assert.DeepEqual(t, r.crash(1200, started("first", "deadly", "a")), []string{})
+	assert.DeepEqual(t, r.crash(2000, started("first", "deadly", "b")), []string{"deadly"})
+	assert.Assert(t, !r.quarantined(2000, "first"))
+	assert.Assert(t, !r.quarantined(2000, "a"))
+}
+
+// Load: prompts that are read within milliseconds.
+func TestTracker_CrashesOfOneRequestInQuickSuccessionCount(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "deadly", "a"))
+	r.crash(70, started("first", "deadly", "a"))
+	assert.DeepEqual(t, r.crash(500, started("first", "deadly", "b")), []string{"deadly"})
+}
+
+func TestTracker_OneRequestThatCrashesEnginesIsQuarantinedItself(t *testing.T) {
+	r := newReplay()
+	for i := range 2 {
+		assert.DeepEqual(t, r.crash(1200*i, started("first", "second", "a")), []string{})
+	}
+	assert.DeepEqual(t, r.crash(2400, started("first", "second", "a")), []string{"a"})
+}
+
+// A later request of the caller shows that the part which both have is at fault.
+func TestTracker_PartIsQuarantinedAfterASingleRequest(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(1200*i, started("first", "deadly", "a"))
+	}
+	assert.DeepEqual(t, r.crash(9000, started("first", "deadly", "b")), []string{"deadly"})
+}
+
+func TestTracker_FirstPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("deadly", "a"))
+	r.crash(1000, started("deadly", "b"))
+	assert.DeepEqual(t, r.crash(2000, started("deadly", "c")), []string{"deadly"})
+}
+
+// Each request has a part of its own after the one that all share.
+func TestTracker_SharedPartBeforeOthersIsQuarantined(t *testing.T) {
+	r := newReplay()
+	var found []string
+	for i := 0; len(found) == 0 && i < 5; i++ {
+		found = r.crash(1000*i, started("deadly", fmt.Sprint("own-", i), fmt.Sprint("last-", i)))
+	}
+	assert.DeepEqual(t, found, []string{"deadly"})
+}
+
+// Requests that waited at the crashed engines share the first part, too.
+func TestTracker_NeighboursThatWaitedAreNotQuarantined(t *testing.T) {
+	r := newReplay()
+	for i := range 40 {
+		last := fmt.Sprint("r", i/5)
+		r.crash(1000*i, started("first", "deadly", last), waiting("first", fmt.Sprint("w", i)), waiting("other", "repeated"))
+		r.evaluate(1000*i + 600)
+	}
+	assert.Assert(t, r.quarantined(40000, "deadly"))
+	for _, part := range []string{"first", "other", "repeated", "w3"} {
+		assert.Assert(t, !r.quarantined(40000, part), part)
+	}
+}
+
+// The engine sends nothing before it crashes, so that no request is known to have started.
+func TestTracker_PartIsQuarantinedThoughNoResponseStarted(t *testing.T) {
+	r := newReplay()
+	found := []string{}
+	for i := 0; len(found) == 0 && i < 8; i++ {
+		r.crash(1000*i, waiting("first", "deadly", fmt.Sprint("r", i)), waiting(fmt.Sprint("first-", i%4), fmt.Sprint("w", i)))
+		found = r.evaluate(1000*i + 600)
+	}
+	assert.DeepEqual(t, found, []string{"deadly"})
+	assert.Assert(t, r.crashes <= 5, "after %d crashes", r.crashes)
+}
+
+// Fault: a failure domain ends many engines at once, and entries see that at different times.
+func TestTracker_CrashesOfAFailureDomainBlameNobody(t *testing.T) {
+	r := newReplay()
+	for i := range 30 {
+		r.crash(8*i, started("first", fmt.Sprint("r", i)), waiting("first", fmt.Sprint("w", i)))
+	}
+	assert.DeepEqual(t, r.evaluate(900), []string{})
+	assert.Assert(t, !r.quarantined(900, "first"))
+}
+
+// Fault: engines go down and up by turns under sound requests that mostly end well.
+func TestTracker_FlappingEnginesBlameNobody(t *testing.T) {
+	r := newReplay()
+	for i := range 60 {
+		r.crash(500*i, started("first", fmt.Sprint("s", i)), started("common", fmt.Sprint("c", i)))
+		r.survived(500*i+200, "first", fmt.Sprint("ok", i))
+		r.survived(500*i+200, "common", fmt.Sprint("ok", i))
+		assert.DeepEqual(t, r.evaluate(500*i+400), []string{})
+	}
+}
+
+// A part was sound until the engines were changed.
+func TestTracker_PartThatWasSoundIsQuarantinedAfterMoreCrashes(t *testing.T) {
+	r := newReplay()
+	r.survived(0, "first", "ok")
+	r.survived(0, "first", "turned", "ok")
+	var found []string
+	for i := 0; len(found) == 0 && i < 8; i++ {
+		found = r.crash(1000+1000*i, started("first", "turned", fmt.Sprint("r", i)))
+	}
+	assert.DeepEqual(t, found, []string{"turned"})
+	assert.Equal(t, r.crashes, 5)
+}
+
+// A sound request that had started at another engine clears its parts.
+func TestTracker_SurvivedRequestReleasesItsParts(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "a"))
+	r.crash(1000, started("first", "b"))
+	assert.DeepEqual(t, r.crash(2000, started("first", "c")), []string{"first"})
+	assert.DeepEqual(t, r.survived(1500, "first", "d"), []Part{{Service: "writer", ID: "first"}})
+	assert.Assert(t, !r.quarantined(2500, "first"))
+	// Another entry that has not heard of it repeats the quarantine.
+	assert.Assert(t, !r.tracker.Adopt(r.at(2600), Record{Part: Part{Service: "writer", ID: "first"}, From: r.at(0), Until: r.at(600000)}))
+}
+
+func TestTracker_RequestStartedBeforeTheCrashesReleasesNothing(t *testing.T) {
+	r := newReplay()
+	r.survived(0, "deadly", "ok")
+	for i := range 5 {
+		r.crash(1000+1000*i, started("deadly", fmt.Sprint("r", i)))
+	}
+	assert.Assert(t, r.quarantined(6000, "deadly"))
+	r.survived(500, "deadly", "ok")
+	assert.Assert(t, r.quarantined(6000, "deadly"))
+}
+
+// Fault: an engine was cut off for a while and responds again.
+func TestTracker_EngineThatWasOutOfReachBlamesNobody(t *testing.T) {
+	r := newReplay()
+	for i := range 10 {
+		r.crash(1000*i, started("first", fmt.Sprint("r", i)))
+		r.tracker.RetractCrash(r.at(1000*i+600), request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), 1)
+		assert.DeepEqual(t, r.evaluate(1000*i+700), []string{})
+	}
+}
+
+// Each entry sees one of the crashes and hears of the others.
+func TestTracker_ReportsOfSeveralEntriesOfOneCrashCountOnce(t *testing.T) {
+	r := newReplay()
+	for range 10 {
+		report := Crash{Service: "writer", Target: "engine-1", Incarnation: 1, Suspects: []Suspect{started("first", "deadly", "a")}}
+		r.tracker.RecordCrash(r.at(300), r.at(0), report)
+		assert.DeepEqual(t, r.evaluate(300), []string{})
+	}
+}
+
+func TestTracker_PartThatCrashesEnginesAfterItsQuarantineIsQuarantinedForLonger(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("first", "deadly", fmt.Sprint("r", i)))
+	}
+	end := 2000 + int(quarantinePeriod.Milliseconds())
+	assert.Assert(t, r.quarantined(end-1, "deadly"))
+	assert.Assert(t, !r.quarantined(end, "deadly"))
+	assert.DeepEqual(t, r.crash(end+5000, started("first", "deadly", "r9")), []string{"deadly"})
+	assert.Assert(t, r.quarantined(end+5000+int(2*quarantinePeriod.Milliseconds())-1, "deadly"))
+}
+
+func TestTracker_PartIsForgottenAfterAQuietPeriod(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("first", "deadly", fmt.Sprint("r", i)))
+	}
+	later := 3 * int(quarantinePeriod.Milliseconds())
+	assert.DeepEqual(t, r.evaluate(later), []string{})
+	assert.DeepEqual(t, r.crash(later, started("first", "deadly", "r9")), []string{})
+	assert.Equal(t, len(r.tracker.parts), 0)
+}
+
+// A caller crashes engines with ever new parts.
+func TestTracker_MemoryIsBounded(t *testing.T) {
+	r := newReplay()
+	for i := range 600 {
+		part := fmt.Sprint("deadly-", i/3)
+		r.crash(300*i, started("first", part, fmt.Sprint("r", i)))
+		r.survived(300*i+1, "first", fmt.Sprint("doc-", i), "last")
+	}
+	assert.Assert(t, len(r.tracker.parts) <= maxParts)
+	assert.Assert(t, len(r.tracker.crashes) <= maxCrashes)
+	assert.Assert(t, !r.quarantined(180000, "first"))
+}
--- a/records_test.go
+++ b/records_test.go
@@ -24,7 +24,8 @@
 )
 
 // The files in testdata/records were written by the build of commit 6bb7fae, with a value
-// in every field but those listed as unset, and with distinct texts and numbers.
+// in every field but those listed as unset, and with distinct texts and numbers;
+// peers-quarantine-update.cbor by the build that brought its fields.
 
 // record is a file and the type that it is decoded as.
 type record struct {
@@ -94,17 +95,24 @@
 // zeroUpdateFields are the fields that are not set in a message about the store.
 var zeroUpdateFields = []string{
 	".Full", ".LinkMbps", ".Incarnation", ".Sequence", ".Work", ".Usage", ".Down", ".Replaced", ".Successors",
-	".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies",
+	".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies", ".Crashes", ".Survivals", ".Quarantined",
 }
 
 // A renamed field or tag must not change the datagrams that entries of different builds
 // exchange.
 func TestPeerUpdates_OfEarlierBuild(t *testing.T) {
 	for _, r := range []record{
-		{file: "peers-update.cbor", value: &peers.Update{}, unset: []string{".Question", ".Answer"}},
+		{file: "peers-update.cbor", value: &peers.Update{}, unset: []string{
+			".Crashes", ".Survivals", ".Quarantined", ".Question", ".Answer",
+		}},
+		{file: "peers-quarantine-update.cbor", value: &peers.Update{}, unset: []string{
+			".Partial", ".LinkMbps", ".Work", ".Usage", ".Down", ".Replaced", ".Successors", ".CachedPrompts",
+			".FailureRates", ".Ready", ".KVCopies", ".Question", ".Answer",
+		}},
 		{file: "peers-brief-update.cbor", value: &peers.Update{}, unset: []string{
 			".Full", ".LinkMbps", ".Usage", ".Down", ".Replaced", ".Successors",
-			".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies", ".Question", ".Answer",
+			".CachedPrompts", ".FailureRates", ".Ready", ".KVCopies", ".Crashes", ".Survivals", ".Quarantined",
+			".Question", ".Answer",
 		}},
 		{file: "peers-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Answer")},
 		{file: "peers-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question")},
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -233,13 +233,13 @@
 }
 
 // onNoTarget ends the request when no attempt was started yet, since the selection
-// already waited in the queue. Otherwise it schedules another selection; ResumeTimeout
-// bounds these retries.
+// already waited in the queue, or when the reason stays. Otherwise it schedules another
+// selection; ResumeTimeout bounds these retries.
 func (r *Recovery) onNoTarget(now time.Time, kind fault.Kind) {
 	r.selecting = false
 	if len(r.running) == 0 {
 		r.lastKind = kind
-		if r.started == 0 {
+		if r.started == 0 || isFinal(kind) {
 			r.end(kind, "")
 			return
 		}
@@ -371,7 +371,7 @@
 // isFinal reports whether a failure of this kind would recur at any other target.
 func isFinal(kind fault.Kind) bool {
 	switch kind {
-	case fault.BadRequest, fault.NotFound, fault.TooLarge, fault.DeadlineExceeded, fault.Superseded:
+	case fault.BadRequest, fault.NotFound, fault.TooLarge, fault.DeadlineExceeded, fault.Superseded, fault.Quarantined:
 		return true
 	default:
 		return false
--- a/request/recovery_test.go
+++ b/request/recovery_test.go
@@ -157,3 +157,16 @@
 	actions := recovery.Step(now, request.Event{Type: request.EventTargetSelected, Target: "t-2"})
 	assert.Equal(t, actions[0].Type, request.ActionStartAttempt)
 }
+
+// Load: a request that engines crash on, which no further target must get.
+func TestRecovery_QuarantinedRequestEndsAtOnce(t *testing.T) {
+	now := time.Unix(1, 0)
+	recovery := request.NewRecovery(request.RecoveryPolicy{ResumeTimeout: time.Minute}, request.NewOutput(10))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	recovery.Step(now, request.Event{Type: request.EventTargetSelected, Target: "t1"})
+	recovery.Step(now, request.Event{Type: request.EventFailed, Attempt: 1, Kind: fault.TargetLost})
+	end := last(recovery.Step(now, request.Event{Type: request.EventNoTarget, Kind: fault.Quarantined}))
+	assert.Equal(t, end.Type, request.ActionEnd)
+	assert.Equal(t, end.Kind, fault.Quarantined)
+	assert.Equal(t, recovery.WasRun(), request.RunUnknown)
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -29,6 +29,9 @@
 	DeadlineRemaining time.Duration
 	// PromptID identifies the last part of the prompt; if it is empty, AttemptID does.
 	PromptID string
+	// SharedParts lists the IDs of the parts of the prompt before the last; if it is empty,
+	// there is one that all requests share.
+	SharedParts []string
 	// Header holds additional header fields.
 	Header http.Header
 }
@@ -62,8 +65,16 @@
 	out.Header.Set("Deadline-Remaining", strconv.FormatInt(r.DeadlineRemaining.Milliseconds(), 10))
 	out.Header.Set("Key", r.APIKey)
 	out.Header.Set("Model", "m")
-	out.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", sharedPrefixTokens+ownPrefixTokens, outputTokens))
-	out.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:%d,%s:%d", sharedPrefixTokens, promptID, ownPrefixTokens))
+	shared := r.SharedParts
+	if len(shared) == 0 {
+		shared = []string{"aa"}
+	}
+	prefix := ""
+	for _, id := range shared {
+		prefix += fmt.Sprintf("%s:%d,", id, sharedPrefixTokens)
+	}
+	out.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", len(shared)*sharedPrefixTokens+ownPrefixTokens, outputTokens))
+	out.Header.Set("Prompt-Prefix", fmt.Sprintf("%s%s:%d", prefix, promptID, ownPrefixTokens))
 	if r.Position > 0 {
 		out.Header.Set("Last-Event-Id", strconv.Itoa(r.Position))
 	}
--- a/standin/replica/faults.go
+++ b/standin/replica/faults.go
@@ -37,6 +37,9 @@
 	Shedding        bool
 	RetryAfter      string
 	OmitNotExecuted bool
+	// CrashOnPart is the ID of a prompt part on which the engine crashes as it begins to
+	// respond.
+	CrashOnPart string
 	// SetContentEncoding declares a content encoding of the body.
 	SetContentEncoding bool
 }
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -200,6 +200,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	r.crashOnPart(req, controller)
 	for eventID := position + 1; eventID <= r.config.EventCount; eventID++ {
 		r.recordKVCopy(req.Header.Get("Kv-Backup"), id)
 		faults := r.currentFaults()
