Quarantines outlive the entries that found them

Callers saw: after all entries had been restarted at once, requests with a quarantined prompt part crashed engines again. Cause: quarantines were only in the memory of entries and in their updates. Change: the entry that quarantines a part writes it to the store, under a lease until its end (ten minutes at most), and tries again while the store is away; entries adopt what they read there. A part that an engine survives is removed. The end of a record does not end a quarantine: leases may expire in an outage. Evidence: TestStart_QuarantineOutlivesAllEntries fails on the code before with "502 (status) != 503". TestStoreOutage_QuarantineIsStoredAfterwards and TestStore_ReleasedPartIsRemoved are new.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -267,7 +267,7 @@
 		c.updatePending = true
 	}
 	c.promptIndex.RemoveExpired(now)
-	c.quarantineParts(c.quarantine.Evaluate(now))
+	c.evaluateCrashes(now)
 	c.gateway.pool.CloseExpired()
 }
 
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -81,13 +81,18 @@
 	c.release(c.quarantine.RecordSurvival(startedAt, service, parts))
 }
 
-// release logs that parts are no longer in quarantine.
+// release ends the quarantine of parts that were found to be sound.
 func (c *control) release(parts []quarantine.Part) {
 	for _, part := range parts {
-		c.gateway.log.Event("part_released", "service", part.Service, "part", partHash(part.ID))
+		c.logRelease(part)
+		go c.gateway.protect("remove quarantine", func() { c.gateway.removeQuarantine(part) })
 	}
 }
 
+func (c *control) logRelease(part quarantine.Part) {
+	c.gateway.log.Event("part_released", "service", part.Service, "part", partHash(part.ID))
+}
+
 // recordBroken records that the response to an attempt broke off.
 func (c *control) recordBroken(a *attempt) {
 	c.post(func() {
@@ -137,7 +142,16 @@
 	c.recentCrashes[key] = sentCrash{Crash: crash, at: now}
 	c.updatePending = true
 	c.handleCrash(now, now, crash)
-	c.quarantineParts(c.quarantine.Evaluate(now))
+	c.evaluateCrashes(now)
+}
+
+// evaluateCrashes quarantines the parts that the known crashes show to be harmful.
+func (c *control) evaluateCrashes(now time.Time) {
+	records := c.quarantine.Evaluate(now)
+	c.quarantineParts(records)
+	for _, r := range records {
+		go c.gateway.protect("store quarantine", func() { c.gateway.storeQuarantine(r) })
+	}
 }
 
 // handleCrash evaluates a crash that this or another entry saw.
@@ -237,7 +251,9 @@
 // handleQuarantine learns of crashes and quarantines from an update of another entry.
 func (c *control) handleQuarantine(now time.Time, update peers.Update) {
 	for _, s := range update.Survivals {
-		c.release(c.quarantine.RecordPeerSurvival(quarantine.Survival{Part: s.Part, StartedAt: now.Add(-s.Age)}))
+		for _, part := range c.quarantine.RecordPeerSurvival(quarantine.Survival{Part: s.Part, StartedAt: now.Add(-s.Age)}) {
+			c.logRelease(part)
+		}
 	}
 	for _, crash := range update.Crashes {
 		c.handleCrash(now, now.Add(-crash.Age), crash.Crash)
--- /dev/null
+++ b/process/gateway/quarantine_store.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
+)
+
+const (
+	// quarantineStoreAttempts is how often an entry tries to store a quarantine, and
+	// quarantineStoreInterval the time between two tries: as long as an outage of the store
+	// lasts.
+	quarantineStoreAttempts = 10
+	quarantineStoreInterval = 2 * time.Second
+	// maxQuarantineLease is the longest lease that the store grants.
+	maxQuarantineLease = 10 * time.Minute
+)
+
+// quarantineRecord is the value under which a quarantine is stored, for entries that start when
+// no other is left. The times are in Unix milliseconds.
+type quarantineRecord struct {
+	Service string `json:"service"`
+	Part    string `json:"part"`
+	From    int64  `json:"from"`
+	Until   int64  `json:"until"`
+}
+
+// quarantineKey returns the key of a part. It holds hashes because the IDs are the callers'.
+func quarantineKey(part quarantine.Part) string {
+	return platform.QuarantinePrefix + partHash(part.Service) + "/" + partHash(part.ID)
+}
+
+// storeQuarantine stores a quarantine until its end, or for the longest lease.
+func (g *Gateway) storeQuarantine(r quarantine.Record) {
+	for range quarantineStoreAttempts {
+		err := g.tryStoreQuarantine(r)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return
+		}
+		g.log.Event("quarantine_not_stored", "part", partHash(r.ID), "error", err.Error())
+		pause(g.background, quarantineStoreInterval)
+		if g.background.Err() != nil || !g.quarantines(r.Part) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) tryStoreQuarantine(r quarantine.Record) error {
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
+	g.metrics.countStoreCall("lease", err)
+	if err != nil {
+		return errors.Wrap(err, "store quarantine")
+	}
+	value, err := json.Marshal(quarantineRecord{
+		Service: r.Service, Part: r.ID, From: r.From.UnixMilli(), Until: r.Until.UnixMilli(),
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	key := quarantineKey(r.Part)
+	_, err = g.store.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: value, Lease: lease}}, nil)
+	g.metrics.countStoreCall("swap", err)
+	return errors.Wrap(err, "store quarantine")
+}
+
+// removeQuarantine removes the record of a part that an engine has survived. If that fails, the
+// record ends with its lease, and an engine that survives the part releases it again.
+func (g *Gateway) removeQuarantine(part quarantine.Part) {
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	_, err := g.store.Commit(ctx, nil, nil, []string{quarantineKey(part)})
+	g.metrics.countStoreCall("swap", err)
+	if err != nil {
+		g.log.Event("quarantine_not_removed", "part", partHash(part.ID), "error", err.Error())
+	}
+}
+
+// quarantines reports whether a part is in quarantine.
+func (g *Gateway) quarantines(part quarantine.Part) bool {
+	found := false
+	g.control.do(func() { _, found = g.control.quarantine.Find(time.Now(), part.Service, []string{part.ID}) })
+	return found
+}
+
+// applyQuarantine adopts a stored quarantine. The end of the record does not end the quarantine,
+// since leases may expire during an outage of the store.
+func (w *storeWatcher) applyQuarantine(item platform.Item) {
+	g := w.gateway
+	var record quarantineRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil || record.Service == "" || record.Part == "" {
+		g.log.Event("quarantine_unreadable", "key", item.Key)
+		return
+	}
+	now := time.Now()
+	// The clock of the entry that wrote the record may be ahead.
+	r := quarantine.Record{
+		Part:  quarantine.Part{Service: record.Service, ID: record.Part},
+		From:  now.Add(-max(0, time.Duration(now.UnixMilli()-record.From)*time.Millisecond)),
+		Until: now.Add(time.Duration(record.Until-now.UnixMilli()) * time.Millisecond),
+	}
+	g.control.do(func() {
+		if g.control.quarantine.Adopt(now, r) {
+			g.control.quarantineParts([]quarantine.Record{r})
+		}
+	})
+}
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -10,7 +13,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -213,3 +218,52 @@
 	}
 	d.waitUntil(func() bool { return slow.AbandonedRequests() == 1 })
 }
+
+// storesQuarantine reports whether the store holds the quarantine of a part.
+func (d *deployment) storesQuarantine(part string) bool {
+	return slices.ContainsFunc(d.storeValues(platform.QuarantinePrefix), func(value []byte) bool {
+		return bytes.Contains(value, []byte(`"`+part+`"`))
+	})
+}
+
+// All entries end after a part was quarantined.
+func TestStart_QuarantineOutlivesAllEntries(t *testing.T) {
+	d := newDeployment(t)
+	d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	for !g.quarantines(quarantine.Part{Service: "writer", ID: deadlyPart}) {
+		d.send(g, deadlyRequest())
+	}
+	d.waitUntil(func() bool { return d.storesQuarantine(deadlyPart) })
+	assert.NilError(t, g.Stop(context.Background()))
+	next := d.startEntryWithTargets("entry-1", 1)
+	req := deadlyRequest()
+	assert.Equal(t, d.send(next, req).status, http.StatusServiceUnavailable)
+	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 0)
+}
+
+// The store is away while a part is quarantined, and holds the quarantine afterwards.
+func TestStoreOutage_QuarantineIsStoredAfterwards(t *testing.T) {
+	d := newDeployment(t)
+	d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	d.store.SetFaults(kv.Faults{Outage: true})
+	for !g.quarantines(quarantine.Part{Service: "writer", ID: deadlyPart}) {
+		d.send(g, deadlyRequest())
+	}
+	d.store.SetFaults(kv.Faults{})
+	d.waitUntil(func() bool { return d.storesQuarantine(deadlyPart) })
+}
+
+// A part that an engine survives leaves the store, too.
+func TestStore_ReleasedPartIsRemoved(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now, Until: now.Add(time.Minute)}
+	assert.NilError(t, g.tryStoreQuarantine(record))
+	d.waitUntil(func() bool { return len(g.quarantinedParts()) == 1 })
+	g.control.do(func() { g.control.recordSurvival(time.Now().Add(time.Second), "writer", []string{sharedPart, "last"}) })
+	assert.Equal(t, len(g.quarantinedParts()), 0)
+	d.waitUntil(func() bool { return len(d.storeValues(platform.QuarantinePrefix)) == 0 })
+}
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -299,6 +299,10 @@
 		w.applyTarget(item)
 	case strings.HasPrefix(item.Key, platform.EntryPrefix):
 		w.applyEntry(item)
+	case strings.HasPrefix(item.Key, platform.QuarantinePrefix):
+		if !item.Removed {
+			w.applyQuarantine(item)
+		}
 	}
 }
 
