--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -5,8 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -45,6 +48,10 @@
 	deadline  time.Time
 	// configVersion is the version of the configuration that applies to the request.
 	configVersion int64
+	// survived is set when a target has survived the request. quarantinedUntil is the end of
+	// the quarantine of a part of its prompt, if there is one.
+	survived         atomic.Bool
+	quarantinedUntil time.Time
 }
 
 // serveCaller serves one request of a caller.
@@ -62,7 +69,7 @@
 	}
 	e.gateway.log.Event("accepted", "request", e.inbound.ID, "route", e.route.Name, "service", e.service,
 		"workspace", e.workspaceName(), "configuration", e.configVersion, "timeLeft", time.Until(e.deadline),
-		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens)
+		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens, "parts", partHashes(e.inbound.PartIDs()))
 	if e.route.Kind == routes.Streaming {
 		e.serveStream(r.Context())
 		return
@@ -70,6 +77,18 @@
 	e.serveCall(r.Context())
 }
 
+// partHashes returns the hashes of the IDs of prompt parts, which show in logs which prompts
+// share parts.
+func partHashes(ids []string) []string {
+	hashes := make([]string, len(ids))
+	for i, id := range ids {
+		hashes[i] = partHash(id)
+	}
+	return hashes
+}
+
+func partHash(id string) string { return strconv.FormatUint(xxhash.Sum64String(id), 16) }
+
 // admit reads the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
@@ -206,6 +225,9 @@
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = e.gateway.retryAfter(kind)
 	}
+	if kind == fault.Quarantined {
+		retryAfter = time.Until(e.quarantinedUntil)
+	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
 	e.writer.WriteHeader(response.Status)
 	e.finish(kind, attempts, "status", response.Status, "retryAfter", retryAfter, "error", err.Error())
