A second copy of a refusal is not taken for that of the next request

Callers saw: 'not run, try again' (429, 503), or a failure that was not theirs, for a request that a target ran; or the request ran at a second target. A target that sent a 421 twice was out of use. Cause: a failing target may write a response once more on a connection in use again. Reply.Outcome took any refusal that named no other request, so a nameless one was believed wherever it arrived, and so was a nameless failure. A 421 marked its target as replaced even if it named another request. The body of a response that was not accepted was read to its end, which may never come. Change: Reply.BelongsToRequest decides: a response must name the request, or be nameless and the first on its connection. One that does not belong leaves the outcome unknown. A connection that carried a nameless response is closed, so a second copy of it meets no request. Only an accepted 421 marks a target replaced. Bodies of rejected responses, and of refusals without a length, are not read. The log says which responses were rejected (response_rejected) and whether a refusal named its request. The stand-in names the request in refusals, as targets do. Ruled out: closing every connection after a refusal (a connection each at a target that is full, and a copy of a refusal given elsewhere would still count); checking the socket again just before the write (the copy may arrive later). Why it works: what a caller is told, and whether another target is tried, follow from Outcome alone, and a connection that is in use again carries only responses that name their request. TestReplyOutcome_RefusalMustBelongToRequest covers all combinations of what a head says.

--- a/command/explain.go
+++ b/command/explain.go
@@ -37,6 +37,7 @@
 	"accepted":          "the entry took the request",
 	"placed":            "a target was chosen",
 	"refused_by_target": "the target said that it did not run it",
+	"response_rejected": "the response was not certain to be that to the request",
 	"not_reached":       "no connection to the target; nothing was sent",
 	"broken":            "the answer broke off",
 	"retried":           "it was sent to another target",
@@ -210,7 +211,7 @@
 // string for other lines.
 func (l logLine) describeProblem() string {
 	switch l.Event {
-	case "broken", "not_reached", "refused_by_target":
+	case "broken", "not_reached", "refused_by_target", "response_rejected":
 		return fmt.Sprintf("%s at %s (%s)", eventMeanings[l.Event], l.values["target"], l.Fields)
 	case "budget_denied":
 		return fmt.Sprintf("%s (%s)", eventMeanings[l.Event], l.Fields)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -45,6 +45,8 @@
 	cancel     context.CancelFunc
 	monitor    *targetMonitor
 	conn       *target.Conn
+	// reply is the head of the response, if there was one.
+	reply request.Reply
 	// stopClose stops the end of the attempt from closing the connection. It returns
 	// false if the connection is already being closed.
 	stopClose func() bool
@@ -205,27 +207,37 @@
 		return nil, request.Reply{}, request.AttemptBroken
 	}
 	a.monitor.recordSeen(g.control)
-	reply := platform.DecodeReply(response, inbound.ID)
-	if !reply.WrongTarget && reply.Outcome() != request.AttemptBroken {
+	a.reply = platform.DecodeReply(response, inbound.ID)
+	a.reply.ConnectionReused = conn.Reused
+	outcome := a.reply.Outcome()
+	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
 		a.monitor.recordIdentified(g.control)
 	}
-	a.recordReply(reply)
-	if reply.Outcome() == request.AttemptRefused {
-		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", reply.Status,
-			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt))
+	a.recordReply(a.reply)
+	switch outcome {
+	case request.AttemptRefused:
+		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt), "named", a.reply.MatchesRequest)
+	case request.AttemptBroken:
+		g.log.Event("response_rejected", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"named", a.reply.MatchesRequest, "namesOther", a.reply.NamesOtherRequest, "reused", conn.Reused)
 	}
-	return response, reply, reply.Outcome()
+	return response, a.reply, outcome
 }
 
 // recordReply records what a response says about its target.
 func (a *attempt) recordReply(reply request.Reply) {
 	c := a.exchange.gateway.control
 	c.post(func() {
-		if reply.WrongTarget {
+		outcome, load := reply.Outcome(), reply.Load
+		switch {
+		case outcome == request.AttemptRefused && reply.WrongTarget:
 			c.markReplaced(a.target.ID)
 			return
+		case !reply.BelongsToRequest():
+			load = nil
 		}
-		c.table.RecordResponse(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
+		c.table.RecordResponse(time.Now(), a.target.ID, outcome == request.AttemptBroken, load)
 	})
 }
 
@@ -278,11 +290,17 @@
 
 // releaseConnection returns the connection to the pool after the whole body has been
 // read. From then on the end of the attempt must not close it, since another request
-// may use it.
+// may use it. A response that names no request may arrive once more and could not be told
+// from that to the next request, so its connection is closed.
 func (a *attempt) releaseConnection(response *http.Response) {
-	if a.stopClose() {
-		a.exchange.gateway.pool.Put(a.conn, response)
+	if !a.stopClose() {
+		return
+	}
+	if !a.reply.MatchesRequest {
+		a.conn.Close()
+		return
 	}
+	a.exchange.gateway.pool.Put(a.conn, response)
 }
 
 // readAtMost reads a body that must not be longer than limit.
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -183,7 +183,12 @@
 func (e *exchange) runCallAttempt(a *attempt) (*bufferedResponse, request.AttemptOutcome) {
 	defer a.release()
 	response, reply, outcome := a.do()
-	if response == nil {
+	switch {
+	case response == nil:
+		return nil, outcome
+	case outcome == request.AttemptBroken, outcome == request.AttemptRefused && response.ContentLength < 0:
+		// The body does not matter, and its end may never come.
+		a.conn.Close()
 		return nil, outcome
 	}
 	body, err := a.readBody(response)
@@ -193,8 +198,6 @@
 	case err != nil:
 		a.responseFailed(err)
 		return nil, request.AttemptBroken
-	case outcome == request.AttemptBroken:
-		return nil, outcome
 	}
 	if guaranteesNotRun(reply.Status) {
 		// The target does not guarantee that it has not run the request, so neither may
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -76,6 +76,8 @@
 	// it names a different one.
 	MatchesRequest    bool
 	NamesOtherRequest bool
+	// ConnectionReused is set when the connection had carried another request before.
+	ConnectionReused bool
 	// Signed is set when the response carries the target's signature.
 	Signed bool
 	// NotExecuted is set when the target has not run the request and never will.
@@ -93,11 +95,18 @@
 	Running, Waiting, Slots int
 }
 
+// BelongsToRequest reports whether the reply can only be that to the request. Failing
+// targets send a response once more, which may arrive where the next one is expected, so a
+// reply that names no request belongs only to the first request on a connection.
+func (r Reply) BelongsToRequest() bool {
+	return !r.NamesOtherRequest && (r.MatchesRequest || !r.ConnectionReused)
+}
+
 // Outcome classifies the reply by its status and headers alone. A success must carry
 // the target's signature and name the request.
 func (r Reply) Outcome() AttemptOutcome {
 	switch {
-	case r.NamesOtherRequest:
+	case !r.BelongsToRequest():
 		return AttemptBroken
 	case r.NotExecuted:
 		return AttemptRefused
--- a/request/retry_test.go
+++ b/request/retry_test.go
@@ -66,3 +66,37 @@
 		assert.Equal(t, reply.Outcome(), test.want, name)
 	}
 }
+
+// replies calls check with each reply that differs in status or what its head says.
+func replies(check func(Reply)) {
+	for _, status := range []int{200, 204, 302, 400, 404, 408, 421, 429, 500, 502, 503, 504} {
+		for bits := range 1 << 6 {
+			bit := func(i int) bool { return bits>>i&1 == 1 }
+			reply := Reply{
+				Status: status, MatchesRequest: bit(0) && !bit(1), NamesOtherRequest: bit(1), ConnectionReused: bit(2),
+				Signed: bit(3), NotExecuted: bit(4) || status == 421, WrongTarget: status == 421, ContentEncoded: bit(5),
+			}
+			check(reply)
+		}
+	}
+}
+
+// A failing target sends a refusal once more on a connection that is in use again.
+func TestReplyOutcome_RefusalMustBelongToRequest(t *testing.T) {
+	refused := 0
+	replies(func(r Reply) {
+		outcome := r.Outcome()
+		if outcome == AttemptRefused {
+			refused++
+			assert.Assert(t, r.NotExecuted && !r.NamesOtherRequest, "%+v", r)
+			assert.Assert(t, r.MatchesRequest || !r.ConnectionReused, "%+v", r)
+		}
+		if !r.MatchesRequest && (r.NamesOtherRequest || r.ConnectionReused) {
+			assert.Equal(t, outcome, AttemptBroken, "%+v", r)
+		}
+		if r.NotExecuted && (r.MatchesRequest || !r.NamesOtherRequest && !r.ConnectionReused) {
+			assert.Equal(t, outcome, AttemptRefused, "%+v", r)
+		}
+	})
+	assert.Assert(t, refused > 0)
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -340,10 +340,12 @@
 	case faults.Silent:
 		r.hang(req.Context())
 	case expectedID != "" && expectedID != r.config.ID:
+		w.Header().Set("Attempt-Id", id)
 		w.Header().Set("Instance-Id", r.config.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case faults.RejectRequests || !r.takeKVCopy(req):
+		w.Header().Set("Attempt-Id", id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
