A call that is retried at the same target uses a new connection

Callers saw: a call that must run at most once ran twice. Cause: a target that refused a call gets it again if no other is left, on the connection that carried the refusal. If the target wrote that refusal once more, the copy named the request and was taken for the refusal of the retry. Change: an attempt at a target that the request was sent to before dials. Streams close the connection of a refusal anyway. Ruled out: closing the connection of every refusal, as streams do: targets that are full would get a new connection for each. Why it works: a new connection carries no earlier response. The stand-in of these tests answers calls without a request id with 404 by itself.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -53,6 +53,8 @@
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
+	// sentBefore is set if the request was sent to the target before.
+	sentBefore bool
 	// prefillUncontended is set if the target had no other prompt to prefill when the
 	// attempt was placed.
 	prefillUncontended bool
@@ -177,7 +179,11 @@
 func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
 	g := a.exchange.gateway
 	maxIdle := maxIdleTime
-	if a.keepWhenDown {
+	switch {
+	case a.sentBefore:
+		// A second copy of that refusal would name this request.
+		maxIdle = 0
+	case a.keepWhenDown:
 		maxIdle = maxIdleNonIdempotent
 	}
 	conn, err := g.pool.Get(a.ctx, a.target.Address, maxIdle)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,6 +92,7 @@
 		return err
 	}
 	a.charge = charge
+	a.sentBefore = slices.Contains(c.requirements.Avoid, a.target.ID)
 	c.requirements.Avoid = append(c.requirements.Avoid, a.target.ID)
 	c.running++
 	c.attempts++
--- a/process/gateway/late_refusal_test.go
+++ b/process/gateway/late_refusal_test.go
@@ -139,3 +139,33 @@
 		}
 	}
 }
+
+// The only target refuses a call once, runs it when it is sent again, and writes the refusal
+// once more before its response.
+func TestLateRefusal_IsNotTakenForThatOfTheRetryAtTheSameTarget(t *testing.T) {
+	for _, path := range []string{"/book/visit", "/status/7", "/once/x", "/report/x"} {
+		d := newDeployment(t)
+		addPlainStream(d)
+		service := "bookings"
+		if path == "/once/x" || path == "/report/x" {
+			service = "writer"
+		}
+		target := d.startRawTarget("t1", service, func(e rawExchange) {
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\nAttempt-Id: " + e.id + "\r\n\r\n"
+			if e.number == 1 {
+				e.write(refusal)
+				return
+			}
+			if e.previousID != "" {
+				e.write(refusal)
+				time.Sleep(transferTime)
+			}
+			e.write(e.head("Transfer-Encoding: chunked\r\n\r\n") + chunk(e.events(1, 3)) + "0\r\n\r\n")
+		})
+		g := d.startReadyEntry("entry-1")
+		req := newCallerRequest(http.MethodPost, path, "a body")
+		response := d.send(g, req)
+		assert.Equal(t, response.status, http.StatusOK, path)
+		assert.Equal(t, target.arrived(req.AttemptID), 2, path)
+	}
+}
--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -91,6 +91,10 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			continue
 		}
+		if req.Header.Get("Attempt-Id") == "" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		e := rawExchange{target: r, conn: conn, request: req, id: req.Header.Get("Attempt-Id"), previousID: previousID}
 		e.position, _ = strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		r.mu.Lock()
