A target's 408 or 429 that promises nothing is not forwarded to a stream's caller

Callers saw: 408 or 429, 'not run, try again', for a stream that a target may have run. Cause: a target says that it has not run a request with a header field, and a status without it promises nothing. Calls looked at that; streams did so for 503 only and forwarded the other statuses as they were. Change: Reply.Outcome classes every status that callers take for that promise as a failure unless the target says it; GuaranteesNotRun moves to the core with it. An idempotent request is now tried at another target after such a response. Ruled out: one more check in exchangeStream (the next kind of request would lack it again). Evidence: go test ./process/gateway -run TestTargetStatus on the code before: /once/x and /report/x with 408 and 429 fail, 'GuaranteesNotRun(response.status) is true: status 429'. Why it works: an outcome of AttemptAnswered is what is forwarded, and no reply with such a status has it (TestReplyOutcome_StatusThatGuaranteesNotRunIsNoAnswer checks all combinations). Result: both pass, also with -race.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -201,7 +201,7 @@
 		a.responseFailed(err)
 		return nil, request.AttemptBroken
 	}
-	if guaranteesNotRun(reply.Status) {
+	if request.GuaranteesNotRun(reply.Status) {
 		// The target does not guarantee that it has not run the request, so neither may
 		// the entry.
 		response.StatusCode = http.StatusBadGateway
@@ -209,17 +209,6 @@
 	return &bufferedResponse{head: response, body: body}, outcome
 }
 
-// guaranteesNotRun reports whether a status tells callers that the request has not run.
-func guaranteesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
-		http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // respond ends a call with the last response, or with an error if there is none.
 func (c *call) respond(kind fault.Kind) {
 	if c.lastResponse != nil {
@@ -228,7 +217,7 @@
 		c.finish(fault.None, c.attempts, "status", c.lastResponse.head.StatusCode, "sent", err == nil)
 		return
 	}
-	if c.mayHaveRun && guaranteesNotRun(kind.Response().Status) {
+	if c.mayHaveRun && request.GuaranteesNotRun(kind.Response().Status) {
 		kind = fault.TargetLost
 	}
 	c.refuse(fault.New(kind, "no target answered"), c.attempts)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -394,9 +394,9 @@
 	default:
 		kind := s.endKind
 		switch mayHaveRun := s.recovery.WasRun() != request.RunNo; {
-		case mayHaveRun && guaranteesNotRun(kind.Response().Status):
+		case mayHaveRun && request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.TargetLost
-		case !mayHaveRun && !guaranteesNotRun(kind.Response().Status):
+		case !mayHaveRun && !request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.Overloaded
 		}
 		s.refuse(fault.New(kind, "no target answered"), attempts)
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -76,7 +76,7 @@
 		update.kind = fault.Overloaded
 		a.conn.Close()
 	case request.AttemptFailed:
-		if body, err := a.readBody(response); err == nil && !guaranteesNotRun(reply.Status) {
+		if body, err := a.readBody(response); err == nil && !request.GuaranteesNotRun(reply.Status) {
 			update.failureResponse = &bufferedResponse{head: response, body: body}
 		}
 	default:
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -103,7 +103,8 @@
 }
 
 // Outcome classifies the reply by its status and headers alone. A success must carry
-// the target's signature and name the request.
+// the target's signature and name the request. A status that guarantees callers that the
+// request has not run is a failure unless the target says so itself.
 func (r Reply) Outcome() AttemptOutcome {
 	switch {
 	case !r.BelongsToRequest():
@@ -115,9 +116,20 @@
 			return AttemptAnswered
 		}
 		return AttemptBroken
-	case r.Status >= 500:
+	case r.Status >= 500, GuaranteesNotRun(r.Status):
 		return AttemptFailed
 	default:
 		return AttemptAnswered
 	}
 }
+
+// GuaranteesNotRun reports whether a status tells callers that the request has not run. A
+// target guarantees that only with NotExecuted.
+func GuaranteesNotRun(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	default:
+		return false
+	}
+}
--- a/request/retry_test.go
+++ b/request/retry_test.go
@@ -59,6 +59,8 @@
 		"crossed refuse": {func(r *Reply) { r.Status, r.NotExecuted, r.NamesOtherRequest = 503, true, true }, AttemptBroken},
 		"failed":         {func(r *Reply) { r.Status = 500 }, AttemptFailed},
 		"full, maybe":    {func(r *Reply) { r.Status = 503 }, AttemptFailed},
+		"busy, maybe":    {func(r *Reply) { r.Status = 429 }, AttemptFailed},
+		"late, maybe":    {func(r *Reply) { r.Status = 408 }, AttemptFailed},
 		"bad request":    {func(r *Reply) { r.Status = 400 }, AttemptAnswered},
 	} {
 		reply := valid
@@ -100,3 +102,11 @@
 	})
 	assert.Assert(t, refused > 0)
 }
+
+func TestReplyOutcome_StatusThatGuaranteesNotRunIsNoAnswer(t *testing.T) {
+	replies(func(r Reply) {
+		if GuaranteesNotRun(r.Status) {
+			assert.Assert(t, r.Outcome() != AttemptAnswered, "%+v", r)
+		}
+	})
+}
