A 502 in place of a target's status carries no signature of the target

Callers saw: a 502 with the signature of a target that had answered 503, 429 or 408: a failure that the target signed, with another status than it gave. Cause: a call replaced the status of a response that must not be forwarded as it is and kept its header and body. Change: such a response is not forwarded; the caller gets the entry's own 502. Ruled out: leaving out only the signature (the rest describes another status). Evidence: go test ./process/gateway -run TestTargetStatus without the change: all six cases of /book/ and /status/ fail, 's (string) != (string): the signature holds for another status'. Why it works: the only place that changed a status is gone. Result: TestTargetStatus and TestCall pass, also with -race.

--- a/process/gateway/broken_response_test.go
+++ b/process/gateway/broken_response_test.go
@@ -29,6 +29,7 @@
 				response := d.send(g, req)
 				assert.Assert(t, target.arrived(req.AttemptID) > 0)
 				assert.Assert(t, !request.GuaranteesNotRun(response.status), "status %d", response.status)
+				assert.Equal(t, response.header.Get("Response-Signature"), "", "the signature holds for another status")
 			})
 		}
 	}
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -203,8 +203,8 @@
 	}
 	if request.GuaranteesNotRun(reply.Status) {
 		// The target does not guarantee that it has not run the request, so neither may
-		// the entry.
-		response.StatusCode = http.StatusBadGateway
+		// the entry, and the target's signature holds for its own status only.
+		return nil, outcome
 	}
 	return &bufferedResponse{head: response, body: body}, outcome
 }
