A stream that ends before its first event is not complete

Callers saw: a 200 with an empty body, framed as whole, or a stream that ended as complete in its middle. Cause: a response may have neither a length nor chunks and end with its connection. A target that stops between the head and its first event closes the connection in the same way, and no event was taken for all events; the same with an empty response of another type from the target that a stream was resumed at. Change: request.StreamEnd decides. An end after an event is the end of the stream, as an end inside an event is not. Without an event, the response must mark its end itself, or a second target asked for the rest from the same position must end in the same way; one from the first event on is never complete. A response that names another content type than a stream's holds no end. Ruled out: comparing with the maximum output (most streams are shorter); taking every end without events for a break (a caller that has all events asks for the rest, and some targets frame no response). Evidence: go test ./process/gateway -run 'TestBrokenStream|TestStreamFraming' without the change: TestBrokenStream_WithoutAnEventIsNotComplete fails for the unframed and HTTP/1.0 responses of both routes ('200 ""'), and four cases of TestBrokenStream_ErrorOfTheNextTargetDoesNotReachTheCaller ('a stream that broke off looks complete', 200 empty text). The other 80 cases of the latter, and TestStreamFraming_EndIsRecognized, pass on the code before: errors of the next target did not reach the caller otherwise. Why it works: an attempt reports its stream complete only through StreamEnd, whose combinations are all tested. Result: all pass, also with -race, as do the other tests of streams and KV copies.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -63,6 +63,9 @@
 	// other attempts when they are cancelled for that reason.
 	keepWhenDown bool
 	targetDown   atomic.Bool
+	// endSeen is set if an earlier attempt of the stream ended at the same position without
+	// an event.
+	endSeen bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
 
--- a/process/gateway/broken_response_test.go
+++ b/process/gateway/broken_response_test.go
@@ -34,3 +34,6 @@
 		}
 	}
 }
+
+// guaranteed reports whether a response tells its caller that the request has not run.
+func guaranteed(response callerResponse) bool { return request.GuaranteesNotRun(response.status) }
--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -129,6 +129,17 @@
 // write writes bytes as they are.
 func (e rawExchange) write(text string) { _, _ = io.WriteString(e.conn, text) }
 
+// close ends the connection regularly.
+func (e rawExchange) close() { _ = e.conn.Close() }
+
+// reset breaks the connection.
+func (e rawExchange) reset() {
+	if conn, ok := e.conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	e.close()
+}
+
 // head returns the head of a signed success without its empty line, with more header lines.
 func (e rawExchange) head(more string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s\r\n%s", e.id, replica.Signature(e.id), more)
@@ -149,5 +160,8 @@
 	return text
 }
 
+// streamHead returns the complete head of a stream that ends with its connection.
+func (e rawExchange) streamHead() string { return e.head("Content-Type: text/event-stream\r\n\r\n") }
+
 // transferTime is how long bytes that were written may take to be read by an entry.
 const transferTime = 50 * time.Millisecond
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -47,6 +47,9 @@
 	resumeCopy, retriedCopy peers.KVCopy
 	head                    *http.Response
 	headWritten             bool
+	// emptyEndAt is the position at which the last response without an event ended, 0 if
+	// there was none.
+	emptyEndAt int
 	// unsentAttempts counts the attempts that did not reach their targets.
 	unsentAttempts int
 	interruptedAt  time.Time
@@ -230,6 +233,7 @@
 	s.selected = nil
 	s.running[action.Attempt] = a
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
+	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
 	s.gateway.control.post(func() { s.gateway.control.recordCopy(a) })
 	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
 }
@@ -250,6 +254,9 @@
 		if update.failureResponse != nil {
 			s.failureResponse = update.failureResponse
 		}
+		if update.emptyEnd {
+			s.emptyEndAt = update.attempt.spec.Position
+		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
 	}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -21,6 +21,8 @@
 	kind     fault.Kind
 	// failureResponse is the target's own error response, if it sent one.
 	failureResponse *bufferedResponse
+	// emptyEnd is set if the response ended without an event and an error.
+	emptyEnd bool
 	// noResponse is set if the request was sent and no valid response received, unless
 	// the target was marked down meanwhile.
 	noResponse bool
@@ -92,11 +94,13 @@
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
 	reader := platform.NewEventReader(response.Body)
 	var batch []platform.Event
+	count := 0
 	for {
 		event, err := reader.Next()
 		if err == nil {
 			a.monitor.recordIdentified(a.exchange.gateway.control)
 			batch = append(batch, event)
+			count++
 			if reader.Buffered() {
 				continue
 			}
@@ -112,15 +116,26 @@
 		if err == nil {
 			continue
 		}
-		if platform.IsEndOfStream(err) {
-			a.complete.Store(true)
-			a.releaseConnection(response)
-			send(attemptUpdate{head: response, complete: true})
-			return
-		}
-		a.responseFailed(err)
-		a.conn.Close()
-		send(attemptUpdate{kind: fault.TargetLost})
+		send(a.endOfEvents(response, count, err))
 		return
 	}
 }
+
+// endOfEvents returns the update for the end of a stream after count events, as which the
+// reader returned err.
+func (a *attempt) endOfEvents(response *http.Response, count int, err error) attemptUpdate {
+	ended := platform.IsEndOfStream(err)
+	end := request.StreamEnd{
+		Position: a.spec.Position, Events: count, Confirmed: a.endSeen,
+		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		OtherContent: !platform.MayHoldEvents(response.Header),
+	}
+	if ended && end.Complete() {
+		a.complete.Store(true)
+		a.releaseConnection(response)
+		return attemptUpdate{head: response, complete: true}
+	}
+	a.responseFailed(err)
+	a.conn.Close()
+	return attemptUpdate{kind: fault.TargetLost, emptyEnd: ended && !end.OtherContent}
+}
--- /dev/null
+++ b/request/stream_end.go
@@ -0,0 +1,31 @@
+package request
+
+// StreamEnd is how the response to one attempt of a stream ended without an error.
+type StreamEnd struct {
+	// Position is the ID of the last event that the caller had before the response, Events
+	// the number of events in it.
+	Position, Events int
+	// Framed is set if the response itself marks its end, by a length or a last chunk. Other
+	// responses end with their connection, which also ends when a target stops.
+	Framed bool
+	// OtherContent is set if the response says that it is not a stream of events.
+	OtherContent bool
+	// Confirmed is set if an earlier attempt from the same position ended like this one.
+	Confirmed bool
+}
+
+// Complete reports whether the stream is complete. A response that ends after an event is.
+// Without any event only a target that was asked for the rest can mean that nothing is left,
+// and if it does not mark that end, it may have stopped before its first event; so two must.
+func (e StreamEnd) Complete() bool {
+	switch {
+	case e.Events > 0:
+		return true
+	case e.OtherContent:
+		return false
+	case e.Framed:
+		return true
+	default:
+		return e.Position > 0 && e.Confirmed
+	}
+}
