A stream has the head of the target whose events it begins with

Callers saw: a stream with the signature of one target and the events of another. Cause: the head of the first response with events was kept, even if its events were rejected (a gap between their ids) and another target's were delivered. Change: the head is that of the response whose events are delivered first. Ruled out: forgetting the head when an attempt fails (a stream that resumes keeps that of its first target, which is right). Why it works: the head is set by each response with events just before these are judged, and written with the first events that are accepted. Result: the test passes, as do the other tests of streams, also with -race.

--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -242,3 +242,25 @@
 	assert.Equal(t, targets[0].arrived(req.AttemptID), 1)
 	assert.Equal(t, targets[1].arrived(req.AttemptID), 1)
 }
+
+// The first target to respond is not the one whose events are forwarded.
+func TestStream_HeadIsThatOfTheFirstEvents(t *testing.T) {
+	d := newDeployment(t)
+	var begun atomic.Bool
+	respond := func(e rawExchange) {
+		if begun.CompareAndSwap(false, true) {
+			e.write(strings.Replace(e.streamHead(), replica.Signature(e.id), "of-the-first", 1) + e.events(1, 1) + e.events(3, 3))
+		} else {
+			e.write(e.streamHead() + e.events(1, testEvents))
+		}
+		e.close()
+	}
+	d.startRawTarget("t1", "writer", respond)
+	d.startRawTarget("t2", "writer", respond)
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	response := d.send(g, req)
+	assert.Assert(t, response.complete)
+	assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+	assert.Equal(t, response.header.Get("Response-Signature"), replica.Signature(req.AttemptID))
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -45,8 +45,10 @@
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
 	resumeCopy, retriedCopy peers.KVCopy
-	head                    *http.Response
-	headWritten             bool
+	// head is the head of the latest response with events; the caller gets that of the
+	// first events that are delivered.
+	head        *http.Response
+	headWritten bool
 	// emptyEndAt is the position at which the last response without an event ended, 0 if
 	// there was none.
 	emptyEndAt int
@@ -244,9 +246,7 @@
 	case len(update.events) > 0:
 		s.handleTokens(update)
 	case update.complete:
-		if s.head == nil {
-			s.head = update.head
-		}
+		s.head = update.head
 		s.handleEvent(request.Event{
 			Type: request.EventEnded, Attempt: update.number, Position: s.recovery.Output().Len(),
 		})
@@ -287,9 +287,7 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
-	if s.head == nil {
-		s.head = update.head
-	}
+	s.head = update.head
 	first := update.events[0].ID
 	tokens := make([]request.TokenID, len(update.events))
 	s.rawEvents = s.rawEvents[:0]
@@ -362,7 +360,7 @@
 	})
 }
 
-// writeHead forwards the response head of the first target that responded.
+// writeHead forwards the response head unless one was forwarded before.
 func (s *stream) writeHead() {
 	if s.headWritten {
 		return
