A truncated response to a stream's request is not reported as not run

Callers saw: 503, 'not run, try again', for a stream whose target had begun to answer with another status than 200 and broke off. Cause: an attempt with such a response counted as refused by the target (bad request), so without a whole response the request counted as not run. Change: a response that breaks off is a lost target, as it is for calls. One that may be repeated is tried at another target. Ruled out: forwarding the status without its body (the answer would look whole). Evidence: go test ./process/gateway -run TestBrokenStream_TruncatedErrorIsNoPromise without the change: '/once/x: 503 for a truncated 201'. Why it works: the recovery takes a lost target for one that may have run. Result: the test passes for 201, 206, 400, 404 and 500, as do the other tests of streams, also with -race.

--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -264,3 +264,24 @@
 	assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
 	assert.Equal(t, response.header.Get("Response-Signature"), replica.Signature(req.AttemptID))
 }
+
+// A response that is not a stream breaks off; the target may have run the request.
+func TestBrokenStream_TruncatedErrorIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusCreated, http.StatusPartialContent, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		for _, path := range []string{"/once/x", "/report/x"} {
+			d := newDeployment(t)
+			addPlainStream(d)
+			target := d.startRawTarget("t1", "writer", func(e rawExchange) {
+				e.write(strings.Replace(e.head("Content-Length: 100\r\n\r\nerror"), "200 OK", fmt.Sprint(status, " X"), 1))
+				e.close()
+			})
+			g := d.startReadyEntry("entry-1")
+			req := newCallerRequest(http.MethodPost, path, "a prompt")
+			req.DeadlineRemaining = time.Second
+			response := d.send(g, req)
+			assert.Assert(t, target.arrived(req.AttemptID) > 0)
+			assert.Assert(t, response.status/100 == 5 && !guaranteed(response), "%s: %d for a truncated %d", path, response.status, status)
+			assert.Assert(t, !strings.Contains(response.body, "error"))
+		}
+	}
+}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -58,17 +58,24 @@
 		return
 	}
 	if reply.Status != http.StatusOK {
-		update := attemptUpdate{kind: fault.BadRequest}
-		if body, err := a.readBody(response); err == nil {
-			update.failureResponse = &bufferedResponse{head: response, body: body}
-		}
-		send(update)
+		send(a.otherResponseUpdate(response))
 		return
 	}
 	a.forwardEvents(response, send)
 }
 
-// failureUpdate returns the update for an attempt whose response is not a stream.
+// otherResponseUpdate returns the update for an attempt whose response to the request is not
+// a stream.
+func (a *attempt) otherResponseUpdate(response *http.Response) attemptUpdate {
+	body, err := a.readBody(response)
+	if err != nil {
+		a.responseFailed(err)
+		return attemptUpdate{kind: fault.TargetLost}
+	}
+	return attemptUpdate{kind: fault.BadRequest, failureResponse: &bufferedResponse{head: response, body: body}}
+}
+
+// failureUpdate returns the update for an attempt that failed.
 func (a *attempt) failureUpdate(response *http.Response, outcome request.AttemptOutcome, reply request.Reply) attemptUpdate {
 	update := attemptUpdate{kind: fault.TargetLost}
 	switch outcome {
