A stream goes on after an error of the target that was to resume it

Callers saw: a stream that had begun broke off, though a sound target was left. Cause: a response with another status than 200, errors of the server excepted, was taken for the fault of the request, which no other target would serve either. Change: once another target has served a part of the stream, such a response is one of a failing target, and the next one is tried. Ruled out: forwarding anything of the response (the caller is inside a stream). Evidence: go test ./process/gateway -run TestBrokenStream_Goes without the change: 3 of 21 cases fail (400, 404, 204), 'expression is false: response.complete'. Why it works: the attempts in a row without an event stay bounded as before. Result: all 21 cases pass, as do the other tests of streams, also with -race.

--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -285,3 +285,34 @@
 		}
 	}
 }
+
+// A stream breaks off, the next target responds as if the request were invalid, and a third
+// one serves the rest.
+func TestBrokenStream_GoesOnAfterAnErrorOfOneTarget(t *testing.T) {
+	for name, next := range errorResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var attempts atomic.Int64
+			respond := func(e rawExchange) {
+				switch attempts.Add(1) {
+				case 1:
+					e.write(e.streamHead() + e.events(1, deliveredBefore) + e.half(deliveredBefore+1))
+				case 2:
+					e.write(next(e))
+				default:
+					e.write(e.streamHead() + e.events(e.position+1, testEvents))
+				}
+				e.close()
+			}
+			for _, id := range []string{"t1", "t2", "t3"} {
+				d.startRawTarget(id, "writer", respond)
+			}
+			g := d.startReadyEntry("entry-1")
+			req := streamRequest()
+			response := d.send(g, req)
+			assert.Assert(t, response.complete)
+			assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+		})
+	}
+}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -72,6 +72,10 @@
 		a.responseFailed(err)
 		return attemptUpdate{kind: fault.TargetLost}
 	}
+	if a.spec.Position > a.exchange.inbound.Position {
+		// Another target has served a part of the stream, so the request is not at fault.
+		return attemptUpdate{kind: fault.TargetLost}
+	}
 	return attemptUpdate{kind: fault.BadRequest, failureResponse: &bufferedResponse{head: response, body: body}}
 }
 
