--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -45,12 +45,16 @@
 	cancel     context.CancelFunc
 	monitor    *targetMonitor
 	conn       *target.Conn
+	// reply is the head of the response, if there was one.
+	reply request.Reply
 	// stopClose stops the end of the attempt from closing the connection. It returns
 	// false if the connection is already being closed.
 	stopClose func() bool
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
+	// sentBefore is set if the request was sent to the target before.
+	sentBefore bool
 	// prefillUncontended is set if the target had no other prompt to prefill when the
 	// attempt was placed.
 	prefillUncontended bool
@@ -59,6 +63,9 @@
 	// other attempts when they are cancelled for that reason.
 	keepWhenDown bool
 	targetDown   atomic.Bool
+	// endSeen is set if an earlier attempt of the stream ended at the same position without
+	// an event.
+	endSeen bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
 	// responseStarted is set when the target has begun to respond, at responseStartedAt;
@@ -188,7 +195,11 @@
 func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
 	g := a.exchange.gateway
 	maxIdle := maxIdleTime
-	if a.keepWhenDown {
+	switch {
+	case a.sentBefore:
+		// A second copy of that refusal would name this request.
+		maxIdle = 0
+	case a.keepWhenDown:
 		maxIdle = maxIdleNonIdempotent
 	}
 	conn, err := g.pool.Get(a.ctx, a.target.Address, maxIdle)
@@ -218,27 +229,37 @@
 		return nil, request.Reply{}, request.AttemptBroken
 	}
 	a.monitor.recordSeen(g.control)
-	reply := platform.DecodeReply(response, inbound.ID)
-	if !reply.WrongTarget && reply.Outcome() != request.AttemptBroken {
+	a.reply = platform.DecodeReply(response, inbound.ID)
+	a.reply.ConnectionReused = conn.Reused
+	outcome := a.reply.Outcome()
+	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
 		a.monitor.recordIdentified(g.control)
 	}
-	a.recordReply(reply)
-	if reply.Outcome() == request.AttemptRefused {
-		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", reply.Status,
-			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt))
+	a.recordReply(a.reply)
+	switch outcome {
+	case request.AttemptRefused:
+		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt), "named", a.reply.MatchesRequest)
+	case request.AttemptBroken:
+		g.log.Event("response_rejected", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"named", a.reply.MatchesRequest, "namesOther", a.reply.NamesOtherRequest, "reused", conn.Reused)
 	}
-	return response, reply, reply.Outcome()
+	return response, a.reply, outcome
 }
 
 // recordReply records what a response says about its target.
 func (a *attempt) recordReply(reply request.Reply) {
 	c := a.exchange.gateway.control
 	c.post(func() {
-		if reply.WrongTarget {
+		outcome, load := reply.Outcome(), reply.Load
+		switch {
+		case outcome == request.AttemptRefused && reply.WrongTarget:
 			c.markReplaced(a.target.ID)
 			return
+		case !reply.BelongsToRequest():
+			load = nil
 		}
-		c.table.RecordResponse(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
+		c.table.RecordResponse(time.Now(), a.target.ID, outcome == request.AttemptBroken, load)
 	})
 }
 
@@ -293,11 +314,17 @@
 
 // releaseConnection returns the connection to the pool after the whole body has been
 // read. From then on the end of the attempt must not close it, since another request
-// may use it.
+// may use it. A response that names no request may arrive once more and could not be told
+// from that to the next request, so its connection is closed.
 func (a *attempt) releaseConnection(response *http.Response) {
-	if a.stopClose() {
-		a.exchange.gateway.pool.Put(a.conn, response)
+	if !a.stopClose() {
+		return
+	}
+	if !a.reply.MatchesRequest {
+		a.conn.Close()
+		return
 	}
+	a.exchange.gateway.pool.Put(a.conn, response)
 }
 
 // readAtMost reads a body that must not be longer than limit.
