A late copy of the previous response costs the next request nothing

Callers saw: 502 for a request that its target ran and answered, or a stream that was prefilled again at another target. Cause: a response that named another request ended the attempt and closed the connection, on which the request's own response was about to arrive. Change: Conn.Do discards one response that names the request sent before on the same connection and reads on. The log says so (late_response_discarded). Ruled out: discarding responses that name any other request (a target that confuses requests sends nothing after them, and its callers would wait); the same for requests without a body in the response (HEAD), where the end of the copy cannot be told; copies that are not framed or long. Why it works: the ID identifies the copy, and the response that follows must name the request, as each on a connection in use again. What it costs: a target that answers each request with the name of the one before keeps its callers waiting until their deadline instead of getting 502 at once.

--- a/command/explain.go
+++ b/command/explain.go
@@ -34,19 +34,20 @@
 
 // eventMeanings describes what each event means for the request that it names.
 var eventMeanings = map[string]string{
-	"accepted":          "the entry took the request",
-	"placed":            "a target was chosen",
-	"refused_by_target": "the target said that it did not run it",
-	"response_rejected": "the response was not certain to be that to the request",
-	"not_reached":       "no connection to the target; nothing was sent",
-	"broken":            "the answer broke off",
-	"retried":           "it was sent to another target",
-	"resumed_from_copy": "the stream went on from a copy of its memory",
-	"copy_gone":         "the copy was lost with its target",
-	"copy_moved":        "a new copy was asked for",
-	"copy_failed":       "the new copy could not be made",
-	"budget_denied":     "the retry budget allowed no further attempt",
-	"ended":             "the request was over",
+	"accepted":                "the entry took the request",
+	"placed":                  "a target was chosen",
+	"refused_by_target":       "the target said that it did not run it",
+	"response_rejected":       "the response was not certain to be that to the request",
+	"late_response_discarded": "the target answered the request before it once more",
+	"not_reached":             "no connection to the target; nothing was sent",
+	"broken":                  "the answer broke off",
+	"retried":                 "it was sent to another target",
+	"resumed_from_copy":       "the stream went on from a copy of its memory",
+	"copy_gone":               "the copy was lost with its target",
+	"copy_moved":              "a new copy was asked for",
+	"copy_failed":             "the new copy could not be made",
+	"budget_denied":           "the retry budget allowed no further attempt",
+	"ended":                   "the request was over",
 }
 
 func newExplain() *cobra.Command {
--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -32,6 +32,8 @@
 	readBufferSize    = 4096
 	// maxHeadBytes limits the head of a response, interim responses before it included.
 	maxHeadBytes = 64 << 10
+	// maxLateCopyBytes limits the body of a late response that is discarded.
+	maxLateCopyBytes = 64 << 10
 	// maxInterimResponses limits the interim responses before a response.
 	maxInterimResponses = 8
 )
@@ -50,6 +52,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request; empty for one that its response does not name. ResponseID
+	// returns the ID that a response names, or "".
+	ID         string
+	ResponseID func(http.Header) string
 }
 
 // Conn is one connection to a target. It carries one request at a time.
@@ -68,6 +74,11 @@
 	// Reused means that the connection was used for an earlier request.
 	Reused    bool
 	idleSince time.Time
+	// lastID is the ID of the last request that had one.
+	lastID string
+	// LateCopies counts the responses that were discarded because they answer the previous
+	// request once more.
+	LateCopies int
 }
 
 // Dial opens a connection to the target at address, an IP address and port.
@@ -125,10 +136,18 @@
 	}
 	c.bytesWritten.Store(0)
 	c.sendDone = make(chan struct{})
+	previousID := c.lastID
+	switch {
+	case r.Method == http.MethodHead:
+		// The end of a response without its body cannot be told from that of others.
+		previousID, c.lastID = "", ""
+	case r.ID != "":
+		c.lastID = r.ID
+	}
 	// The request is sent concurrently because the target may respond before it has
 	// read a long body.
 	go c.send(httpRequest)
-	response, err := c.readResponseHeader(httpRequest)
+	response, err := c.readResponse(r, previousID, httpRequest)
 	if err == nil {
 		return response, nil
 	}
@@ -149,6 +168,23 @@
 	}
 }
 
+// readResponse reads the head of the response. A failing target may send the response to the
+// previous request once more; that copy is discarded.
+func (c *Conn) readResponse(r Request, previousID string, httpRequest *http.Request) (*http.Response, error) {
+	response, err := c.readResponseHeader(httpRequest)
+	if err != nil || r.ResponseID == nil || response.Close {
+		return response, err
+	}
+	if id := r.ResponseID(response.Header); id == "" || id == r.ID || id != previousID {
+		return response, nil
+	}
+	c.LateCopies++
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateCopyBytes)); err != nil {
+		return nil, errors.Wrap(err, "read a late response")
+	}
+	return c.readResponseHeader(httpRequest)
+}
+
 func (c *Conn) readResponseHeader(httpRequest *http.Request) (*http.Response, error) {
 	c.readingHead, c.headBytesLeft = true, maxHeadBytes
 	defer func() { c.readingHead = false }()
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -203,10 +203,15 @@
 		priority := a.exchange.priority()
 		a.spec.Priority = &priority
 	}
+	lateCopies := conn.LateCopies
 	response, err := conn.Do(target.Request{
 		Method: inbound.Method, Path: inbound.Target, Host: inbound.Host,
 		Header: platform.EncodeAttempt(*inbound, a.spec), Body: inbound.Body,
+		ID: string(inbound.ID), ResponseID: platform.ResponseID,
 	})
+	if conn.LateCopies > lateCopies {
+		g.log.Event("late_response_discarded", "request", inbound.ID, "target", a.target.ID)
+	}
 	if errors.Is(err, target.ErrNotSent) {
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
@@ -223,15 +228,21 @@
 		a.monitor.recordIdentified(g.control)
 	}
 	a.recordReply(a.reply)
+	a.logReply(outcome)
+	return response, a.reply, outcome
+}
+
+// logReply logs a response that is neither forwarded nor an error of the target.
+func (a *attempt) logReply(outcome request.AttemptOutcome) {
+	log := a.exchange.gateway.log
 	switch outcome {
 	case request.AttemptRefused:
-		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+		log.Event("refused_by_target", "request", a.exchange.inbound.ID, "target", a.target.ID, "status", a.reply.Status,
 			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt), "named", a.reply.MatchesRequest)
 	case request.AttemptBroken:
-		g.log.Event("response_rejected", "request", inbound.ID, "target", a.target.ID, "status", a.reply.Status,
-			"named", a.reply.MatchesRequest, "namesOther", a.reply.NamesOtherRequest, "reused", conn.Reused)
+		log.Event("response_rejected", "request", a.exchange.inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"named", a.reply.MatchesRequest, "namesOther", a.reply.NamesOtherRequest, "reused", a.reply.ConnectionReused)
 	}
-	return response, a.reply, outcome
 }
 
 // recordReply records what a response says about its target.
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -248,6 +248,7 @@
 	defer stopClose()
 	response, err := conn.Do(target.Request{
 		Method: call.Method, Path: call.Path, Host: address, Header: call.Header, Body: call.Body,
+		ResponseID: platform.ResponseID,
 	})
 	if err != nil {
 		return 0, nil, nil, errors.WithStack(err)
--- a/process/gateway/late_refusal_test.go
+++ b/process/gateway/late_refusal_test.go
@@ -24,6 +24,8 @@
 	"421 named":              "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: PREVIOUS\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n",
 	"421 nameless":           "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n",
 	"408 no statement":       "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+	"200 named":              "HTTP/1.1 200 OK\r\nAttempt-Id: PREVIOUS\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nstale",
+	"500 named, chunked":     "HTTP/1.1 500 X\r\nAttempt-Id: PREVIOUS\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstale\r\n0\r\n\r\n",
 	"400 nameless":           "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	"400 nameless, executed": "HTTP/1.1 400 Bad Request\r\nContent-Length: 5\r\n\r\nstale",
 }
@@ -64,6 +66,10 @@
 		arrivals := targets[0].arrived(req.AttemptID) + targets[1].arrived(req.AttemptID)
 		assert.Assert(t, arrivals > 0)
 		assert.Assert(t, !strings.Contains(response.body, "stale"), "%d %s", response.status, response.body)
+		if strings.Contains(refusal, "PREVIOUS") {
+			assert.Equal(t, response.status, http.StatusOK, "the caller did not get its response")
+			assert.Equal(t, arrivals, 1)
+		}
 		if !atMostOnce {
 			continue
 		}
