A target that says in a response that it drains gets nothing new

Callers saw: nothing yet; requests went to targets about to end, and streams begun there were cut off at their end, for up to a second more than needed and for as long as the store was away. Cause: an entry learned that a target drains from its registration alone. The responses say so too (Server-Leaving), and nothing read it. Change: any response of a target that says so drains that incarnation for this entry at once (placement.Table.MarkDraining). The knowledge is kept beside the registration: it outlasts its expiry and return, a registration of the same or an earlier incarnation read later does not undo it, the next incarnation or ID at the address starts clean. A later response without it changes nothing: responses of different connections overtake each other, and a process that began to end does not return. It is bounded to 4,096 incarnations and forgotten by a restart. If all targets drain, callers are refused at once as not run, although the last ones might serve a little longer. Where a request can reach a target, and the test that sees it there: - first attempts, queued and under load: TestLeaving_TargetGetsNoNewRequests, on kept and on new connections; streams: TestLeaving_RunningStreamGoesOn - retries of refused and of lost requests: the same test; the last resort of placement too, since the other target is to be avoided then - hedges: TestLeaving_NoHedges - restarts of lost streams: TestLeaving_LostStreamIsNotRestartedThere - resumes from a KV copy, and the move of that copy to another target: TestLeaving_StreamResumesElsewhereThanFromCopyThere - new KV copies: TestLeaving_GetsNoKVCopies - attempts that were placed and then waited for a connection or a paused process: TestLeaving_AttemptThatWaitedIsWithdrawn - probes of targets that are down, lists of prompts, successors: none are sent to a draining target (placement.TestDraining_TargetGetsNeitherCopiesNorProbes) Where it is learned from: responses, refusals, failures, the head of a stream (the tests above), reports, health checks, lists of prompts (TestLeaving_IsLearnedFromOwnCalls), KV copy calls (TestLeaving_IsLearnedFromKVCopyCall). Probes of attempts that still run there and the KV copy calls for them go on. Other entries are told (peers.Update key 21: ID and incarnation, some 25 bytes for half a second), as with targets that are down: it reaches entries that do not reach the store, it is as safe as those reports, and it is not passed on. One log line when it is learned (target_leaving: request or peer, target, incarnation), a counter, and mlctl explain shows the line and names it as a cause also for requests other than the one that was answered. The error of a request without a target counts those that are leaving or down. Ruled out: using a leaving target as the last resort for as long as the rule allows: its end is not known, and a request cut off by it is worse than one refused. Attributing a 421: it comes from another target than the one asked.

--- a/command/explain.go
+++ b/command/explain.go
@@ -45,9 +45,15 @@
 	"copy_moved":        "a new copy was asked for",
 	"copy_failed":       "the new copy could not be made",
 	"budget_denied":     "the retry budget allowed no further attempt",
+	"withdrawn":         "its target announced meanwhile that it takes no requests; nothing was sent",
+	"target_leaving":    "the target announced that it is leaving",
 	"ended":             "the request was over",
 }
 
+// targetStates are the events by which responses change what entries believe of a target.
+// They name the request that was answered, and matter to all requests of that target.
+var targetStates = map[string]bool{"target_leaving": true}
+
 func newExplain() *cobra.Command {
 	command := &cobra.Command{
 		Use:   "explain REQUEST-ID [LOG...]",
@@ -123,7 +129,10 @@
 		prefix := "  "
 		meaning := ""
 		if line.values["request"] == id {
-			prefix, meaning = "* ", eventMeanings[line.Event]
+			prefix = "* "
+		}
+		if line.values["request"] == id || targetStates[line.Event] {
+			meaning = eventMeanings[line.Event]
 		}
 		fields := strings.ReplaceAll(line.Fields, `request="`+id+`"`, "")
 		if _, err := fmt.Fprintf(out, "%s%s %-14s %-18s %s", prefix, line.Time[5:], line.Process, line.Event, strings.TrimSpace(fields)); err != nil {
@@ -173,7 +182,7 @@
 	for _, line := range lines[first : last+1] {
 		request, target := line.values["request"], line.values["target"]
 		switch {
-		case request == id, request == "" && targets[target]:
+		case request == id, targets[target] && (request == "" || targetStates[line.Event]):
 			related = append(related, line)
 		case request == "" && target == "" && processes[line.Process]:
 			related = append(related, line)
@@ -194,7 +203,7 @@
 			cause = fmt.Sprintf("the entry %s was lost with the request and started anew at %s", line.Process, line.Time[5:])
 		case ofRequest && line.Event == "ended":
 			cause = line.describeEnd()
-		case ofRequest:
+		case ofRequest, targetStates[line.Event]:
 			if problem := line.describeProblem(); problem != "" {
 				lastProblem = problem
 			}
@@ -210,7 +219,7 @@
 // string for other lines.
 func (l logLine) describeProblem() string {
 	switch l.Event {
-	case "broken", "not_reached", "refused_by_target":
+	case "broken", "not_reached", "refused_by_target", "withdrawn", "target_leaving":
 		return fmt.Sprintf("%s at %s (%s)", eventMeanings[l.Event], l.values["target"], l.Fields)
 	case "budget_denied":
 		return fmt.Sprintf("%s (%s)", eventMeanings[l.Event], l.Fields)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -183,6 +183,10 @@
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
+	if !a.mayBeSent() {
+		conn.Close()
+		return nil, request.Reply{}, request.AttemptUnsent
+	}
 	a.conn = conn
 	a.stopClose = context.AfterFunc(a.ctx, conn.Close)
 	inbound := &a.exchange.inbound
@@ -225,6 +229,7 @@
 			c.markReplaced(a.target.ID)
 			return
 		}
+		c.recordAnnouncement(a.exchange.inbound.ID, a.target, reply.Announcement)
 		c.table.RecordResponse(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
 	})
 }
--- a/process/gateway/cached_prompts.go
+++ b/process/gateway/cached_prompts.go
@@ -65,7 +65,7 @@
 // queryCachedPrompts asks one engine for its cached prompts and records them.
 func (g *Gateway) queryCachedPrompts(engine placement.Registration) {
 	g.metrics.probes.Add(g.background, 1)
-	status, body, err := g.callEngine(g.background, engine.Address, platform.CachedPromptsCall(), maxIdleTime, cachedPromptsTimeout)
+	status, body, err := g.callEngine(g.background, engine, platform.CachedPromptsCall(), maxIdleTime, cachedPromptsTimeout)
 	var parts []request.PromptPart
 	if err == nil {
 		parts, err = platform.DecodeCachedPrompts(status, body)
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -85,6 +85,9 @@
 	// their address.
 	recentlyDown     map[request.TargetID]time.Time
 	recentlyReplaced map[request.TargetID]time.Time
+	// recentlyDraining maps targets that announced to this entry that they drain to the time
+	// when they did so.
+	recentlyDraining map[peers.DrainingTarget]time.Time
 	// recentSuccessors maps successors that this entry adopted, found by itself or
 	// reported by another entry, to the time of their adoption.
 	recentSuccessors map[peers.Successor]time.Time
@@ -135,6 +138,7 @@
 		peerUpdates:       map[string]peers.Update{},
 		recentlyDown:      map[request.TargetID]time.Time{},
 		recentlyReplaced:  map[request.TargetID]time.Time{},
+		recentlyDraining:  map[peers.DrainingTarget]time.Time{},
 		recentSuccessors:  map[peers.Successor]time.Time{},
 		promptIndex:       prompts.New(),
 		updateScheduler:   peers.NewUpdateScheduler(),
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return "", errors.WithStack(err)
 	}
-	status, body, err := a.exchange.gateway.callEngine(a.ctx, a.target.Address, call, maxIdleTime, copyTimeout)
+	status, body, err := a.exchange.gateway.callEngine(a.ctx, a.target, call, maxIdleTime, copyTimeout)
 	if err != nil {
 		return "", err
 	}
@@ -224,14 +224,17 @@
 func (a *attempt) freeCopy(handle string) {
 	g := a.exchange.gateway
 	call := platform.FreeKVCopyCall(handle)
-	if _, _, err := g.callEngine(g.background, a.target.Address, call, maxIdleTime, probeTimeout); err != nil {
+	if _, _, err := g.callEngine(g.background, a.target, call, maxIdleTime, probeTimeout); err != nil {
 		g.log.Event("copy_not_freed", "request", a.exchange.inbound.ID, "error", err.Error())
 	}
 }
 
-// callEngine makes a call to an engine that is not part of a caller's request.
-func (g *Gateway) callEngine(ctx context.Context, address string, call platform.TargetCall, maxIdle, timeout time.Duration) (int, []byte, error) {
-	status, _, body, err := g.callTarget(ctx, address, call, maxIdle, timeout)
+// callEngine makes a call to a registered engine that is not part of a caller's request.
+func (g *Gateway) callEngine(ctx context.Context, engine placement.Registration, call platform.TargetCall, maxIdle, timeout time.Duration) (int, []byte, error) {
+	status, header, body, err := g.callTarget(ctx, engine.Address, call, maxIdle, timeout)
+	if announced := platform.DecodeAnnouncement(header); !announced.IsZero() {
+		g.control.post(func() { g.control.recordAnnouncement("", engine, announced) })
+	}
 	return status, body, err
 }
 
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -59,6 +59,7 @@
 	}
 	update.Down = recent(now, c.recentlyDown)
 	update.Replaced = recent(now, c.recentlyReplaced)
+	update.Draining = recent(now, c.recentlyDraining)
 	update.SetFailureRates(c.table.FailureRates(now))
 	update.CachedPrompts = recent(now, c.discoveredPrompts)
 	update.Successors = recent(now, c.recentSuccessors)
@@ -186,6 +187,7 @@
 	for _, id := range update.Replaced {
 		c.table.MarkReplaced(id)
 	}
+	c.handlePeerDraining(update.Entry, update.Draining)
 	for _, prompt := range update.CachedPrompts {
 		c.promptIndex.Record(now, prompt.Session, prompt.Location)
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -209,7 +209,7 @@
 	found := false
 	c.do(func() {
 		t := c.table.Get(kvCopy.Target)
-		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.Draining {
+		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.IsDraining() {
 			c.reserve(a, t, s.ctx)
 			found = true
 		}
--- a/process/gateway/successor.go
+++ b/process/gateway/successor.go
@@ -50,7 +50,7 @@
 func (c *control) findSuccessors(now time.Time) {
 	for _, m := range c.monitors {
 		t := c.table.Get(m.id)
-		if t == nil || t.Draining || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
+		if t == nil || t.IsDraining() || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
 			continue
 		}
 		m.identifying, m.lastIdentifyAttempt = true, now
@@ -77,7 +77,7 @@
 // adoptSuccessor adds the successor of a target before the store reports it.
 func (c *control) adoptSuccessor(s peers.Successor) {
 	old := c.table.Get(s.Old)
-	if old == nil || old.Draining || s.Old == s.ID && old.Incarnation == s.Incarnation {
+	if old == nil || old.IsDraining() || s.Old == s.ID && old.Incarnation == s.Incarnation {
 		return
 	}
 	if s.Old != s.ID && c.table.Get(s.ID) != nil {
@@ -124,5 +124,6 @@
 	if err != nil {
 		return "", err
 	}
+	g.recordAnnouncementAt(address, platform.DecodeResponder(header), 0, platform.DecodeAnnouncement(header))
 	return platform.DecodeTargetID(status, header), nil
 }
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -51,6 +51,8 @@
 	// Successors lists targets that the sender has just adopted during an outage of the
 	// store.
 	Successors []Successor `cbor:"10,keyasint,omitempty"`
+	// Draining lists targets that have just announced to the sender that they drain.
+	Draining []DrainingTarget `cbor:"21,keyasint,omitempty"`
 	// CachedPrompts lists prompts that the sender has just found cached by engines after
 	// its start.
 	CachedPrompts []CachedPrompt `cbor:"11,keyasint,omitempty"`
@@ -74,6 +76,12 @@
 	Incarnation request.Incarnation `cbor:"3,keyasint"`
 }
 
+// DrainingTarget is an incarnation of a target that drains.
+type DrainingTarget struct {
+	ID          request.TargetID    `cbor:"1,keyasint"`
+	Incarnation request.Incarnation `cbor:"2,keyasint"`
+}
+
 // CachedPrompt locates the engine that has the prompt of a session cached.
 type CachedPrompt struct {
 	Session  string           `cbor:"1,keyasint"`
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -62,7 +62,23 @@
 			return choice, nil
 		}
 	}
-	return Choice{}, fault.New(fault.NoTarget, "no target of %s can take the request", requirements.Service)
+	return Choice{}, t.noTargetError(now, requirements.Service)
+}
+
+// noTargetError returns the error of a request that no target can take, with the states of
+// the targets.
+func (t *Table) noTargetError(now time.Time, service string) error {
+	draining, down := 0, 0
+	for _, target := range t.services[service] {
+		switch {
+		case target.IsDraining():
+			draining++
+		case target.Down(now):
+			down++
+		}
+	}
+	return fault.New(fault.NoTarget, "no target of %s can take the request: of %d targets, %d are leaving and %d down",
+		service, len(t.services[service]), draining, down)
 }
 
 // pick chooses among the targets that are up. As a last resort it also considers targets
@@ -70,7 +86,7 @@
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
 	candidates := make([]candidate, 0, len(t.services[requirements.Service]))
 	for _, target := range t.services[requirements.Service] {
-		if target.Draining || target.Down(now) {
+		if target.IsDraining() || target.Down(now) {
 			continue
 		}
 		if !lastResort && (target.AwaitingProbe() || slices.Contains(requirements.Avoid, target.ID)) {
@@ -171,7 +187,7 @@
 		if target == source || target.FailureDomain == source.FailureDomain {
 			continue
 		}
-		if target.Draining || target.Down(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
+		if target.IsDraining() || target.Down(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
 			continue
 		}
 		work := t.totalWork(target)
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -99,6 +99,8 @@
 	loadReportedAt  time.Time
 	isEngine        bool
 	memoryTokens    int
+	// announced is what the incarnation said about itself in its responses; nil if nothing.
+	announced *announcement
 }
 
 // Down reports whether the target is to get no work because it failed or was replaced.
@@ -143,6 +145,8 @@
 	reportingPeers map[string]bool
 	subsets        subsets
 	prefillRate    float64
+	// announcements maps targets to what their last incarnation announced in its responses.
+	announcements map[request.TargetID]*announcement
 }
 
 // NewTable returns an empty table.
@@ -157,6 +161,7 @@
 		peerWork:       map[request.TargetID]Work{},
 		reportingPeers: map[string]bool{},
 		prefillRate:    initialPrefillRate,
+		announcements:  map[request.TargetID]*announcement{},
 	}
 }
 
@@ -178,6 +183,7 @@
 		t.services[r.Service] = slices.Insert(list, at, target)
 		target.memoryTokens, target.isEngine = t.serviceMemory(r.Service)
 		t.addAddress(target)
+		t.attachAnnouncement(target)
 		return target
 	}
 	endpointChanged := r.Endpoint != target.Endpoint
@@ -187,8 +193,10 @@
 	}
 	if endpointChanged {
 		t.removeAddress(target)
+		t.detachAnnouncement(target)
 	}
 	target.Registration = r
+	t.attachAnnouncement(target)
 	if endpointChanged {
 		t.addAddress(target)
 	}
@@ -242,6 +250,7 @@
 	}
 	delete(t.targets, id)
 	t.removeAddress(target)
+	t.detachAnnouncement(target)
 	t.services[target.Service] = slices.DeleteFunc(t.services[target.Service], func(other *Target) bool {
 		return other == target
 	})
@@ -273,7 +282,7 @@
 	var engines []*Target
 	for _, list := range t.services {
 		for _, target := range list {
-			if target.isEngine && !target.Draining {
+			if target.isEngine && !target.IsDraining() {
 				engines = append(engines, target)
 			}
 		}
@@ -364,11 +373,12 @@
 	target.consecutiveFailures++
 }
 
-// ProbeDue returns the targets whose probe is due, ordered by ID.
+// ProbeDue returns the targets whose probe is due, ordered by ID. Draining targets get no
+// work after a probe either, so they are left alone.
 func (t *Table) ProbeDue(now time.Time) []request.TargetID {
 	var ids []request.TargetID
 	for id, target := range t.targets {
-		if target.ProbeDue(now) {
+		if target.ProbeDue(now) && !target.IsDraining() {
 			ids = append(ids, id)
 		}
 	}
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -86,8 +86,18 @@
 	ContentEncoded bool
 	// Load is the load reported by the target; nil when it reported none.
 	Load *Load
+	Announcement
 }
 
+// Announcement is what a target says about itself in a response, whatever it responds to.
+type Announcement struct {
+	// Draining is set when the target takes no new work.
+	Draining bool
+}
+
+// IsZero reports whether the target announced nothing.
+func (a Announcement) IsZero() bool { return a == Announcement{} }
+
 // Load counts the requests at a target.
 type Load struct {
 	Running, Waiting, Slots int
