Tests: ports of crashed targets are not taken by other processes

Callers saw: nothing; TestRetryBudget_UnreachableTargetsAreNotCharged failed in a run of the gateway tests beside other tests and a soak. Cause, from the log of a failing run: the port of a crashed target was in use by a listener of another process, which answered 401. The attempt was then sent, and not unreachable. Change: the targets of these tests listen on a loopback address that only their process uses. Why it works: other processes bind 127.0.0.1, so nothing listens at the address of a crashed target. Result: the assertions are as before.

--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -113,7 +114,7 @@
 	d.startCount++
 	config.Incarnation = int64(1000 + d.startCount)
 	if config.Address == "" {
-		config.Address = "127.0.0.1:0"
+		config.Address = targetAddress
 	}
 	r, err := d.fleet.Start(config)
 	assert.NilError(d.t, err)
@@ -199,6 +200,10 @@
 	}
 }
 
+// targetAddress is a loopback address of this process alone, with any port: the port of a
+// crashed target is not taken by a listener of another process, which would respond.
+var targetAddress = fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()>>16%250, os.Getpid()>>8%256, 1+os.Getpid()%250)
+
 var requestCounter atomic.Int64
 
 // callerRequest is a request of a caller.
