Planned stop: a request that was read while connections close gets a response

Callers saw: a connection that ended without a response although the entry had read the request. The caller of a call that must not be repeated cannot send it again, since it may have run.

Cause: http.Server.Shutdown closes a connection without a response if it reads the first request of the connection after Shutdown was called, and closes one as idle while the head of a request is being read. Connections that were accepted in the last moments before the entry closed the idle ones were treated so; on a host whose processor is busy the request may have been sent long before it is read.

Change: connection/graceful keeps track of the connections of a listener. It closes one only while no byte of a request has been read; the others, and those that have carried no request yet, are closed after their response or by the head timeout. What it closes as idle is never passed to a handler. The entry uses it instead of http.Server.Shutdown, decides about late requests by the stop plan as before, and says Connection: close in every response that is written while it stops, also in those whose request arrived before.

TestStop_ChangedLimitsCutNothingOff and TestStop_CallAtSilentTargetGetsResponse guard what no test covered and pass on the code before.

Result: go test -race ./process/gateway ./connection/graceful passes.

--- /dev/null
+++ b/connection/graceful/listener_test.go
@@ -0,0 +1,160 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const requestText = "GET / HTTP/1.1\r\nHost: entry.example\r\n\r\n"
+
+// startServer starts a server whose handler waits until release is closed, and counts the
+// requests that reach the handler.
+func startServer(t *testing.T, release <-chan struct{}) (l *Listener, handled *atomic.Int64) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l, handled = NewListener(inner), &atomic.Int64{}
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			handled.Add(1)
+			<-release
+		}),
+		ConnState: l.ConnState, ReadHeaderTimeout: time.Second,
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l, handled
+}
+
+func dial(t *testing.T, l *Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func exchange(c net.Conn) error {
+	if _, err := io.WriteString(c, requestText); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	return err
+}
+
+func released() <-chan struct{} {
+	release := make(chan struct{})
+	close(release)
+	return release
+}
+
+func expectClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+func TestDrain_ClosesIdleConnectionsAtOnce(t *testing.T) {
+	l, _ := startServer(t, released())
+	c := dial(t, l)
+	assert.NilError(t, exchange(c))
+	l.StopAccepting()
+	assert.NilError(t, l.Drain(t.Context()))
+	expectClosed(t, c)
+	_, err := net.Dial("tcp", l.Addr().String())
+	assert.Assert(t, err != nil)
+}
+
+func TestDrain_WaitsForResponses(t *testing.T) {
+	release := make(chan struct{})
+	l, handled := startServer(t, release)
+	c := dial(t, l)
+	result := make(chan error, 1)
+	go func() { result <- exchange(c) }()
+	for handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.StopAccepting()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, l.Drain(ctx), context.DeadlineExceeded)
+	close(release)
+	assert.NilError(t, <-result)
+	assert.NilError(t, l.Drain(t.Context()))
+	expectClosed(t, c)
+}
+
+func TestDrain_UnusedConnectionEndsWithHeaderTimeout(t *testing.T) {
+	l, _ := startServer(t, released())
+	c := dial(t, l)
+	l.StopAccepting()
+	start := time.Now()
+	assert.NilError(t, l.Drain(t.Context()))
+	assert.Assert(t, time.Since(start) < 3*time.Second)
+	expectClosed(t, c)
+}
+
+// The kernel has queued connections when the listener is closed.
+func TestStopAccepting_QueuedConnectionsGetResponses(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewListener(inner)
+	const callers = 20
+	results := make(chan error, callers)
+	for range callers {
+		c := dial(t, l)
+		go func() { results <- exchange(c) }()
+	}
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: l.ConnState}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	l.StopAccepting()
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(t.Context()) }()
+	for range callers {
+		assert.NilError(t, <-results)
+	}
+	assert.NilError(t, <-drained)
+}
+
+// Callers send on kept connections at the moment at which the idle ones are closed.
+func TestDrain_RequestThatReachedTheHandlerGetsResponse(t *testing.T) {
+	const callers, rounds = 30, 20
+	for range rounds {
+		l, handled := startServer(t, released())
+		var answered atomic.Int64
+		var ready, callersDone sync.WaitGroup
+		ready.Add(callers)
+		for range callers {
+			c := dial(t, l)
+			callersDone.Go(func() {
+				first := true
+				for exchange(c) == nil {
+					answered.Add(1)
+					if first {
+						first = false
+						ready.Done()
+					}
+				}
+			})
+		}
+		ready.Wait()
+		l.StopAccepting()
+		assert.NilError(t, l.Drain(t.Context()))
+		callersDone.Wait()
+		assert.Equal(t, handled.Load(), answered.Load())
+	}
+}
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -52,9 +52,6 @@
 	defer g.protectHandler()
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	if g.draining() {
-		w.Header().Set("Connection", "close")
-	}
 	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
 	if err := e.admit(r); err != nil {
 		e.refuse(err, 0)
@@ -201,7 +198,7 @@
 func (e *exchange) refuse(err error, attempts int) {
 	kind := fault.KindOf(err)
 	response := kind.Response()
-	header := e.writer.Header()
+	header := e.responseHeader()
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = e.gateway.retryAfter(kind)
@@ -228,7 +225,7 @@
 
 // writeResponse forwards a target's response to the caller.
 func (e *exchange) writeResponse(head *http.Response, body []byte) error {
-	header := e.writer.Header()
+	header := e.responseHeader()
 	for name, values := range platform.ForwardedResponseHeader(head.Header) {
 		header[name] = values
 	}
@@ -237,6 +234,15 @@
 	return errors.WithStack(err)
 }
 
+// responseHeader returns the header of the response, before it is written.
+func (e *exchange) responseHeader() http.Header {
+	header := e.writer.Header()
+	if e.gateway.draining() {
+		header.Set("Connection", "close")
+	}
+	return header
+}
+
 // abort closes the caller's connection in the middle of a response, so that it does not
 // look complete.
 func abort() { panic(http.ErrAbortHandler) }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -140,7 +140,6 @@
 	g.stopPlan.Store(plan)
 	g.log.Event("leaving", "running", g.activeRequests.Load(), "grace", grace)
 	time.Sleep(time.Until(plan.CloseIdle()))
-	g.ingress.stopAccepting()
 	untilEnd, cancel := context.WithDeadline(g.background, plan.End())
 	defer cancel()
 	if err := g.ingress.shutdown(untilEnd); err != nil {
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -158,7 +158,7 @@
 	assert.NilError(d.t, g.Start(context.Background()))
 	d.t.Cleanup(func() {
 		if !g.draining() {
-			g.ingress.stopAccepting()
+			g.ingress.callerListener.StopAccepting()
 			g.ingress.close()
 			g.cancel()
 			_ = g.peers.Close()
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -5,14 +5,13 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
@@ -26,7 +25,7 @@
 // connections accepted while those limits were active.
 type ingress struct {
 	gateway         *Gateway
-	callerListener  net.Listener
+	callerListener  *graceful.Listener
 	healthListener  net.Listener
 	metricsListener net.Listener
 	adminServers    []*http.Server
@@ -36,8 +35,6 @@
 	current       *connListener
 	callerServers []*http.Server
 	closed        bool
-	// acceptDone is closed when no more connections are accepted.
-	acceptDone chan struct{}
 }
 
 // connListener is a listener whose connections are passed to it through a channel.
@@ -67,20 +64,22 @@
 // Addr implements net.Listener.
 func (l *connListener) Addr() net.Addr { return l.addr }
 
-func newIngress(g *Gateway) *ingress { return &ingress{gateway: g, acceptDone: make(chan struct{})} }
+func newIngress(g *Gateway) *ingress { return &ingress{gateway: g} }
 
 func (i *ingress) listen() error {
 	s := i.gateway.settings
+	var callers net.Listener
 	for _, open := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&i.callerListener, s.Callers}, {&i.healthListener, s.Health}, {&i.metricsListener, s.Metrics}} {
+	}{{&callers, s.Callers}, {&i.healthListener, s.Health}, {&i.metricsListener, s.Metrics}} {
 		listener, err := net.Listen("tcp", open.address)
 		if err != nil {
 			return errors.WithStack(err)
 		}
 		*open.listener = listener
 	}
+	i.callerListener = graceful.NewListener(callers)
 	i.applyLimits(defaultLimits)
 	health := http.NewServeMux()
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
@@ -123,6 +122,7 @@
 		IdleTimeout:                  limits.IdleTimeout,
 		MaxHeaderBytes:               limits.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    i.callerListener.ConnState,
 		ErrorLog:                     klog.NewStandardLogger("WARNING"),
 		BaseContext:                  func(net.Listener) context.Context { return i.gateway.background },
 	}
@@ -132,16 +132,11 @@
 
 // serve passes accepted connections to the server with the current limits.
 func (i *ingress) serve() {
-	defer close(i.acceptDone)
 	for {
 		conn, err := i.callerListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			_ = i.callerListener.Close()
-			return
-		}
 		if err != nil {
 			i.gateway.log.Event("accept_failed", "error", err.Error())
 			pause(i.gateway.background, checkInterval)
@@ -173,40 +168,11 @@
 	}
 }
 
-// acceptQueueTime is how long connections are still accepted that the kernel had queued when
-// the listener was about to close: closing it would reset them.
-const acceptQueueTime = 20 * time.Millisecond
-
-// stopAccepting accepts the queued connections and closes the callers' listener. Open
-// connections are still served.
-func (i *ingress) stopAccepting() {
-	if listener, ok := i.callerListener.(*net.TCPListener); ok {
-		if err := listener.SetDeadline(time.Now().Add(acceptQueueTime)); err == nil {
-			<-i.acceptDone
-			return
-		}
-	}
-	_ = i.callerListener.Close()
-}
-
-// shutdown closes idle callers' connections, and the others after the response in progress.
-// It returns an error if ctx ends before all are closed.
+// shutdown accepts no more connections, closes idle ones, and the others after the response
+// in progress. It returns an error if ctx ends before all are closed.
 func (i *ingress) shutdown(ctx context.Context) error {
-	i.mu.Lock()
-	i.closed = true
-	servers := slices.Clone(i.callerServers)
-	i.mu.Unlock()
-	results := make(chan error, len(servers))
-	for _, server := range servers {
-		go func() { results <- server.Shutdown(ctx) }()
-	}
-	var first error
-	for range servers {
-		if err := <-results; err != nil && first == nil {
-			first = errors.WithStack(err)
-		}
-	}
-	return first
+	i.callerListener.StopAccepting()
+	return errors.WithMessage(i.callerListener.Drain(ctx), "connections of callers")
 }
 
 // close closes all connections.
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -85,3 +88,157 @@
 	assert.Equal(t, <-statuses, http.StatusBadGateway)
 	assert.Assert(t, time.Since(start) < g.settings.Bounds.Grace.Std())
 }
+
+// keptConnection is a connection on which a test writes requests byte by byte.
+type keptConnection struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+func (d *deployment) dialCaller(g *Gateway) *keptConnection {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", g.callerAddress())
+	assert.NilError(d.t, err)
+	d.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(d.t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	return &keptConnection{Conn: conn, responses: bufio.NewReader(conn)}
+}
+
+// encodeRequest returns the bytes of a request.
+func encodeRequest(t *testing.T, g *Gateway, req *callerRequest) []byte {
+	t.Helper()
+	var encoded bytes.Buffer
+	assert.NilError(t, req.httpRequest(context.Background(), g).Write(&encoded))
+	return encoded.Bytes()
+}
+
+func (c *keptConnection) send(t *testing.T, part []byte) {
+	t.Helper()
+	_, err := c.Write(part)
+	assert.NilError(t, err)
+}
+
+// receive reads a whole response and returns its status.
+func (c *keptConnection) receive(t *testing.T) int {
+	t.Helper()
+	response, err := http.ReadResponse(c.responses, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
+
+// keepBusy keeps an entry that stops running until the end of its grace period.
+func (d *deployment) keepBusy(g *Gateway) {
+	d.t.Helper()
+	d.openStream(context.Background(), g, streamRequest()).skipTo(d.t, 1)
+}
+
+func startLongStreams(d *deployment) {
+	d.startReplica(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: 400,
+		PrefillTime: 10 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+}
+
+// The first request on a connection that was accepted before the entry closed the idle ones
+// arrives afterwards, as it does on a busy host.
+func TestStop_FirstRequestReadAfterIdleConnectionsClosedGetsResponse(t *testing.T) {
+	d := newDeployment(t)
+	startLongStreams(d)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	d.keepBusy(g)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	plan := g.stopPlan.Load()
+	time.Sleep(time.Until(plan.CloseIdle()) - 100*time.Millisecond)
+	conn := d.dialCaller(g)
+	time.Sleep(time.Until(plan.CloseIdle()) + 200*time.Millisecond)
+	conn.send(t, encodeRequest(t, g, bookingRequest()))
+	status := conn.receive(t)
+	assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
+}
+
+// The entry closes idle connections while it reads the head of a request.
+func TestStop_RequestBeingReadGetsResponse(t *testing.T) {
+	d := newDeployment(t)
+	startLongStreams(d)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	d.keepBusy(g)
+	conn := d.dialCaller(g)
+	conn.send(t, encodeRequest(t, g, bookingRequest()))
+	assert.Equal(t, conn.receive(t), http.StatusOK)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	plan := g.stopPlan.Load()
+	time.Sleep(time.Until(plan.CloseIdle()) - 200*time.Millisecond)
+	encoded := encodeRequest(t, g, bookingRequest())
+	conn.send(t, encoded[:40])
+	time.Sleep(time.Until(plan.CloseIdle()) + 200*time.Millisecond)
+	conn.send(t, encoded[40:])
+	status := conn.receive(t)
+	assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%d", status)
+}
+
+// The limits change twice while the entry stops.
+func TestStop_ChangedLimitsCutNothingOff(t *testing.T) {
+	d := newDeployment(t)
+	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 2500 * time.Millisecond, Slots: 60})
+	g := d.startReadyEntry("entry-1")
+	type result struct {
+		status int
+		err    error
+	}
+	const calls = 12
+	results := make(chan result, calls)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	for i := range calls {
+		if i%4 == 3 {
+			d.configure(func(config map[string]any) {
+				config["Limits"] = map[string]any{
+					"MaxHeaderBytes": 16384 + i, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		go func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			req := statusRequest()
+			req.DeadlineRemaining = 2800 * time.Millisecond
+			response, err := client.Do(req.httpRequest(context.Background(), g))
+			if err != nil {
+				results <- result{err: err}
+				return
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			results <- result{response.StatusCode, err}
+		}()
+	}
+	for range calls {
+		r := <-results
+		assert.NilError(t, r.err)
+	}
+}
+
+// A target falls silent during the call; the call's own time limit is after the end of the
+// grace period.
+func TestStop_CallAtSilentTargetGetsResponse(t *testing.T) {
+	d := newDeployment(t)
+	a1 := d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	for range 5 {
+		assert.Equal(t, d.send(g, statusRequest()).status, http.StatusOK)
+	}
+	conn := d.dialCaller(g)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	a1.SetFaults(replica.Faults{Silent: true})
+	time.Sleep(time.Until(g.stopPlan.Load().CloseIdle()) - 200*time.Millisecond)
+	conn.send(t, encodeRequest(t, g, statusRequest()))
+	status := conn.receive(t)
+	assert.Assert(t, status >= 500, "%d", status)
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -362,7 +362,7 @@
 	}
 	s.headWritten = true
 	recordDuration(s.gateway.metrics.firstEventLatency, time.Since(s.arrived))
-	header := s.writer.Header()
+	header := s.responseHeader()
 	for name, values := range platform.ForwardedResponseHeader(s.head.Header) {
 		header[name] = values
 	}
