mlentry: requests that are read while it closes connections get a response

Callers saw: connections of a stopping mlentry that ended without a response, also after their request had been passed on to an agent.

Stop called SetKeepAlivesEnabled(false), which closes idle connections at once; net/http counts a connection as idle until the head of its next request has been parsed, and afterwards serves the request although its connection is closed. A second later http.Server.Shutdown closed connections whose first request had not been read.

Change: the entry uses connection/graceful. Until its listener closes it serves kept connections and says Connection: close in its responses.

Ruled out: a plan with an end of the grace period, as in process/shutdown. mlentry waits up to 30 minutes for running requests, and none arrives after its idle connections are closed, except on connections that were just accepted, within the head timeout. Nothing accepted then has to be given up.

Evidence: on the code before, go test ./bench/fleet -run TestEntryStop: FAIL TestEntryStop_RequestsBeingReadGetResponses ("unexpected EOF").

Result: go test -race ./bench/fleet -run 'Stop|Drain|Entry' passes.

--- a/bench/fleet/stop_test.go
+++ b/bench/fleet/stop_test.go
@@ -1,7 +1,11 @@
 package fleet_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -83,6 +87,59 @@
 	assert.Assert(t, err != nil)
 }
 
+// While the entry closes connections, one caller has sent a part of a request and another
+// has just connected.
+func TestEntryStop_RequestsBeingReadGetResponses(t *testing.T) {
+	f := startTwoEntries(t, 1, nil)
+	entry := f.Entries[0]
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.URL(0)+"/v1/models", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+fleet.TrialToken)
+	var encoded bytes.Buffer
+	assert.NilError(t, request.Write(&encoded))
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", entry.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+		return conn
+	}
+	send := func(conn net.Conn, part []byte) {
+		_, err := conn.Write(part)
+		assert.NilError(t, err)
+	}
+	receive := func(conn net.Conn) *http.Response {
+		response, err := http.ReadResponse(bufio.NewReader(conn), request)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		return response
+	}
+	kept := dial()
+	send(kept, encoded.Bytes())
+	receive(kept)
+	send(kept, encoded.Bytes()[:40])
+	accepted := dial()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- entry.Stop(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.Dial("tcp", entry.Address())
+		if err != nil {
+			return poll.Success()
+		}
+		_ = conn.Close()
+		return poll.Continue("the entry still accepts connections")
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(10*time.Millisecond))
+	time.Sleep(50 * time.Millisecond)
+	send(kept, encoded.Bytes()[40:])
+	send(accepted, encoded.Bytes())
+	assert.Assert(t, receive(kept).Close)
+	assert.Assert(t, receive(accepted).Close)
+	assert.NilError(t, <-stopped)
+}
+
 func TestEngineStop_CompletesResponse(t *testing.T) {
 	f := startTwoEntries(t, 3, nil)
 	stopDuringCompletion(t, f, func(ctx context.Context, member *fleet.Member) error { return member.Engine.Shutdown(ctx) })
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/outside"
@@ -55,7 +56,7 @@
 	pageOptions calls.PageOptions
 	dialer      *link.Dialer
 	links       link.Registry
-	listener    net.Listener
+	listener    *graceful.Listener
 	server      *http.Server
 	draining    atomic.Bool
 	// baseContext ends when the entry is stopped.
@@ -141,15 +142,17 @@
 	if err != nil {
 		return errors.Wrap(err, "link dialer")
 	}
-	e.listener, err = net.Listen("tcp", e.settings.CallerAddress)
+	listener, err := net.Listen("tcp", e.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	e.listener = graceful.NewListener(listener)
 	e.server = &http.Server{
 		Handler:           e.router(),
 		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: e.settings.Limits.CallerWriteTimeout.Std(),
 		IdleTimeout:       e.settings.Limits.IdleTimeout.Std(),
+		ConnState:         e.listener.ConnState,
 	}
 	return nil
 }
@@ -169,12 +172,12 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.draining.Store(true)
 	e.observer.Record(timeline.Event{Kind: timeline.ProcessDraining})
-	e.server.SetKeepAlivesEnabled(false)
 	select {
 	case <-time.After(shutdownDelay):
 	case <-ctx.Done():
 	}
-	err := e.server.Shutdown(ctx)
+	e.listener.StopAccepting()
+	err := e.listener.Drain(ctx)
 	e.callExecutor.Drain(ctx)
 	e.Kill()
 	return errors.Wrap(err, "shutdown")
@@ -195,7 +198,7 @@
 	router.HandleMethodNotAllowed = true
 	router.NoRoute(noRoute)
 	router.NoMethod(noRoute)
-	router.Use(gin.CustomRecoveryWithWriter(io.Discard, handlePanic), e.limitBody)
+	router.Use(gin.CustomRecoveryWithWriter(io.Discard, handlePanic), e.closeWhileDraining, e.limitBody)
 	router.GET("/health", func(c *gin.Context) { c.Status(http.StatusOK) })
 	router.GET("/ready", e.ready)
 	v1 := router.Group("/v1", e.authenticate)
@@ -207,6 +210,14 @@
 	return router
 }
 
+// closeWhileDraining makes callers open a connection to another entry for their next request.
+func (e *Entry) closeWhileDraining(c *gin.Context) {
+	if e.draining.Load() {
+		c.Header("Connection", "close")
+	}
+	c.Next()
+}
+
 func (e *Entry) limitBody(c *gin.Context) {
 	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, e.settings.Limits.MaxBodyBytes)
 	c.Next()
