Planned stop: streams that arrive after idle connections are closed must fit

Cause: a stream that can be resumed was accepted while the mean duration of such streams fitted, however late: of those that begin to arrive when that mean is all that is left, about half are cut off. The reason, that a caller who is turned away may not come back, holds while the balancer still sends connections.

Change: once idle connections are closed, a stream is accepted only if its time limit passes before the requests in progress are ended. Such streams are few: those whose body arrives late, and the first request of a connection that was just accepted. Calls are decided as before; one that is cut off gets a complete response.

Evidence: on the code before, go test ./process/shutdown: FAIL TestPlan_StreamsAfterIdleConnectionsClosedAreNotCutOff (85 of 2445 cut off). Result: passes, with -race.

--- a/process/shutdown/shutdown.go
+++ b/process/shutdown/shutdown.go
@@ -80,7 +80,9 @@
 // Accept reports whether a request that arrives now is accepted. One whose time limit passes
 // before the end is. A later one is accepted if it may run again and is expected to end
 // before; for one that can be resumed the mean duration counts, since to be cut off costs its
-// caller less than to be turned away.
+// caller less than to be turned away. That holds until idle connections are closed: the few
+// streams that arrive later have most of the grace period behind them, and their callers find
+// another entry at once.
 func (p *Plan) Accept(now time.Time, r Request) bool {
 	left := p.End().Sub(now)
 	if r.TimeLimit <= left {
@@ -93,6 +95,9 @@
 	case Repeatable:
 		deviations = safeDeviations
 	case Resumable:
+		if now.After(p.CloseIdle()) {
+			return false
+		}
 	}
 	if expected, ok := r.Expected.Duration(deviations); ok {
 		return expected <= left
--- a/process/shutdown/shutdown_test.go
+++ b/process/shutdown/shutdown_test.go
@@ -14,6 +14,8 @@
 	timeLimit     time.Duration
 	work          time.Duration
 	repeatability Repeatability
+	// firstArrival is the time from the start of the stop until the first of them.
+	firstArrival time.Duration
 }
 
 const testGrace = 8 * time.Second
@@ -31,7 +33,7 @@
 	for range 200 {
 		expected.Observe(duration())
 	}
-	for at := time.Duration(0); at < testGrace; at += 2 * time.Millisecond {
+	for at := load.firstArrival; at < testGrace; at += 2 * time.Millisecond {
 		now := start.Add(at)
 		if !plan.Accept(now, Request{TimeLimit: load.timeLimit, Repeatability: load.repeatability, Expected: expected}) {
 			continue
@@ -98,3 +100,19 @@
 	assert.Assert(t, cutOff*2 <= accepted, "%d of %d cut off", cutOff, accepted)
 	assert.Assert(t, last < testGrace/2, "accepted at %s", last)
 }
+
+// Streams whose body arrived late, or that are the first request of a connection that was just
+// accepted.
+func TestPlan_StreamsAfterIdleConnectionsClosedAreNotCutOff(t *testing.T) {
+	closeIdle := NewPlan(time.Time{}, testGrace).CloseIdle().Sub(time.Time{})
+	for _, load := range []stopLoad{
+		{name: "short", timeLimit: 25 * time.Second, work: 300 * time.Millisecond},
+		{name: "long", timeLimit: 25 * time.Second, work: 2 * time.Second},
+		{name: "with a short time limit", timeLimit: 2 * time.Second, work: time.Second},
+	} {
+		load.repeatability, load.firstArrival = Resumable, closeIdle+time.Millisecond
+		accepted, cutOff, _ := replayStop(4, load)
+		assert.Equal(t, cutOff, 0, load.name)
+		assert.Equal(t, accepted > 0, load.timeLimit < testGrace, load.name)
+	}
+}
