Signals that arrive while a process starts no longer end it

Callers saw (in the test): a process that starts ends by itself when it gets a SIGHUP, and is killed at once by a SIGTERM, with the requests that it has accepted since its listener opened.

Cause: SIGTERM was registered after the application had started, SIGHUP by a task that the start ends with. Until then both have the default action. mlentry and mlagent, which reload nothing, were ended by any SIGHUP.

Change: SIGHUP is registered before the settings are read, SIGTERM before the application starts; a process that was told to stop while it started stops as planned.

Ruled out: signal.Ignore, which the gateway's own signal.Stop would undo while it ends.

Evidence: on the code before, go test ./process/daemon: FAIL TestSignalsWhileStarting_ProcessStopsAsPlanned ("signal: hangup"; with only SIGHUP registered "signal: terminated"). Result: passes.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -4,6 +4,8 @@
 import (
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -38,6 +40,9 @@
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
+			// A SIGHUP must not end the process, also while it starts or if it has nothing to
+			// reload.
+			signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 			var s S
 			if err := settings.Read(path, P(&s)); err != nil {
 				return err
--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -1,13 +1,20 @@
 package daemon
 
 import (
+	"context"
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/fx"
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/lifecycle"
 	"github.com/mulberrylane/mulberrylane/process/settings"
 )
 
@@ -32,3 +39,46 @@
 	_, err = executeWithSettings(t, `{"title": "entry-1"}`)
 	assert.ErrorContains(t, err, `unknown field "title"`)
 }
+
+type anySettings struct{}
+
+func (*anySettings) Check() error { return nil }
+
+// signalled is a process that gets signals while it starts.
+type signalled []syscall.Signal
+
+func (s signalled) Start(context.Context) error {
+	for _, sig := range s {
+		if err := syscall.Kill(os.Getpid(), sig); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+func (s signalled) Stop(context.Context) error {
+	fmt.Println("stopped as planned")
+	return nil
+}
+
+const signalledVariable = "MULBERRYLANE_TEST_SETTINGS"
+
+// A process that gets signals while it starts is stopped like any other.
+func TestSignalsWhileStarting_ProcessStopsAsPlanned(t *testing.T) {
+	if path := os.Getenv(signalledVariable); path != "" {
+		command := newCommand("test", "", func(anySettings) *fx.App {
+			return lifecycle.NewApp(fx.Supply(signalled{syscall.SIGHUP, syscall.SIGTERM}), fx.Invoke(lifecycle.Hook[signalled]))
+		})
+		command.SetArgs([]string{"--settings", path})
+		assert.NilError(t, command.Execute())
+		return
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(path, []byte("{}"), 0o600))
+	child := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^"+t.Name()+"$")
+	child.Env = append(os.Environ(), signalledVariable+"="+path)
+	output, err := child.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	assert.Assert(t, strings.Contains(string(output), "stopped as planned"), "%s", output)
+}
--- a/process/lifecycle/lifecycle.go
+++ b/process/lifecycle/lifecycle.go
@@ -37,12 +37,14 @@
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "assemble")
 	}
+	// A signal that arrives while the application starts stops it afterwards.
+	stopRequested := app.Wait()
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return errors.Wrap(err, "start")
 	}
-	<-app.Wait()
+	<-stopRequested
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	return errors.Wrap(app.Stop(stopCtx), "stop")
