Settings: a change while the process starts is applied

Callers saw: nothing yet; found by reading for what a planned stop depends on. A grace period that the operators shortened while an entry started was not in force there until the next change of the file.

Cause: the task that watches the file took its time of modification when it began, after the settings had been read.

Change: that time is taken before the file is read.

Evidence: on the code before, go test ./process/gateway -run TestReload: FAIL TestReload_ChangeDuringStartIsApplied ("the condition did not become true within 6 s"). Result: passes, with -race.

--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -143,8 +143,12 @@
 // startEntry starts an entry without waiting for it.
 func (d *deployment) startEntry(name string) *Gateway {
 	d.t.Helper()
+	return d.startEntryWith(d.entrySettings(name))
+}
+
+func (d *deployment) entrySettings(name string) Settings {
 	anyPort := "127.0.0.1:0"
-	settings := Settings{
+	return Settings{
 		Name: name, FailureDomain: "naxos", Callers: anyPort, Health: anyPort, Metrics: anyPort, Peers: anyPort, Store: d.address,
 		Bounds: Bounds{
 			RevokeWithin: version.Duration(3 * time.Second), Grace: version.Duration(4 * time.Second),
@@ -152,6 +156,10 @@
 			RetryRatio:   0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
 		},
 	}
+}
+
+func (d *deployment) startEntryWith(settings Settings) *Gateway {
+	d.t.Helper()
 	m, err := newInstruments(settings)
 	assert.NilError(d.t, err)
 	g := newGateway(settings, d.log, platform.NewStore(d.address), target.NewPool(), m)
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -24,7 +24,7 @@
 	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	lastModified := modTime(g.settings.source)
+	lastModified := g.settings.sourceModified
 	for {
 		select {
 		case <-g.background.Done():
@@ -57,7 +57,7 @@
 	}
 	g.control.do(func() { g.control.setBounds(next.Bounds) })
 	g.log.Event("settings_reloaded", "reason", reason)
-	next.Bounds, next.source = g.settings.Bounds, g.settings.source
+	next.Bounds, next.source, next.sourceModified = g.settings.Bounds, g.settings.source, g.settings.sourceModified
 	if next != g.settings {
 		g.log.Event("settings_need_restart", "reason", reason)
 	}
--- a/process/gateway/reload_test.go
+++ b/process/gateway/reload_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"encoding/json"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
@@ -38,3 +42,25 @@
 	age := 1500 * time.Millisecond
 	assert.Assert(t, !confirmed.AcceptsKeys(bootClock()+age-confirmed.Age(bootClock())), "a key is accepted beyond the new bound")
 }
+
+// The settings file changes after the entry has read it and before the entry watches it.
+func TestReload_ChangeDuringStartIsApplied(t *testing.T) {
+	d := newDeployment(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	s := d.entrySettings("entry-1")
+	write := func(grace time.Duration, modified time.Time) {
+		s.Bounds.Grace = version.Duration(grace)
+		data, err := json.Marshal(s)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(path, data, 0o600))
+		assert.NilError(t, os.Chtimes(path, modified, modified))
+	}
+	now := time.Now()
+	write(4*time.Second, now.Add(-time.Second))
+	var read Settings
+	assert.NilError(t, settings.Read(path, &read))
+	write(2*time.Second, now)
+	g := d.startEntryWith(read)
+	assert.Equal(t, g.settings.Bounds.Grace.Std(), 4*time.Second)
+	d.waitUntil(func() bool { return g.currentBounds().Grace.Std() == 2*time.Second })
+}
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -31,12 +31,14 @@
 	LinkMbps float64 `json:"linkMbps"`
 	Bounds   Bounds  `json:"bounds"`
 
-	// source is the file that the settings were read from, or empty.
-	source string
+	// source is the file that the settings were read from, or empty; sourceModified is when
+	// it had last been modified before it was read.
+	source         string
+	sourceModified time.Time
 }
 
-// SetSource sets the file that the settings were read from.
-func (s *Settings) SetSource(path string) { s.source = path }
+// SetSource sets the file that the settings are read from.
+func (s *Settings) SetSource(path string) { s.source, s.sourceModified = path, modTime(path) }
 
 // Bounds are guarantees and requirements of the platform's operators.
 type Bounds struct {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -166,13 +166,13 @@
 
 // Read reads the settings file at path into target and checks it.
 func Read(path string, target checkable) error {
+	if sourced, ok := target.(Sourced); ok {
+		sourced.SetSource(path)
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
 	}
-	if sourced, ok := target.(Sourced); ok {
-		sourced.SetSource(path)
-	}
 	return errors.Wrapf(Decode(data, target), "settings %s", path)
 }
 
