Logs and metrics tell how a planned stop ended a request

Callers saw: a request that ended without a complete response around a planned stop, and operators could not say why: a call that the stop ended is logged as target_lost, like one whose target broke off; nothing says how late a request was accepted, or whose connection was still open when the process closed them.

Names of events, fields and metrics that exist stay as they are.

Evidence: TestLog_TellsHowAPlannedStopEndedRequests and TestExplain_NamesPlannedStop fail without the change (the fields, the metric and the line do not exist there).

--- a/command/explain.go
+++ b/command/explain.go
@@ -45,6 +45,7 @@
 	"copy_moved":        "a new copy was asked for",
 	"copy_failed":       "the new copy could not be made",
 	"budget_denied":     "the retry budget allowed no further attempt",
+	"connection_closed": "the entry had to end and closed the connection without a response",
 	"ended":             "the request was over",
 }
 
@@ -194,6 +195,8 @@
 			cause = fmt.Sprintf("the entry %s was lost with the request and started anew at %s", line.Process, line.Time[5:])
 		case ofRequest && line.Event == "ended":
 			cause = line.describeEnd()
+		case ofRequest && line.Event == "connection_closed":
+			cause = eventMeanings[line.Event]
 		case ofRequest:
 			if problem := line.describeProblem(); problem != "" {
 				lastProblem = problem
@@ -235,5 +238,8 @@
 	if l.values["error"] != "" {
 		cause += ": " + l.values["error"]
 	}
+	if l.values["cutOff"] != "" {
+		cause += fmt.Sprintf("; the entry was stopped %s before and ended it with its grace period", l.values["sinceStop"])
+	}
 	return cause
 }
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -61,3 +61,19 @@
 	assert.NilError(t, explainRequest(&out, "r1", lines))
 	assert.Assert(t, strings.Contains(out.String(), "120 events, the first after 1.2s, the longest pause 1.15s; before that"), out.String())
 }
+
+// A caller complains about a request that a stopping entry ended.
+func TestExplain_NamesPlannedStop(t *testing.T) {
+	const common = `x entry-1 I0817 06:40:31.150745 2 c.go:5] "accepted" request="r1" route="x" sinceStop="2s" stopLeft="5.5s"
+`
+	for line, want := range map[string]string{
+		`x entry-1 I0817 06:40:34.000000 2 c.go:5] "ended" request="r1" outcome="draining" cutOff=true sinceStop="7.5s" stopLeft="0s"`: "cause: outcome draining; the entry was stopped 7.5s before and ended it with its grace period",
+		`x entry-1 I0817 06:40:34.000000 2 c.go:5] "connection_closed" request="r1" took="5s"`:                                         "cause: the entry had to end and closed the connection without a response",
+	} {
+		lines, err := parseLog(strings.NewReader(common + line + "\n"))
+		assert.NilError(t, err)
+		var out strings.Builder
+		assert.NilError(t, explainRequest(&out, "r1", lines))
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+}
--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// Connections counts the open connections of a Listener.
+type Connections struct {
+	// Idle connections have carried requests and wait for the next one, of which no byte has
+	// been read. InUse connections carry a request. Unused ones have not carried any yet.
+	Idle, InUse, Unused int
+}
+
+// Connections counts the open connections.
+func (l *Listener) Connections() Connections {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var counts Connections
+	for c := range l.open {
+		switch {
+		case c.reading:
+			counts.InUse++
+		case c.served:
+			counts.Idle++
+		default:
+			counts.Unused++
+		}
+	}
+	return counts
+}
+
 // signalIfDrained must be called with the lock held.
 func (l *Listener) signalIfDrained() {
 	if !l.draining || len(l.open) > 0 {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -168,6 +168,7 @@
 func (c *call) contextErrorKind(ctx context.Context) fault.Kind {
 	switch {
 	case errors.Is(context.Cause(ctx), errStopping):
+		c.cutOff = true
 		return fault.Draining
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fault.CallerGone
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -45,21 +45,33 @@
 	deadline  time.Time
 	// configVersion is the version of the configuration that applies to the request.
 	configVersion int64
+	// cutOff is set when a planned stop ended the request.
+	cutOff bool
 }
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	g.activeRequests.Add(1)
-	defer g.activeRequests.Add(-1)
 	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
-	if err := e.admit(r); err != nil {
+	var err error
+	e.inbound, err = platform.DecodeRequest(r)
+	g.activeRequests.add(e)
+	defer g.activeRequests.remove(e)
+	if err != nil {
+		err = fault.Wrap(fault.BadRequest, err, err.Error())
+	} else {
+		err = e.admit(r)
+	}
+	if err != nil {
 		e.refuse(err, 0)
 		return
 	}
-	e.gateway.log.Event("accepted", "request", e.inbound.ID, "route", e.route.Name, "service", e.service,
+	fields := []any{
+		"request", e.inbound.ID, "route", e.route.Name, "service", e.service,
 		"workspace", e.workspaceName(), "configuration", e.configVersion, "timeLeft", time.Until(e.deadline),
-		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens)
+		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens,
+	}
+	e.gateway.log.Event("accepted", append(fields, e.gateway.stopFields(time.Now())...)...)
 	if e.route.Kind == routes.Streaming {
 		e.serveStream(r.Context())
 		return
@@ -67,16 +79,12 @@
 	e.serveCall(r.Context())
 }
 
-// admit reads the request and returns an error if it must not be served.
+// admit reads the rest of the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
-	var err error
-	e.inbound, err = platform.DecodeRequest(r)
-	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, err.Error())
-	}
 	g.waitForInitialSync(r.Context(), e.inbound.TimeLeft)
-	if err := e.authorize(); err != nil {
+	err := e.authorize()
+	if err != nil {
 		return err
 	}
 	limit := g.table.Load().Limits().BodyBytes
@@ -220,6 +228,11 @@
 		"request", e.inbound.ID, "outcome", kind.String(), "attempts", attempts,
 		"took", time.Since(e.arrived), "configuration", e.configVersion,
 	}
+	if e.cutOff {
+		more = append(more, "cutOff", true)
+		e.gateway.metrics.countStopping("cut_off")
+	}
+	more = append(more, e.gateway.stopFields(time.Now())...)
 	e.gateway.log.Event("ended", append(fields, more...)...)
 }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -61,7 +61,7 @@
 	stopPlan       atomic.Pointer[shutdown.Plan]
 	ending         context.Context
 	endRequests    context.CancelFunc
-	activeRequests atomic.Int64
+	activeRequests activeRequests
 
 	// background is cancelled when the process has stopped serving.
 	background context.Context
@@ -138,17 +138,17 @@
 	grace := g.currentBounds().Grace.Std()
 	plan := shutdown.NewPlan(start, grace)
 	g.stopPlan.Store(plan)
-	g.log.Event("leaving", "running", g.activeRequests.Load(), "grace", grace)
+	g.log.Event("leaving", "running", g.activeRequests.count(), "grace", grace)
 	time.Sleep(time.Until(plan.CloseIdle()))
 	untilEnd, cancel := context.WithDeadline(g.background, plan.End())
 	defer cancel()
 	if err := g.ingress.shutdown(untilEnd); err != nil {
-		g.log.Event("cut_off", "running", g.activeRequests.Load())
+		g.log.Event("cut_off", "running", g.activeRequests.count())
 		g.endRequests()
 		flush, cancelFlush := context.WithTimeout(g.background, responseFlushTime)
 		defer cancelFlush()
 		if err := g.ingress.shutdown(flush); err != nil {
-			g.log.Event("connections_closed", "running", g.activeRequests.Load())
+			g.recordConnectionsClosed()
 		}
 	}
 	g.ingress.close()
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -172,6 +172,8 @@
 // in progress. It returns an error if ctx ends before all are closed.
 func (i *ingress) shutdown(ctx context.Context) error {
 	i.callerListener.StopAccepting()
+	counts := i.callerListener.Connections()
+	i.gateway.log.Event("connections_draining", "idle", counts.Idle, "inUse", counts.InUse, "unused", counts.Unused)
 	return errors.WithMessage(i.callerListener.Drain(ctx), "connections of callers")
 }
 
--- a/process/gateway/log_test.go
+++ b/process/gateway/log_test.go
@@ -44,6 +44,61 @@
 	}
 }
 
+// The log and the metrics tell whether a request was accepted late, refused, or cut off at the
+// end of the grace period.
+func TestLog_TellsHowAPlannedStopEndedRequests(t *testing.T) {
+	var out strings.Builder
+	d := newDeployment(t)
+	d.log = eventlog.New(&out)
+	startLongStreams(d)
+	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: time.Minute, Slots: 6})
+	g := d.startReadyEntry("entry-1")
+	stream, call, late := streamRequest(), bookingRequest(), bookingRequest()
+	call.DeadlineRemaining = time.Minute
+	d.openStream(context.Background(), g, stream).skipTo(t, 1)
+	statuses := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(call.httpRequest(context.Background(), g))
+		if err != nil {
+			statuses <- 0
+			return
+		}
+		_ = response.Body.Close()
+		statuses <- response.StatusCode
+	}()
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(call.AttemptID) > 0 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	late.DeadlineRemaining = 5 * time.Second
+	assert.Equal(t, d.send(g, late).status, http.StatusServiceUnavailable)
+	response, err := http.Get("http://" + g.ingress.metricsListener.Addr().String() + "/metrics")
+	assert.NilError(t, err)
+	metrics, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, strings.Contains(string(metrics), `mulberrylane_stop_requests_total{result="refused"} 1`), "%s", metrics)
+	assert.Equal(t, <-statuses, http.StatusBadGateway)
+	assert.NilError(t, <-stopped)
+	lineOf := func(event, id string) string {
+		for _, line := range strings.Split(out.String(), "\n") {
+			if strings.Contains(line, `"`+event+`"`) && strings.Contains(line, id) {
+				return line
+			}
+		}
+		t.Fatalf("no line %s of %s in\n%s", event, id, out.String())
+		return ""
+	}
+	for _, id := range []string{stream.AttemptID, call.AttemptID} {
+		assert.Assert(t, !strings.Contains(lineOf("accepted", id), "sinceStop="))
+		ended := lineOf("ended", id)
+		assert.Assert(t, strings.Contains(ended, "cutOff=true") && strings.Contains(ended, "sinceStop="), ended)
+	}
+	refused := lineOf("ended", late.AttemptID)
+	assert.Assert(t, strings.Contains(refused, `outcome="draining"`) && !strings.Contains(refused, "cutOff"), refused)
+	assert.Assert(t, strings.Contains(lineOf("connections_draining", ""), "inUse=2"), out.String())
+}
+
 // Operators see the state of an entry without reading its log.
 func TestMetrics_GaugesShowEntryState(t *testing.T) {
 	d := newDeployment(t)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -26,6 +26,7 @@
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
+	stopping          metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -46,6 +47,7 @@
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
+		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -117,6 +119,12 @@
 		attribute.String("route", kind), attribute.String("outcome", outcome)))
 }
 
+// countStopping counts a request that was accepted or refused while the process stopped, cut
+// off at the end of the grace period, or whose connection was closed without a response.
+func (m *instruments) countStopping(result string) {
+	m.stopping.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 func (m *instruments) countAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -97,6 +97,7 @@
 			s.handleEvent(request.Event{Type: request.EventCallerDisconnected})
 		case <-s.gateway.ending.Done():
 			// The caller resumes at another entry.
+			s.cutOff = true
 			s.handleEvent(request.Event{Type: request.EventCallerDisconnected, Kind: fault.Draining})
 		}
 	}
