Tests: answers of a sound target that falls silent for a second are delivered

A target that sends nothing for 1.2 s and then goes on, behind a link that holds its bytes back, is the only one of its service: a stream is delivered whole, and calls get their answer. Both pass on the code before: no fault was found here. What they do not cover: a host that accepts no connection meanwhile, whose idempotent calls are ended and retried elsewhere.

--- /dev/null
+++ b/process/gateway/silence_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+// silence is how long a sound target sends nothing.
+const silence = 1200 * time.Millisecond
+
+// pausingLink passes connections on and holds all bytes back while it is paused, like a host
+// that is suspended.
+type pausingLink struct {
+	net.Listener
+	mu sync.RWMutex
+}
+
+func newPausingLink(t *testing.T) *pausingLink {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return &pausingLink{Listener: listener}
+}
+
+func (l *pausingLink) run(to string) {
+	for {
+		from, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go l.connect(from, to)
+	}
+}
+
+func (l *pausingLink) connect(from net.Conn, address string) {
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		_ = from.Close()
+		return
+	}
+	pass := func(dst, src net.Conn) {
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buffer)
+			l.mu.RLock()
+			if n > 0 {
+				_, _ = dst.Write(buffer[:n])
+			}
+			l.mu.RUnlock()
+			if err != nil {
+				_ = dst.Close()
+				return
+			}
+		}
+	}
+	go pass(to, from)
+	pass(from, to)
+}
+
+func (l *pausingLink) pause(d time.Duration) {
+	l.mu.Lock()
+	time.Sleep(d)
+	l.mu.Unlock()
+}
+
+// startBehindLink starts a target that is reached over a link.
+func (d *deployment) startBehindLink(config replica.Config) *pausingLink {
+	d.t.Helper()
+	link := newPausingLink(d.t)
+	config.AdvertisedAddress = link.Addr().String()
+	r := d.startReplica(config)
+	go link.run(r.Config().Address)
+	return link
+}
+
+func TestSilence_StreamAtTheOnlyTargetIsComplete(t *testing.T) {
+	d := newDeployment(t)
+	link := d.startBehindLink(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+		PrefillTime: 60 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, 5)
+	go link.pause(silence)
+	r.expectRest(t, req.AttemptID, 5)
+}
+
+func TestSilence_CallsAtTheOnlyTargetAreServed(t *testing.T) {
+	d := newDeployment(t)
+	link := d.startBehindLink(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 300 * time.Millisecond, Slots: 6})
+	g := d.startReadyEntry("entry-1")
+	requests := []*callerRequest{statusRequest(), bookingRequest()}
+	statuses := make(chan int, len(requests))
+	for _, req := range requests {
+		go func() {
+			response, err := http.DefaultClient.Do(req.httpRequest(context.Background(), g))
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- response.StatusCode
+		}()
+	}
+	d.waitUntil(func() bool {
+		return d.fleet.ExecutionLog.Arrivals(requests[0].AttemptID)+d.fleet.ExecutionLog.Arrivals(requests[1].AttemptID) == len(requests)
+	})
+	link.pause(silence)
+	for range requests {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+}
