--- a/command/explain.go
+++ b/command/explain.go
@@ -49,6 +49,7 @@
 	"budget_denied":           "the retry budget allowed no further attempt",
 	"withdrawn":               "its target announced meanwhile that it takes no requests; nothing was sent",
 	"target_leaving":          "the target announced that it is leaving",
+	"connection_closed":       "the entry had to end and closed the connection without a response",
 	"quarantined":             "engines crash on a part of its prompt",
 	"ended":                   "the request was over",
 }
@@ -206,6 +207,8 @@
 			cause = fmt.Sprintf("the entry %s was lost with the request and started anew at %s", line.Process, line.Time[5:])
 		case ofRequest && line.Event == "ended":
 			cause = line.describeEnd()
+		case ofRequest && line.Event == "connection_closed":
+			cause = eventMeanings[line.Event]
 		case ofRequest, targetStates[line.Event]:
 			if problem := line.describeProblem(); problem != "" {
 				lastProblem = problem
@@ -247,5 +250,8 @@
 	if l.values["error"] != "" {
 		cause += ": " + l.values["error"]
 	}
+	if l.values["cutOff"] != "" {
+		cause += fmt.Sprintf("; the entry was stopped %s before and ended it with its grace period", l.values["sinceStop"])
+	}
 	return cause
 }
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -28,6 +28,7 @@
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
 	partsQuarantined  metric.Int64Counter
+	stopping          metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -50,6 +51,7 @@
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
 		partsQuarantined:  b.Counter("mulberrylane.prompt.parts.quarantined", "Prompt parts put in quarantine because engines crashed on them"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
+		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -125,6 +127,12 @@
 		attribute.String("route", kind), attribute.String("outcome", outcome)))
 }
 
+// countStopping counts a request that was accepted or refused while the process stopped, cut
+// off at the end of the grace period, or whose connection was closed without a response.
+func (m *instruments) countStopping(result string) {
+	m.stopping.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 func (m *instruments) countAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
