The agent opens a connection to its engine for each call

Callers saw: a generation refused as not run (overloaded) that the engine ran, or one of another prompt. Cause: the OpenAI-compatible API names no request in refusals and in responses to /tokenize. A failing engine that writes a response once more on a kept connection was believed if the copy arrived after the next call was sent. Change: the engine's client keeps no connections. The engine is on the agent's host, so a connection costs little. Ruled out: trusting a refusal only on a new connection (a genuine one on a kept connection would count as a lost generation); a connection of its own for generations only (the tokens of another prompt would remain). Why it works: a new connection carries one response.

--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -69,14 +69,11 @@
 	return a
 }
 
-// maxEngineConnections bounds the idle connections kept to one engine.
-const maxEngineConnections = 4096
-
+// newEngineClient returns a client that opens a connection for each call. Responses of engines
+// name no request, so one that a failing engine sends once more on a connection in use again
+// could not be told from that to the next call. The engine is on the agent's host.
 func newEngineClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxEngineConnections,
-		DisableCompression:  true,
-	}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 }
 
 // Start starts to accept links, to serve operators and to probe the target.
