TestLateRefusal sends requests until a connection is used again

Callers saw: nothing; the test failed now and then. Cause: six requests were sent, and a connection is used again only if the write of its request returned before the response was read. Change: the test sends requests until one was sent on a connection in use again, 200 at most. It fails as before if there is none. Ruled out: a pause in the stand-in (timing luck). Why it works: the condition is waited for instead of assumed.

--- a/process/gateway/late_refusal_test.go
+++ b/process/gateway/late_refusal_test.go
@@ -40,6 +40,9 @@
 	})
 }
 
+// Requests are sent until one was sent on a connection in use again.
+const minRequests, maxRequests = 6, 200
+
 // checkLateRefusals sends requests to two targets that write refusal on each connection in
 // use again, before they run the request.
 func checkLateRefusals(t *testing.T, service, path string, atMostOnce bool, refusal string) {
@@ -59,7 +62,9 @@
 	}
 	targets := []*rawTarget{d.startRawTarget("t1", service, respond), d.startRawTarget("t2", service, respond)}
 	g := d.startReadyEntry("entry-1")
-	for range 6 {
+	reused := func() int { return targets[0].reusedConnections() + targets[1].reusedConnections() }
+	// A connection is not used again if its response was read before the write returned.
+	for n := 0; n < minRequests || reused() == 0 && n < maxRequests; n++ {
 		req := newCallerRequest(http.MethodPost, path, "a body")
 		req.DeadlineRemaining = 2 * time.Second
 		response := d.send(g, req)
@@ -77,7 +82,7 @@
 		assert.Assert(t, response.status == http.StatusOK || response.status == http.StatusBadGateway,
 			"the caller got %d for a request that a target runs", response.status)
 	}
-	assert.Assert(t, targets[0].reusedConnections()+targets[1].reusedConnections() > 0, "no connection was used again")
+	assert.Assert(t, reused() > 0, "no connection was used again")
 }
 
 // chunk returns text as one chunk of a body.
