Soak: fault plans of parallel seeds share no state

Callers saw: nothing; the soak's regression seeds failed once in three runs under the race detector on a busy machine (load 53). Cause: the closure of a store fault wrote its seed into a variable that all plans share, and the regression seeds run in parallel. One seed's store could also get the fault seed of another, so that a failure was not replayed by its seed alone. Change: each injection copies the fault. Ruled out: a race of the entries; all of the reported accesses are at faultplan.go:176. Evidence: go test -race ./bench/soak on the code before: WARNING: DATA RACE Write at ... soak.init.storeFault.func20() bench/soak/faultplan.go:176 Previous write at ... faultplan.go:176 --- FAIL: TestRegressionSeeds/215 /202 /311 /315 /303 Why it works: no write to a shared variable is left in the plan.

--- a/bench/soak/faultplan.go
+++ b/bench/soak/faultplan.go
@@ -173,8 +173,9 @@
 
 func storeFault(f kv.Faults) func(p *faultPlan) func() {
 	return func(p *faultPlan) func() {
-		f.Seed = p.random.Uint64()
-		p.deployment.store.SetFaults(f)
+		seeded := f
+		seeded.Seed = p.random.Uint64()
+		p.deployment.store.SetFaults(seeded)
 		return func() { p.deployment.store.SetFaults(kv.Faults{}) }
 	}
 }
