A target that asks for no requests for a while gets none

Callers saw: nothing yet; requests were sent to full targets again and again, each at the price of a retry, and streams of which nothing had run waited at the entry until their time was over while all targets turned them away. Cause: Retry-After of a target's 503 was not read. Change: it starts a backoff of that incarnation for this entry (placement.Table.RecordBackoff). The latest end counts, however far away; registrations do not change it, the next incarnation or ID starts clean, and the target's health is not touched. Placement, its last resort, hedges, retries, KV copies and probes of targets that are down pass over it; attempts that were placed and not yet sent are withdrawn. Reports, probes of attempts that run there and the KV copy calls for them go on: they are no requests, and what runs there would be lost without them. Meaning of the values (platform.decodeRetryAfter, table test): seconds with or without a fraction are kept, 100 years at most; zero and a missing field delay nothing; a date counts from the Date of the same response, since clocks differ; signs, exponents, units, lists and other text are malformed and ignored. Only 503 counts, also without the promise that the request has not run: the time is about the target, the promise about the request, which is handled as before (502 to the caller). A response that names another request starts none. Of the two requests that a target bears, one is kept for a stream that would lose its KV copy there; the other is left for a request that was on its way. After the end the target gets one attempt each 50 ms until it accepts one: what was held back, also by an entry that was paused beyond the end, does not return at once. If all targets of a service drain or want nothing, callers are refused at once, streams of which nothing has run included. Their Retry-After follows the earliest end, spread over half of that time and half a second at least. One log line at the start (target_backoff: request, target, incarnation, time) and at the end, a counter, and mlctl explain names it also for other requests; the error of a request without a target counts those that back off. Ruled out: a queue in the entry for callers with time left. Its requests would reach the target together at the end, and other entries, which the target may not have turned away, could serve them sooner. Telling peers: the time is for this entry alone. A slow start by the number of accepted requests: engines respond a second after they accept, so work would return late. Why it works: all choices of a target go through placement, and a response is recorded before its request is retried.

--- a/command/explain.go
+++ b/command/explain.go
@@ -47,12 +47,13 @@
 	"budget_denied":     "the retry budget allowed no further attempt",
 	"withdrawn":         "its target announced meanwhile that it takes no requests; nothing was sent",
 	"target_leaving":    "the target announced that it is leaving",
+	"target_backoff":    "the target asked for no requests for a while",
 	"ended":             "the request was over",
 }
 
 // targetStates are the events by which responses change what entries believe of a target.
 // They name the request that was answered, and matter to all requests of that target.
-var targetStates = map[string]bool{"target_leaving": true}
+var targetStates = map[string]bool{"target_leaving": true, "target_backoff": true}
 
 func newExplain() *cobra.Command {
 	command := &cobra.Command{
@@ -219,7 +220,7 @@
 // string for other lines.
 func (l logLine) describeProblem() string {
 	switch l.Event {
-	case "broken", "not_reached", "refused_by_target", "withdrawn", "target_leaving":
+	case "broken", "not_reached", "refused_by_target", "withdrawn", "target_leaving", "target_backoff":
 		return fmt.Sprintf("%s at %s (%s)", eventMeanings[l.Event], l.values["target"], l.Fields)
 	case "budget_denied":
 		return fmt.Sprintf("%s (%s)", eventMeanings[l.Event], l.Fields)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -72,6 +72,9 @@
 	copyRefusedBy  []request.TargetID
 	streaming      bool
 	streamingSince time.Time
+	// reserved is set if the attempt uses up a request that was reserved for it at a target
+	// that asked for none.
+	reserved bool
 }
 
 // handleTargetDown cancels the attempt because its target was marked down.
@@ -229,7 +232,7 @@
 			c.markReplaced(a.target.ID)
 			return
 		}
-		c.recordAnnouncement(a.exchange.inbound.ID, a.target, reply.Announcement)
+		c.recordReplyAnnouncement(a, reply)
 		c.table.RecordResponse(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
 	})
 }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -252,6 +252,7 @@
 		c.checkSilence(now, m)
 	}
 	c.detectSuspension(now, delay > pauseThreshold)
+	c.logEndedBackoffs(now)
 	c.reprobeDown(now)
 	c.findSuccessors(now)
 	if now.Sub(c.lastUpdateSent) > updateInterval {
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -204,7 +204,7 @@
 	header := e.writer.Header()
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
-		retryAfter = e.gateway.retryAfter(kind)
+		retryAfter = e.retryAfter(kind)
 	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
 	e.writer.WriteHeader(response.Status)
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -232,7 +232,7 @@
 // callEngine makes a call to a registered engine that is not part of a caller's request.
 func (g *Gateway) callEngine(ctx context.Context, engine placement.Registration, call platform.TargetCall, maxIdle, timeout time.Duration) (int, []byte, error) {
 	status, header, body, err := g.callTarget(ctx, engine.Address, call, maxIdle, timeout)
-	if announced := platform.DecodeAnnouncement(header); !announced.IsZero() {
+	if announced := platform.DecodeAnnouncement(status, header); !announced.IsZero() {
 		g.control.post(func() { g.control.recordAnnouncement("", engine, announced) })
 	}
 	return status, body, err
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -221,12 +221,12 @@
 func (g *Gateway) fetchReport(ctx context.Context, address string, maxIdle time.Duration) (request.Incarnation, error) {
 	g.metrics.probes.Add(ctx, 1)
 	call := platform.TargetCall{Method: http.MethodGet, Path: platform.ReportPath, Header: http.Header{}}
-	_, header, body, err := g.callTarget(ctx, address, call, maxIdle, probeTimeout)
+	status, header, body, err := g.callTarget(ctx, address, call, maxIdle, probeTimeout)
 	if err != nil {
 		return 0, err
 	}
 	incarnation, err := platform.DecodeIncarnation(body)
-	g.recordAnnouncementAt(address, "", incarnation, platform.DecodeAnnouncement(header))
+	g.recordAnnouncementAt(address, "", incarnation, platform.DecodeAnnouncement(status, header))
 	if err != nil {
 		return 0, errors.WithMessage(errNoReport, err.Error())
 	}
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -24,6 +24,7 @@
 	probes            metric.Int64Counter
 	targetsLost       metric.Int64Counter
 	targetsDraining   metric.Int64Counter
+	targetBackoffs    metric.Int64Counter
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
@@ -46,6 +47,7 @@
 		probes:            b.Counter("mulberrylane.probes", "Probes of targets"),
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsDraining:   b.Counter("mulberrylane.targets.leaving", "Targets that announced in a response that they drain, other entries' reports included"),
+		targetBackoffs:    b.Counter("mulberrylane.targets.backoffs", "Responses by which targets asked for no requests for a while"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -171,6 +171,9 @@
 		if a, err = s.placeAttempt(s.ctx, s.requirements(action.Avoid)); err != nil {
 			c := s.gateway.control
 			c.post(func() { c.budget(s.service).Refund(charge) })
+			if s.hopeless() {
+				return request.Event{Type: request.EventCallerDisconnected, Kind: fault.KindOf(err)}
+			}
 			return request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
 		}
 	}
@@ -210,8 +213,9 @@
 	c.do(func() {
 		t := c.table.Get(kvCopy.Target)
 		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.IsDraining() {
-			c.reserve(a, t, s.ctx)
-			found = true
+			if found, a.reserved = t.TakeResume(a.startedAt); found {
+				c.reserve(a, t, s.ctx)
+			}
 		}
 	})
 	if !found {
--- a/process/gateway/successor.go
+++ b/process/gateway/successor.go
@@ -50,7 +50,7 @@
 func (c *control) findSuccessors(now time.Time) {
 	for _, m := range c.monitors {
 		t := c.table.Get(m.id)
-		if t == nil || t.IsDraining() || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
+		if t == nil || t.IsDraining() || t.BackingOff(now) || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
 			continue
 		}
 		m.identifying, m.lastIdentifyAttempt = true, now
@@ -124,6 +124,6 @@
 	if err != nil {
 		return "", err
 	}
-	g.recordAnnouncementAt(address, platform.DecodeResponder(header), 0, platform.DecodeAnnouncement(header))
+	g.recordAnnouncementAt(address, platform.DecodeResponder(header), 0, platform.DecodeAnnouncement(status, header))
 	return platform.DecodeTargetID(status, header), nil
 }
--- a/process/gateway/target_state.go
+++ b/process/gateway/target_state.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -18,6 +20,65 @@
 	if announced.Draining {
 		c.markDraining(target.ID, target.Incarnation, "request", id)
 	}
+	if announced.Backoff <= 0 {
+		return
+	}
+	c.gateway.metrics.targetBackoffs.Add(c.gateway.background, 1)
+	if c.table.RecordBackoff(time.Now(), target.ID, target.Incarnation, announced.Backoff) {
+		c.gateway.log.Event("target_backoff", "request", id, "target", target.ID, "incarnation", target.Incarnation,
+			"for", announced.Backoff)
+	}
+}
+
+// recordReplyAnnouncement records what a target said about itself in its response to an
+// attempt. A refusal that it repeats in response to another request does not delay that one.
+func (c *control) recordReplyAnnouncement(a *attempt, reply request.Reply) {
+	announced := reply.Announcement
+	if reply.NamesOtherRequest {
+		announced.Backoff = 0
+	}
+	c.recordAnnouncement(a.exchange.inbound.ID, a.target, announced)
+	if outcome := reply.Outcome(); announced.Backoff <= 0 && (outcome == request.AttemptAnswered || outcome == request.AttemptFailed) {
+		c.table.RecordAccepted(a.startedAt, a.target.ID)
+	}
+}
+
+// logEndedBackoffs logs the targets that may get requests again.
+func (c *control) logEndedBackoffs(now time.Time) {
+	for _, t := range c.table.TakeEndedBackoffs(now) {
+		c.gateway.log.Event("target_backoff_ended", "target", t.ID, "incarnation", t.Incarnation)
+	}
+}
+
+// backoffSpread is the part of the time for which no target wants requests over which the
+// callers that were refused meanwhile return after it, and retryAfterJitter at least.
+const backoffSpread = 0.5
+
+// retryAfter returns when a refused request is worth retrying: if all targets of its service
+// asked for no requests, after the earliest of them wants some again.
+func (e *exchange) retryAfter(kind fault.Kind) time.Duration {
+	if kind == fault.NoTarget || kind == fault.Overloaded {
+		c := e.gateway.control
+		wait := time.Duration(0)
+		c.do(func() { wait, _ = c.table.Unwilling(time.Now(), e.service) })
+		if wait > 0 {
+			spread := max(retryAfterJitter, time.Duration(backoffSpread*float64(wait)))
+			return wait + time.Duration(rand.Int64N(int64(spread)))
+		}
+	}
+	return e.gateway.retryAfter(kind)
+}
+
+// hopeless reports whether to refuse the stream instead of waiting for a target: nothing of
+// it has run, and no target wants requests.
+func (s *stream) hopeless() bool {
+	if s.recovery.WasRun() != request.RunNo {
+		return false
+	}
+	c := s.gateway.control
+	unwilling := false
+	c.do(func() { _, unwilling = c.table.Unwilling(time.Now(), s.service) })
+	return unwilling
 }
 
 // recordAnnouncementAt records what the process at an address said about itself. id and
@@ -70,7 +131,7 @@
 	accepted := true
 	c.do(func() {
 		t := c.table.Get(a.target.ID)
-		if accepted = t != nil && !t.IsDraining(); !accepted {
+		if accepted = t != nil && !t.IsDraining() && (a.reserved || !t.BackingOff(time.Now())); !accepted {
 			c.budget(a.exchange.service).Refund(a.charge)
 		}
 	})
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -59,6 +59,7 @@
 	t.expirePeers(now)
 	for _, lastResort := range []bool{false, true} {
 		if choice, ok := t.pick(now, requirements, lastResort); ok {
+			choice.Target.recordAttempt(now)
 			return choice, nil
 		}
 	}
@@ -68,17 +69,19 @@
 // noTargetError returns the error of a request that no target can take, with the states of
 // the targets.
 func (t *Table) noTargetError(now time.Time, service string) error {
-	draining, down := 0, 0
+	draining, down, backingOff := 0, 0, 0
 	for _, target := range t.services[service] {
 		switch {
 		case target.IsDraining():
 			draining++
 		case target.Down(now):
 			down++
+		case !target.acceptsAttempt(now):
+			backingOff++
 		}
 	}
-	return fault.New(fault.NoTarget, "no target of %s can take the request: of %d targets, %d are leaving and %d down",
-		service, len(t.services[service]), draining, down)
+	return fault.New(fault.NoTarget, "no target of %s can take the request: of %d targets, %d are leaving, %d down and %d backing off",
+		service, len(t.services[service]), draining, down, backingOff)
 }
 
 // pick chooses among the targets that are up. As a last resort it also considers targets
@@ -86,7 +89,7 @@
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
 	candidates := make([]candidate, 0, len(t.services[requirements.Service]))
 	for _, target := range t.services[requirements.Service] {
-		if target.IsDraining() || target.Down(now) {
+		if target.IsDraining() || target.Down(now) || !target.acceptsAttempt(now) {
 			continue
 		}
 		if !lastResort && (target.AwaitingProbe() || slices.Contains(requirements.Avoid, target.ID)) {
@@ -187,7 +190,7 @@
 		if target == source || target.FailureDomain == source.FailureDomain {
 			continue
 		}
-		if target.IsDraining() || target.Down(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
+		if target.IsDraining() || target.Down(now) || target.BackingOff(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
 			continue
 		}
 		work := t.totalWork(target)
--- a/process/placement/draining.go
+++ b/process/placement/draining.go
@@ -15,6 +15,7 @@
 type announcement struct {
 	incarnation request.Incarnation
 	draining    bool
+	backoff     backoff
 	// recordedAt is when the target last announced something.
 	recordedAt time.Time
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -147,6 +147,8 @@
 	prefillRate    float64
 	// announcements maps targets to what their last incarnation announced in its responses.
 	announcements map[request.TargetID]*announcement
+	// backoffs holds those of targets whose backoff has not been seen to end.
+	backoffs map[request.TargetID]*announcement
 }
 
 // NewTable returns an empty table.
@@ -162,6 +164,7 @@
 		reportingPeers: map[string]bool{},
 		prefillRate:    initialPrefillRate,
 		announcements:  map[request.TargetID]*announcement{},
+		backoffs:       map[request.TargetID]*announcement{},
 	}
 }
 
@@ -373,12 +376,12 @@
 	target.consecutiveFailures++
 }
 
-// ProbeDue returns the targets whose probe is due, ordered by ID. Draining targets get no
-// work after a probe either, so they are left alone.
+// ProbeDue returns the targets whose probe is due, ordered by ID. Those that drain or asked
+// for no requests get no work after a probe either, so they are left alone.
 func (t *Table) ProbeDue(now time.Time) []request.TargetID {
 	var ids []request.TargetID
 	for id, target := range t.targets {
-		if target.ProbeDue(now) && !target.IsDraining() {
+		if target.ProbeDue(now) && !target.IsDraining() && !target.BackingOff(now) {
 			ids = append(ids, id)
 		}
 	}
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -93,6 +93,9 @@
 type Announcement struct {
 	// Draining is set when the target takes no new work.
 	Draining bool
+	// Backoff is how long the target wants no requests from this process; zero if it did not
+	// say so.
+	Backoff time.Duration
 }
 
 // IsZero reports whether the target announced nothing.
