Retries without a target are not charged to the budget

Callers saw: nothing that was reported; retries that other callers needed could be denied while most targets of a service drained or were full. Cause: a hedge or retry of a call takes its charge from the retry budget before a target is chosen, and kept it when there was none. Streams refunded it. Change: call.startAttempt refunds the charge. Ruled out: charging after the choice: two requests could then pass the budget's last unit together. Evidence: go test -run TestRetryBudget_AttemptsWithoutTargetAreNotCharged ./process/gateway before: call_test.go:320: assertion failed: 1 (retries int) != 0 (int) [hedge, retry] Why it works: the only way out of startAttempt without an attempt refunds. Result: passes with -race -count=2.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -88,6 +88,7 @@
 func (c *call) startAttempt(ctx context.Context, charge admission.Charge) error {
 	a, err := c.placeAttempt(ctx, c.requirements)
 	if err != nil {
+		c.gateway.control.post(func() { c.gateway.control.budget(c.service).Refund(charge) })
 		return err
 	}
 	a.charge = charge
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -291,3 +292,33 @@
 	}
 	assert.Equal(t, len(d.fleet.ExecutionLog.Executions(""))-len(before), 4)
 }
+
+// Hedges and retries for which there is no target must not use up the budget that others
+// need.
+func TestRetryBudget_AttemptsWithoutTargetAreNotCharged(t *testing.T) {
+	for name, only := range map[string]struct {
+		callTime time.Duration
+		faults   replica.Faults
+	}{
+		"hedge": {callTime: 400 * time.Millisecond},
+		"retry": {faults: replica.Faults{Leaving: true, RejectRequests: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			target := d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: only.callTime, Slots: 1})
+			g := d.startReadyEntry("entry-1")
+			target.SetFaults(only.faults)
+			ended := make(chan struct{})
+			go func() { defer close(ended); d.send(g, statusRequest()) }()
+			d.waitUntil(func() bool { return d.requestsAfter("a1", time.Time{}) == 1 })
+			g.control.do(func() {
+				g.control.markDraining("a1", request.Incarnation(target.Config().Incarnation), "request", "r0")
+			})
+			<-ended
+			retries := 0
+			g.control.do(func() { retries = g.control.budget("bookings").Usage(time.Now()).Retries })
+			assert.Equal(t, retries, 0)
+			assert.Equal(t, d.requestsAfter("a1", time.Time{}), 1)
+		})
+	}
+}
