--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -45,12 +45,16 @@
 	cancel     context.CancelFunc
 	monitor    *targetMonitor
 	conn       *target.Conn
+	// reply is the head of the response, if there was one.
+	reply request.Reply
 	// stopClose stops the end of the attempt from closing the connection. It returns
 	// false if the connection is already being closed.
 	stopClose func() bool
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
+	// sentBefore is set if the request was sent to the target before.
+	sentBefore bool
 	// prefillUncontended is set if the target had no other prompt to prefill when the
 	// attempt was placed.
 	prefillUncontended bool
@@ -59,8 +63,21 @@
 	// other attempts when they are cancelled for that reason.
 	keepWhenDown bool
 	targetDown   atomic.Bool
+	// endSeen is set if an earlier attempt of the stream ended at the same position without
+	// an event.
+	endSeen bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
+	// responseStarted is set when the target has begun to respond, at responseStartedAt;
+	// survived when it has gone on for long enough, so that it does not crash on the
+	// prompt. quarantined is set when the attempt is cancelled because of its prompt.
+	responseStarted   atomic.Bool
+	responseStartedAt time.Time
+	survived          atomic.Bool
+	quarantined       atomic.Bool
+
+	// eventCount counts the events received; the goroutine of the attempt owns it.
+	eventCount int
 
 	// The control goroutine owns the fields below once the attempt is placed.
 
@@ -93,6 +110,9 @@
 	var copyTarget request.TargetID
 	var err error
 	if !c.do(func() {
+		if err = c.checkQuarantine(e); err != nil {
+			return
+		}
 		requirements.CachedPrompt = c.promptIndex.Find(a.startedAt, requirements.Session)
 		if choice, err = c.table.Pick(a.startedAt, requirements); err == nil {
 			a.prefillUncontended = choice.Cost == 0
@@ -173,21 +193,35 @@
 	})
 }
 
-// do sends the request and classifies the head of the response. The response is nil if
-// there was none.
-func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
-	g := a.exchange.gateway
+// connect returns the connection to send the request on, or nil if it cannot or may not be
+// sent.
+func (a *attempt) connect() *target.Conn {
 	maxIdle := maxIdleTime
-	if a.keepWhenDown {
+	switch {
+	case a.sentBefore:
+		// A second copy of that refusal would name this request.
+		maxIdle = 0
+	case a.keepWhenDown:
 		maxIdle = maxIdleNonIdempotent
 	}
-	conn, err := g.pool.Get(a.ctx, a.target.Address, maxIdle)
+	conn, err := a.exchange.gateway.pool.Get(a.ctx, a.target.Address, maxIdle)
 	if err != nil {
 		a.connectFailed(err)
-		return nil, request.Reply{}, request.AttemptUnsent
+		return nil
 	}
 	if !a.mayBeSent() {
 		conn.Close()
+		return nil
+	}
+	return conn
+}
+
+// do sends the request and classifies the head of the response. The response is nil if
+// there was none.
+func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
+	g := a.exchange.gateway
+	conn := a.connect()
+	if conn == nil {
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
 	a.conn = conn
@@ -199,10 +233,15 @@
 		priority := a.exchange.priority()
 		a.spec.Priority = &priority
 	}
+	lateCopies := conn.LateCopies
 	response, err := conn.Do(target.Request{
 		Method: inbound.Method, Path: inbound.Target, Host: inbound.Host,
 		Header: platform.EncodeAttempt(*inbound, a.spec), Body: inbound.Body,
+		ID: string(inbound.ID), ResponseID: platform.ResponseID,
 	})
+	if conn.LateCopies > lateCopies {
+		g.log.Event("late_response_discarded", "request", inbound.ID, "target", a.target.ID)
+	}
 	if errors.Is(err, target.ErrNotSent) {
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
@@ -212,28 +251,44 @@
 		return nil, request.Reply{}, request.AttemptBroken
 	}
 	a.monitor.recordSeen(g.control)
-	reply := platform.DecodeReply(response, inbound.ID)
-	if !reply.WrongTarget && reply.Outcome() != request.AttemptBroken {
+	a.reply = platform.DecodeReply(response, inbound.ID)
+	a.reply.ConnectionReused = conn.Reused
+	outcome := a.reply.Outcome()
+	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
 		a.monitor.recordIdentified(g.control)
 	}
-	a.recordReply(reply)
-	if reply.Outcome() == request.AttemptRefused {
-		g.log.Event("refused_by_target", "request", inbound.ID, "target", a.target.ID, "status", reply.Status,
-			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt))
+	a.recordReply(a.reply)
+	a.logReply(outcome)
+	return response, a.reply, outcome
+}
+
+// logReply logs a response that is neither forwarded nor an error of the target.
+func (a *attempt) logReply(outcome request.AttemptOutcome) {
+	log := a.exchange.gateway.log
+	switch outcome {
+	case request.AttemptRefused:
+		log.Event("refused_by_target", "request", a.exchange.inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"fromCopy", a.spec.KVCopyFrom, "after", time.Since(a.startedAt), "named", a.reply.MatchesRequest)
+	case request.AttemptBroken:
+		log.Event("response_rejected", "request", a.exchange.inbound.ID, "target", a.target.ID, "status", a.reply.Status,
+			"named", a.reply.MatchesRequest, "namesOther", a.reply.NamesOtherRequest, "reused", a.reply.ConnectionReused)
 	}
-	return response, reply, reply.Outcome()
 }
 
 // recordReply records what a response says about its target.
 func (a *attempt) recordReply(reply request.Reply) {
 	c := a.exchange.gateway.control
 	c.post(func() {
-		if reply.WrongTarget {
+		outcome, load := reply.Outcome(), reply.Load
+		switch {
+		case outcome == request.AttemptRefused && reply.WrongTarget:
 			c.markReplaced(a.target.ID)
 			return
+		case !reply.BelongsToRequest():
+			load = nil
 		}
 		c.recordReplyAnnouncement(a, reply)
-		c.table.RecordResponse(time.Now(), a.target.ID, reply.Outcome() == request.AttemptBroken, reply.Load)
+		c.table.RecordResponse(time.Now(), a.target.ID, outcome == request.AttemptBroken, load)
 	})
 }
 
@@ -260,10 +315,12 @@
 	}
 	g := a.exchange.gateway
 	g.log.Event("broken", "request", a.exchange.inbound.ID, "target", a.target.ID,
-		"givenUp", a.targetDown.Load(), "after", time.Since(a.startedAt), "error", err.Error())
+		"givenUp", a.targetDown.Load(), "after", time.Since(a.startedAt), "error", err.Error(),
+		"responseStarted", a.responseStarted.Load(), "events", a.eventCount)
 	if a.targetDown.Load() {
 		return
 	}
+	g.control.recordBroken(a)
 	g.probeAfterFailure(a.target.ID)
 	if a.conn != nil && !a.conn.Reused && !a.isStreaming() {
 		g.control.post(func() {
@@ -286,11 +343,17 @@
 
 // releaseConnection returns the connection to the pool after the whole body has been
 // read. From then on the end of the attempt must not close it, since another request
-// may use it.
+// may use it. A response that names no request may arrive once more and could not be told
+// from that to the next request, so its connection is closed.
 func (a *attempt) releaseConnection(response *http.Response) {
-	if a.stopClose() {
-		a.exchange.gateway.pool.Put(a.conn, response)
+	if !a.stopClose() {
+		return
+	}
+	if !a.reply.MatchesRequest {
+		a.conn.Close()
+		return
 	}
+	a.exchange.gateway.pool.Put(a.conn, response)
 }
 
 // readAtMost reads a body that must not be longer than limit.
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -28,6 +28,7 @@
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
+	partsQuarantined  metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -49,6 +50,7 @@
 		targetsDraining:   b.Counter("mulberrylane.targets.leaving", "Targets that announced in a response that they drain, other entries' reports included"),
 		targetBackoffs:    b.Counter("mulberrylane.targets.backoffs", "Responses by which targets asked for no requests for a while"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
+		partsQuarantined:  b.Counter("mulberrylane.prompt.parts.quarantined", "Prompt parts put in quarantine because engines crashed on them"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
@@ -95,6 +97,10 @@
 			Name: "mulberrylane.entries.heard", Description: "Other entries that were heard lately",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(len(c.peerLastSeen)) }),
 		},
+		{
+			Name: "mulberrylane.prompt.parts.in_quarantine", Description: "Prompt parts in quarantine now",
+			Read: fromControl(func(c *control, now time.Time) int64 { return int64(len(c.quarantine.Quarantined(now))) }),
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -45,8 +45,13 @@
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
 	resumeCopy, retriedCopy peers.KVCopy
-	head                    *http.Response
-	headWritten             bool
+	// head is the head of the latest response with events; the caller gets that of the
+	// first events that are delivered.
+	head        *http.Response
+	headWritten bool
+	// emptyEndAt is the position at which the last response without an event ended, 0 if
+	// there was none.
+	emptyEndAt int
 	// unsentAttempts counts the attempts that did not reach their targets.
 	unsentAttempts int
 	interruptedAt  time.Time
@@ -158,6 +163,9 @@
 // selectTarget selects the target of the next attempt: the one that holds the KV copy
 // if there is one, else the best for prefilling the whole prompt.
 func (s *stream) selectTarget(action request.Action) request.Event {
+	if err := s.checkQuarantine(); err != nil {
+		return request.Event{Type: request.EventNoTarget, Kind: fault.KindOf(err)}
+	}
 	var charge admission.Charge
 	if int(s.recovery.Attempts()) > s.unsentAttempts {
 		var ok bool
@@ -234,6 +242,7 @@
 	s.selected = nil
 	s.running[action.Attempt] = a
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
+	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
 	s.gateway.control.post(func() { s.gateway.control.recordCopy(a) })
 	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
 }
@@ -244,9 +253,7 @@
 	case len(update.events) > 0:
 		s.handleTokens(update)
 	case update.complete:
-		if s.head == nil {
-			s.head = update.head
-		}
+		s.head = update.head
 		s.handleEvent(request.Event{
 			Type: request.EventEnded, Attempt: update.number, Position: s.recovery.Output().Len(),
 		})
@@ -254,6 +261,9 @@
 		if update.failureResponse != nil {
 			s.failureResponse = update.failureResponse
 		}
+		if update.emptyEnd {
+			s.emptyEndAt = update.attempt.spec.Position
+		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
 	}
@@ -284,9 +294,7 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
-	if s.head == nil {
-		s.head = update.head
-	}
+	s.head = update.head
 	first := update.events[0].ID
 	tokens := make([]request.TokenID, len(update.events))
 	s.rawEvents = s.rawEvents[:0]
@@ -359,7 +367,7 @@
 	})
 }
 
-// writeHead forwards the response head of the first target that responded.
+// writeHead forwards the response head unless one was forwarded before.
 func (s *stream) writeHead() {
 	if s.headWritten {
 		return
@@ -398,9 +406,9 @@
 	default:
 		kind := s.endKind
 		switch mayHaveRun := s.recovery.WasRun() != request.RunNo; {
-		case mayHaveRun && guaranteesNotRun(kind.Response().Status):
+		case mayHaveRun && request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.TargetLost
-		case !mayHaveRun && !guaranteesNotRun(kind.Response().Status):
+		case !mayHaveRun && !request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.Overloaded
 		}
 		s.refuse(fault.New(kind, "no target answered"), attempts)
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -21,6 +21,8 @@
 	kind     fault.Kind
 	// failureResponse is the target's own error response, if it sent one.
 	failureResponse *bufferedResponse
+	// emptyEnd is set if the response ended without an event and an error.
+	emptyEnd bool
 	// noResponse is set if the request was sent and no valid response received, unless
 	// the target was marked down meanwhile.
 	noResponse bool
@@ -51,22 +53,38 @@
 	}
 	response, reply, outcome := a.do()
 	a.exchange.gateway.metrics.countAttempt(outcome.String())
+	if a.quarantined.Load() {
+		a.closeConnection()
+		send(attemptUpdate{kind: fault.Quarantined})
+		return
+	}
 	if outcome != request.AttemptAnswered {
 		send(a.failureUpdate(response, outcome, reply))
 		return
 	}
 	if reply.Status != http.StatusOK {
-		update := attemptUpdate{kind: fault.BadRequest}
-		if body, err := a.readBody(response); err == nil {
-			update.failureResponse = &bufferedResponse{head: response, body: body}
-		}
-		send(update)
+		send(a.otherResponseUpdate(response))
 		return
 	}
 	a.forwardEvents(response, send)
 }
 
-// failureUpdate returns the update for an attempt whose response is not a stream.
+// otherResponseUpdate returns the update for an attempt whose response to the request is not
+// a stream.
+func (a *attempt) otherResponseUpdate(response *http.Response) attemptUpdate {
+	body, err := a.readBody(response)
+	if err != nil {
+		a.responseFailed(err)
+		return attemptUpdate{kind: fault.TargetLost}
+	}
+	if a.spec.Position > a.exchange.inbound.Position {
+		// Another target has served a part of the stream, so the request is not at fault.
+		return attemptUpdate{kind: fault.TargetLost}
+	}
+	return attemptUpdate{kind: fault.BadRequest, failureResponse: &bufferedResponse{head: response, body: body}}
+}
+
+// failureUpdate returns the update for an attempt that failed.
 func (a *attempt) failureUpdate(response *http.Response, outcome request.AttemptOutcome, reply request.Reply) attemptUpdate {
 	update := attemptUpdate{kind: fault.TargetLost}
 	switch outcome {
@@ -76,26 +94,34 @@
 		update.kind = fault.Overloaded
 		a.conn.Close()
 	case request.AttemptFailed:
-		if body, err := a.readBody(response); err == nil && !guaranteesNotRun(reply.Status) {
+		if body, err := a.readBody(response); err == nil && !request.GuaranteesNotRun(reply.Status) {
 			update.failureResponse = &bufferedResponse{head: response, body: body}
 		}
 	default:
 		update.noResponse = !a.targetDown.Load()
-		if a.conn != nil {
-			a.conn.Close()
-		}
+		a.closeConnection()
 	}
 	return update
 }
 
+// closeConnection closes the connection, if there is one.
+func (a *attempt) closeConnection() {
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
 // forwardEvents sends the events of a stream until it ends or breaks.
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
+	a.startResponse()
 	reader := platform.NewEventReader(response.Body)
 	var batch []platform.Event
 	for {
 		event, err := reader.Next()
 		if err == nil {
 			a.monitor.recordIdentified(a.exchange.gateway.control)
+			a.eventCount++
+			a.checkSurvival()
 			batch = append(batch, event)
 			if reader.Buffered() {
 				continue
@@ -112,15 +138,29 @@
 		if err == nil {
 			continue
 		}
-		if platform.IsEndOfStream(err) {
-			a.complete.Store(true)
-			a.releaseConnection(response)
-			send(attemptUpdate{head: response, complete: true})
-			return
-		}
-		a.responseFailed(err)
-		a.conn.Close()
-		send(attemptUpdate{kind: fault.TargetLost})
+		send(a.endOfEvents(response, err))
 		return
 	}
 }
+
+// endOfEvents returns the update for the end of a stream, as which the reader returned err.
+func (a *attempt) endOfEvents(response *http.Response, err error) attemptUpdate {
+	ended := platform.IsEndOfStream(err)
+	end := request.StreamEnd{
+		Position: a.spec.Position, Events: a.eventCount, Confirmed: a.endSeen,
+		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		OtherContent: !platform.MayHoldEvents(response.Header),
+	}
+	if ended && end.Complete() {
+		a.complete.Store(true)
+		a.recordSurvival()
+		a.releaseConnection(response)
+		return attemptUpdate{head: response, complete: true}
+	}
+	a.responseFailed(err)
+	a.conn.Close()
+	if a.quarantined.Load() {
+		return attemptUpdate{kind: fault.Quarantined}
+	}
+	return attemptUpdate{kind: fault.TargetLost, emptyEnd: ended && !end.OtherContent}
+}
--- a/process/gateway/target_state.go
+++ b/process/gateway/target_state.go
@@ -33,6 +33,9 @@
 // recordReplyAnnouncement records what a target said about itself in its response to an
 // attempt. A refusal that it repeats in response to another request does not delay that one.
 func (c *control) recordReplyAnnouncement(a *attempt, reply request.Reply) {
+	if reply.WrongTarget {
+		return
+	}
 	announced := reply.Announcement
 	if reply.NamesOtherRequest {
 		announced.Backoff = 0
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -42,6 +42,21 @@
 	return in.Parts[len(in.Parts)-1].ID
 }
 
+// maxPartIDs is how many parts of a prompt PartIDs returns.
+const maxPartIDs = 32
+
+// PartIDs returns the IDs of the parts of the prompt, in order: the last, and as many of the
+// first as its limit allows.
+func (in *Inbound) PartIDs() []string {
+	ids := make([]string, 0, min(len(in.Parts), maxPartIDs))
+	for i, part := range in.Parts {
+		if i < maxPartIDs-1 || i == len(in.Parts)-1 {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // Endpoint is the identity and address of a target. ID identifies one incarnation
 // of the target: its successor at the same address has a different ID.
 type Endpoint struct {
@@ -76,6 +91,8 @@
 	// it names a different one.
 	MatchesRequest    bool
 	NamesOtherRequest bool
+	// ConnectionReused is set when the connection had carried another request before.
+	ConnectionReused bool
 	// Signed is set when the response carries the target's signature.
 	Signed bool
 	// NotExecuted is set when the target has not run the request and never will.
@@ -106,11 +123,19 @@
 	Running, Waiting, Slots int
 }
 
+// BelongsToRequest reports whether the reply can only be that to the request. Failing
+// targets send a response once more, which may arrive where the next one is expected, so a
+// reply that names no request belongs only to the first request on a connection.
+func (r Reply) BelongsToRequest() bool {
+	return !r.NamesOtherRequest && (r.MatchesRequest || !r.ConnectionReused)
+}
+
 // Outcome classifies the reply by its status and headers alone. A success must carry
-// the target's signature and name the request.
+// the target's signature and name the request. A status that guarantees callers that the
+// request has not run is a failure unless the target says so itself.
 func (r Reply) Outcome() AttemptOutcome {
 	switch {
-	case r.NamesOtherRequest:
+	case !r.BelongsToRequest():
 		return AttemptBroken
 	case r.NotExecuted:
 		return AttemptRefused
@@ -119,9 +144,20 @@
 			return AttemptAnswered
 		}
 		return AttemptBroken
-	case r.Status >= 500:
+	case r.Status >= 500, GuaranteesNotRun(r.Status):
 		return AttemptFailed
 	default:
 		return AttemptAnswered
 	}
 }
+
+// GuaranteesNotRun reports whether a status tells callers that the request has not run. A
+// target guarantees that only with NotExecuted.
+func GuaranteesNotRun(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	default:
+		return false
+	}
+}
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -78,13 +78,16 @@
 	case faults.Silent:
 		r.hang(req.Context())
 	case expectedID != "" && expectedID != r.config.ID:
+		w.Header().Set("Attempt-Id", id)
 		w.Header().Set("Instance-Id", r.config.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case faults.Shedding:
+		w.Header().Set("Attempt-Id", id)
 		shed(w, faults)
 		return
 	case faults.RejectRequests || !r.takeKVCopy(req):
+		w.Header().Set("Attempt-Id", id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -200,6 +203,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	r.crashOnPart(req, controller)
 	for eventID := position + 1; eventID <= r.config.EventCount; eventID++ {
 		r.recordKVCopy(req.Header.Get("Kv-Backup"), id)
 		faults := r.currentFaults()
