--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -89,6 +89,9 @@
 	copyRefusedBy  []request.TargetID
 	streaming      bool
 	streamingSince time.Time
+	// reserved is set if the attempt uses up a request that was reserved for it at a target
+	// that asked for none.
+	reserved bool
 }
 
 // handleTargetDown cancels the attempt because its target was marked down.
@@ -190,10 +193,9 @@
 	})
 }
 
-// do sends the request and classifies the head of the response. The response is nil if
-// there was none.
-func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
-	g := a.exchange.gateway
+// connect returns the connection to send the request on, or nil if it cannot or may not be
+// sent.
+func (a *attempt) connect() *target.Conn {
 	maxIdle := maxIdleTime
 	switch {
 	case a.sentBefore:
@@ -202,13 +204,24 @@
 	case a.keepWhenDown:
 		maxIdle = maxIdleNonIdempotent
 	}
-	conn, err := g.pool.Get(a.ctx, a.target.Address, maxIdle)
+	conn, err := a.exchange.gateway.pool.Get(a.ctx, a.target.Address, maxIdle)
 	if err != nil {
 		a.connectFailed(err)
-		return nil, request.Reply{}, request.AttemptUnsent
+		return nil
 	}
 	if !a.mayBeSent() {
 		conn.Close()
+		return nil
+	}
+	return conn
+}
+
+// do sends the request and classifies the head of the response. The response is nil if
+// there was none.
+func (a *attempt) do() (*http.Response, request.Reply, request.AttemptOutcome) {
+	g := a.exchange.gateway
+	conn := a.connect()
+	if conn == nil {
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
 	a.conn = conn
@@ -280,7 +293,7 @@
 		case !reply.BelongsToRequest():
 			load = nil
 		}
-		c.recordAnnouncement(a.exchange.inbound.ID, a.target, reply.Announcement)
+		c.recordReplyAnnouncement(a, reply)
 		c.table.RecordResponse(time.Now(), a.target.ID, outcome == request.AttemptBroken, load)
 	})
 }
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -228,7 +228,7 @@
 	header := e.responseHeader()
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
-		retryAfter = e.gateway.retryAfter(kind)
+		retryAfter = e.retryAfter(kind)
 	}
 	if kind == fault.Quarantined {
 		retryAfter = time.Until(e.quarantinedUntil)
