--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -24,6 +24,7 @@
 	probes            metric.Int64Counter
 	targetsLost       metric.Int64Counter
 	targetsDraining   metric.Int64Counter
+	targetBackoffs    metric.Int64Counter
 	targetsAdopted    metric.Int64Counter
 	retriesDenied     metric.Int64Counter
 	panics            metric.Int64Counter
@@ -47,6 +48,7 @@
 		probes:            b.Counter("mulberrylane.probes", "Probes of targets"),
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsDraining:   b.Counter("mulberrylane.targets.leaving", "Targets that announced in a response that they drain, other entries' reports included"),
+		targetBackoffs:    b.Counter("mulberrylane.targets.backoffs", "Responses by which targets asked for no requests for a while"),
 		targetsAdopted:    b.Counter("mulberrylane.targets.adopted", "Next lives of targets found while the store was away"),
 		partsQuarantined:  b.Counter("mulberrylane.prompt.parts.quarantined", "Prompt parts put in quarantine because engines crashed on them"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
