Soak: targets that shed with Retry-After

Callers saw: nothing; this is a part of the tests. Cause: no run had targets that refuse requests with 503 and Retry-After. Change: targets shed, alone, two at once and while they leave, with whole and fractional seconds. From the arrivals at targets the soak checks that at most two requests reach a target from an entry between half a second after such a refusal and the end of its time. A restart or a pause of the entry, a fault of the link or a stall of the soak just after the refusal excuse it, an outage of the store does not. Ruled out: counting by target alone; what one entry sends says nothing of another. Why it works: the time runs from the refusal, whatever the target does later.

--- a/bench/soak/seriesfaults.go
+++ b/bench/soak/seriesfaults.go
@@ -17,6 +17,19 @@
 var replyFaults = faultList{300 * time.Millisecond, 2 * time.Second, []fault{
 	{"target-leaves", leave(replica.Faults{})},
 	{"target-leaves-and-closes", leave(replica.Faults{CloseConnections: true})},
+	{"target-leaves-and-sheds", leave(replica.Faults{Shedding: true, RetryAfter: "0.5"})},
+	{"target-sheds", func(p *faultPlan) func() {
+		retryAfter := []string{"0.8", "1", "1.75", "2", "3", "3.2"}[p.random.IntN(6)]
+		return targetFault(replica.Faults{Shedding: true, RetryAfter: retryAfter})(p)
+	}},
+	{"targets-shed", func(p *faultPlan) func() {
+		first := targetFault(replica.Faults{Shedding: true, RetryAfter: "1.25"})(p)
+		second := targetFault(replica.Faults{Shedding: true, RetryAfter: "2"})(p)
+		return func() {
+			first()
+			second()
+		}
+	}},
 	{"signals", func(p *faultPlan) func() {
 		e := p.randomEntry()
 		signals := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGTERM, syscall.SIGCONT, syscall.SIGTERM}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -42,9 +44,13 @@
 	return report
 }
 
+// The seed is one whose run has targets that leave and targets that shed.
 func TestShortSoak(t *testing.T) {
 	report := runSeed(t, buildGateway(t), 1, 6*time.Second)
 	assert.Assert(t, report.Covered["crashes on a prompt part"] > 0, "%v", report.Covered)
+	played := slices.Collect(maps.Keys(report.Faults))
+	assert.Assert(t, slices.ContainsFunc(played, func(name string) bool { return strings.HasPrefix(name, "target-leaves") }), "%v", played)
+	assert.Assert(t, slices.Contains(played, "target-sheds") || slices.Contains(played, "targets-shed"), "%v", played)
 }
 
 func TestPlannedWork_BreaksOffNoRequest(t *testing.T) {
--- a/bench/soak/targetchecks.go
+++ b/bench/soak/targetchecks.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,6 +13,10 @@
 
 // Bounds of what targets may see.
 const (
+	// backoffSlack is how long after a target has shed a request others may still arrive,
+	// and maxBackoffArrivals is how many may arrive later, before its Retry-After ends.
+	backoffSlack       = 500 * time.Millisecond
+	maxBackoffArrivals = 2
 	// stableWindow is how long an entry must be undisturbed to be in touch.
 	stableWindow = 3 * time.Second
 	// crashesToBlock is the number of crashes after which requests with the prompt part at
@@ -66,8 +71,10 @@
 	}
 	var violations []string
 	for pair, arrivals := range v.arrivalsByTarget {
-		if violation := v.checkLeaving(arrivals); violation != "" {
-			violations = append(violations, pair+": "+violation)
+		for _, violation := range []string{v.checkLeaving(arrivals), v.checkBackoff(arrivals)} {
+			if violation != "" {
+				violations = append(violations, pair+": "+violation)
+			}
 		}
 	}
 	if violation := v.checkPromptCrashes(); violation != "" {
@@ -110,6 +117,33 @@
 	return r.respondedAt, fromTarget || refused
 }
 
+// checkBackoff checks how many requests reached a target from one entry before the end of
+// the Retry-After that the target has told it.
+func (v *targetView) checkBackoff(arrivals []replica.Arrival) string {
+	for _, shed := range arrivals {
+		seconds, err := strconv.ParseFloat(shed.RetryAfter, 64)
+		if !shed.Shed || err != nil {
+			continue
+		}
+		end := shed.At.Add(time.Duration(seconds * float64(time.Second)))
+		if v.entries[shed.Entry].any(shed.At, end, restarted, paused) || v.links[shed.Target].any(shed.At, end) ||
+			v.stalls.any(shed.At, shed.At.Add(backoffSlack)) {
+			continue
+		}
+		v.covered["replies with Retry-After"]++
+		count := 0
+		for _, a := range arrivals {
+			if a.At.After(shed.At.Add(backoffSlack)) && a.At.Before(end) {
+				count++
+			}
+		}
+		if count > maxBackoffArrivals {
+			return fmt.Sprintf("%d requests arrived in the %s s after it had shed %s", count, shed.RetryAfter, shed.Request)
+		}
+	}
+	return ""
+}
+
 // checkPromptCrashes checks how many requests with the prompt part that crashes engines
 // reached targets, once it was to be known.
 func (v *targetView) checkPromptCrashes() string {
--- a/bench/soak/targetchecks_test.go
+++ b/bench/soak/targetchecks_test.go
@@ -131,6 +131,41 @@
 	}
 }
 
+func TestCheckBackoff(t *testing.T) {
+	shed := replica.Arrival{Target: "i-1", Entry: "e1", Shed: true, RetryAfter: "1.5"}
+	sound := replica.Arrival{Target: "i-1", Entry: "e1"}
+	for name, test := range map[string]struct {
+		times []float64
+		last  replica.Arrival
+		build func(b *viewBuilder)
+		want  string
+	}{
+		"three":        {[]float64{0.6, 1, 1.4}, sound, nil, "3 requests arrived in the 1.5 s after it had shed r0"},
+		"two":          {[]float64{0.6, 1.4}, sound, nil, ""},
+		"under way":    {[]float64{0.1, 0.2, 0.3, 0.4, 0.6, 1}, sound, nil, ""},
+		"after":        {[]float64{0.6, 1, 1.6}, sound, nil, ""},
+		"other entry":  {[]float64{0.6, 1, 1.4}, replica.Arrival{Target: "i-1", Entry: "e2"}, nil, ""},
+		"shed again":   {[]float64{0.6, 1, 1.4}, shed, nil, "3 requests arrived"},
+		"restarted":    {[]float64{0.6, 1, 1.4}, sound, func(b *viewBuilder) { b.disrupt(b.view.entries["e1"], restarted, 0.2, 0.2) }, ""},
+		"stalled":      {[]float64{0.6, 1, 1.4}, sound, func(b *viewBuilder) { b.disrupt(b.view.stalls, stalled, 0.2, 0.4) }, ""},
+		"stalled late": {[]float64{0.6, 1, 1.4}, sound, func(b *viewBuilder) { b.disrupt(b.view.stalls, stalled, 0.6, 0.9) }, "3 requests arrived"},
+		"link faulty":  {[]float64{0.6, 1, 1.4}, sound, func(b *viewBuilder) { b.disrupt(b.view.links["i-1"], linkFault, -1, 0.2) }, ""},
+		"store faulty": {[]float64{0.6, 1, 1.4}, sound, func(b *viewBuilder) { b.disrupt(b.view.store, storeFaulty, -1, 2) }, "3 requests arrived"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newViewBuilder()
+			b.add(0, shed)
+			for _, at := range test.times {
+				b.add(at, test.last)
+			}
+			if test.build != nil {
+				test.build(b)
+			}
+			b.check(t, test.want)
+		})
+	}
+}
+
 func TestCheckPromptCrashes(t *testing.T) {
 	crashing := replica.Arrival{Target: "i-1", Entry: "e1", PromptParts: "aa:200," + crashPart + ":200,r:6000"}
 	for name, test := range map[string]struct {
