mlctl soak ends its processes when it is interrupted

Callers saw: nothing. An interrupted soak left its entries running. Cause: the command had no signal handling, so its clean-up did not run. Change: SIGINT and SIGTERM cancel the run. Ruled out: a process group of its own for the entries; the run ends them by itself once its context ends. Evidence: before, four entries went on under process 1 after the end of mlctl. Why it works: Run already stops the deployment on every return.

--- a/command/soak.go
+++ b/command/soak.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -25,6 +28,10 @@
 			if firstSeed == 0 {
 				firstSeed = rand.Uint64N(1 << 32)
 			}
+			// An interrupted run still ends the processes that it has started.
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			cmd.SetContext(ctx)
 			return runSoakSeeds(cmd, options, directory, firstSeed, seedCount)
 		},
 	}
