--- a/command/explain.go
+++ b/command/explain.go
@@ -34,22 +34,24 @@
 
 // eventMeanings describes what each event means for the request that it names.
 var eventMeanings = map[string]string{
-	"accepted":          "the entry took the request",
-	"placed":            "a target was chosen",
-	"refused_by_target": "the target said that it did not run it",
-	"not_reached":       "no connection to the target; nothing was sent",
-	"broken":            "the answer broke off",
-	"retried":           "it was sent to another target",
-	"resumed_from_copy": "the stream went on from a copy of its memory",
-	"copy_gone":         "the copy was lost with its target",
-	"copy_moved":        "a new copy was asked for",
-	"copy_failed":       "the new copy could not be made",
-	"budget_denied":     "the retry budget allowed no further attempt",
-	"quarantined":       "engines crash on a part of its prompt",
-	"withdrawn":         "its target announced meanwhile that it takes no requests; nothing was sent",
-	"target_leaving":    "the target announced that it is leaving",
-	"target_backoff":    "the target asked for no requests for a while",
-	"ended":             "the request was over",
+	"accepted":                "the entry took the request",
+	"placed":                  "a target was chosen",
+	"refused_by_target":       "the target said that it did not run it",
+	"response_rejected":       "the response was not certain to be that to the request",
+	"late_response_discarded": "the target answered the request before it once more",
+	"not_reached":             "no connection to the target; nothing was sent",
+	"broken":                  "the answer broke off",
+	"retried":                 "it was sent to another target",
+	"resumed_from_copy":       "the stream went on from a copy of its memory",
+	"copy_gone":               "the copy was lost with its target",
+	"copy_moved":              "a new copy was asked for",
+	"copy_failed":             "the new copy could not be made",
+	"budget_denied":           "the retry budget allowed no further attempt",
+	"quarantined":             "engines crash on a part of its prompt",
+	"withdrawn":               "its target announced meanwhile that it takes no requests; nothing was sent",
+	"target_leaving":          "the target announced that it is leaving",
+	"target_backoff":          "the target asked for no requests for a while",
+	"ended":                   "the request was over",
 }
 
 // targetStates are the events by which responses change what entries believe of a target.
@@ -221,7 +223,7 @@
 // string for other lines.
 func (l logLine) describeProblem() string {
 	switch l.Event {
-	case "broken", "not_reached", "refused_by_target", "withdrawn", "target_leaving", "target_backoff":
+	case "broken", "not_reached", "refused_by_target", "response_rejected", "withdrawn", "target_leaving", "target_backoff":
 		return fmt.Sprintf("%s at %s (%s)", eventMeanings[l.Event], l.values["target"], l.Fields)
 	case "budget_denied", "quarantined":
 		return fmt.Sprintf("%s (%s)", eventMeanings[l.Event], l.Fields)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,6 +93,7 @@
 		return err
 	}
 	a.charge = charge
+	a.sentBefore = slices.Contains(c.requirements.Avoid, a.target.ID)
 	c.requirements.Avoid = append(c.requirements.Avoid, a.target.ID)
 	c.running++
 	c.attempts++
@@ -184,7 +186,12 @@
 func (e *exchange) runCallAttempt(a *attempt) (*bufferedResponse, request.AttemptOutcome) {
 	defer a.release()
 	response, reply, outcome := a.do()
-	if response == nil {
+	switch {
+	case response == nil:
+		return nil, outcome
+	case outcome == request.AttemptBroken, outcome == request.AttemptRefused && response.ContentLength < 0:
+		// The body does not matter, and its end may never come.
+		a.conn.Close()
 		return nil, outcome
 	}
 	body, err := a.readBody(response)
@@ -194,30 +201,17 @@
 	case err != nil:
 		a.responseFailed(err)
 		return nil, request.AttemptBroken
-	case outcome == request.AttemptBroken:
+	}
+	if request.GuaranteesNotRun(reply.Status) {
+		// The target does not guarantee that it has not run the request, so neither may
+		// the entry, and the target's signature holds for its own status only.
 		return nil, outcome
 	}
 	a.responseStartedAt = time.Now()
 	a.recordSurvival()
-	if guaranteesNotRun(reply.Status) {
-		// The target does not guarantee that it has not run the request, so neither may
-		// the entry.
-		response.StatusCode = http.StatusBadGateway
-	}
 	return &bufferedResponse{head: response, body: body}, outcome
 }
 
-// guaranteesNotRun reports whether a status tells callers that the request has not run.
-func guaranteesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
-		http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // respond ends a call with the last response, or with an error if there is none.
 func (c *call) respond(kind fault.Kind) {
 	if c.lastResponse != nil {
@@ -226,7 +220,7 @@
 		c.finish(fault.None, c.attempts, "status", c.lastResponse.head.StatusCode, "sent", err == nil)
 		return
 	}
-	if c.mayHaveRun && guaranteesNotRun(kind.Response().Status) {
+	if c.mayHaveRun && request.GuaranteesNotRun(kind.Response().Status) {
 		kind = fault.TargetLost
 	}
 	c.refuse(fault.New(kind, "no target answered"), c.attempts)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -45,8 +45,13 @@
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
 	resumeCopy, retriedCopy peers.KVCopy
-	head                    *http.Response
-	headWritten             bool
+	// head is the head of the latest response with events; the caller gets that of the
+	// first events that are delivered.
+	head        *http.Response
+	headWritten bool
+	// emptyEndAt is the position at which the last response without an event ended, 0 if
+	// there was none.
+	emptyEndAt int
 	// unsentAttempts counts the attempts that did not reach their targets.
 	unsentAttempts int
 	interruptedAt  time.Time
@@ -237,6 +242,7 @@
 	s.selected = nil
 	s.running[action.Attempt] = a
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
+	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
 	s.gateway.control.post(func() { s.gateway.control.recordCopy(a) })
 	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
 }
@@ -247,9 +253,7 @@
 	case len(update.events) > 0:
 		s.handleTokens(update)
 	case update.complete:
-		if s.head == nil {
-			s.head = update.head
-		}
+		s.head = update.head
 		s.handleEvent(request.Event{
 			Type: request.EventEnded, Attempt: update.number, Position: s.recovery.Output().Len(),
 		})
@@ -257,6 +261,9 @@
 		if update.failureResponse != nil {
 			s.failureResponse = update.failureResponse
 		}
+		if update.emptyEnd {
+			s.emptyEndAt = update.attempt.spec.Position
+		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
 	}
@@ -287,9 +294,7 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
-	if s.head == nil {
-		s.head = update.head
-	}
+	s.head = update.head
 	first := update.events[0].ID
 	tokens := make([]request.TokenID, len(update.events))
 	s.rawEvents = s.rawEvents[:0]
@@ -362,7 +367,7 @@
 	})
 }
 
-// writeHead forwards the response head of the first target that responded.
+// writeHead forwards the response head unless one was forwarded before.
 func (s *stream) writeHead() {
 	if s.headWritten {
 		return
@@ -401,9 +406,9 @@
 	default:
 		kind := s.endKind
 		switch mayHaveRun := s.recovery.WasRun() != request.RunNo; {
-		case mayHaveRun && guaranteesNotRun(kind.Response().Status):
+		case mayHaveRun && request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.TargetLost
-		case !mayHaveRun && !guaranteesNotRun(kind.Response().Status):
+		case !mayHaveRun && !request.GuaranteesNotRun(kind.Response().Status):
 			kind = fault.Overloaded
 		}
 		s.refuse(fault.New(kind, "no target answered"), attempts)
