--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -25,19 +27,37 @@
 	return path
 }
 
-func runSeed(t *testing.T, gateway string, seed uint64, faultDuration time.Duration) {
+func runSeed(t *testing.T, gateway string, seed uint64, faultDuration time.Duration) Report {
 	t.Helper()
 	options := DefaultOptions()
 	options.GatewayPath, options.Directory, options.Seed, options.FaultDuration = gateway, t.TempDir(), seed, faultDuration
+	return runSoak(t, options)
+}
+
+func runSoak(t *testing.T, options Options) Report {
+	t.Helper()
 	report, err := Run(context.Background(), options)
 	assert.NilError(t, err)
-	assert.Equal(t, len(report.Violations), 0, "seed %d:\n%s\n%s", seed,
+	assert.Equal(t, len(report.Violations), 0, "seed %d:\n%s\n%s", options.Seed,
 		strings.Join(report.Violations, "\n"), strings.Join(report.Schedule, "\n"))
 	assert.Assert(t, report.RequestsByStatus["200"] > 0)
+	return report
 }
 
+// The seed is one whose run has targets that leave and targets that shed.
 func TestShortSoak(t *testing.T) {
-	runSeed(t, buildGateway(t), 1, 4*time.Second)
+	report := runSeed(t, buildGateway(t), 1, 6*time.Second)
+	assert.Assert(t, report.Covered["crashes on a prompt part"] > 0, "%v", report.Covered)
+	played := slices.Collect(maps.Keys(report.Faults))
+	assert.Assert(t, slices.ContainsFunc(played, func(name string) bool { return strings.HasPrefix(name, "target-leaves") }), "%v", played)
+	assert.Assert(t, slices.Contains(played, "target-sheds") || slices.Contains(played, "targets-shed"), "%v", played)
+}
+
+func TestPlannedWork_BreaksOffNoRequest(t *testing.T) {
+	options := DefaultOptions()
+	options.GatewayPath, options.Directory, options.Seed, options.FaultDuration = buildGateway(t), t.TempDir(), 1, 6*time.Second
+	options.PlannedOnly = true
+	runSoak(t, options)
 }
 
 func TestRegressionSeeds(t *testing.T) {
--- a/command/soak.go
+++ b/command/soak.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -25,6 +28,10 @@
 			if firstSeed == 0 {
 				firstSeed = rand.Uint64N(1 << 32)
 			}
+			// An interrupted run still ends the processes that it has started.
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			cmd.SetContext(ctx)
 			return runSoakSeeds(cmd, options, directory, firstSeed, seedCount)
 		},
 	}
@@ -35,6 +42,7 @@
 	flags.IntVar(&seedCount, "seeds", 1, "how many seeds, one after the other")
 	flags.DurationVar(&options.FaultDuration, "faulty", options.FaultDuration, "how long faults come")
 	flags.DurationVar(&options.RecoveryTime, "calm", options.RecoveryTime, "how long the system has to recover")
+	flags.BoolVar(&options.PlannedOnly, "planned", false, "only planned work, beside which every request must get a response")
 	flags.IntVar(&options.Entries, "entries", options.Entries, "gateway processes")
 	flags.IntVar(&options.Engines, "engines", options.Engines, "model engines")
 	flags.IntVar(&options.Applications, "applications", options.Applications, "application replicas")
@@ -69,8 +77,8 @@
 // violations and the fault schedule.
 func printSoakReport(cmd *cobra.Command, report soak.Report) error {
 	out := cmd.OutOrStdout()
-	if _, err := fmt.Fprintf(out, "seed %d: %d promises broken, requests %v\n",
-		report.Seed, len(report.Violations), report.RequestsByStatus); err != nil {
+	if _, err := fmt.Fprintf(out, "seed %d: %d promises broken, requests %v, checked %v\n",
+		report.Seed, len(report.Violations), report.RequestsByStatus, report.Covered); err != nil {
 		return err //nolint:wrapcheck // wrapped by the caller
 	}
 	if len(report.Violations) == 0 {
