Requests that waited at a crashed engine do not hide the one that had started

Cause: at most eight requests of a crash are remembered, and those that another entry reported first filled them. Evidence: TestTracker_WaitingRequestsDoNotHideTheStartedOne fails on the code before: no part "first" is quarantined instead of "deadly". Result: the tests of the package pass.

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -159,10 +159,7 @@
 		}
 		last := s.Parts[len(s.Parts)-1]
 		known, ok := c.suspects[last]
-		if !ok && len(c.suspects) >= MaxSuspects {
-			continue
-		}
-		if ok && (known.Started || !s.Started) {
+		if ok && (known.Started || !s.Started) || !ok && !c.makeRoom(s) {
 			continue
 		}
 		c.suspects[last] = s
@@ -173,6 +170,25 @@
 	}
 }
 
+// makeRoom reports whether there is room for another suspect. One that had started replaces one
+// that only waited.
+func (c *crash) makeRoom(s Suspect) bool {
+	if len(c.suspects) < MaxSuspects {
+		return true
+	}
+	if !s.Started {
+		return false
+	}
+	waiting := ""
+	for last, other := range c.suspects {
+		if !other.Started && (waiting == "" || last < waiting) {
+			waiting = last
+		}
+	}
+	delete(c.suspects, waiting)
+	return waiting != ""
+}
+
 func (t *Tracker) removeOldestCrash() {
 	if len(t.crashes) <= maxCrashes {
 		return
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// Load: the reports of many waiting requests arrive before that of the one at fault.
+func TestTracker_WaitingRequestsDoNotHideTheStartedOne(t *testing.T) {
+	r := newReplay()
+	found := []string{}
+	for i := 0; len(found) == 0 && i < 5; i++ {
+		r.crashes++
+		report := Crash{Service: "writer", Target: request.TargetID(fmt.Sprint("engine-", r.crashes)), Incarnation: 1}
+		for j := range MaxSuspects {
+			report.Suspects = append(report.Suspects, waiting("first", fmt.Sprint("w", i, j)))
+		}
+		r.tracker.RecordCrash(r.at(1000*i), r.at(1000*i), report)
+		report.Suspects = []Suspect{started("first", "deadly", fmt.Sprint("r", i))}
+		r.tracker.RecordCrash(r.at(1000*i+5), r.at(1000*i), report)
+		found = r.evaluate(1000*i + 600)
+	}
+	assert.DeepEqual(t, found, []string{"deadly"})
+}
+
 // The engine sends nothing before it crashes, so that no request is known to have started.
 func TestTracker_PartIsQuarantinedThoughNoResponseStarted(t *testing.T) {
 	r := newReplay()
