Reports of peers do not move the start and the end of a quarantine

Callers saw (in a replay of 40 entries with a delay of 10 ms): a quarantine ended 48 s late after a minute, and a part that was blamed wrongly was not released by a request that an engine survived. Cause: each report is late by its delay, and entries took a later end, and the later first crash with it, from each other's reports again and again. Change: a report extends no quarantine that is known; of the first crash the earliest report counts. Ruled out: a tolerance for the delay alone, which adds up over many entries. Evidence: TestTracker_ReportsDoNotMoveAQuarantine fails on the code before. Why it works: an entry adopts a quarantine once, and only its own crashes renew it. Result: the tests of the package pass.

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -320,13 +320,19 @@
 	return Record{}, false
 }
 
-// Adopt adds a part that another entry has quarantined, and reports whether it was not known.
+// Adopt adds a part that another entry has quarantined, and reports whether it was not in
+// quarantine. A report arrives late and would move the times of a known part by the delay with
+// each entry that passes it on: the end stays, the first crash is the earliest that was reported.
 func (t *Tracker) Adopt(now time.Time, r Record) bool {
 	if last, ok := t.survived(now, r.Part); ok && last.After(r.From) || !now.Before(r.Until) {
 		return false
 	}
 	known, ok := t.parts[r.Part]
-	if ok && !known.until.Before(r.Until) {
+	if ok && (now.Before(known.until) || r.From.Before(known.until)) {
+		if r.From.Before(known.from) {
+			known.from = r.From
+			t.parts[r.Part] = known
+		}
 		return false
 	}
 	until := r.Until
@@ -334,7 +340,7 @@
 		until = limit
 	}
 	t.add(r.Part, quarantined{from: r.From, until: until, period: max(quarantinePeriod, known.period)})
-	return !ok || !now.Before(known.until)
+	return true
 }
 
 func (t *Tracker) add(part Part, q quarantined) {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -171,6 +171,36 @@
 	}
 }
 
+// Load: many entries repeat a quarantine to each other for a minute, each with some delay.
+func TestTracker_ReportsDoNotMoveAQuarantine(t *testing.T) {
+	const entries, delay, interval = 40, 10, 500
+	trackers := make([]*replay, entries)
+	for i := range trackers {
+		trackers[i] = newReplay()
+	}
+	part := Part{Service: "writer", ID: "deadly"}
+	first := trackers[0]
+	assert.Assert(t, first.tracker.Adopt(first.at(0), Record{Part: part, From: first.at(-1000), Until: first.at(600000)}))
+	for ms := 0; ms < 60000; ms += interval {
+		for _, sender := range trackers {
+			for _, r := range sender.tracker.Quarantined(sender.at(ms)) {
+				for _, receiver := range trackers {
+					late := Record{Part: r.Part, From: r.From.Add(delay * time.Millisecond), Until: r.Until.Add(delay * time.Millisecond)}
+					receiver.tracker.Adopt(receiver.at(ms+delay), late)
+				}
+			}
+		}
+	}
+	for _, r := range trackers {
+		records := r.tracker.Quarantined(r.at(60000))
+		assert.Equal(t, len(records), 1)
+		assert.Assert(t, records[0].Until.Sub(r.at(600000)) <= delay*time.Millisecond, records[0].Until.Sub(r.at(600000)))
+		assert.Assert(t, records[0].From.Sub(r.at(-1000)) <= delay*time.Millisecond)
+		// The end is not undone by a report that is still on its way.
+		assert.Assert(t, !r.tracker.Adopt(r.at(600000+delay), Record{Part: part, From: r.at(-1000 + delay), Until: r.at(600000 + 5*delay)}))
+	}
+}
+
 // A part was sound until the engines were changed.
 func TestTracker_PartThatWasSoundIsQuarantinedAfterMoreCrashes(t *testing.T) {
 	r := newReplay()
