One request that engines crash on does not get its shared parts blamed

Cause: each crash of one request counted for all its parts, so that with two neighbours the second standard was met; the first part, which engines had survived, explained the crashes of the request itself, so that it was not stopped after three. A neighbour counted as started until it had been survived for a second. A request that engines crash on before they respond was never stopped. Change: two crashes of a request count for the parts it shares; a request lost in several crashes explains those of its neighbours; a part that engines have survived explains nothing for a last part; only requests without an event count as started; a request that only waited is quarantined itself after five crashes. Evidence: TestTracker_NeighboursOfOneRequestAreNotQuarantined ("first" is quarantined) and TestTracker_OneWaitingRequestThatCrashesEnginesIsQuarantinedItself fail on the code before. Why it works: a harmful part crashes engines in different requests, a harmful request in its own attempts alone. What remains: if no engine has survived the first part yet and engines crash one after the other by other causes, requests that had just started can get it blamed; the next request that an engine survives releases it.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -128,7 +128,7 @@
 	crash := quarantine.Crash{Service: t.Service, Target: id, Incarnation: lost[0].target.Incarnation}
 	for _, a := range lost {
 		if parts := a.exchange.inbound.PartIDs(); len(parts) > 0 && !a.exchange.survived.Load() {
-			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts, Started: a.responseStarted.Load()})
+			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts, Started: a.responseStarted.Load() && !a.streaming})
 		}
 	}
 	m.broken = nil
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -32,8 +32,15 @@
 	// rivalCrashes is how many crashes another part needs to explain them.
 	rivalCrashes = 2
 	// sessionCrashes is how many crashes lead to the quarantine of a last part, which
-	// belongs to one request or session.
-	sessionCrashes = 3
+	// belongs to one request or session; sessionCrashesWaiting if it only waited.
+	sessionCrashes        = 3
+	sessionCrashesWaiting = 5
+	// maxCrashesOfRequest is how many crashes of one request count for a part that several
+	// have: more say something about that request.
+	maxCrashesOfRequest = 2
+	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
+	// the requests lost with it.
+	repeatedCrashes = 2
 )
 
 // lostRequest is a request that was lost in a crash.
@@ -65,6 +72,7 @@
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
 	e.crashes = 0
+	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
 	for _, l := range e.lost {
@@ -72,7 +80,9 @@
 			e.crashes += most(lost)
 			start, lost = l.at, map[string]int{}
 		}
-		lost[l.request]++
+		if total[l.request]++; len(e.requests) == 1 || total[l.request] <= maxCrashesOfRequest {
+			lost[l.request]++
+		}
 	}
 	e.crashes += most(lost)
 }
@@ -198,7 +208,7 @@
 		return true
 	}
 	if _, last := e.requests[part.ID]; last {
-		return e.crashes >= sessionCrashes && s.startedOnly
+		return e.crashes >= sessionCrashesWaiting || e.crashes >= sessionCrashes && s.startedOnly
 	}
 	return e.crashes >= s.crashes && len(e.requests) >= s.requests
 }
@@ -214,7 +224,7 @@
 			continue
 		}
 		if p.last() {
-			if len(rival.requests) > 1 {
+			if len(rival.requests) > 1 && !rival.survived {
 				return true
 			}
 			continue
@@ -229,8 +239,24 @@
 	return false
 }
 
-// forEachPosition calls visit for the parts of each request that counts.
+// forEachPosition calls visit for the parts of each request that counts. A request that was
+// lost in several crashes explains them: those that were lost with it once are its neighbours.
 func (t *Tracker) forEachPosition(now time.Time, s standard, visit func(p position)) {
+	lost := map[Part]int{}
+	t.forEachSuspect(now, s, func(c *crash, last string, _ Suspect) { lost[Part{Service: c.service, ID: last}]++ })
+	repeated := map[*crash]bool{}
+	t.forEachSuspect(now, s, func(c *crash, last string, _ Suspect) {
+		repeated[c] = repeated[c] || lost[Part{Service: c.service, ID: last}] >= repeatedCrashes
+	})
+	t.forEachSuspect(now, s, func(c *crash, last string, suspect Suspect) {
+		if !repeated[c] || lost[Part{Service: c.service, ID: last}] >= repeatedCrashes {
+			t.visitParts(c, last, suspect, visit)
+		}
+	})
+}
+
+// forEachSuspect calls visit for each request to which the standard applies.
+func (t *Tracker) forEachSuspect(now time.Time, s standard, visit func(c *crash, last string, suspect Suspect)) {
 	for _, c := range t.crashes {
 		started, quarantined := false, false
 		for _, suspect := range c.suspects {
@@ -246,7 +272,7 @@
 			if started && !suspect.Started || quarantined && !found {
 				continue
 			}
-			t.visitParts(c, last, suspect, visit)
+			visit(c, last, suspect)
 		}
 	}
 }
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -59,8 +59,8 @@
 	// Parts lists the IDs of the parts of the prompt, in order. The last belongs to the
 	// request or its session.
 	Parts []string `cbor:"1,keyasint"`
-	// Started reports whether the engine had begun to respond. Requests that were only
-	// waiting are suspected if no other had.
+	// Started reports whether the engine had just begun to respond: no event had arrived
+	// yet. The others are suspected if no request had, and by more crashes.
 	Started bool `cbor:"2,keyasint,omitempty"`
 }
 
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// Load: one request is passed from engine to engine, and each of them had just begun to respond
+// to sound requests of the same caller, too.
+func TestTracker_NeighboursOfOneRequestAreNotQuarantined(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "ok")
+	for i := range 5 {
+		r.crash(110*i, started("first", "deadly", "a"), started("first", fmt.Sprint("s", i)))
+		r.evaluate(110*i + 50)
+	}
+	r.evaluate(1500)
+	assert.Assert(t, !r.quarantined(1500, "first"))
+	assert.Assert(t, r.quarantined(1500, "a"))
+}
+
+// Load: one request that engines crash on before they respond.
+func TestTracker_OneWaitingRequestThatCrashesEnginesIsQuarantinedItself(t *testing.T) {
+	r := newReplay()
+	found := []string{}
+	for i := 0; len(found) == 0 && i < 10; i++ {
+		r.crash(1000*i, waiting("first", "a"), waiting("first", fmt.Sprint("w", i)))
+		r.survived(1000*i+100, "first", "ok")
+		found = r.evaluate(1000*i + 600)
+	}
+	assert.DeepEqual(t, found, []string{"a"})
+}
+
 // Load: the reports of many waiting requests arrive before that of the one at fault.
 func TestTracker_WaitingRequestsDoNotHideTheStartedOne(t *testing.T) {
 	r := newReplay()
