A quarantine that ends while it is being stored leaves no record

Cause: a quarantine of the first part had been released after 0.46 s, before its record was written; the removal came first and the record stayed. Change: an entry that has written a record removes it if the part is no longer in quarantine, also when another entry released it. Ruled out: a condition of the removal on the record's revision, which the entry that releases does not know. Evidence: TestStore_QuarantineReleasedBeforeItIsStoredIsRemoved fails on the code before with "1 != 0". Why it works: the entry that writes a record looks after the write, and later on each release. Result: the tests of quarantines pass, with -race.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -101,10 +101,12 @@
 	discoveredPrompts map[peers.CachedPrompt]time.Time
 	// quarantine knows the prompt parts on which engines crash. recentCrashes and
 	// recentSurvivals hold what this entry saw and the others may not know yet, with the
-	// time until which it is sent.
+	// number of updates that reported it. storedParts holds the parts whose quarantine this
+	// entry writes to the store.
 	quarantine      *quarantine.Tracker
 	recentCrashes   map[crashID]sentCrash
 	recentSurvivals map[quarantine.Part]sentSurvival
+	storedParts     map[quarantine.Part]struct{}
 	// bootClockOffset is the difference between the clock that includes suspended time
 	// and the time since the start of the process, which excludes it; it grows when the
 	// host is suspended. lastResume is when the host or the process was last seen to
@@ -154,6 +156,7 @@
 		quarantine:        quarantine.New(),
 		recentCrashes:     map[crashID]sentCrash{},
 		recentSurvivals:   map[quarantine.Part]sentSurvival{},
+		storedParts:       map[quarantine.Part]struct{}{},
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
 		durations:         map[string]*shutdown.DurationEstimate{},
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -89,7 +89,18 @@
 	}
 }
 
+// releaseByPeer ends the quarantine of a part that another entry found to be sound. That one
+// removes the record, unless this entry stores it only afterwards.
+func (c *control) releaseByPeer(part quarantine.Part) {
+	if _, stored := c.storedParts[part]; stored {
+		c.release([]quarantine.Part{part})
+		return
+	}
+	c.logRelease(part)
+}
+
 func (c *control) logRelease(part quarantine.Part) {
+	delete(c.storedParts, part)
 	c.gateway.log.Event("part_released", "service", part.Service, "part", partHash(part.ID))
 }
 
@@ -150,6 +161,7 @@
 	records := c.quarantine.Evaluate(now)
 	c.quarantineParts(records)
 	for _, r := range records {
+		c.storedParts[r.Part] = struct{}{}
 		go c.gateway.protect("store quarantine", func() { c.gateway.storeQuarantine(r) })
 	}
 }
@@ -252,7 +264,7 @@
 func (c *control) handleQuarantine(now time.Time, update peers.Update) {
 	for _, s := range update.Survivals {
 		for _, part := range c.quarantine.RecordPeerSurvival(quarantine.Survival{Part: s.Part, StartedAt: now.Add(-s.Age)}) {
-			c.logRelease(part)
+			c.releaseByPeer(part)
 		}
 	}
 	for _, crash := range update.Crashes {
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -38,6 +38,10 @@
 func (g *Gateway) storeQuarantine(r quarantine.Record) {
 	for range quarantineStoreAttempts {
 		err := g.tryStoreQuarantine(r)
+		if err == nil && !g.quarantines(r.Part) {
+			// An engine survived the part while the record was written.
+			g.removeQuarantine(r.Part)
+		}
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return
 		}
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -255,6 +255,15 @@
 	d.waitUntil(func() bool { return d.storesQuarantine(deadlyPart) })
 }
 
+// An engine survives a part while its quarantine is being stored.
+func TestStore_QuarantineReleasedBeforeItIsStoredIsRemoved(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	g.storeQuarantine(quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now, Until: now.Add(time.Minute)})
+	assert.Equal(t, len(d.storeValues(platform.QuarantinePrefix)), 0)
+}
+
 // A part that an engine survives leaves the store, too.
 func TestStore_ReleasedPartIsRemoved(t *testing.T) {
 	d := newDeployment(t)
