A crash that is taken back releases its part at all entries

Cause: the entry that saw the same incarnation again forgot the crash and the quarantine, but the others kept both and gave the quarantine back to it. A probe that had been answered just before a crash took that crash back. Change: what a retracted crash releases counts and is reported as a survived request; only a probe sent after the crash takes it back. Ruled out: a report of its own: the others would still have to tell a quarantine that was released from one that is new. TestTracker_RetractedCrashReleasesThePartEverywhere shows it for the tracker. Why it works: a survived request outranks each report of an earlier first crash.

--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -128,6 +128,7 @@
 	if t := c.table.Get(id); t != nil {
 		known = t.Incarnation
 	}
+	start := time.Now()
 	go func() {
 		alive, incarnation := true, request.Incarnation(0)
 		c.gateway.protect("probe", func() { alive, incarnation = c.gateway.probeAddress(address, engine) })
@@ -138,7 +139,7 @@
 				c.markReplaced(id)
 				alive = false
 			default:
-				c.retractCrash(id, incarnation)
+				c.retractCrash(start, id, incarnation)
 			}
 			done(alive)
 		})
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -75,8 +75,7 @@
 // recordSurvival records a survived request. The other entries are told if it may clear a part.
 func (c *control) recordSurvival(startedAt time.Time, service string, parts []string) {
 	for _, part := range c.quarantine.Suspected(service, parts) {
-		c.recentSurvivals[part] = sentSurvival{startedAt: startedAt}
-		c.updatePending = true
+		c.reportSurvival(quarantine.Survival{Part: part, StartedAt: startedAt})
 	}
 	c.release(c.quarantine.RecordSurvival(startedAt, service, parts))
 }
@@ -171,18 +170,33 @@
 	c.quarantine.RecordCrash(now, at, crash)
 	for _, suspect := range crash.Suspects {
 		for _, survival := range c.quarantine.Survivals(now, crash.Service, suspect.Parts) {
-			c.recentSurvivals[survival.Part] = sentSurvival{startedAt: survival.StartedAt}
+			c.reportSurvival(survival)
 		}
 	}
 }
 
-// retractCrash forgets a crash of a target of which the same incarnation responds again.
-func (c *control) retractCrash(id request.TargetID, incarnation request.Incarnation) {
+// retractCrash forgets a crash of a target of which a probe sent at the given time found the same
+// incarnation.
+func (c *control) retractCrash(probedAt time.Time, id request.TargetID, incarnation request.Incarnation) {
 	if m := c.monitors[id]; m != nil {
-		m.broken = nil
+		m.broken = slices.DeleteFunc(m.broken, func(b brokenAttempt) bool { return b.at.Before(probedAt) })
+	}
+	if sent, ok := c.recentCrashes[crashID{id, incarnation}]; ok && sent.at.Before(probedAt) {
+		delete(c.recentCrashes, crashID{id, incarnation})
+	}
+	for _, survival := range c.quarantine.RetractCrash(time.Now(), probedAt, id, incarnation) {
+		c.reportSurvival(survival)
+		c.release([]quarantine.Part{survival.Part})
+	}
+}
+
+// reportSurvival tells the other entries of a survived request.
+func (c *control) reportSurvival(s quarantine.Survival) {
+	if sent, ok := c.recentSurvivals[s.Part]; ok && !s.StartedAt.After(sent.startedAt) {
+		return
 	}
-	delete(c.recentCrashes, crashID{id, incarnation})
-	c.release(c.quarantine.RetractCrash(time.Now(), id, incarnation))
+	c.recentSurvivals[s.Part] = sentSurvival{startedAt: s.StartedAt}
+	c.updatePending = true
 }
 
 // quarantineParts ends the attempts that wait with parts that are now in quarantine.
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -41,6 +41,9 @@
 	maxCrashes    = 256
 	maxSoundParts = 4096
 	maxParts      = 128
+	// retractionMargin is how much the times of a quarantine may differ among entries, because
+	// reports arrive late.
+	retractionMargin = time.Second
 	// MaxSuspects is how many requests of one crash are remembered.
 	MaxSuspects = 8
 	// reportDelay is how long after a crash the requests that only waited begin to count: by
@@ -202,16 +205,17 @@
 	delete(t.crashes, oldest)
 }
 
-// RetractCrash forgets a crash: the same incarnation responds again, so that it was out of
-// reach. It returns the parts that are released because of it.
-func (t *Tracker) RetractCrash(now time.Time, target request.TargetID, number request.Incarnation) []Part {
+// RetractCrash forgets a crash before the given time: a probe that was sent then found the same
+// incarnation, so that it was out of reach. It returns the survivals that release parts because
+// of it, here and at the other entries.
+func (t *Tracker) RetractCrash(now, probedAt time.Time, target request.TargetID, number request.Incarnation) []Survival {
 	key := incarnation{target: target, number: number}
 	c, ok := t.crashes[key]
-	if !ok {
+	if !ok || !c.at.Before(probedAt) {
 		return nil
 	}
 	delete(t.crashes, key)
-	var released []Part
+	var released []Survival
 	for part, q := range t.parts {
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
 			continue
@@ -220,12 +224,23 @@
 		t.changed = true
 		t.Evaluate(now)
 		if _, again := t.parts[part]; !again {
-			released = append(released, part)
+			// As if a request had been survived at the time of the crash: what others still
+			// report of this quarantine is not adopted again.
+			s := Survival{Part: part, StartedAt: later(c.at, q.from.Add(retractionMargin))}
+			t.survivals.Add(part, s.StartedAt)
+			released = append(released, s)
 		}
 	}
 	return released
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // concerns reports whether a suspect of the crash has the part.
 func (c *crash) concerns(part string) bool {
 	for _, s := range c.suspects {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -268,11 +268,30 @@
 	r := newReplay()
 	for i := range 10 {
 		r.crash(1000*i, started("first", fmt.Sprint("r", i)))
-		r.tracker.RetractCrash(r.at(1000*i+600), request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), 1)
+		r.tracker.RetractCrash(r.at(1000*i+600), r.at(1000*i+500), request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), 1)
 		assert.DeepEqual(t, r.evaluate(1000*i+700), []string{})
 	}
 }
 
+// Fault: the entry was cut off from engines, which it took for crashed.
+func TestTracker_RetractedCrashReleasesThePartEverywhere(t *testing.T) {
+	r, other := newReplay(), newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("quiet", fmt.Sprint("r", i)))
+	}
+	assert.Assert(t, r.quarantined(2000, "quiet"))
+	quarantine := r.tracker.Quarantined(r.at(2000))[0]
+	assert.Assert(t, other.tracker.Adopt(other.at(2010), quarantine))
+	// A probe that was answered just before the crash says nothing.
+	assert.Equal(t, len(r.tracker.RetractCrash(r.at(2100), r.at(1990), "engine-3", 1)), 0)
+	released := r.tracker.RetractCrash(r.at(2200), r.at(2100), "engine-3", 1)
+	assert.Equal(t, len(released), 1)
+	assert.Assert(t, !r.quarantined(2200, "quiet"))
+	assert.Assert(t, !r.tracker.Adopt(r.at(2300), quarantine))
+	assert.Equal(t, len(other.tracker.RecordPeerSurvival(released[0])), 1)
+	assert.Assert(t, !other.quarantined(2300, "quiet"))
+}
+
 // Each entry sees one of the crashes and hears of the others.
 func TestTracker_ReportsOfSeveralEntriesOfOneCrashCountOnce(t *testing.T) {
 	r := newReplay()
