A quarantined part reaches engines neither by a moved route nor from a copy

A stream could resume from a KV copy while its part was quarantined. An engine that had announced that it leaves counted as crashed when it ended. Cause: quarantines held for one service; the copy was taken after the check; the registration alone said whether a target drains. Change: a part counts at every service whose engines have not survived it; the check is made where the target of the copy is reserved; what a target announced counts as its registration does. Evidence: TestTracker_QuarantineHoldsAtServicesThatHaveNotSurvivedThePart fails on the code before ("moved is false"). Why it works: the ID of a part stands for its content, whatever the service. Result: the tests of quarantines and KV copies pass, with -race.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -118,7 +118,7 @@
 // broke off just before. A target that drains may end at any time.
 func (c *control) recordCrash(id request.TargetID) {
 	t, m := c.table.Get(id), c.monitors[id]
-	if t == nil || m == nil || t.Draining {
+	if t == nil || m == nil || t.IsDraining() {
 		return
 	}
 	now := time.Now()
@@ -206,7 +206,7 @@
 		ended := 0
 		for _, m := range c.monitors {
 			for a := range m.attempts {
-				if a.exchange.service == r.Service && !a.streaming && slices.Contains(a.exchange.inbound.PartIDs(), r.ID) {
+				if !a.streaming && c.checkQuarantine(a.exchange) != nil {
 					a.quarantined.Store(true)
 					a.cancel()
 					ended++
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -221,7 +221,8 @@
 	found := false
 	c.do(func() {
 		t := c.table.Get(kvCopy.Target)
-		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.IsDraining() {
+		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.IsDraining() &&
+			c.checkQuarantine(s.exchange) == nil {
 			if found, a.reserved = t.TakeResume(a.startedAt); found {
 				c.reserve(a, t, s.ctx)
 			}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -324,17 +324,39 @@
 	return at, ok && now.Sub(at) < soundTTL
 }
 
-// Find returns the first of the parts that is in quarantine.
+// Find returns the quarantine of the first of the parts that is in one. A part that engines of
+// another service crash on counts unless those of this service have survived it: requests move
+// between services that run the same model.
 func (t *Tracker) Find(now time.Time, service string, parts []string) (Record, bool) {
+	if len(t.parts) == 0 {
+		return Record{}, false
+	}
 	for _, id := range parts {
 		part := Part{Service: service, ID: id}
-		if q, ok := t.parts[part]; ok && now.Before(q.until) {
-			return Record{Part: part, From: q.from, Until: q.until}, true
+		if r, ok := t.record(now, part); ok {
+			return r, true
+		}
+		if _, survived := t.survived(now, part); survived {
+			continue
+		}
+		for other := range t.parts {
+			if r, ok := t.record(now, other); ok && other.ID == id {
+				return r, true
+			}
 		}
 	}
 	return Record{}, false
 }
 
+// record returns the quarantine of a part.
+func (t *Tracker) record(now time.Time, part Part) (Record, bool) {
+	q, ok := t.parts[part]
+	if !ok || !now.Before(q.until) {
+		return Record{}, false
+	}
+	return Record{Part: part, From: q.from, Until: q.until}, true
+}
+
 // Adopt adds a part that another entry has quarantined, and reports whether it was not in
 // quarantine. A report arrives late and would move the times of a known part by the delay with
 // each entry that passes it on: the end stays, the first crash is the earliest that was reported.
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -292,6 +292,19 @@
 	assert.Assert(t, !other.quarantined(2300, "quiet"))
 }
 
+// Load: the route of the requests moves to another service.
+func TestTracker_QuarantineHoldsAtServicesThatHaveNotSurvivedThePart(t *testing.T) {
+	r := newReplay()
+	r.tracker.RecordSurvival(r.at(0), "other", []string{"deadly", "ok"})
+	for i := range 3 {
+		r.crash(1000*i, started("first", "deadly", fmt.Sprint("r", i)))
+	}
+	_, moved := r.tracker.Find(r.at(3000), "canary", []string{"first", "deadly", "r9"})
+	assert.Assert(t, moved)
+	_, sound := r.tracker.Find(r.at(3000), "other", []string{"first", "deadly", "r9"})
+	assert.Assert(t, !sound)
+}
+
 // Each entry sees one of the crashes and hears of the others.
 func TestTracker_ReportsOfSeveralEntriesOfOneCrashCountOnce(t *testing.T) {
 	r := newReplay()
