A request that only waited renews no quarantine

Cause: soon after a quarantine one crash is enough, and any lost request counted. Change: only a request to which the engine had just begun to respond does. Evidence: TestTracker_WaitingRequestRenewsNoQuarantine fails on the code before. Why it works: engines crash on a part as they begin to respond.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -204,7 +204,7 @@
 // sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
 // last quarantine one crash does.
 func (t *Tracker) sufficient(part Part, e *evidence, s standard) bool {
-	if past, ok := t.parts[part]; ok && e.lost[len(e.lost)-1].at.After(past.until) {
+	if past, ok := t.parts[part]; ok && s.startedOnly && e.lost[len(e.lost)-1].at.After(past.until) {
 		return true
 	}
 	if _, last := e.requests[part.ID]; last {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -305,6 +305,17 @@
 	assert.Assert(t, !sound)
 }
 
+// An engine that is killed under a waiting request does not renew a quarantine.
+func TestTracker_WaitingRequestRenewsNoQuarantine(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("first", "part", fmt.Sprint("r", i)))
+	}
+	end := 2000 + int(quarantinePeriod.Milliseconds())
+	r.crash(end+1000, waiting("first", "part", "r9"))
+	assert.DeepEqual(t, r.evaluate(end+2000), []string{})
+}
+
 // Each entry sees one of the crashes and hears of the others.
 func TestTracker_ReportsOfSeveralEntriesOfOneCrashCountOnce(t *testing.T) {
 	r := newReplay()
