A failed call is no survived request

Callers saw: nothing; found by reading. An error of a target, or a refusal of the request, cleared the parts of the prompt and could end their quarantine. Cause: every whole response to a call counted as a survived request. Change: only a successful one does. Evidence: TestCall_FailureIsNoSurvivedRequest fails on the code before ("1 != 0"). Why it works: a target that fails may not have begun to work on the prompt. Result: the test passes.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -208,8 +208,10 @@
 		// the entry, and the target's signature holds for its own status only.
 		return nil, outcome
 	}
-	a.responseStartedAt = time.Now()
-	a.recordSurvival()
+	if reply.Status < http.StatusMultipleChoices {
+		a.responseStartedAt = time.Now()
+		a.recordSurvival()
+	}
 	return &bufferedResponse{head: response, body: body}, outcome
 }
 
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -192,6 +192,24 @@
 	})
 }
 
+// Errors of targets say nothing about the parts of the request.
+func TestCall_FailureIsNoSurvivedRequest(t *testing.T) {
+	d := newDeployment(t)
+	application := d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	survivals := func() int {
+		n := 0
+		g.control.do(func() { n = len(g.control.quarantine.Survivals(time.Now(), "bookings", []string{sharedPart})) })
+		return n
+	}
+	application.SetFaults(replica.Faults{RespondWithError: true})
+	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusInternalServerError)
+	assert.Equal(t, survivals(), 0)
+	application.SetFaults(replica.Faults{})
+	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
+	assert.Equal(t, survivals(), 1)
+}
+
 // A request with the part waits at an engine while the part is quarantined.
 func TestStream_WaitingRequestIsEndedWhenItsPartIsQuarantined(t *testing.T) {
 	d := newDeployment(t)
