Reports of crashes fit into a datagram, and their evaluation costs little

Cause: crashes were bounded by number, not by size, and all 256 were evaluated. Ruled out: several datagrams for one update, which would need an order. Evidence: TestPeerUpdate_WithManyCrashesFitsIntoADatagram fails on the code before: "peer update of 44843 bytes is too long for a datagram". Why it works: each list of an update has a bound in bytes. Result: 50 updates in a row stay below 16 KB.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -22,6 +22,10 @@
 	// a failure domain fails, and an update has to fit into a datagram.
 	maxSentCrashes   = 8
 	maxSentSurvivals = 32
+	// maxSentPartBytes limits the IDs of parts in the crashes of one update, and
+	// maxSentQuarantined the parts in quarantine; the others follow in later updates.
+	maxSentPartBytes   = 4 << 10
+	maxSentQuarantined = 32
 )
 
 // brokenAttempt is an attempt whose response broke off.
@@ -149,6 +153,7 @@
 	c.gateway.log.Event("target_crashed", "target", id, "incarnation", crash.Incarnation, "suspects", len(crash.Suspects))
 	key := crashID{id, crash.Incarnation}
 	crash.Suspects = append(crash.Suspects, c.recentCrashes[key].Suspects...)
+	crash.Limit()
 	c.recentCrashes[key] = sentCrash{Crash: crash, at: now}
 	c.updatePending = true
 	c.handleCrash(now, now, crash)
@@ -245,6 +250,7 @@
 
 // addQuarantine adds what other entries need to know of crashes and quarantines to an update.
 func (c *control) addQuarantine(now time.Time, update *peers.Update) {
+	bytes := 0
 	for id, sent := range c.recentCrashes {
 		if sent.count >= crashUpdateCount {
 			if now.Sub(sent.at) > crashConfirmationTime {
@@ -252,7 +258,9 @@
 			}
 			continue
 		}
-		if len(update.Crashes) < maxSentCrashes {
+		size := sent.PartBytes()
+		if len(update.Crashes) < maxSentCrashes && bytes+size <= maxSentPartBytes {
+			bytes += size
 			update.Crashes = append(update.Crashes, peers.Crash{Crash: sent.Crash, Age: now.Sub(sent.at)})
 			sent.count++
 			c.recentCrashes[id] = sent
@@ -269,7 +277,8 @@
 			c.recentSurvivals[part] = sent
 		}
 	}
-	for _, r := range c.quarantine.Quarantined(now) {
+	records := c.quarantine.Quarantined(now)
+	for _, r := range records[:min(len(records), maxSentQuarantined)] {
 		update.Quarantined = append(update.Quarantined, peers.QuarantinedPart{Part: r.Part, Age: now.Sub(r.From), Remaining: r.Until.Sub(now)})
 	}
 }
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -14,7 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -294,3 +296,38 @@
 	assert.Equal(t, len(g.quarantinedParts()), 0)
 	d.waitUntil(func() bool { return len(d.storeValues(platform.QuarantinePrefix)) == 0 })
 }
+
+// Load: a failure domain ends many engines, each with many requests of long prompts, while as
+// many parts as possible are in quarantine.
+func TestPeerUpdate_WithManyCrashesFitsIntoADatagram(t *testing.T) {
+	d := newDeployment(t)
+	first, second := d.startReadyEntry("entry-1"), d.startReadyEntry("entry-2")
+	d.waitForPeers(first, second)
+	now := time.Now()
+	id := func(i int) string { return fmt.Sprintf("%032d", i) }
+	first.control.do(func() {
+		c := first.control
+		for i := range 200 {
+			crash := quarantine.Crash{Service: "writer", Target: request.TargetID(fmt.Sprint("e", i)), Incarnation: 1}
+			for j := range quarantine.MaxSuspects {
+				parts := make([]string, 16)
+				for k := range parts {
+					parts[k] = id(1000*i + 20*j + k)
+				}
+				crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts})
+			}
+			c.recentCrashes[crashID{crash.Target, 1}] = sentCrash{Crash: crash, at: now}
+			c.quarantine.Adopt(now, quarantine.Record{Part: quarantine.Part{Service: "writer", ID: id(i)}, From: now, Until: now.Add(time.Minute)})
+			c.recentSurvivals[quarantine.Part{Service: "writer", ID: id(i)}] = sentSurvival{startedAt: now}
+		}
+	})
+	for range 50 {
+		first.control.do(func() {
+			update := peers.Update{Entry: "entry-1"}
+			first.control.addQuarantine(time.Now(), &update)
+			size, err := first.peers.Send(update, nil)
+			assert.NilError(t, err)
+			assert.Assert(t, size < 16<<10, "%d bytes", size)
+		})
+	}
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -38,7 +38,7 @@
 	maxQuarantinePeriod = 2 * time.Hour
 	// maxCrashes, maxSoundParts and maxParts bound what is remembered; the oldest is
 	// forgotten first. The parts in quarantine fit into a datagram.
-	maxCrashes    = 256
+	maxCrashes    = 64
 	maxSoundParts = 4096
 	maxParts      = 128
 	// retractionMargin is how much the times of a quarantine may differ among entries, because
@@ -91,6 +91,17 @@
 	c.Suspects = c.Suspects[:min(len(c.Suspects), MaxSuspects)]
 }
 
+// PartBytes returns the size of the IDs of the suspects' parts.
+func (c *Crash) PartBytes() int {
+	size := 0
+	for _, s := range c.Suspects {
+		for _, id := range s.Parts {
+			size += len(id)
+		}
+	}
+	return size
+}
+
 // Record is the quarantine of a part.
 type Record struct {
 	Part
@@ -307,7 +318,7 @@
 	return survivals
 }
 
-// Quarantined returns the parts in quarantine.
+// Quarantined returns the parts in quarantine, in no order.
 func (t *Tracker) Quarantined(now time.Time) []Record {
 	var records []Record
 	for part, q := range t.parts {
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -42,11 +42,12 @@
 	return in.Parts[len(in.Parts)-1].ID
 }
 
-// maxPartIDs is how many parts of a prompt PartIDs returns.
-const maxPartIDs = 32
+// maxPartIDs is how many parts of a prompt PartIDs returns: entries remember them, and report
+// them to each other.
+const maxPartIDs = 16
 
 // PartIDs returns the IDs of the parts of the prompt, in order: the last, and as many of the
-// first as its limit allows.
+// first as its limit allows. Those between are left out.
 func (in *Inbound) PartIDs() []string {
 	ids := make([]string, 0, min(len(in.Parts), maxPartIDs))
 	for i, part := range in.Parts {
