A stream that broke off inside an event does not end before that event

Callers saw (in a test): a stream that had broken off inside an event looked complete, after two further targets had closed between head and first event. Cause: two responses without an event confirmed each other that nothing was left. Change: after a response that broke off inside an event, none without events is the end at that position (request.StreamEnd.EventBegun). Ruled out: taking no response without events for the end after a break: a stream that is reset after its last event would break off. Evidence: TestBrokenStream_TargetsThatStopAfterTheHeadDoNotEndIt fails on the code before in all four framings: "a stream that broke off looks complete". Why it works: a begun event is a sure sign that the stream goes on. What remains: after a break between two events, two targets that both stop after their head still look like the end.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -66,6 +66,9 @@
 	// endSeen is set if an earlier attempt of the stream ended at the same position without
 	// an event.
 	endSeen bool
+	// eventBegun is set if an earlier attempt of the stream broke off at the same position
+	// inside the next event.
+	eventBegun bool
 	// complete is set when the whole response has been received.
 	complete atomic.Bool
 	// responseStarted is set when the target has begun to respond, at responseStartedAt;
--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// A stream breaks off inside an event, and the next targets stop between the head and the first
+// event.
+func TestBrokenStream_TargetsThatStopAfterTheHeadDoNotEndIt(t *testing.T) {
+	for framing, frame := range framings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var begun atomic.Bool
+			respond := func(e rawExchange) {
+				if begun.CompareAndSwap(false, true) {
+					e.write(frame(e, e.events(1, deliveredBefore)+e.half(deliveredBefore+1), false))
+					time.Sleep(transferTime)
+				} else {
+					e.write(e.streamHead())
+				}
+				e.close()
+			}
+			for i := range 4 {
+				d.startRawTarget(fmt.Sprint("t", i), "writer", respond)
+			}
+			g := d.startReadyEntry("entry-1")
+			req := streamRequest()
+			req.DeadlineRemaining = 1500 * time.Millisecond
+			response := d.send(g, req)
+			assert.Equal(t, response.status, http.StatusOK)
+			assert.Assert(t, !response.complete, "a stream that broke off looks complete")
+		})
+	}
+}
+
 // Of a stream nothing has been written to the caller, and its only target breaks it off.
 func TestBrokenStream_WithoutAnEventIsNotComplete(t *testing.T) {
 	for _, path := range []string{"/once/x", "/report/x"} {
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -52,6 +52,9 @@
 	// emptyEndAt is the position at which the last response without an event ended, 0 if
 	// there was none.
 	emptyEndAt int
+	// eventBegunAt is the position after which a response broke off inside the next event, 0
+	// if none did.
+	eventBegunAt int
 	// unsentAttempts counts the attempts that did not reach their targets.
 	unsentAttempts int
 	interruptedAt  time.Time
@@ -245,6 +248,7 @@
 	s.running[action.Attempt] = a
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
 	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
+	a.eventBegun = a.spec.Position > 0 && a.spec.Position == s.eventBegunAt
 	s.gateway.control.post(func() { s.gateway.control.recordCopy(a) })
 	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
 }
@@ -266,6 +270,9 @@
 		if update.emptyEnd {
 			s.emptyEndAt = update.attempt.spec.Position
 		}
+		if update.insideEvent {
+			s.eventBegunAt = update.attempt.spec.Position + update.attempt.eventCount
+		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
 	}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -23,6 +23,8 @@
 	failureResponse *bufferedResponse
 	// emptyEnd is set if the response ended without an event and an error.
 	emptyEnd bool
+	// insideEvent is set if the response broke off inside an event.
+	insideEvent bool
 	// noResponse is set if the request was sent and no valid response received, unless
 	// the target was marked down meanwhile.
 	noResponse bool
@@ -138,7 +140,9 @@
 		if err == nil {
 			continue
 		}
-		send(a.endOfEvents(response, err))
+		update := a.endOfEvents(response, err)
+		update.insideEvent = !update.complete && event.Begun()
+		send(update)
 		return
 	}
 }
@@ -147,7 +151,7 @@
 func (a *attempt) endOfEvents(response *http.Response, err error) attemptUpdate {
 	ended := platform.IsEndOfStream(err)
 	end := request.StreamEnd{
-		Position: a.spec.Position, Events: a.eventCount, Confirmed: a.endSeen,
+		Position: a.spec.Position, Events: a.eventCount, Confirmed: a.endSeen, EventBegun: a.eventBegun,
 		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		OtherContent: !platform.MayHoldEvents(response.Header),
 	}
--- a/request/stream_end.go
+++ b/request/stream_end.go
@@ -12,6 +12,9 @@
 	OtherContent bool
 	// Confirmed is set if an earlier attempt from the same position ended like this one.
 	Confirmed bool
+	// EventBegun is set if an earlier attempt broke off at this position inside the next
+	// event, so that the stream goes on.
+	EventBegun bool
 }
 
 // Complete reports whether the stream is complete. A response that ends after an event is.
@@ -21,7 +24,7 @@
 	switch {
 	case e.Events > 0:
 		return true
-	case e.OtherContent:
+	case e.OtherContent, e.EventBegun:
 		return false
 	case e.Framed:
 		return true
