--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -316,3 +316,23 @@
 		})
 	}
 }
+
+// A target stalls inside an event that it began to send together with whole ones.
+func TestStream_EventsBeforeAPartialOneAreForwarded(t *testing.T) {
+	d := newDeployment(t)
+	forwarded := make(chan struct{})
+	d.startRawTarget("t1", "writer", func(e rawExchange) {
+		e.write(e.streamHead() + e.events(1, deliveredBefore) + e.half(deliveredBefore+1))
+		<-forwarded
+		e.write(strings.TrimPrefix(e.events(deliveredBefore+1, testEvents), e.half(deliveredBefore+1)))
+		e.close()
+	})
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	// The deadline of the request ends the wait if the events are held back.
+	req.DeadlineRemaining = 2 * time.Second
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, deliveredBefore)
+	close(forwarded)
+	r.expectRest(t, req.AttemptID, deliveredBefore)
+}
