Sound requests lost beside a harmful one do not quarantine their part

Callers saw: after a start of all entries, nearly all streams were refused with 503 and a Retry-After of ten minutes, since the first part, which all of them share, was in quarantine (LOST). Cause: one evaluation of the crashes judged all parts side by side. Sound requests to which the engines had begun to respond less than a second before were lost with each request that crashed an engine; no later part of their own prompts explains that, and right after a start no survived request clears their part. So the shared part was quarantined together with the harmful one. Change: the part that is most likely to be at fault is quarantined first, the one in most crashes and, of several, the later in the prompts. What else was lost in its crashes is then explained by it, as it was for crashes after a quarantine. Ruled out: a longer wait for survived requests; it delays the quarantine of the harmful part by as much, and five crashes come within a second. Before the change, go test -run Neighbours ./process/quarantine failed: r.quarantined(300*i, "first") is true: after 3 crashes. Why it works: each crash has one cause; a part in all crashes leaves none over for the parts of its neighbours. Result: go test -race ./process/quarantine and the tests of quarantines in ./process/gateway pass. An entry that sees only the sound requests of a crash, before the others have reported theirs, can still blame their part.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -50,6 +51,8 @@
 	survived bool
 	// crashes is the number of crashes, set by count.
 	crashes int
+	// index is the last position of the part in a prompt.
+	index int
 }
 
 func (e *evidence) add(at time.Time, request string) {
@@ -106,16 +109,38 @@
 	}
 	var added []Record
 	for _, s := range standards {
-		for part, e := range t.unexplained(now, s) {
-			if _, known := t.Find(now, part.Service, []string{part.ID}); !known {
-				added = append(added, t.quarantine(now, part, e.lost[0].at))
-			}
+		// A part that is quarantined explains what else was lost in its crashes.
+		for part, e := t.mostLikely(now, s); e != nil; part, e = t.mostLikely(now, s) {
+			added = append(added, t.quarantine(now, part, e.lost[0].at))
 		}
 	}
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	return added
 }
 
+// mostLikely returns the part that is most likely to be at fault among those that are not
+// quarantined and for which the evidence suffices: the one in most crashes, and of several the
+// one that comes later in the prompts. The evidence is nil if there is none.
+func (t *Tracker) mostLikely(now time.Time, s standard) (Part, *evidence) {
+	var best Part
+	var most *evidence
+	for part, e := range t.unexplained(now, s) {
+		if _, known := t.Find(now, part.Service, []string{part.ID}); known {
+			continue
+		}
+		if most == nil || moreLikely(part, e, best, most) {
+			best, most = part, e
+		}
+	}
+	return best, most
+}
+
+func moreLikely(a Part, ofA *evidence, b Part, ofB *evidence) bool {
+	order := cmp.Or(cmp.Compare(ofA.crashes, ofB.crashes), cmp.Compare(ofA.index, ofB.index),
+		strings.Compare(b.Service, a.Service), strings.Compare(b.ID, a.ID))
+	return order > 0
+}
+
 // evaluationDue reports whether there is evidence that has not been evaluated: a new crash, or
 // one from which the requests that waited count by now.
 func (t *Tracker) evaluationDue(now time.Time) bool {
@@ -189,6 +214,7 @@
 		index[p.Part] = e
 	}
 	e.add(p.crash.at, p.request)
+	e.index = max(e.index, p.index)
 }
 
 // sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
