Quarantine that was released does not stay in the store

Callers saw: streams refused for ten minutes by entries that had started after the quarantine of their first part was released by all others (LOST). Cause: the removal of the record was tried once, and failed in an outage of the store; the record itself had been tried up to ten times. A quarantine released while it was being stored was stored all the same. Class of fault: a write that is retried, undone by one that is not. Change: the removal is retried like the write, and an entry that has stored a quarantine that is released by then removes it. Ruled out: a shorter lease; entries that start an hour after the crashes need the record as well. Before the change, go test -run 'ReleasedPart|ReleasedMeanwhile' ./process/gateway failed: "the condition did not become true within 6 s", "1 (int) != 0 (int)". Why it works: whichever of the two writes comes last, the entry that knows of the release removes the record. Result: both tests pass. If the entry that released a part ends before the store is back, the record stays; that is open.

--- /dev/null
+++ b/process/gateway/quarantine_release_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
+)
+
+// Fault: a part is released while the store is away. Its record must not stay: entries that
+// start later would refuse the requests with it.
+func TestStoreOutage_ReleasedPartIsRemovedAfterwards(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now, Until: now.Add(time.Minute)}
+	assert.NilError(t, g.tryStoreQuarantine(record))
+	d.waitUntil(func() bool { return len(g.quarantinedParts()) == 1 })
+	d.store.SetFaults(kv.Faults{Outage: true})
+	g.control.do(func() { g.control.recordSurvival(time.Now().Add(time.Second), "writer", []string{sharedPart, "last"}) })
+	time.Sleep(200 * time.Millisecond)
+	d.store.SetFaults(kv.Faults{})
+	d.waitUntil(func() bool { return len(d.storeValues(platform.QuarantinePrefix)) == 0 })
+}
+
+// A part is released by the time its quarantine is stored.
+func TestStore_QuarantineReleasedMeanwhileIsNotKept(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	part := quarantine.Part{Service: "writer", ID: sharedPart}
+	g.control.do(func() { g.control.recordSurvival(now.Add(time.Second), "writer", []string{sharedPart, "last"}) })
+	g.storeQuarantine(quarantine.Record{Part: part, From: now, Until: now.Add(time.Minute)})
+	assert.Equal(t, len(d.storeValues(platform.QuarantinePrefix)), 0)
+}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -36,17 +36,34 @@
 
 // storeQuarantine stores a quarantine until its end, or for the longest lease.
 func (g *Gateway) storeQuarantine(r quarantine.Record) {
-	for range quarantineStoreAttempts {
+	stored := g.retryStore("quarantine_not_stored", r.Part, true, func() error {
 		err := g.tryStoreQuarantine(r)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		return err
+	})
+	if stored && !g.quarantines(r.Part) {
+		// It was released while it was being stored.
+		g.removeQuarantine(r.Part)
+	}
+}
+
+// retryStore tries to change the record of a part until it succeeds, the part no longer is, or
+// is not, in quarantine as wanted, or an outage of the store lasts too long.
+func (g *Gateway) retryStore(event string, part quarantine.Part, wanted bool, change func() error) bool {
+	for range quarantineStoreAttempts {
+		err := change()
+		if err == nil {
+			return true
 		}
-		g.log.Event("quarantine_not_stored", "part", partHash(r.ID), "error", err.Error())
+		g.log.Event(event, "part", partHash(part.ID), "error", err.Error())
 		pause(g.background, quarantineStoreInterval)
-		if g.background.Err() != nil || !g.quarantines(r.Part) {
-			return
+		if g.background.Err() != nil || g.quarantines(part) != wanted {
+			return false
 		}
 	}
+	return false
 }
 
 func (g *Gateway) tryStoreQuarantine(r quarantine.Record) error {
@@ -72,13 +89,13 @@
 // removeQuarantine removes the record of a part that an engine has survived. If that fails, the
 // record ends with its lease, and an engine that survives the part releases it again.
 func (g *Gateway) removeQuarantine(part quarantine.Part) {
-	ctx, cancel := g.withTimeout(storeTimeout)
-	defer cancel()
-	_, err := g.store.Commit(ctx, nil, nil, []string{quarantineKey(part)})
-	g.metrics.countStoreCall("swap", err)
-	if err != nil {
-		g.log.Event("quarantine_not_removed", "part", partHash(part.ID), "error", err.Error())
-	}
+	g.retryStore("quarantine_not_removed", part, false, func() error {
+		ctx, cancel := g.withTimeout(storeTimeout)
+		defer cancel()
+		_, err := g.store.Commit(ctx, nil, nil, []string{quarantineKey(part)})
+		g.metrics.countStoreCall("swap", err)
+		return errors.WithStack(err)
+	})
 }
 
 // quarantines reports whether a part is in quarantine.
