--- a/bench/soak/disruptions.go
+++ b/bench/soak/disruptions.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -66,6 +67,8 @@
 const (
 	stallCheckInterval = 20 * time.Millisecond
 	stallThreshold     = 100 * time.Millisecond
+	// maxCalmWait bounds how long a run waits for a time without stalls.
+	maxCalmWait = 30 * time.Second
 )
 
 // watchStalls records when this process does not run, as on a machine that has too much to
@@ -88,3 +91,35 @@
 		last = now
 	}
 }
+
+// awaitCalm waits until there was no disruption for a duration from now on, but no longer than
+// maxCalmWait beyond it.
+func (d *disruptions) awaitCalm(ctx context.Context, duration time.Duration) {
+	calmSince := time.Now()
+	for end := calmSince.Add(duration + maxCalmWait); ; {
+		next := calmSince.Add(duration)
+		if next.After(end) {
+			next = end
+		}
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+			return
+		}
+		last := d.lastEnd()
+		if !last.After(calmSince) || !next.Before(end) {
+			return
+		}
+		calmSince = last
+	}
+}
+
+// lastEnd returns when the last disruption ended.
+func (d *disruptions) lastEnd() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.list) == 0 {
+		return time.Time{}
+	}
+	return d.list[len(d.list)-1].end
+}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -91,10 +91,7 @@
 	}
 	injected := &schedule{start: time.Now(), counts: map[string]int{}}
 	runPlans(ctx, options.FaultDuration, newPlans(d, injected)...)
-	select {
-	case <-time.After(options.RecoveryTime):
-	case <-ctx.Done():
-	}
+	d.stalls.awaitCalm(ctx, options.RecoveryTime)
 	log.markRecovered()
 	select {
 	case <-time.After(observationPeriod):
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -60,11 +60,17 @@
 	runSoak(t, options)
 }
 
+// parallelSeeds is how many seeds run at a time; more slow each other down.
+const parallelSeeds = 3
+
 func TestRegressionSeeds(t *testing.T) {
 	gateway := buildGateway(t)
+	running := make(chan struct{}, parallelSeeds)
 	for _, regression := range RegressionSeeds {
 		t.Run(strconv.FormatUint(regression.Seed, 10), func(t *testing.T) {
 			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			runSeed(t, gateway, regression.Seed, DefaultOptions().FaultDuration)
 		})
 	}
@@ -131,3 +137,13 @@
 		assert.Assert(t, port >= firstPort && port < lastPort)
 	}
 }
+
+func TestAwaitCalm(t *testing.T) {
+	const duration = 50 * time.Millisecond
+	d := &disruptions{}
+	stall := time.AfterFunc(duration/2, func() { d.add(stalled) })
+	defer stall.Stop()
+	start := time.Now()
+	d.awaitCalm(t.Context(), duration)
+	assert.Assert(t, time.Since(start) >= duration*3/2)
+}
