--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -226,22 +226,7 @@
 	}
 	a.conn = conn
 	a.stopClose = context.AfterFunc(a.ctx, conn.Close)
-	inbound := &a.exchange.inbound
-	a.spec.TimeLeft = a.exchange.timeLeft()
-	a.spec.Workspace = a.exchange.workspaceName()
-	if a.requirements.MemoryTokens > 0 {
-		priority := a.exchange.priority()
-		a.spec.Priority = &priority
-	}
-	lateCopies := conn.LateCopies
-	response, err := conn.Do(target.Request{
-		Method: inbound.Method, Path: inbound.Target, Host: inbound.Host,
-		Header: platform.EncodeAttempt(*inbound, a.spec), Body: inbound.Body,
-		ID: string(inbound.ID), ResponseID: platform.ResponseID,
-	})
-	if conn.LateCopies > lateCopies {
-		g.log.Event("late_response_discarded", "request", inbound.ID, "target", a.target.ID)
-	}
+	response, err := a.sendRequest()
 	if errors.Is(err, target.ErrNotSent) {
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
@@ -251,7 +236,7 @@
 		return nil, request.Reply{}, request.AttemptBroken
 	}
 	a.monitor.recordSeen(g.control)
-	a.reply = platform.DecodeReply(response, inbound.ID)
+	a.reply = platform.DecodeReply(response, a.exchange.inbound.ID)
 	a.reply.ConnectionReused = conn.Reused
 	outcome := a.reply.Outcome()
 	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
@@ -262,6 +247,27 @@
 	return response, a.reply, outcome
 }
 
+// sendRequest sends the request and reads the head of the response.
+func (a *attempt) sendRequest() (*http.Response, error) {
+	inbound := &a.exchange.inbound
+	a.spec.TimeLeft = a.exchange.timeLeft()
+	a.spec.Workspace = a.exchange.workspaceName()
+	if a.requirements.MemoryTokens > 0 {
+		priority := a.exchange.priority()
+		a.spec.Priority = &priority
+	}
+	lateCopies := a.conn.LateCopies
+	response, err := a.conn.Do(target.Request{
+		Method: inbound.Method, Path: inbound.Target, Host: inbound.Host,
+		Header: platform.EncodeAttempt(*inbound, a.spec), Body: inbound.Body,
+		ID: string(inbound.ID), ResponseID: platform.ResponseID,
+	})
+	if a.conn.LateCopies > lateCopies {
+		a.exchange.gateway.log.Event("late_response_discarded", "request", inbound.ID, "target", a.target.ID)
+	}
+	return response, err //nolint:wrapcheck // distinguished by the caller
+}
+
 // logReply logs a response that is neither forwarded nor an error of the target.
 func (a *attempt) logReply(outcome request.AttemptOutcome) {
 	log := a.exchange.gateway.log
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -52,24 +52,33 @@
 	// the quarantine of a part of its prompt, if there is one.
 	survived         atomic.Bool
 	quarantinedUntil time.Time
+	// cutOff is set when a planned stop ended the request.
+	cutOff bool
 }
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	g.activeRequests.Add(1)
-	defer g.activeRequests.Add(-1)
-	if g.draining() {
-		w.Header().Set("Connection", "close")
-	}
 	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
-	if err := e.admit(r); err != nil {
+	var err error
+	e.inbound, err = platform.DecodeRequest(r)
+	g.activeRequests.add(e)
+	defer g.activeRequests.remove(e)
+	if err != nil {
+		err = fault.Wrap(fault.BadRequest, err, err.Error())
+	} else {
+		err = e.admit(r)
+	}
+	if err != nil {
 		e.refuse(err, 0)
 		return
 	}
-	e.gateway.log.Event("accepted", "request", e.inbound.ID, "route", e.route.Name, "service", e.service,
+	fields := []any{
+		"request", e.inbound.ID, "route", e.route.Name, "service", e.service,
 		"workspace", e.workspaceName(), "configuration", e.configVersion, "timeLeft", time.Until(e.deadline),
-		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens, "parts", partHashes(e.inbound.PartIDs()))
+		"position", e.inbound.Position, "prompt", e.inbound.PromptTokens, "parts", partHashes(e.inbound.PartIDs()),
+	}
+	e.gateway.log.Event("accepted", append(fields, e.gateway.stopFields(time.Now())...)...)
 	if e.route.Kind == routes.Streaming {
 		e.serveStream(r.Context())
 		return
@@ -89,16 +98,12 @@
 
 func partHash(id string) string { return strconv.FormatUint(xxhash.Sum64String(id), 16) }
 
-// admit reads the request and returns an error if it must not be served.
+// admit reads the rest of the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
-	var err error
-	e.inbound, err = platform.DecodeRequest(r)
-	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, err.Error())
-	}
 	g.waitForInitialSync(r.Context(), e.inbound.TimeLeft)
-	if err := e.authorize(); err != nil {
+	err := e.authorize()
+	if err != nil {
 		return err
 	}
 	limit := g.table.Load().Limits().BodyBytes
@@ -220,7 +225,7 @@
 func (e *exchange) refuse(err error, attempts int) {
 	kind := fault.KindOf(err)
 	response := kind.Response()
-	header := e.writer.Header()
+	header := e.responseHeader()
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = e.retryAfter(kind)
@@ -245,12 +250,17 @@
 		"request", e.inbound.ID, "outcome", kind.String(), "attempts", attempts,
 		"took", time.Since(e.arrived), "configuration", e.configVersion,
 	}
+	if e.cutOff {
+		more = append(more, "cutOff", true)
+		e.gateway.metrics.countStopping("cut_off")
+	}
+	more = append(more, e.gateway.stopFields(time.Now())...)
 	e.gateway.log.Event("ended", append(fields, more...)...)
 }
 
 // writeResponse forwards a target's response to the caller.
 func (e *exchange) writeResponse(head *http.Response, body []byte) error {
-	header := e.writer.Header()
+	header := e.responseHeader()
 	for name, values := range platform.ForwardedResponseHeader(head.Header) {
 		header[name] = values
 	}
@@ -259,6 +269,15 @@
 	return errors.WithStack(err)
 }
 
+// responseHeader returns the header of the response, before it is written.
+func (e *exchange) responseHeader() http.Header {
+	header := e.writer.Header()
+	if e.gateway.draining() {
+		header.Set("Connection", "close")
+	}
+	return header
+}
+
 // abort closes the caller's connection in the middle of a response, so that it does not
 // look complete.
 func abort() { panic(http.ErrAbortHandler) }
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -113,7 +114,7 @@
 	d.startCount++
 	config.Incarnation = int64(1000 + d.startCount)
 	if config.Address == "" {
-		config.Address = "127.0.0.1:0"
+		config.Address = targetAddress
 	}
 	r, err := d.fleet.Start(config)
 	assert.NilError(d.t, err)
@@ -143,8 +144,12 @@
 // startEntry starts an entry without waiting for it.
 func (d *deployment) startEntry(name string) *Gateway {
 	d.t.Helper()
+	return d.startEntryWith(d.entrySettings(name))
+}
+
+func (d *deployment) entrySettings(name string) Settings {
 	anyPort := "127.0.0.1:0"
-	settings := Settings{
+	return Settings{
 		Name: name, FailureDomain: "naxos", Callers: anyPort, Health: anyPort, Metrics: anyPort, Peers: anyPort, Store: d.address,
 		Bounds: Bounds{
 			RevokeWithin: version.Duration(3 * time.Second), Grace: version.Duration(4 * time.Second),
@@ -152,13 +157,17 @@
 			RetryRatio:   0.8, RetrySlack: 150, RetryWindow: version.Duration(10 * time.Second),
 		},
 	}
+}
+
+func (d *deployment) startEntryWith(settings Settings) *Gateway {
+	d.t.Helper()
 	m, err := newInstruments(settings)
 	assert.NilError(d.t, err)
 	g := newGateway(settings, d.log, platform.NewStore(d.address), target.NewPool(), m)
 	assert.NilError(d.t, g.Start(context.Background()))
 	d.t.Cleanup(func() {
 		if !g.draining() {
-			g.ingress.stopAccepting()
+			g.ingress.callerListener.StopAccepting()
 			g.ingress.close()
 			g.cancel()
 			_ = g.peers.Close()
@@ -199,6 +208,10 @@
 	}
 }
 
+// targetAddress is a loopback address of this process alone, with any port: the port of a
+// crashed target is not taken by a listener of another process, which would respond.
+var targetAddress = fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()>>16%250, os.Getpid()>>8%256, 1+os.Getpid()%250)
+
 var requestCounter atomic.Int64
 
 // callerRequest is a request of a caller.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -102,6 +102,7 @@
 			s.handleEvent(request.Event{Type: request.EventCallerDisconnected})
 		case <-s.gateway.ending.Done():
 			// The caller resumes at another entry.
+			s.cutOff = true
 			s.handleEvent(request.Event{Type: request.EventCallerDisconnected, Kind: fault.Draining})
 		}
 	}
@@ -374,7 +375,7 @@
 	}
 	s.headWritten = true
 	recordDuration(s.gateway.metrics.firstEventLatency, time.Since(s.arrived))
-	header := s.writer.Header()
+	header := s.responseHeader()
 	for name, values := range platform.ForwardedResponseHeader(s.head.Header) {
 		header[name] = values
 	}
