A part is released when another turns out to explain its crashes

Cause: a quarantine was never looked at again when more evidence came, and an entry may hear of the neighbours of a harmful request before it hears of that. Change: when a part is quarantined, those that shared its crashes are judged again, and released at all entries if it explains them. A crash that is forgotten leaves its quarantines as they are. Ruled out: waiting for all reports before the first quarantine; five crashes come within a second. Why it works: each crash has one cause, whatever the order of the reports.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -162,7 +162,11 @@
 
 // evaluateCrashes quarantines the parts that the known crashes show to be harmful.
 func (c *control) evaluateCrashes(now time.Time) {
-	records := c.quarantine.Evaluate(now)
+	records, released := c.quarantine.Evaluate(now)
+	for _, survival := range released {
+		c.reportSurvival(survival)
+		c.release([]quarantine.Part{survival.Part})
+	}
 	c.quarantineParts(records)
 	for _, r := range records {
 		c.storedParts[r.Part] = struct{}{}
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -111,11 +111,12 @@
 func (p position) last() bool { return p.index == len(p.shared) }
 
 // Evaluate quarantines the parts that the crashes known by now show to be harmful and returns
-// them. It also ends quarantines and forgets old crashes.
-func (t *Tracker) Evaluate(now time.Time) []Record {
+// them, and the survivals that release parts which others turn out to explain. It also ends
+// quarantines and forgets old crashes.
+func (t *Tracker) Evaluate(now time.Time) ([]Record, []Survival) {
 	t.expire(now)
 	if !t.evaluationDue(now) {
-		return nil
+		return nil, nil
 	}
 	var added []Record
 	for _, s := range standards {
@@ -125,7 +126,41 @@
 		}
 	}
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	return added
+	var released []Survival
+	for part, q := range t.parts {
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part) {
+			released = append(released, t.release(part, q.from.Add(retractionMargin)))
+		}
+	}
+	return added, released
+}
+
+// sharesCrash reports whether one of the records is of another part that was in a crash of the
+// part.
+func (t *Tracker) sharesCrash(part Part, records []Record) bool {
+	for _, c := range t.crashes {
+		if c.service != part.Service || !c.concerns(part.ID) {
+			continue
+		}
+		if slices.ContainsFunc(records, func(r Record) bool { return r.Part != part && c.concerns(r.ID) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// justified reports whether the crashes known by now would lead to the quarantine of a part that
+// is in quarantine.
+func (t *Tracker) justified(now time.Time, part Part) bool {
+	q := t.parts[part]
+	delete(t.parts, part)
+	defer func() { t.parts[part] = q }()
+	for _, s := range standards {
+		if t.unexplained(now, s)[part] != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // mostLikely returns the part that is most likely to be at fault among those that are not
@@ -175,7 +210,7 @@
 		period = min(maxQuarantinePeriod, 2*past.period)
 	}
 	r := Record{Part: part, From: from, Until: now.Add(period)}
-	t.add(part, quarantined{from: from, until: r.Until, period: period})
+	t.add(part, quarantined{from: from, until: r.Until, period: period, revisable: period == quarantinePeriod})
 	return r
 }
 
@@ -183,7 +218,7 @@
 func (t *Tracker) expire(now time.Time) {
 	for key, c := range t.crashes {
 		if now.Sub(c.at) >= crashTTL {
-			delete(t.crashes, key)
+			t.forget(key)
 		}
 	}
 	for part, q := range t.parts {
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -134,6 +134,9 @@
 type quarantined struct {
 	from, until time.Time
 	period      time.Duration
+	// revisable is set while all crashes that led to it are known here: it ends if another
+	// part turns out to explain them.
+	revisable bool
 }
 
 // Tracker holds the crashes of engines and the parts in quarantine.
@@ -213,7 +216,19 @@
 			oldest = key
 		}
 	}
-	delete(t.crashes, oldest)
+	t.forget(oldest)
+}
+
+// forget removes a crash, after which the quarantines that it led to stay as they are.
+func (t *Tracker) forget(key incarnation) {
+	c := t.crashes[key]
+	delete(t.crashes, key)
+	for part, q := range t.parts {
+		if q.revisable && part.Service == c.service && c.concerns(part.ID) {
+			q.revisable = false
+			t.parts[part] = q
+		}
+	}
 }
 
 // RetractCrash forgets a crash before the given time: a probe that was sent then found the same
@@ -231,20 +246,21 @@
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
 			continue
 		}
-		delete(t.parts, part)
-		t.changed = true
-		t.Evaluate(now)
-		if _, again := t.parts[part]; !again {
-			// As if a request had been survived at the time of the crash: what others still
-			// report of this quarantine is not adopted again.
-			s := Survival{Part: part, StartedAt: later(c.at, q.from.Add(retractionMargin))}
-			t.survivals.Add(part, s.StartedAt)
-			released = append(released, s)
+		if !t.justified(now, part) {
+			released = append(released, t.release(part, later(c.at, q.from.Add(retractionMargin))))
 		}
 	}
 	return released
 }
 
+// release ends a quarantine, as if a request with the part had been survived at the given time:
+// what others still report of it is not adopted again.
+func (t *Tracker) release(part Part, at time.Time) Survival {
+	delete(t.parts, part)
+	t.survivals.Add(part, at)
+	return Survival{Part: part, StartedAt: at}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -30,7 +30,10 @@
 	return r.evaluate(ms)
 }
 
-func (r *replay) evaluate(ms int) []string { return ids(r.tracker.Evaluate(r.at(ms))) }
+func (r *replay) evaluate(ms int) []string {
+	records, _ := r.tracker.Evaluate(r.at(ms))
+	return ids(records)
+}
 
 func (r *replay) survived(ms int, parts ...string) []Part {
 	return r.tracker.RecordSurvival(r.at(ms), "writer", parts)
