--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -22,6 +22,10 @@
 	// a failure domain fails, and an update has to fit into a datagram.
 	maxSentCrashes   = 8
 	maxSentSurvivals = 32
+	// maxSentPartBytes limits the IDs of parts in the crashes of one update, and
+	// maxSentQuarantined the parts in quarantine; the others follow in later updates.
+	maxSentPartBytes   = 4 << 10
+	maxSentQuarantined = 32
 )
 
 // brokenAttempt is an attempt whose response broke off.
@@ -75,8 +79,7 @@
 // recordSurvival records a survived request. The other entries are told if it may clear a part.
 func (c *control) recordSurvival(startedAt time.Time, service string, parts []string) {
 	for _, part := range c.quarantine.Suspected(service, parts) {
-		c.recentSurvivals[part] = sentSurvival{startedAt: startedAt}
-		c.updatePending = true
+		c.reportSurvival(quarantine.Survival{Part: part, StartedAt: startedAt})
 	}
 	c.release(c.quarantine.RecordSurvival(startedAt, service, parts))
 }
@@ -89,7 +92,18 @@
 	}
 }
 
+// releaseByPeer ends the quarantine of a part that another entry found to be sound. That one
+// removes the record, unless this entry stores it only afterwards.
+func (c *control) releaseByPeer(part quarantine.Part) {
+	if _, stored := c.storedParts[part]; stored {
+		c.release([]quarantine.Part{part})
+		return
+	}
+	c.logRelease(part)
+}
+
 func (c *control) logRelease(part quarantine.Part) {
+	delete(c.storedParts, part)
 	c.gateway.log.Event("part_released", "service", part.Service, "part", partHash(part.ID))
 }
 
@@ -108,7 +122,7 @@
 // broke off just before. A target that drains may end at any time.
 func (c *control) recordCrash(id request.TargetID) {
 	t, m := c.table.Get(id), c.monitors[id]
-	if t == nil || m == nil || t.Draining {
+	if t == nil || m == nil || t.IsDraining() {
 		return
 	}
 	now := time.Now()
@@ -127,8 +141,8 @@
 	}
 	crash := quarantine.Crash{Service: t.Service, Target: id, Incarnation: lost[0].target.Incarnation}
 	for _, a := range lost {
-		if parts := a.exchange.inbound.PartIDs(); len(parts) > 0 && !a.survived.Load() {
-			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts, Started: a.responseStarted.Load()})
+		if parts := a.exchange.inbound.PartIDs(); len(parts) > 0 && !a.exchange.survived.Load() {
+			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Parts: parts, Started: a.responseStarted.Load() && !a.streaming})
 		}
 	}
 	m.broken = nil
@@ -139,6 +153,7 @@
 	c.gateway.log.Event("target_crashed", "target", id, "incarnation", crash.Incarnation, "suspects", len(crash.Suspects))
 	key := crashID{id, crash.Incarnation}
 	crash.Suspects = append(crash.Suspects, c.recentCrashes[key].Suspects...)
+	crash.Limit()
 	c.recentCrashes[key] = sentCrash{Crash: crash, at: now}
 	c.updatePending = true
 	c.handleCrash(now, now, crash)
@@ -147,9 +162,14 @@
 
 // evaluateCrashes quarantines the parts that the known crashes show to be harmful.
 func (c *control) evaluateCrashes(now time.Time) {
-	records := c.quarantine.Evaluate(now)
+	records, released := c.quarantine.Evaluate(now)
+	for _, survival := range released {
+		c.reportSurvival(survival)
+		c.release([]quarantine.Part{survival.Part})
+	}
 	c.quarantineParts(records)
 	for _, r := range records {
+		c.storedParts[r.Part] = struct{}{}
 		go c.gateway.protect("store quarantine", func() { c.gateway.storeQuarantine(r) })
 	}
 }
@@ -159,18 +179,33 @@
 	c.quarantine.RecordCrash(now, at, crash)
 	for _, suspect := range crash.Suspects {
 		for _, survival := range c.quarantine.Survivals(now, crash.Service, suspect.Parts) {
-			c.recentSurvivals[survival.Part] = sentSurvival{startedAt: survival.StartedAt}
+			c.reportSurvival(survival)
 		}
 	}
 }
 
-// retractCrash forgets a crash of a target of which the same incarnation responds again.
-func (c *control) retractCrash(id request.TargetID, incarnation request.Incarnation) {
+// retractCrash forgets a crash of a target of which a probe sent at the given time found the same
+// incarnation.
+func (c *control) retractCrash(probedAt time.Time, id request.TargetID, incarnation request.Incarnation) {
 	if m := c.monitors[id]; m != nil {
-		m.broken = nil
+		m.broken = slices.DeleteFunc(m.broken, func(b brokenAttempt) bool { return b.at.Before(probedAt) })
 	}
-	delete(c.recentCrashes, crashID{id, incarnation})
-	c.release(c.quarantine.RetractCrash(time.Now(), id, incarnation))
+	if sent, ok := c.recentCrashes[crashID{id, incarnation}]; ok && sent.at.Before(probedAt) {
+		delete(c.recentCrashes, crashID{id, incarnation})
+	}
+	for _, survival := range c.quarantine.RetractCrash(time.Now(), probedAt, id, incarnation) {
+		c.reportSurvival(survival)
+		c.release([]quarantine.Part{survival.Part})
+	}
+}
+
+// reportSurvival tells the other entries of a survived request.
+func (c *control) reportSurvival(s quarantine.Survival) {
+	if sent, ok := c.recentSurvivals[s.Part]; ok && !s.StartedAt.After(sent.startedAt) {
+		return
+	}
+	c.recentSurvivals[s.Part] = sentSurvival{startedAt: s.StartedAt}
+	c.updatePending = true
 }
 
 // quarantineParts ends the attempts that wait with parts that are now in quarantine.
@@ -180,7 +215,7 @@
 		ended := 0
 		for _, m := range c.monitors {
 			for a := range m.attempts {
-				if a.exchange.service == r.Service && !a.streaming && slices.Contains(a.exchange.inbound.PartIDs(), r.ID) {
+				if !a.streaming && c.checkQuarantine(a.exchange) != nil {
 					a.quarantined.Store(true)
 					a.cancel()
 					ended++
@@ -219,6 +254,7 @@
 
 // addQuarantine adds what other entries need to know of crashes and quarantines to an update.
 func (c *control) addQuarantine(now time.Time, update *peers.Update) {
+	bytes := 0
 	for id, sent := range c.recentCrashes {
 		if sent.count >= crashUpdateCount {
 			if now.Sub(sent.at) > crashConfirmationTime {
@@ -226,7 +262,9 @@
 			}
 			continue
 		}
-		if len(update.Crashes) < maxSentCrashes {
+		size := sent.PartBytes()
+		if len(update.Crashes) < maxSentCrashes && bytes+size <= maxSentPartBytes {
+			bytes += size
 			update.Crashes = append(update.Crashes, peers.Crash{Crash: sent.Crash, Age: now.Sub(sent.at)})
 			sent.count++
 			c.recentCrashes[id] = sent
@@ -243,7 +281,8 @@
 			c.recentSurvivals[part] = sent
 		}
 	}
-	for _, r := range c.quarantine.Quarantined(now) {
+	records := c.quarantine.Quarantined(now)
+	for _, r := range records[:min(len(records), maxSentQuarantined)] {
 		update.Quarantined = append(update.Quarantined, peers.QuarantinedPart{Part: r.Part, Age: now.Sub(r.From), Remaining: r.Until.Sub(now)})
 	}
 }
@@ -252,7 +291,7 @@
 func (c *control) handleQuarantine(now time.Time, update peers.Update) {
 	for _, s := range update.Survivals {
 		for _, part := range c.quarantine.RecordPeerSurvival(quarantine.Survival{Part: s.Part, StartedAt: now.Add(-s.Age)}) {
-			c.logRelease(part)
+			c.releaseByPeer(part)
 		}
 	}
 	for _, crash := range update.Crashes {
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -32,8 +33,15 @@
 	// rivalCrashes is how many crashes another part needs to explain them.
 	rivalCrashes = 2
 	// sessionCrashes is how many crashes lead to the quarantine of a last part, which
-	// belongs to one request or session.
-	sessionCrashes = 3
+	// belongs to one request or session; sessionCrashesWaiting if it only waited.
+	sessionCrashes        = 3
+	sessionCrashesWaiting = 5
+	// maxCrashesOfRequest is how many crashes of one request count for a part that several
+	// have: more say something about that request.
+	maxCrashesOfRequest = 2
+	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
+	// the requests lost with it.
+	repeatedCrashes = 2
 )
 
 // lostRequest is a request that was lost in a crash.
@@ -50,6 +58,8 @@
 	survived bool
 	// crashes is the number of crashes, set by count.
 	crashes int
+	// index is the last position of the part in a prompt.
+	index int
 }
 
 func (e *evidence) add(at time.Time, request string) {
@@ -65,6 +75,7 @@
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
 	e.crashes = 0
+	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
 	for _, l := range e.lost {
@@ -72,7 +83,9 @@
 			e.crashes += most(lost)
 			start, lost = l.at, map[string]int{}
 		}
-		lost[l.request]++
+		if total[l.request]++; len(e.requests) == 1 || total[l.request] <= maxCrashesOfRequest {
+			lost[l.request]++
+		}
 	}
 	e.crashes += most(lost)
 }
@@ -98,22 +111,79 @@
 func (p position) last() bool { return p.index == len(p.shared) }
 
 // Evaluate quarantines the parts that the crashes known by now show to be harmful and returns
-// them. It also ends quarantines and forgets old crashes.
-func (t *Tracker) Evaluate(now time.Time) []Record {
+// them, and the survivals that release parts which others turn out to explain. It also ends
+// quarantines and forgets old crashes.
+func (t *Tracker) Evaluate(now time.Time) ([]Record, []Survival) {
 	t.expire(now)
 	if !t.evaluationDue(now) {
-		return nil
+		return nil, nil
 	}
 	var added []Record
 	for _, s := range standards {
-		for part, e := range t.unexplained(now, s) {
-			if _, known := t.Find(now, part.Service, []string{part.ID}); !known {
-				added = append(added, t.quarantine(now, part, e.lost[0].at))
-			}
+		// A part that is quarantined explains what else was lost in its crashes.
+		for part, e := t.mostLikely(now, s); e != nil; part, e = t.mostLikely(now, s) {
+			added = append(added, t.quarantine(now, part, e.lost[0].at))
 		}
 	}
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	return added
+	var released []Survival
+	for part, q := range t.parts {
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part) {
+			released = append(released, t.release(part, q.from.Add(retractionMargin)))
+		}
+	}
+	return added, released
+}
+
+// sharesCrash reports whether one of the records is of another part that was in a crash of the
+// part.
+func (t *Tracker) sharesCrash(part Part, records []Record) bool {
+	for _, c := range t.crashes {
+		if c.service != part.Service || !c.concerns(part.ID) {
+			continue
+		}
+		if slices.ContainsFunc(records, func(r Record) bool { return r.Part != part && c.concerns(r.ID) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// justified reports whether the crashes known by now would lead to the quarantine of a part that
+// is in quarantine.
+func (t *Tracker) justified(now time.Time, part Part) bool {
+	q := t.parts[part]
+	delete(t.parts, part)
+	defer func() { t.parts[part] = q }()
+	for _, s := range standards {
+		if t.unexplained(now, s)[part] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// mostLikely returns the part that is most likely to be at fault among those that are not
+// quarantined and for which the evidence suffices: the one in most crashes, and of several the
+// one that comes later in the prompts. The evidence is nil if there is none.
+func (t *Tracker) mostLikely(now time.Time, s standard) (Part, *evidence) {
+	var best Part
+	var most *evidence
+	for part, e := range t.unexplained(now, s) {
+		if _, known := t.Find(now, part.Service, []string{part.ID}); known {
+			continue
+		}
+		if most == nil || moreLikely(part, e, best, most) {
+			best, most = part, e
+		}
+	}
+	return best, most
+}
+
+func moreLikely(a Part, ofA *evidence, b Part, ofB *evidence) bool {
+	order := cmp.Or(cmp.Compare(ofA.crashes, ofB.crashes), cmp.Compare(ofA.index, ofB.index),
+		strings.Compare(b.Service, a.Service), strings.Compare(b.ID, a.ID))
+	return order > 0
 }
 
 // evaluationDue reports whether there is evidence that has not been evaluated: a new crash, or
@@ -140,7 +210,7 @@
 		period = min(maxQuarantinePeriod, 2*past.period)
 	}
 	r := Record{Part: part, From: from, Until: now.Add(period)}
-	t.add(part, quarantined{from: from, until: r.Until, period: period})
+	t.add(part, quarantined{from: from, until: r.Until, period: period, revisable: period == quarantinePeriod})
 	return r
 }
 
@@ -148,7 +218,7 @@
 func (t *Tracker) expire(now time.Time) {
 	for key, c := range t.crashes {
 		if now.Sub(c.at) >= crashTTL {
-			delete(t.crashes, key)
+			t.forget(key)
 		}
 	}
 	for part, q := range t.parts {
@@ -189,16 +259,17 @@
 		index[p.Part] = e
 	}
 	e.add(p.crash.at, p.request)
+	e.index = max(e.index, p.index)
 }
 
 // sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
 // last quarantine one crash does.
 func (t *Tracker) sufficient(part Part, e *evidence, s standard) bool {
-	if past, ok := t.parts[part]; ok && e.lost[len(e.lost)-1].at.After(past.until) {
+	if past, ok := t.parts[part]; ok && s.startedOnly && e.lost[len(e.lost)-1].at.After(past.until) {
 		return true
 	}
 	if _, last := e.requests[part.ID]; last {
-		return e.crashes >= sessionCrashes && s.startedOnly
+		return e.crashes >= sessionCrashesWaiting || e.crashes >= sessionCrashes && s.startedOnly
 	}
 	return e.crashes >= s.crashes && len(e.requests) >= s.requests
 }
@@ -214,7 +285,7 @@
 			continue
 		}
 		if p.last() {
-			if len(rival.requests) > 1 {
+			if len(rival.requests) > 1 && !rival.survived {
 				return true
 			}
 			continue
@@ -229,8 +300,24 @@
 	return false
 }
 
-// forEachPosition calls visit for the parts of each request that counts.
+// forEachPosition calls visit for the parts of each request that counts. A request that was
+// lost in several crashes explains them: those that were lost with it once are its neighbours.
 func (t *Tracker) forEachPosition(now time.Time, s standard, visit func(p position)) {
+	lost := map[Part]int{}
+	t.forEachSuspect(now, s, func(c *crash, last string, _ Suspect) { lost[Part{Service: c.service, ID: last}]++ })
+	repeated := map[*crash]bool{}
+	t.forEachSuspect(now, s, func(c *crash, last string, _ Suspect) {
+		repeated[c] = repeated[c] || lost[Part{Service: c.service, ID: last}] >= repeatedCrashes
+	})
+	t.forEachSuspect(now, s, func(c *crash, last string, suspect Suspect) {
+		if !repeated[c] || lost[Part{Service: c.service, ID: last}] >= repeatedCrashes {
+			t.visitParts(c, last, suspect, visit)
+		}
+	})
+}
+
+// forEachSuspect calls visit for each request to which the standard applies.
+func (t *Tracker) forEachSuspect(now time.Time, s standard, visit func(c *crash, last string, suspect Suspect)) {
 	for _, c := range t.crashes {
 		started, quarantined := false, false
 		for _, suspect := range c.suspects {
@@ -246,7 +333,7 @@
 			if started && !suspect.Started || quarantined && !found {
 				continue
 			}
-			t.visitParts(c, last, suspect, visit)
+			visit(c, last, suspect)
 		}
 	}
 }
--- /dev/null
+++ b/process/quarantine/neighbours_test.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// Load: all entries have just started, so that no survived request is known. Each engine that
+// crashes had also begun to respond to a sound request less than a second before.
+func TestTracker_NeighboursThatHadStartedAreNotQuarantinedAfterAStart(t *testing.T) {
+	r := newReplay()
+	for i := range 8 {
+		r.crash(300*i, started("first", "deadly", fmt.Sprint("r", i/2)), started("first", fmt.Sprint("n", i)))
+		assert.Assert(t, !r.quarantined(300*i, "first"), "after %d crashes", i+1)
+	}
+	assert.Assert(t, r.quarantined(2400, "deadly"))
+}
+
+// Fault: the entries see different requests of the same crashes, and the one that sees the
+// sound ones quarantines their part first.
+func TestTracker_PartIsReleasedWhenAnotherExplainsItsCrashes(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(300*i, started("first", fmt.Sprint("n", i)))
+	}
+	for i := range 3 {
+		r.tracker.RecordCrash(r.at(700), r.at(300*i), Crash{
+			Service: "writer", Target: request.TargetID(fmt.Sprintf("engine-%d", i+1)), Incarnation: 1, Suspects: []Suspect{started("first", "deadly", fmt.Sprint("r", i))},
+		})
+	}
+	r.evaluate(700)
+	assert.Assert(t, r.quarantined(1300, "deadly"))
+	assert.Assert(t, !r.quarantined(1300, "first"))
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -38,9 +38,12 @@
 	maxQuarantinePeriod = 2 * time.Hour
 	// maxCrashes, maxSoundParts and maxParts bound what is remembered; the oldest is
 	// forgotten first. The parts in quarantine fit into a datagram.
-	maxCrashes    = 256
+	maxCrashes    = 64
 	maxSoundParts = 4096
 	maxParts      = 128
+	// retractionMargin is how much the times of a quarantine may differ among entries, because
+	// reports arrive late.
+	retractionMargin = time.Second
 	// MaxSuspects is how many requests of one crash are remembered.
 	MaxSuspects = 8
 	// reportDelay is how long after a crash the requests that only waited begin to count: by
@@ -59,8 +62,8 @@
 	// Parts lists the IDs of the parts of the prompt, in order. The last belongs to the
 	// request or its session.
 	Parts []string `cbor:"1,keyasint"`
-	// Started reports whether the engine had begun to respond. Requests that were only
-	// waiting are suspected if no other had.
+	// Started reports whether the engine had just begun to respond: no event had arrived
+	// yet. The others are suspected if no request had, and by more crashes.
 	Started bool `cbor:"2,keyasint,omitempty"`
 }
 
@@ -88,6 +91,17 @@
 	c.Suspects = c.Suspects[:min(len(c.Suspects), MaxSuspects)]
 }
 
+// PartBytes returns the size of the IDs of the suspects' parts.
+func (c *Crash) PartBytes() int {
+	size := 0
+	for _, s := range c.Suspects {
+		for _, id := range s.Parts {
+			size += len(id)
+		}
+	}
+	return size
+}
+
 // Record is the quarantine of a part.
 type Record struct {
 	Part
@@ -120,6 +134,9 @@
 type quarantined struct {
 	from, until time.Time
 	period      time.Duration
+	// revisable is set while all crashes that led to it are known here: it ends if another
+	// part turns out to explain them.
+	revisable bool
 }
 
 // Tracker holds the crashes of engines and the parts in quarantine.
@@ -159,10 +176,7 @@
 		}
 		last := s.Parts[len(s.Parts)-1]
 		known, ok := c.suspects[last]
-		if !ok && len(c.suspects) >= MaxSuspects {
-			continue
-		}
-		if ok && (known.Started || !s.Started) {
+		if ok && (known.Started || !s.Started) || !ok && !c.makeRoom(s) {
 			continue
 		}
 		c.suspects[last] = s
@@ -173,6 +187,25 @@
 	}
 }
 
+// makeRoom reports whether there is room for another suspect. One that had started replaces one
+// that only waited.
+func (c *crash) makeRoom(s Suspect) bool {
+	if len(c.suspects) < MaxSuspects {
+		return true
+	}
+	if !s.Started {
+		return false
+	}
+	waiting := ""
+	for last, other := range c.suspects {
+		if !other.Started && (waiting == "" || last < waiting) {
+			waiting = last
+		}
+	}
+	delete(c.suspects, waiting)
+	return waiting != ""
+}
+
 func (t *Tracker) removeOldestCrash() {
 	if len(t.crashes) <= maxCrashes {
 		return
@@ -183,33 +216,58 @@
 			oldest = key
 		}
 	}
-	delete(t.crashes, oldest)
+	t.forget(oldest)
+}
+
+// forget removes a crash, after which the quarantines that it led to stay as they are.
+func (t *Tracker) forget(key incarnation) {
+	c := t.crashes[key]
+	delete(t.crashes, key)
+	for part, q := range t.parts {
+		if q.revisable && part.Service == c.service && c.concerns(part.ID) {
+			q.revisable = false
+			t.parts[part] = q
+		}
+	}
 }
 
-// RetractCrash forgets a crash: the same incarnation responds again, so that it was out of
-// reach. It returns the parts that are released because of it.
-func (t *Tracker) RetractCrash(now time.Time, target request.TargetID, number request.Incarnation) []Part {
+// RetractCrash forgets a crash before the given time: a probe that was sent then found the same
+// incarnation, so that it was out of reach. It returns the survivals that release parts because
+// of it, here and at the other entries.
+func (t *Tracker) RetractCrash(now, probedAt time.Time, target request.TargetID, number request.Incarnation) []Survival {
 	key := incarnation{target: target, number: number}
 	c, ok := t.crashes[key]
-	if !ok {
+	if !ok || !c.at.Before(probedAt) {
 		return nil
 	}
 	delete(t.crashes, key)
-	var released []Part
+	var released []Survival
 	for part, q := range t.parts {
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
 			continue
 		}
-		delete(t.parts, part)
-		t.changed = true
-		t.Evaluate(now)
-		if _, again := t.parts[part]; !again {
-			released = append(released, part)
+		if !t.justified(now, part) {
+			released = append(released, t.release(part, later(c.at, q.from.Add(retractionMargin))))
 		}
 	}
 	return released
 }
 
+// release ends a quarantine, as if a request with the part had been survived at the given time:
+// what others still report of it is not adopted again.
+func (t *Tracker) release(part Part, at time.Time) Survival {
+	delete(t.parts, part)
+	t.survivals.Add(part, at)
+	return Survival{Part: part, StartedAt: at}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // concerns reports whether a suspect of the crash has the part.
 func (c *crash) concerns(part string) bool {
 	for _, s := range c.suspects {
@@ -276,7 +334,7 @@
 	return survivals
 }
 
-// Quarantined returns the parts in quarantine.
+// Quarantined returns the parts in quarantine, in no order.
 func (t *Tracker) Quarantined(now time.Time) []Record {
 	var records []Record
 	for part, q := range t.parts {
@@ -293,24 +351,52 @@
 	return at, ok && now.Sub(at) < soundTTL
 }
 
-// Find returns the first of the parts that is in quarantine.
+// Find returns the quarantine of the first of the parts that is in one. A part that engines of
+// another service crash on counts unless those of this service have survived it: requests move
+// between services that run the same model.
 func (t *Tracker) Find(now time.Time, service string, parts []string) (Record, bool) {
+	if len(t.parts) == 0 {
+		return Record{}, false
+	}
 	for _, id := range parts {
 		part := Part{Service: service, ID: id}
-		if q, ok := t.parts[part]; ok && now.Before(q.until) {
-			return Record{Part: part, From: q.from, Until: q.until}, true
+		if r, ok := t.record(now, part); ok {
+			return r, true
+		}
+		if _, survived := t.survived(now, part); survived {
+			continue
+		}
+		for other := range t.parts {
+			if r, ok := t.record(now, other); ok && other.ID == id {
+				return r, true
+			}
 		}
 	}
 	return Record{}, false
 }
 
-// Adopt adds a part that another entry has quarantined, and reports whether it was not known.
+// record returns the quarantine of a part.
+func (t *Tracker) record(now time.Time, part Part) (Record, bool) {
+	q, ok := t.parts[part]
+	if !ok || !now.Before(q.until) {
+		return Record{}, false
+	}
+	return Record{Part: part, From: q.from, Until: q.until}, true
+}
+
+// Adopt adds a part that another entry has quarantined, and reports whether it was not in
+// quarantine. A report arrives late and would move the times of a known part by the delay with
+// each entry that passes it on: the end stays, the first crash is the earliest that was reported.
 func (t *Tracker) Adopt(now time.Time, r Record) bool {
 	if last, ok := t.survived(now, r.Part); ok && last.After(r.From) || !now.Before(r.Until) {
 		return false
 	}
 	known, ok := t.parts[r.Part]
-	if ok && !known.until.Before(r.Until) {
+	if ok && (now.Before(known.until) || r.From.Before(known.until)) {
+		if r.From.Before(known.from) {
+			known.from = r.From
+			t.parts[r.Part] = known
+		}
 		return false
 	}
 	until := r.Until
@@ -318,7 +404,7 @@
 		until = limit
 	}
 	t.add(r.Part, quarantined{from: r.From, until: until, period: max(quarantinePeriod, known.period)})
-	return !ok || !now.Before(known.until)
+	return true
 }
 
 func (t *Tracker) add(part Part, q quarantined) {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -30,7 +30,10 @@
 	return r.evaluate(ms)
 }
 
-func (r *replay) evaluate(ms int) []string { return ids(r.tracker.Evaluate(r.at(ms))) }
+func (r *replay) evaluate(ms int) []string {
+	records, _ := r.tracker.Evaluate(r.at(ms))
+	return ids(records)
+}
 
 func (r *replay) survived(ms int, parts ...string) []Part {
 	return r.tracker.RecordSurvival(r.at(ms), "writer", parts)
@@ -120,6 +123,50 @@
 	}
 }
 
+// Load: one request is passed from engine to engine, and each of them had just begun to respond
+// to sound requests of the same caller, too.
+func TestTracker_NeighboursOfOneRequestAreNotQuarantined(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "ok")
+	for i := range 5 {
+		r.crash(110*i, started("first", "deadly", "a"), started("first", fmt.Sprint("s", i)))
+		r.evaluate(110*i + 50)
+	}
+	r.evaluate(1500)
+	assert.Assert(t, !r.quarantined(1500, "first"))
+	assert.Assert(t, r.quarantined(1500, "a"))
+}
+
+// Load: one request that engines crash on before they respond.
+func TestTracker_OneWaitingRequestThatCrashesEnginesIsQuarantinedItself(t *testing.T) {
+	r := newReplay()
+	found := []string{}
+	for i := 0; len(found) == 0 && i < 10; i++ {
+		r.crash(1000*i, waiting("first", "a"), waiting("first", fmt.Sprint("w", i)))
+		r.survived(1000*i+100, "first", "ok")
+		found = r.evaluate(1000*i + 600)
+	}
+	assert.DeepEqual(t, found, []string{"a"})
+}
+
+// Load: the reports of many waiting requests arrive before that of the one at fault.
+func TestTracker_WaitingRequestsDoNotHideTheStartedOne(t *testing.T) {
+	r := newReplay()
+	found := []string{}
+	for i := 0; len(found) == 0 && i < 5; i++ {
+		r.crashes++
+		report := Crash{Service: "writer", Target: request.TargetID(fmt.Sprint("engine-", r.crashes)), Incarnation: 1}
+		for j := range MaxSuspects {
+			report.Suspects = append(report.Suspects, waiting("first", fmt.Sprint("w", i, j)))
+		}
+		r.tracker.RecordCrash(r.at(1000*i), r.at(1000*i), report)
+		report.Suspects = []Suspect{started("first", "deadly", fmt.Sprint("r", i))}
+		r.tracker.RecordCrash(r.at(1000*i+5), r.at(1000*i), report)
+		found = r.evaluate(1000*i + 600)
+	}
+	assert.DeepEqual(t, found, []string{"deadly"})
+}
+
 // The engine sends nothing before it crashes, so that no request is known to have started.
 func TestTracker_PartIsQuarantinedThoughNoResponseStarted(t *testing.T) {
 	r := newReplay()
@@ -153,6 +200,36 @@
 	}
 }
 
+// Load: many entries repeat a quarantine to each other for a minute, each with some delay.
+func TestTracker_ReportsDoNotMoveAQuarantine(t *testing.T) {
+	const entries, delay, interval = 40, 10, 500
+	trackers := make([]*replay, entries)
+	for i := range trackers {
+		trackers[i] = newReplay()
+	}
+	part := Part{Service: "writer", ID: "deadly"}
+	first := trackers[0]
+	assert.Assert(t, first.tracker.Adopt(first.at(0), Record{Part: part, From: first.at(-1000), Until: first.at(600000)}))
+	for ms := 0; ms < 60000; ms += interval {
+		for _, sender := range trackers {
+			for _, r := range sender.tracker.Quarantined(sender.at(ms)) {
+				for _, receiver := range trackers {
+					late := Record{Part: r.Part, From: r.From.Add(delay * time.Millisecond), Until: r.Until.Add(delay * time.Millisecond)}
+					receiver.tracker.Adopt(receiver.at(ms+delay), late)
+				}
+			}
+		}
+	}
+	for _, r := range trackers {
+		records := r.tracker.Quarantined(r.at(60000))
+		assert.Equal(t, len(records), 1)
+		assert.Assert(t, records[0].Until.Sub(r.at(600000)) <= delay*time.Millisecond, records[0].Until.Sub(r.at(600000)))
+		assert.Assert(t, records[0].From.Sub(r.at(-1000)) <= delay*time.Millisecond)
+		// The end is not undone by a report that is still on its way.
+		assert.Assert(t, !r.tracker.Adopt(r.at(600000+delay), Record{Part: part, From: r.at(-1000 + delay), Until: r.at(600000 + 5*delay)}))
+	}
+}
+
 // A part was sound until the engines were changed.
 func TestTracker_PartThatWasSoundIsQuarantinedAfterMoreCrashes(t *testing.T) {
 	r := newReplay()
@@ -194,11 +271,54 @@
 	r := newReplay()
 	for i := range 10 {
 		r.crash(1000*i, started("first", fmt.Sprint("r", i)))
-		r.tracker.RetractCrash(r.at(1000*i+600), request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), 1)
+		r.tracker.RetractCrash(r.at(1000*i+600), r.at(1000*i+500), request.TargetID(fmt.Sprintf("engine-%d", r.crashes)), 1)
 		assert.DeepEqual(t, r.evaluate(1000*i+700), []string{})
 	}
 }
 
+// Fault: the entry was cut off from engines, which it took for crashed.
+func TestTracker_RetractedCrashReleasesThePartEverywhere(t *testing.T) {
+	r, other := newReplay(), newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("quiet", fmt.Sprint("r", i)))
+	}
+	assert.Assert(t, r.quarantined(2000, "quiet"))
+	quarantine := r.tracker.Quarantined(r.at(2000))[0]
+	assert.Assert(t, other.tracker.Adopt(other.at(2010), quarantine))
+	// A probe that was answered just before the crash says nothing.
+	assert.Equal(t, len(r.tracker.RetractCrash(r.at(2100), r.at(1990), "engine-3", 1)), 0)
+	released := r.tracker.RetractCrash(r.at(2200), r.at(2100), "engine-3", 1)
+	assert.Equal(t, len(released), 1)
+	assert.Assert(t, !r.quarantined(2200, "quiet"))
+	assert.Assert(t, !r.tracker.Adopt(r.at(2300), quarantine))
+	assert.Equal(t, len(other.tracker.RecordPeerSurvival(released[0])), 1)
+	assert.Assert(t, !other.quarantined(2300, "quiet"))
+}
+
+// Load: the route of the requests moves to another service.
+func TestTracker_QuarantineHoldsAtServicesThatHaveNotSurvivedThePart(t *testing.T) {
+	r := newReplay()
+	r.tracker.RecordSurvival(r.at(0), "other", []string{"deadly", "ok"})
+	for i := range 3 {
+		r.crash(1000*i, started("first", "deadly", fmt.Sprint("r", i)))
+	}
+	_, moved := r.tracker.Find(r.at(3000), "canary", []string{"first", "deadly", "r9"})
+	assert.Assert(t, moved)
+	_, sound := r.tracker.Find(r.at(3000), "other", []string{"first", "deadly", "r9"})
+	assert.Assert(t, !sound)
+}
+
+// An engine that is killed under a waiting request does not renew a quarantine.
+func TestTracker_WaitingRequestRenewsNoQuarantine(t *testing.T) {
+	r := newReplay()
+	for i := range 3 {
+		r.crash(1000*i, started("first", "part", fmt.Sprint("r", i)))
+	}
+	end := 2000 + int(quarantinePeriod.Milliseconds())
+	r.crash(end+1000, waiting("first", "part", "r9"))
+	assert.DeepEqual(t, r.evaluate(end+2000), []string{})
+}
+
 // Each entry sees one of the crashes and hears of the others.
 func TestTracker_ReportsOfSeveralEntriesOfOneCrashCountOnce(t *testing.T) {
 	r := newReplay()
