The target of the wire tests turns away requests that are meant for another one

Callers saw: nothing; suspected cause of two failures of tests. Cause (suspected, not traced): test processes on one machine share the ports of the loopback interface. A target that had ended left its port to the stand-in of the wire tests, which answered whatever request came: it counted as the first request there, and its answers named the foreign request and were believed. Change: a request that expects another target gets 421, as from a sound target, and is not counted. Seen: once in 30 runs of the wire tests, TestBrokenStream_ErrorOfTheNextTarget.../length_then_end_inside_an_event got 502 instead of 200, in the 0.09 s that five failing attempts take; 120 further runs of that test by itself passed. TestRetryBudget_UnreachableTargetsAreNotCharged failed once in the package with -race and in 2 of 40 runs, '1 (retries int) != 0' and 'error is not nil: EOF', all while an older build of the wire tests ran beside it. Why it works: names of targets differ between the wire tests and the others.

--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -19,6 +19,7 @@
 
 // rawTarget is a target that decides each byte of its responses.
 type rawTarget struct {
+	id          string
 	respond     func(rawExchange)
 	incarnation int64
 
@@ -48,7 +49,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	d.startCount++
-	target := &rawTarget{respond: respond, incarnation: int64(1000 + d.startCount), arrivals: map[string]int{}}
+	target := &rawTarget{id: id, respond: respond, incarnation: int64(1000 + d.startCount), arrivals: map[string]int{}}
 	var open sync.Map
 	d.t.Cleanup(func() {
 		_ = listener.Close()
@@ -95,6 +96,11 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if req.Header.Get("Expected-Instance") != r.id {
+			// The address was another target's before, maybe of another process's tests.
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		e := rawExchange{target: r, conn: conn, request: req, id: req.Header.Get("Attempt-Id"), previousID: previousID}
 		e.position, _ = strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		r.mu.Lock()
