A stored quarantine is tried once, so that a sound part does not stay in it

Cause: a quarantine ends early only when an engine survives a request with the part, and none is admitted. Entries that adopt it from the store lack the evidence. Change: an entry that adopts a quarantine from the store claims the only trial of it, by a key that may not exist yet, and then sends one request with the part, once. If an engine survives it, the part is released everywhere. Ruled out: a trial by each entry (as many crashes as entries); one for each quarantine, also where the evidence is known (one more crash for nothing). TestStart_StoredQuarantineIsTriedOnce: of twelve requests with a harmful part at three entries, one reaches an engine. Why it works: the store grants the key to one entry.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -138,6 +138,7 @@
 // reserve adds an attempt to the load of a target and picks a target for its KV copy.
 func (c *control) reserve(a *attempt, t *placement.Target, ctx context.Context) {
 	a.target = t.Registration
+	a.exchange.trial = false
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.spec.Target = t.Endpoint
 	c.table.AddAttempt(t.ID, a.requirements)
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -107,6 +107,8 @@
 	recentCrashes   map[crashID]sentCrash
 	recentSurvivals map[quarantine.Part]sentSurvival
 	storedParts     map[quarantine.Part]struct{}
+	// trials holds the parts in quarantine with which this entry may send one request.
+	trials map[quarantine.Part]struct{}
 	// bootClockOffset is the difference between the clock that includes suspended time
 	// and the time since the start of the process, which excludes it; it grows when the
 	// host is suspended. lastResume is when the host or the process was last seen to
@@ -157,6 +159,7 @@
 		recentCrashes:     map[crashID]sentCrash{},
 		recentSurvivals:   map[quarantine.Part]sentSurvival{},
 		storedParts:       map[quarantine.Part]struct{}{},
+		trials:            map[quarantine.Part]struct{}{},
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
 		durations:         map[string]*shutdown.DurationEstimate{},
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -52,6 +52,9 @@
 	// the quarantine of a part of its prompt, if there is one.
 	survived         atomic.Bool
 	quarantinedUntil time.Time
+	// trial is set while the request may be sent once in spite of it; the control goroutine
+	// owns it.
+	trial bool
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 }
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -210,12 +210,13 @@
 
 // quarantineParts ends the attempts that wait with parts that are now in quarantine.
 func (c *control) quarantineParts(records []quarantine.Record) {
+	now := time.Now()
 	for _, r := range records {
 		c.updatePending = true
 		ended := 0
 		for _, m := range c.monitors {
 			for a := range m.attempts {
-				if !a.streaming && c.checkQuarantine(a.exchange) != nil {
+				if !a.streaming && c.endsWaiting(now, a) {
 					a.quarantined.Store(true)
 					a.cancel()
 					ended++
@@ -228,6 +229,16 @@
 	}
 }
 
+// endsWaiting reports whether an attempt that waits must end because of a quarantine.
+func (c *control) endsWaiting(now time.Time, a *attempt) bool {
+	e := a.exchange
+	if len(e.inbound.Parts) == 0 || e.survived.Load() {
+		return false
+	}
+	_, found := c.quarantine.Find(now, e.service, e.inbound.PartIDs())
+	return found
+}
+
 // checkQuarantine returns an error if a part of the prompt is in quarantine.
 func (e *exchange) checkQuarantine() error {
 	if len(e.inbound.Parts) == 0 {
@@ -244,7 +255,13 @@
 		return nil
 	}
 	r, found := c.quarantine.Find(time.Now(), e.service, e.inbound.PartIDs())
-	if !found {
+	if !found || e.trial {
+		return nil
+	}
+	if _, ok := c.trials[r.Part]; ok {
+		delete(c.trials, r.Part)
+		e.trial = true
+		c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
 		return nil
 	}
 	e.quarantinedUntil = r.Until
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -30,3 +30,25 @@
 	}
 	assert.Assert(t, served > 0, "sound requests are still refused 6 s after the start")
 }
+
+// All entries start anew while a part that engines crash on is in quarantine: one of them sends
+// one request with it.
+func TestStart_StoredQuarantineIsTriedOnce(t *testing.T) {
+	d := newDeployment(t)
+	engines := d.startDeadlyEngines()
+	first := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: deadlyPart}, From: now, Until: now.Add(10 * time.Minute)}
+	assert.NilError(t, first.tryStoreQuarantine(record))
+	entries := []*Gateway{first, d.startEntryWithTargets("entry-2", engineCount), d.startEntryWithTargets("entry-3", engineCount)}
+	for _, g := range entries {
+		d.waitUntil(func() bool { return len(g.quarantinedParts()) == 1 })
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range 12 {
+		assert.Assert(t, d.send(entries[i%3], deadlyRequest()).status != http.StatusOK)
+	}
+	assert.Equal(t, crashedEngines(engines), 1)
+	req := streamRequest()
+	assert.Equal(t, d.send(first, req).status, http.StatusOK)
+}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -121,9 +121,35 @@
 		From:  now.Add(-max(0, time.Duration(now.UnixMilli()-record.From)*time.Millisecond)),
 		Until: now.Add(time.Duration(record.Until-now.UnixMilli()) * time.Millisecond),
 	}
+	adopted := false
 	g.control.do(func() {
-		if g.control.quarantine.Adopt(now, r) {
+		if adopted = g.control.quarantine.Adopt(now, r); adopted {
 			g.control.quarantineParts([]quarantine.Record{r})
 		}
 	})
+	if adopted {
+		go g.protect("quarantine trial", func() { g.claimTrial(r) })
+	}
+}
+
+// claimTrial claims the only trial of a quarantine that was found in the store, for one request
+// with the part. Those that knew the evidence may be gone, also if the part has been released
+// since, and without a trial no request would show that it is sound.
+func (g *Gateway) claimTrial(r quarantine.Record) {
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
+	g.metrics.countStoreCall("lease", err)
+	if err == nil {
+		key := platform.TrialPrefix + partHash(r.Service) + "/" + partHash(r.ID)
+		_, err = g.store.Commit(ctx, []platform.Condition{{Key: key}}, []platform.Write{{Key: key, Value: []byte(g.settings.Name), Lease: lease}}, nil)
+		g.metrics.countStoreCall("swap", err)
+	}
+	if err != nil {
+		if !errors.Is(err, platform.ErrConflict) {
+			g.log.Event("quarantine_trial_not_claimed", "part", partHash(r.ID), "error", err.Error())
+		}
+		return
+	}
+	g.control.post(func() { g.control.trials[r.Part] = struct{}{} })
 }
