--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -24,6 +24,10 @@
 // standards lists the kinds of evidence that suffice. Requests to which the engine had begun
 // to respond are rarely there by chance, so that few crashes suffice if no other part of
 // these requests explains them.
+//
+// For example, three engines crash as they begin to respond to the prompts [a x 1], [a x 1] and
+// [a x 2]. By the first standard, x is quarantined: its three crashes are of the two requests 1
+// and 2. They explain the same crashes of a, which comes before x and is shared more widely.
 var standards = []standard{
 	{startedOnly: true, crashes: 3, requests: 2, rivalRequests: 1},
 	{survived: true, crashes: 5, requests: 3, rivalRequests: 2},
@@ -44,7 +48,7 @@
 	repeatedCrashes = 2
 )
 
-// lostRequest is a request that was lost in a crash.
+// lostRequest is a request that was lost in a crash; the last part of its prompt stands for it.
 type lostRequest struct {
 	at      time.Time
 	request string
