An entry that stood still probes its targets again before it gives them up

Cause, from its log: the entry wrote nothing for about a second, and then gave up all its targets within a millisecond: their probes had run out of 120 ms while it stood still itself, with the responses unread. Change: a probe without a response says nothing if the process stood still meanwhile; it is repeated once, and the log says so (probed_again). Ruled out: longer probes, which delay the resume of streams of targets that are lost; subtracting the pause from the probe's time, which its timer cannot do. Evidence: TestProbe_EntryThatStoodStillDoesNotGiveUpItsTarget fails on the code before ("down is true"), three of three runs; the pause is played by a control goroutine that stands still, not by SIGSTOP. Result: the tests of probes pass five times with -race.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -70,6 +70,8 @@
 	bounds    Bounds
 	startedAt time.Time
 	lastCheck time.Time
+	// lastPause is when a check last found that the process had stood still.
+	lastPause time.Time
 
 	// storeLog holds the newest changes of the store for other entries.
 	storeLog storesync.Log
@@ -251,6 +253,7 @@
 func (c *control) check(now time.Time) {
 	delay := now.Sub(c.lastCheck) - idleCheckInterval
 	if delay > pauseThreshold {
+		c.lastPause = now
 		c.gateway.log.Event("paused", "for", delay)
 		for _, m := range c.monitors {
 			m.detector.DiscountPause(delay)
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -117,8 +117,27 @@
 
 // probeIncarnation probes a registered target and calls done on the control goroutine.
 // A target whose incarnation differs from the registered one is marked replaced and
-// counts as not alive.
+// counts as not alive. If this process stood still meanwhile, a missing response says nothing
+// about the target, which is probed once more.
 func (c *control) probeIncarnation(id request.TargetID, address, service string, done func(alive bool)) {
+	start := time.Now()
+	c.probeIncarnationOnce(id, address, service, func(alive bool) {
+		if alive || !c.pausedSince(start) {
+			done(alive)
+			return
+		}
+		c.gateway.log.Event("probed_again", "target", id, "after", time.Since(start))
+		c.probeIncarnationOnce(id, address, service, done)
+	})
+}
+
+// pausedSince reports whether this process stood still at some time since start.
+func (c *control) pausedSince(start time.Time) bool {
+	return c.lastPause.After(start) || time.Since(c.lastCheck) > idleCheckInterval+pauseThreshold
+}
+
+// probeIncarnationOnce is probeIncarnation with a single probe.
+func (c *control) probeIncarnationOnce(id request.TargetID, address, service string, done func(alive bool)) {
 	engine := false
 	if t := c.gateway.table.Load(); t != nil {
 		s := t.Service(service)
--- a/process/gateway/liveness_test.go
+++ b/process/gateway/liveness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -26,3 +27,23 @@
 	}
 	assert.Assert(t, best < 2*probeTimeout, "took %s", best)
 }
+
+// The entry stands still while its probe of a target that is silent for a moment runs out of
+// time.
+func TestProbe_EntryThatStoodStillDoesNotGiveUpItsTarget(t *testing.T) {
+	d := newDeployment(t)
+	engine := d.startEngine("e1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	d.openStream(context.Background(), g, streamRequest()).skipTo(t, 1)
+	engine.SetFaults(replica.Faults{ReportDelay: 300 * time.Millisecond})
+	g.control.do(func() {
+		g.control.probe(g.control.monitors["e1"])
+		time.Sleep(idleCheckInterval + pauseThreshold + 200*time.Millisecond)
+		engine.SetFaults(replica.Faults{})
+	})
+	// Longer than the second probe takes.
+	time.Sleep(2 * probeTimeout)
+	down := true
+	g.control.do(func() { down = g.control.table.Get("e1").Down(time.Now()) })
+	assert.Assert(t, !down)
+}
--- a/standin/replica/faults.go
+++ b/standin/replica/faults.go
@@ -1,5 +1,7 @@
 package replica
 
+import "time"
+
 // Faults selects the faults of a target.
 type Faults struct {
 	// Silent accepts requests and never responds; running responses stop.
@@ -37,6 +39,8 @@
 	Shedding        bool
 	RetryAfter      string
 	OmitNotExecuted bool
+	// ReportDelay delays reports.
+	ReportDelay time.Duration
 	// CrashOnPart is the ID of a prompt part on which the engine crashes as it begins to
 	// respond.
 	CrashOnPart string
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -14,6 +14,7 @@
 	if r.currentFaults().Silent {
 		r.hang(req.Context())
 	}
+	r.wait(req.Context(), r.currentFaults().ReportDelay)
 	if !r.config.Engine {
 		return
 	}
