Attempts that broke off at a live target are forgotten

Callers saw: nothing; found at the last read of the diff. A target that breaks off responses and stays up would have filled the memory of its entry. Cause: broken attempts were kept until a crash was confirmed or taken back; for targets that name no incarnation neither happens. Change: those older than the time of a probe are forgotten with the next one, and requests without prompt parts are not kept. Evidence: TestCall_BrokenAttemptsOfALiveTargetAreForgotten fails on the code before ("21 != 1"). Result: the test and those of quarantines pass, with -race.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -109,15 +109,24 @@
 
 // recordBroken records that the response to an attempt broke off.
 func (c *control) recordBroken(a *attempt) {
+	if len(a.exchange.inbound.Parts) == 0 {
+		return
+	}
 	c.post(func() {
-		m := a.monitor
-		m.broken = append(m.broken, brokenAttempt{attempt: a, at: time.Now()})
+		m, now := a.monitor, time.Now()
+		m.forgetBroken(now)
+		m.broken = append(m.broken, brokenAttempt{attempt: a, at: now})
 		if _, crashed := c.recentCrashes[crashID{a.target.ID, a.target.Incarnation}]; crashed {
 			c.recordCrash(a.target.ID)
 		}
 	})
 }
 
+// forgetBroken forgets the attempts that broke off too long ago for a crash.
+func (m *targetMonitor) forgetBroken(now time.Time) {
+	m.broken = slices.DeleteFunc(m.broken, func(b brokenAttempt) bool { return now.Sub(b.at) > crashConfirmationTime })
+}
+
 // recordCrash records the crash of a target that was found down or replaced, if responses of it
 // broke off just before. A target that drains may end at any time.
 func (c *control) recordCrash(id request.TargetID) {
@@ -126,7 +135,7 @@
 		return
 	}
 	now := time.Now()
-	m.broken = slices.DeleteFunc(m.broken, func(b brokenAttempt) bool { return now.Sub(b.at) > crashConfirmationTime })
+	m.forgetBroken(now)
 	if len(m.broken) == 0 {
 		return
 	}
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -212,6 +212,25 @@
 	assert.Equal(t, survivals(), 1)
 }
 
+// Load: a target that stays up breaks off one response after the other.
+func TestCall_BrokenAttemptsOfALiveTargetAreForgotten(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos").SetFaults(replica.Faults{DropResponses: true})
+	g := d.startReadyEntry("entry-1")
+	remembered := func() int {
+		n := 0
+		g.control.do(func() { n = len(g.control.monitors["a1"].broken) })
+		return n
+	}
+	for range 20 {
+		d.send(g, bookingRequest())
+	}
+	assert.Assert(t, remembered() > 0)
+	time.Sleep(crashConfirmationTime)
+	d.send(g, bookingRequest())
+	assert.Equal(t, remembered(), 1)
+}
+
 // A request with the part waits at an engine while the part is quarantined.
 func TestStream_WaitingRequestIsEndedWhenItsPartIsQuarantined(t *testing.T) {
 	d := newDeployment(t)
