A stored quarantine is not tried while another entry has evidence

Cause: the entry found the quarantine in the store before its peers had reported it, and claimed the trial, which is meant for quarantines that nobody can vouch for. Change: reports say whether a quarantine is known from the store alone. A trial is claimed 1.5 s after the quarantine was found, and only if no report with evidence has come by then. Ruled out: no trial while any entry reports it: those that know it from the store alone would keep each other from it. Why it works: entries report their quarantines every half second at least.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -309,7 +309,7 @@
 	}
 	records := c.quarantine.Quarantined(now)
 	for _, r := range records[:min(len(records), maxSentQuarantined)] {
-		update.Quarantined = append(update.Quarantined, peers.QuarantinedPart{Part: r.Part, Age: now.Sub(r.From), Remaining: r.Until.Sub(now)})
+		update.Quarantined = append(update.Quarantined, peers.QuarantinedPart{Part: r.Part, Age: now.Sub(r.From), Remaining: r.Until.Sub(now), Stored: r.Stored})
 	}
 }
 
@@ -324,7 +324,7 @@
 		c.handleCrash(now, now.Add(-crash.Age), crash.Crash)
 	}
 	for _, q := range update.Quarantined {
-		r := quarantine.Record{Part: q.Part, From: now.Add(-q.Age), Until: now.Add(q.Remaining)}
+		r := quarantine.Record{Part: q.Part, From: now.Add(-q.Age), Until: now.Add(q.Remaining), Stored: q.Stored}
 		if c.quarantine.Adopt(now, r) {
 			c.quarantineParts([]quarantine.Record{r})
 		}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -120,6 +120,8 @@
 		Part:  quarantine.Part{Service: record.Service, ID: record.Part},
 		From:  now.Add(-max(0, time.Duration(now.UnixMilli()-record.From)*time.Millisecond)),
 		Until: now.Add(time.Duration(record.Until-now.UnixMilli()) * time.Millisecond),
+		// What this entry or a peer found itself stays so.
+		Stored: true,
 	}
 	adopted := false
 	g.control.do(func() {
@@ -132,10 +134,23 @@
 	}
 }
 
+// trialDelay is how long after a quarantine was found in the store a trial of it is claimed: by
+// then entries that have evidence have reported it.
+const trialDelay = 3 * updateInterval
+
 // claimTrial claims the only trial of a quarantine that was found in the store, for one request
-// with the part. Those that knew the evidence may be gone, also if the part has been released
-// since, and without a trial no request would show that it is sound.
+// with the part, unless another entry has evidence. If none is left, the part may have been
+// released since, and without a trial no request would show that it is sound.
 func (g *Gateway) claimTrial(r quarantine.Record) {
+	pause(g.background, trialDelay)
+	unproven := false
+	g.control.do(func() {
+		known, found := g.control.quarantine.Find(time.Now(), r.Service, []string{r.ID})
+		unproven = found && known.Stored
+	})
+	if !unproven {
+		return
+	}
 	ctx, cancel := g.withTimeout(storeTimeout)
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -96,6 +96,8 @@
 	// of the quarantine, in nanoseconds.
 	Age       time.Duration `cbor:"2,keyasint"`
 	Remaining time.Duration `cbor:"3,keyasint"`
+	// Stored is set if the sender knows it from the store alone.
+	Stored bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Successor is a restarted target that was found at the address of its previous
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -107,6 +107,8 @@
 	Part
 	// From is the time of the first crash that counted, Until the end of the quarantine.
 	From, Until time.Time
+	// Stored is set if it is known from the store alone: no entry that was asked has evidence.
+	Stored bool
 }
 
 // Survival says that an engine survived a request with the part, to which it had begun to
@@ -137,6 +139,8 @@
 	// revisable is set while all crashes that led to it are known here: it ends if another
 	// part turns out to explain them.
 	revisable bool
+	// stored is set if it is known from the store alone.
+	stored bool
 }
 
 // Tracker holds the crashes of engines and the parts in quarantine.
@@ -339,7 +343,7 @@
 	var records []Record
 	for part, q := range t.parts {
 		if now.Before(q.until) {
-			records = append(records, Record{Part: part, From: q.from, Until: q.until})
+			records = append(records, Record{Part: part, From: q.from, Until: q.until, Stored: q.stored})
 		}
 	}
 	return records
@@ -381,7 +385,7 @@
 	if !ok || !now.Before(q.until) {
 		return Record{}, false
 	}
-	return Record{Part: part, From: q.from, Until: q.until}, true
+	return Record{Part: part, From: q.from, Until: q.until, Stored: q.stored}, true
 }
 
 // Adopt adds a part that another entry has quarantined, and reports whether it was not in
@@ -395,15 +399,16 @@
 	if ok && (now.Before(known.until) || r.From.Before(known.until)) {
 		if r.From.Before(known.from) {
 			known.from = r.From
-			t.parts[r.Part] = known
 		}
+		known.stored = known.stored && r.Stored
+		t.parts[r.Part] = known
 		return false
 	}
 	until := r.Until
 	if limit := now.Add(maxQuarantinePeriod); until.After(limit) {
 		until = limit
 	}
-	t.add(r.Part, quarantined{from: r.From, until: until, period: max(quarantinePeriod, known.period)})
+	t.add(r.Part, quarantined{from: r.From, until: until, period: max(quarantinePeriod, known.period), stored: r.Stored})
 	return true
 }
 
