An address that was checked to be free can be listened at

Callers saw: nothing. Cause: freeAddress listened at a port and closed it, to listen there again a moment later. Change: network.FreeAddress binds a socket and does not listen. Two sockets that allow reuse may be bound to one port as long as neither listens, so a copy disturbs nobody. The soak and the demonstration use it; the copy of the function in bench/fleet, which had the same fault, is gone. Why it works: the listener that takes the port is the only one at any time.

--- a/bench/demo/prepare.go
+++ b/bench/demo/prepare.go
@@ -19,6 +19,7 @@
 	"github.com/mulberrylane/mulberrylane/process/settings"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/engine"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
@@ -89,7 +90,7 @@
 }
 
 func (p *preparer) address() string {
-	address, err := fleet.FreeAddress()
+	address, err := network.FreeAddress("127.0.0.1:0")
 	p.recordError(err)
 	return address
 }
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -322,13 +321,3 @@
 	}
 	_ = os.RemoveAll(f.directory)
 }
-
-// FreeAddress returns a loopback address whose port was free when it was checked.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "free port")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -201,11 +200,10 @@
 func freeAddress() (string, error) {
 	for range lastPort - firstPort {
 		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+		address, err := network.FreeAddress(fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return address, nil
 		}
-		return listener.Addr().String(), errors.Wrap(listener.Close(), "address")
 	}
 	return "", errors.New("no port is free")
 }
