A pipelined request counts as running when a stop closes idle connections

What callers saw: a caller that sent a request before it had the response to the one before it (pipelining) lost the second: when the entry closed its idle connections, 2.3 s after SIGTERM, the connection was closed without a response while the target was at work on the request. After a stream whose head was sent before the stop, such a request was even passed on to a target after its connection had been closed. Cause: graceful.Listener takes a connection for idle from http.StateIdle until it reads again. http.Server reads up to 4 KiB at once, so the next request may be in its buffer already: it is served without another read, and the connection counts as idle all the while. Change: StateActive, which http.Server reports before it calls the handler, marks the connection as in use. If the connection has been closed as idle by then, the hook ends it (http.ErrAbortHandler), so that the request does not reach the handler. Ruled out: SetKeepAlivesEnabled(false), which closes connections whose request is on its way to the handler; a handler around that of the servers, which would need one for each of them and the connection in the context. Evidence: go test -race -run Pipelined ./connection/graceful on the code before listener_test.go:183: assertion failed: {1 0 0} (graceful.Connections) != {0 1 0} --- FAIL: TestDrain_PipelinedRequestGetsResponse listener_test.go:228: assertion failed: 1 (int) != 0 (int) --- FAIL: TestDrain_PipelinedRequestIsNotHandledAfterClose Why it works: the hook runs in the goroutine of the connection after the head was parsed and before the handler; closing and reading are set under one lock. Result: go test -race -count=20 of both tests passes, and go test -race -count=5 of the package.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -82,18 +82,28 @@
 	_ = l.Close()
 }
 
-// ConnState is the ConnState hook of the servers.
+// ConnState is the ConnState hook of the servers. It ends a connection whose next request was
+// read before the connection was closed as idle: a caller sent both at once.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
-	if !ok || state != http.StateIdle {
+	if !ok {
 		return
 	}
 	l.mu.Lock()
-	tracked.served, tracked.reading = true, false
-	idle := l.draining
+	switch state {
+	case http.StateIdle:
+		tracked.served, tracked.reading, tracked.closing = true, false, l.draining
+	case http.StateActive:
+		tracked.reading = true
+	}
+	closing := tracked.closing
 	l.mu.Unlock()
-	if idle {
+	switch {
+	case !closing:
+	case state == http.StateIdle:
 		_ = tracked.Close()
+	case state == http.StateActive:
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -168,8 +178,8 @@
 	// The lock of the listener guards the fields below.
 
 	// served is set after the first response, reading when a byte was read after the last
-	// one. closing is set when the connection is closed as idle: what is read later is
-	// discarded.
+	// one, or a request that was read before. closing is set when the connection is closed as
+	// idle: what is read later is discarded.
 	served, reading, closing bool
 }
 
--- a/connection/graceful/listener_test.go
+++ b/connection/graceful/listener_test.go
@@ -158,3 +158,72 @@
 		assert.Equal(t, handled.Load(), answered.Load())
 	}
 }
+
+// A caller sends its second request before it has the first response, so that the server reads
+// both at once and waits for neither.
+func TestDrain_PipelinedRequestGetsResponse(t *testing.T) {
+	release := make(chan struct{}, 1)
+	l, handled := startServer(t, release)
+	c := dial(t, l)
+	_, err := io.WriteString(c, requestText+requestText)
+	assert.NilError(t, err)
+	release <- struct{}{}
+	responses := bufio.NewReader(c)
+	receive := func() {
+		t.Helper()
+		response, err := http.ReadResponse(responses, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+	}
+	receive()
+	for handled.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, l.Connections(), Connections{InUse: 1})
+	l.StopAccepting()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, l.Drain(ctx), context.DeadlineExceeded)
+	release <- struct{}{}
+	receive()
+	assert.NilError(t, l.Drain(t.Context()))
+}
+
+// The same, and the connection is closed as idle before the second request is handled: the
+// head of the first response was sent before the stop, so it does not announce the close.
+func TestDrain_PipelinedRequestIsNotHandledAfterClose(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewListener(inner)
+	handled, release, closed := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			handled <- struct{}{}
+			<-release
+		}),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				close(closed)
+			}
+			l.ConnState(c, state)
+		},
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	c := dial(t, l)
+	_, err = io.WriteString(c, requestText+requestText)
+	assert.NilError(t, err)
+	<-handled
+	l.StopAccepting()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, l.Drain(ctx), context.Canceled)
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	<-closed
+	assert.Equal(t, len(handled), 0)
+}
