What an adopted target announced outlasts its first registration

After an outage of the store an entry sent a request to an application that had told it, in a response, that it was leaving; each entry did so once, until the next response said it again. Cause: the successor of a target that is adopted during an outage gets an assumed incarnation if it does not tell its own, as no application does. Its registration, read after the outage, tells the true one; that looked like a later incarnation, which starts without announcements. Retry-After was forgotten in the same way. Change: an adopted target whose incarnation was assumed says so, and its announcements count for the incarnation of its first registration. That is so only for a new ID: a target that kept its ID may be the same process, whose registration tells the incarnation of before. Ruled out: comparing the start time in the registration with that of the announcement, since the clocks of hosts differ. Not covered: a response to a request that was sent before the first registration and arrives after it; its announcement is ignored, and the next one counts. If the process restarts under its new ID before its first registration, the restarted one inherits the announcements.

--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
@@ -172,6 +173,47 @@
 	}
 }
 
+// The incarnation of an application that was adopted during an outage of the store is assumed.
+// Its registration, which tells the true one, is read later.
+func TestLeaving_OutlastsRegistrationOfAdoptedTarget(t *testing.T) {
+	d := newDeployment(t)
+	previous := d.startApplication("a1", "naxos")
+	d.startApplication("a2", "paros")
+	g := d.startReadyEntry("entry-1")
+	assert.Equal(t, d.send(g, statusRequest()).status, http.StatusOK)
+	d.store.SetFaults(kv.Faults{Outage: true})
+	previous.Crash()
+	config := previous.Config()
+	config.ID, config.Incarnation = "a3", config.Incarnation+60000
+	leaving, err := d.fleet.Start(config)
+	assert.NilError(t, err)
+	t.Cleanup(leaving.Crash)
+	_, incarnation, err := g.identifyTarget(config.AdvertisedAddress, "bookings")
+	assert.NilError(t, err)
+	g.control.do(func() {
+		g.control.adoptSuccessor(peers.Successor{Old: "a1", ID: "a3", Incarnation: incarnation})
+	})
+	leaving.SetFaults(replica.Faults{Leaving: true})
+	d.waitUntil(func() bool {
+		assert.Equal(t, d.send(g, statusRequest()).status, http.StatusOK)
+		return d.requestsAfter("a3", time.Time{}) > 0
+	})
+	time.Sleep(settleTime)
+	known := time.Now()
+	d.store.SetFaults(kv.Faults{})
+	d.register(leaving, "ready")
+	d.waitWithin(applyTimeout, func() bool {
+		assert.Equal(t, d.send(g, statusRequest()).status, http.StatusOK)
+		registered := false
+		g.control.do(func() {
+			registered = g.control.table.Get("a3").Incarnation == request.Incarnation(config.Incarnation)
+		})
+		return registered
+	})
+	assert.Equal(t, d.send(g, statusRequest()).status, http.StatusOK)
+	assert.Equal(t, d.requestsAfter("a3", known), 0)
+}
+
 // A restarted entry knows what the registration says.
 func TestLeaving_IsForgottenByRestartedEntry(t *testing.T) {
 	d, g, _, _ := newLeavingTest(t, replica.Faults{})
--- a/process/gateway/successor.go
+++ b/process/gateway/successor.go
@@ -85,6 +85,8 @@
 	}
 	next := old.Registration
 	next.ID, next.Incarnation = s.ID, max(s.Incarnation, old.Incarnation+1)
+	// A process that was merely unreachable has the ID of before, and its registration too.
+	next.AssumedIncarnation = s.ID != s.Old && next.Incarnation != s.Incarnation
 	c.registry.Adopt(s.ID)
 	c.table.Register(next)
 	c.recentSuccessors[s] = time.Now()
--- a/process/placement/draining.go
+++ b/process/placement/draining.go
@@ -14,8 +14,10 @@
 // outlasts the registration, which may expire and return while the target runs.
 type announcement struct {
 	incarnation request.Incarnation
-	draining    bool
-	backoff     backoff
+	// assumed is set until a registration tells the incarnation.
+	assumed  bool
+	draining bool
+	backoff  backoff
 	// recordedAt is when the target last announced something.
 	recordedAt time.Time
 }
@@ -56,7 +58,7 @@
 func (t *Table) announcementOf(now time.Time, target *Target) *announcement {
 	if target.announced == nil {
 		t.limitAnnouncements()
-		target.announced = &announcement{incarnation: target.Incarnation}
+		target.announced = &announcement{incarnation: target.Incarnation, assumed: target.AssumedIncarnation}
 		t.announcements[target.ID] = target.announced
 	}
 	target.announced.recordedAt = now
@@ -80,16 +82,19 @@
 
 // attachAnnouncement gives a target that was just registered what its incarnation announced
 // before. A new incarnation starts without; the late registration of an earlier one, which
-// has ended, does not hide what the later one announced.
+// has ended, does not hide what the later one announced. The first registration of a target
+// whose incarnation was assumed tells the true one.
 func (t *Table) attachAnnouncement(target *Target) {
 	target.announced = t.announcements[target.ID]
-	if target.announced == nil || target.announced.incarnation == target.Incarnation {
+	if target.announced == nil || target.Incarnation < target.announced.incarnation {
 		return
 	}
-	if target.Incarnation > target.announced.incarnation {
+	if target.Incarnation > target.announced.incarnation && !target.announced.assumed {
 		delete(t.announcements, target.ID)
 		target.announced = nil
+		return
 	}
+	target.announced.incarnation, target.announced.assumed = target.Incarnation, target.AssumedIncarnation
 }
 
 // detachAnnouncement forgets what a target announced that is no longer registered, if its
--- a/process/placement/draining_test.go
+++ b/process/placement/draining_test.go
@@ -66,6 +66,22 @@
 	assert.Assert(t, !table.Get(targetID(0)).IsDraining())
 }
 
+// The incarnation of a target that is not registered yet may be assumed.
+func TestDraining_OfAssumedIncarnationCountsForTheTrueOne(t *testing.T) {
+	table := newEngineTable(1)
+	registration := table.Get(targetID(0)).Registration
+	register := func(incarnation request.Incarnation, assumed bool) *Target {
+		registration.Incarnation, registration.AssumedIncarnation = incarnation, assumed
+		return table.Register(registration)
+	}
+	register(2, true)
+	assert.Assert(t, table.MarkDraining(start, targetID(0), 2))
+	assert.Assert(t, register(2, true).IsDraining(), "the same, adopted again")
+	assert.Assert(t, register(70, false).IsDraining(), "its first registration")
+	assert.Assert(t, register(70, false).IsDraining(), "a later registration")
+	assert.Assert(t, !register(71, false).IsDraining(), "the next incarnation")
+}
+
 // A target that names no incarnation cannot be told from its successor.
 func TestDraining_OfUnknownIncarnationEndsWithRegistration(t *testing.T) {
 	table := newEngineTable(1)
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -61,6 +61,9 @@
 	Draining bool
 	// Incarnation identifies one run of the target; a restart loses all its state.
 	Incarnation request.Incarnation
+	// AssumedIncarnation is set if the target did not tell its incarnation and is not
+	// registered in the store yet.
+	AssumedIncarnation bool
 }
 
 // Work is the load of one entry at one target.
