A stream is refused at once if no target wants requests and no retries are left

What callers saw: a stream that an engine had turned away with Retry-After waited in the entry until its time was over, 5 s in the test, and got a 503 then, although all engines of the service wanted no requests and it was known at once. That happens when many streams are turned away: their retries use up the retry budget. Cause: a stream of which nothing has run is refused at once when no target can be picked and none wants requests. Without a retry left it waits for one before a target is picked, and that check is not reached. Change: the check is made there too. Ruled out: making the check before a retry is taken. It would change nothing for streams that have one left. Result: go test -race -run TestBackoff -count=2 ./process/gateway passes.

--- a/process/gateway/backoff_test.go
+++ b/process/gateway/backoff_test.go
@@ -176,6 +176,24 @@
 	assert.Equal(t, d.requestsAfter("e1", time.Time{})+d.requestsAfter("e2", time.Time{}), 2)
 }
 
+// The same while no retries are left, as when many requests are shed.
+func TestBackoff_StreamWithoutRetriesIsRefusedAtOnce(t *testing.T) {
+	d := newDeployment(t)
+	d.startEngine("e1", "naxos").SetFaults(replica.Faults{Shedding: true, RetryAfter: "3"})
+	g := d.startReadyEntry("entry-1")
+	for {
+		if _, ok := g.takeRetry("test", "writer", true); !ok {
+			break
+		}
+	}
+	req, start := streamRequest(), time.Now()
+	response := d.send(g, req)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(start) < 400*time.Millisecond, "refused after %s", time.Since(start))
+	assert.Assert(t, response.header.Get("Retry-After") >= "2.5", response.header.Get("Retry-After"))
+	assert.Equal(t, d.requestsAfter("e1", time.Time{}), 1)
+}
+
 // What runs at an engine that sheds goes on, and its health is not in question.
 func TestBackoff_RunningStreamGoesOn(t *testing.T) {
 	d := newDeployment(t)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -174,6 +174,9 @@
 	if int(s.recovery.Attempts()) > s.unsentAttempts {
 		var ok bool
 		if charge, ok = s.gateway.takeRetry(s.inbound.ID, s.service, s.headWritten); !ok {
+			if s.hopeless() {
+				return request.Event{Type: request.EventCallerDisconnected, Kind: fault.NoTarget}
+			}
 			return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 		}
 	}
