--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -242,3 +242,20 @@
 	status := conn.receive(t)
 	assert.Assert(t, status >= 500, "%d", status)
 }
+
+// A caller sends two requests at once; the entry closes idle connections while the target is
+// at work on the second.
+func TestStop_PipelinedRequestGetsResponse(t *testing.T) {
+	d := newDeployment(t)
+	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 2500 * time.Millisecond, Slots: 6})
+	g := d.startReadyEntry("entry-1")
+	conn := d.dialCaller(g)
+	unknown, booking := newCallerRequest(http.MethodGet, "/unknown", ""), bookingRequest()
+	conn.send(t, append(encodeRequest(t, g, unknown), encodeRequest(t, g, booking)...))
+	assert.Equal(t, conn.receive(t), http.StatusNotFound)
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(booking.AttemptID) > 0 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Stop(context.Background()) }()
+	assert.Equal(t, conn.receive(t), http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
