Targets that crash after the head do not end a stream that broke off

Callers saw (in a test): a stream that had broken off between two events looked complete, after two further targets had crashed between head and first event. Cause: two responses without an event, a length or chunks confirmed each other that nothing was left. The connections of a process that ends are closed in the same way, and a prompt that one engine crashes on crashes the next one as well, so the two are not independent. Change: such an end counts only if the target is found running after it, in the same incarnation (request.StreamEnd.TargetRuns); a probe tells. The attempt is recorded as broken off before the probe, and once only, so that the evidence of a crash is as before. Ruled out: taking no such response for the end. A stream that was reset after its last event, or whose caller has all events and asks for the rest, would never end at targets that frame no response (TestStreamFraming_EndIsRecognized, TestStreamFraming_UnframedEndWithoutEventsIsConfirmed). The bytes are the same in both cases; only the target tells them apart. Evidence: TestBrokenStream_TargetsThatCrashAfterTheHeadDoNotEndIt on the code before, in all four framings: "assertion failed: response.complete is true: a stream that broke off looks complete". Why it works: what ends a response like this by accident is the end of the process, which a probe cannot miss: nothing listens, or another incarnation does. What remains: a target that runs on and truncates its response at this place.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -92,6 +92,8 @@
 	copyRefusedBy  []request.TargetID
 	streaming      bool
 	streamingSince time.Time
+	// brokenRecorded is set when the attempt was recorded as broken off.
+	brokenRecorded bool
 	// reserved is set if the attempt uses up a request that was reserved for it at a target
 	// that asked for none.
 	reserved bool
--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// A stream breaks off between two events, and the next targets crash between the head and the
+// first event.
+func TestBrokenStream_TargetsThatCrashAfterTheHeadDoNotEndIt(t *testing.T) {
+	for framing, frame := range framings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var begun atomic.Bool
+			respond := func(e rawExchange) {
+				if begun.CompareAndSwap(false, true) {
+					e.write(frame(e, e.events(1, deliveredBefore), false))
+					time.Sleep(transferTime)
+					e.reset()
+					return
+				}
+				e.write(e.streamHead())
+				e.target.stop()
+			}
+			for i := range 4 {
+				d.startRawTarget(fmt.Sprint("t", i), "writer", respond)
+			}
+			g := d.startReadyEntry("entry-1")
+			req := streamRequest()
+			req.DeadlineRemaining = 1500 * time.Millisecond
+			response := d.send(g, req)
+			assert.Equal(t, response.status, http.StatusOK)
+			assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, deliveredBefore))
+			assert.Assert(t, !response.complete, "a stream that broke off looks complete")
+		})
+	}
+}
+
 // Of a stream nothing has been written to the caller, and its only target breaks it off.
 func TestBrokenStream_WithoutAnEventIsNotComplete(t *testing.T) {
 	for _, path := range []string{"/once/x", "/report/x"} {
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -113,6 +113,10 @@
 		return
 	}
 	c.post(func() {
+		if a.brokenRecorded {
+			return
+		}
+		a.brokenRecorded = true
 		m, now := a.monitor, time.Now()
 		m.forgetBroken(now)
 		m.broken = append(m.broken, brokenAttempt{attempt: a, at: now})
--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -22,6 +22,9 @@
 	id          string
 	respond     func(rawExchange)
 	incarnation int64
+	listener    net.Listener
+	// open holds the connections.
+	open sync.Map
 
 	mu       sync.Mutex
 	arrivals map[string]int
@@ -46,22 +49,20 @@
 // caller. Engines answer probes as well.
 func (d *deployment) startRawTarget(id, service string, respond func(rawExchange)) *rawTarget {
 	d.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", targetAddress)
 	assert.NilError(d.t, err)
 	d.startCount++
-	target := &rawTarget{id: id, respond: respond, incarnation: int64(1000 + d.startCount), arrivals: map[string]int{}}
-	var open sync.Map
-	d.t.Cleanup(func() {
-		_ = listener.Close()
-		open.Range(func(conn, _ any) bool { _ = conn.(net.Conn).Close(); return true })
-	})
+	target := &rawTarget{
+		id: id, respond: respond, incarnation: int64(1000 + d.startCount), listener: listener, arrivals: map[string]int{},
+	}
+	d.t.Cleanup(target.stop)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			open.Store(conn, nil)
+			target.open.Store(conn, nil)
 			go target.serve(conn)
 		}
 	}()
@@ -75,6 +76,12 @@
 	return target
 }
 
+// stop closes the listener and then the connections, as the end of a process does.
+func (r *rawTarget) stop() {
+	_ = r.listener.Close()
+	r.open.Range(func(conn, _ any) bool { _ = conn.(net.Conn).Close(); return true })
+}
+
 func (r *rawTarget) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -21,7 +21,8 @@
 	kind     fault.Kind
 	// failureResponse is the target's own error response, if it sent one.
 	failureResponse *bufferedResponse
-	// emptyEnd is set if the response ended without an event and an error.
+	// emptyEnd is set if the response ended without an event, an error or a mark of its end,
+	// and its target runs on.
 	emptyEnd bool
 	// insideEvent is set if the response broke off inside an event.
 	insideEvent bool
@@ -155,6 +156,9 @@
 		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		OtherContent: !platform.MayHoldEvents(response.Header),
 	}
+	if ended && end.DependsOnTarget() {
+		end.TargetRuns = a.targetRuns()
+	}
 	if ended && end.Complete() {
 		a.complete.Store(true)
 		a.recordSurvival()
@@ -166,5 +170,22 @@
 	if a.quarantined.Load() {
 		return attemptUpdate{kind: fault.Quarantined}
 	}
-	return attemptUpdate{kind: fault.TargetLost, emptyEnd: ended && !end.OtherContent}
+	return attemptUpdate{kind: fault.TargetLost, emptyEnd: ended && end.MayConfirm()}
+}
+
+// targetRuns probes the target after a response without an event and reports whether it is
+// still running. If it is not, the attempt broke off.
+func (a *attempt) targetRuns() bool {
+	c := a.exchange.gateway.control
+	c.recordBroken(a)
+	result := make(chan bool, 1)
+	c.post(func() {
+		c.probeIncarnation(a.target.ID, a.target.Address, a.target.Service, func(alive bool) { result <- alive })
+	})
+	select {
+	case alive := <-result:
+		return alive
+	case <-a.ctx.Done():
+		return false
+	}
 }
--- a/request/stream_end.go
+++ b/request/stream_end.go
@@ -12,6 +12,8 @@
 	OtherContent bool
 	// Confirmed is set if an earlier attempt from the same position ended like this one.
 	Confirmed bool
+	// TargetRuns is set if the target was found running after the end of the response.
+	TargetRuns bool
 	// EventBegun is set if an earlier attempt broke off at this position inside the next
 	// event, so that the stream goes on.
 	EventBegun bool
@@ -29,6 +31,16 @@
 	case e.Framed:
 		return true
 	default:
-		return e.Position > 0 && e.Confirmed
+		return e.Confirmed && e.MayConfirm()
 	}
 }
+
+// MayConfirm reports whether the end shows that no event is left, if another target ends its
+// response in the same way. The connections of a target that stops end like that as well, and
+// a request may make each of its targets stop.
+func (e StreamEnd) MayConfirm() bool { return e.DependsOnTarget() && e.TargetRuns }
+
+// DependsOnTarget reports whether what the end shows depends on whether the target runs.
+func (e StreamEnd) DependsOnTarget() bool {
+	return e.Position > 0 && e.Events == 0 && !e.Framed && !e.OtherContent && !e.EventBegun
+}
