A stream that broke off resets the connection of a caller that knows no chunks

Callers saw (HTTP/1.0): a stream that had broken off, or that was in progress when the entry ended, looked complete. Cause: a response to HTTP/1.0 has neither chunks nor, if it is a stream, a length, so it ends with its connection. net/http closes the connection of an aborted handler in the same way as that of one that returned. Change: while such a stream is in progress its connection is set to be reset when it is closed (graceful.SetReset); that is taken back when the stream is complete. The setting is the socket's, so it also holds if the process is killed. Ruled out: HTTP/1.1 callers with Connection: close; net/http sends them chunks, and their cases pass on the code before. A reset only in the aborting handler: the end of the process would still look complete. A reset loses no event that the caller's system has received; one that is lost is asked for again, as after any break. Evidence: go test -race -run TestCallerFraming ./process/gateway on the code before: "HTTP/1.0_whole_false: assertion failed: err is nil: a stream that broke off looks complete", and the same of a stream at the end of the entry. Why it works: a close-delimited body is complete unless its connection fails (RFC 9112, 8), and a reset is how the connection fails. Result: go test -race -count=3 -run 'TestCallerFraming|TestStreamFraming_CallerConn| Stop' ./process/gateway passes, as does ./connection/graceful.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -19,6 +19,10 @@
 // the listener was about to close: closing it would reset them.
 const acceptQueueTime = 20 * time.Millisecond
 
+// defaultLinger is the SetLinger argument with which the operating system sends what is left
+// after a connection was closed.
+const defaultLinger = -1
+
 // Listener accepts the connections of one or more http.Servers and keeps track of them. The
 // servers must call its ConnState.
 type Listener struct {
@@ -97,6 +101,32 @@
 	}
 }
 
+type contextKey struct{}
+
+// ConnContext is the ConnContext hook of the servers; SetReset needs it.
+func (*Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// SetReset sets whether the connection of a request is reset when it is closed, also by the
+// end of the process. A response that ends with its connection looks complete otherwise.
+func SetReset(ctx context.Context, reset bool) {
+	tracked, _ := ctx.Value(contextKey{}).(*conn)
+	if tracked == nil {
+		return
+	}
+	tcp, ok := tracked.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := defaultLinger
+	if reset {
+		linger = 0
+	}
+	// It fails if the connection is closed.
+	_ = tcp.SetLinger(linger)
+}
+
 // Drain closes the connections that are idle, and the others once they are. A connection
 // that has carried no request yet is left open for its first one. Drain returns when no
 // connections are open, or with an error when ctx ends.
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -46,6 +46,9 @@
 	workspace *routes.Workspace
 	arrived   time.Time
 	deadline  time.Time
+	// endsWithConnection is set if only the end of the connection ends a response of unknown
+	// length.
+	endsWithConnection bool
 	// configVersion is the version of the configuration that applies to the request.
 	configVersion int64
 	// survived is set when a target has survived the request. quarantinedUntil is the end of
@@ -62,7 +65,7 @@
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
+	e := &exchange{gateway: g, writer: w, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1)}
 	var err error
 	e.inbound, err = platform.DecodeRequest(r)
 	g.activeRequests.add(e)
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -123,6 +123,7 @@
 		MaxHeaderBytes:               limits.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    i.callerListener.ConnState,
+		ConnContext:                  i.callerListener.ConnContext,
 		ErrorLog:                     klog.NewStandardLogger("WARNING"),
 		BaseContext:                  func(net.Listener) context.Context { return i.gateway.background },
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/admission"
@@ -387,9 +388,18 @@
 	for name, values := range platform.ForwardedResponseHeader(s.head.Header) {
 		header[name] = values
 	}
+	s.resetConnectionOnClose(true)
 	s.writer.WriteHeader(s.head.StatusCode)
 }
 
+// resetConnectionOnClose sets whether closing the caller's connection resets it, if the stream
+// would look complete otherwise.
+func (s *stream) resetConnectionOnClose(reset bool) {
+	if s.endsWithConnection {
+		graceful.SetReset(s.ctx, reset)
+	}
+}
+
 // finish ends the response to the caller.
 func (s *stream) finish() {
 	s.retainOrDropCopy()
@@ -403,6 +413,7 @@
 		recordDuration(s.gateway.metrics.longestPause, s.longestPause)
 		// A caller that already has all events gets a response without any.
 		s.writeHead()
+		s.resetConnectionOnClose(false)
 		s.exchange.finish(fault.None, attempts, "events", events,
 			"firstAfter", s.firstEventDelay, "longestPause", s.longestPause)
 	case s.headWritten:
