A harmful part before documents of retried requests is found by the second one

Callers saw: requests with a part on which engines crash went on reaching engines: with a document of their own after that part, which no engine had survived, nine engines crashed in a replay with five attempts for a request, four of them after the fifth crash.

Cause: a part of a single request explained the crashes of the parts before it, once it was in two. Only the standard of five crashes of three requests found it, and that counts two crashes of a request.

Change: a part of one request no longer explains what several requests have in common that are each lost repeatedly. It is unlikely that each of them has a harmful part of its own.

Ruled out: no rival with a single request at all. Then the neighbours of one retried request would get their first part blamed beside one crash by another cause, after a start. Parts that engines have survived are not touched: the first standard leaves them out.

Evidence: the test failed before:

--- FAIL: TestTracker_PartBeforeDocumentsOfRetriedRequestsIsQuarantined neighbours_test.go:51: 7 crashes with 3 attempts

(8 with four attempts, 9 with five).

Result: five crashes at most with one to five attempts. What remains: two requests that are each lost twice by other causes, right after a start and as engines begin to respond to them, get the first part blamed that both have, unless an engine has survived it.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -46,6 +46,9 @@
 	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
 	// the requests lost with it.
 	repeatedCrashes = 2
+	// repeatedRequests is how many requests that are each lost in several crashes have a
+	// harmful part in common, rather than one each.
+	repeatedRequests = 2
 )
 
 // lostRequest is a request that was lost in a crash; the last part of its prompt stands for it.
@@ -56,12 +59,14 @@
 
 // evidence is what the crashes say about one part.
 type evidence struct {
-	lost     []lostRequest
-	requests map[string]struct{}
+	lost []lostRequest
+	// requests maps the requests to the number of crashes in which they were lost.
+	requests map[string]int
 	// survived reports whether engines have survived the part.
 	survived bool
-	// crashes is the number of crashes, set by count.
-	crashes int
+	// crashes is the number of crashes, and repeated that of the requests that were lost in
+	// several; count sets both.
+	crashes, repeated int
 	// index is the last position of the part in a prompt.
 	index int
 }
@@ -69,16 +74,16 @@
 func (e *evidence) add(at time.Time, request string) {
 	e.lost = append(e.lost, lostRequest{at: at, request: request})
 	if e.requests == nil {
-		e.requests = map[string]struct{}{}
+		e.requests = map[string]int{}
 	}
-	e.requests[request] = struct{}{}
+	e.requests[request]++
 }
 
 // count orders the requests by time and counts the crashes. Those of different requests within
 // correlatedInterval count as one; a single request is lost in one crash after the other.
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
-	e.crashes = 0
+	e.crashes, e.repeated = 0, 0
 	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
@@ -92,6 +97,11 @@
 		}
 	}
 	e.crashes += most(lost)
+	for _, crashes := range e.requests {
+		if crashes >= repeatedCrashes {
+			e.repeated++
+		}
+	}
 }
 
 func most(counts map[string]int) int {
@@ -242,7 +252,7 @@
 	}
 	result := map[Part]*evidence{}
 	t.forEachPosition(now, s, func(p position) {
-		if e := index[p.Part]; !explained(index, p, s, e.survived) && (s.survived || !e.survived) {
+		if !explained(index, p, s) && (s.survived || !index[p.Part].survived) {
 			t.addEvidence(now, result, p)
 		}
 	})
@@ -281,8 +291,11 @@
 // explained reports whether another part of the prompt explains the crash better. A part
 // that no engine has survived is more likely to be at fault than one that some have, and a
 // later one, which fewer requests share, more likely than those before it. The last part is
-// at fault only if no other is.
-func explained(index map[Part]*evidence, p position, s standard, survived bool) bool {
+// at fault only if no other is. A part of one request does not explain what several requests
+// have in common that are each lost repeatedly.
+func explained(index map[Part]*evidence, p position, s standard) bool {
+	e := index[p.Part]
+	shared := e.repeated >= repeatedRequests
 	for i, id := range p.shared {
 		rival, ok := index[Part{Service: p.Service, ID: id}]
 		if !ok || i == p.index || rival.crashes < rivalCrashes {
@@ -294,10 +307,10 @@
 			}
 			continue
 		}
-		if len(rival.requests) < s.rivalRequests {
+		if len(rival.requests) < s.rivalRequests || shared && len(rival.requests) == 1 {
 			continue
 		}
-		if survived && !rival.survived || survived == rival.survived && i > p.index {
+		if e.survived && !rival.survived || e.survived == rival.survived && i > p.index {
 			return true
 		}
 	}
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -36,3 +36,19 @@
 	assert.Assert(t, r.quarantined(1300, "deadly"))
 	assert.Assert(t, !r.quarantined(1300, "first"))
 }
+
+// Load: each request has a document of its own after the harmful part, which no engine has
+// survived, and is passed from engine to engine.
+func TestTracker_PartBeforeDocumentsOfRetriedRequestsIsQuarantined(t *testing.T) {
+	for attempts := 1; attempts <= 5; attempts++ {
+		r := newReplay()
+		for i := 0; !r.quarantined(1200*r.crashes, "deadly"); i++ {
+			last := fmt.Sprint("r", i)
+			for n := 0; n < attempts && !r.quarantined(1200*r.crashes, "deadly") && !r.quarantined(1200*r.crashes, last); n++ {
+				r.crash(1200*r.crashes, started("first", "deadly", fmt.Sprint("doc-", i), last))
+			}
+		}
+		assert.Assert(t, r.crashes <= 5, "%d crashes with %d attempts", r.crashes, attempts)
+		assert.Assert(t, !r.quarantined(1200*r.crashes, "first"))
+	}
+}
