A later part is released when the harmful one before it is found

Callers saw: sound requests with a part that had been in the first crashes together with the harmful part before it were refused for ten minutes, also after that one was found.

Cause: of two parts of which no engine has survived either, the later one is quarantined. The evidence for the one before it then comes from requests without the later part, but the check that releases parts compared the positions again, by which the later part explains itself.

Change: the check leaves out requests with a part that was found since. That one's evidence does not rest on them, because the later part explained them.

Ruled out: a release while the parts are only seen together; then the evidence for the later part stays, and nothing else is found.

Evidence: the test failed before:

--- FAIL: TestTracker_LaterPartIsReleasedWhenTheOneBeforeItIsFound neighbours_test.go:67: r.quarantined(1000*r.crashes, "document") is true

Result: the later part is released with the crash that shows the one before it, and the other entries are told as with each release. If both are harmful, the later one is found again by five crashes of three requests without the other.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -124,6 +124,13 @@
 
 func (p position) last() bool { return p.index == len(p.shared) }
 
+// hasOther reports whether the prompt has another part that is among the records.
+func (p position) hasOther(records []Record) bool {
+	return slices.ContainsFunc(records, func(r Record) bool {
+		return r.Part != p.Part && r.Service == p.Service && slices.Contains(p.shared, r.ID)
+	})
+}
+
 // Evaluate quarantines the parts that the crashes known by now show to be harmful and returns
 // them, and the survivals that release parts which others turn out to explain. It also ends
 // quarantines and forgets old crashes.
@@ -142,7 +149,7 @@
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	var released []Survival
 	for part, q := range t.parts {
-		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part) {
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part, added) {
 			released = append(released, t.release(part, q.from.Add(retractionMargin)))
 		}
 	}
@@ -164,13 +171,13 @@
 }
 
 // justified reports whether the crashes known by now would lead to the quarantine of a part that
-// is in quarantine.
-func (t *Tracker) justified(now time.Time, part Part) bool {
+// is in quarantine, leaving out those of requests with other parts that were found since.
+func (t *Tracker) justified(now time.Time, part Part, found []Record) bool {
 	q := t.parts[part]
 	delete(t.parts, part)
 	defer func() { t.parts[part] = q }()
 	for _, s := range standards {
-		if t.unexplained(now, s)[part] != nil {
+		if t.unexplained(now, s, found)[part] != nil {
 			return true
 		}
 	}
@@ -183,7 +190,7 @@
 func (t *Tracker) mostLikely(now time.Time, s standard) (Part, *evidence) {
 	var best Part
 	var most *evidence
-	for part, e := range t.unexplained(now, s) {
+	for part, e := range t.unexplained(now, s, nil) {
 		if _, known := t.Find(now, part.Service, []string{part.ID}); known {
 			continue
 		}
@@ -243,8 +250,8 @@
 }
 
 // unexplained returns the parts for which the evidence suffices, leaving out what other parts
-// of the same requests explain.
-func (t *Tracker) unexplained(now time.Time, s standard) map[Part]*evidence {
+// of the same requests explain, as those that were found do.
+func (t *Tracker) unexplained(now time.Time, s standard, found []Record) map[Part]*evidence {
 	index := map[Part]*evidence{}
 	t.forEachPosition(now, s, func(p position) { t.addEvidence(now, index, p) })
 	for _, e := range index {
@@ -252,7 +259,7 @@
 	}
 	result := map[Part]*evidence{}
 	t.forEachPosition(now, s, func(p position) {
-		if !explained(index, p, s) && (s.survived || !index[p.Part].survived) {
+		if !p.hasOther(found) && !explained(index, p, s) && (s.survived || !index[p.Part].survived) {
 			t.addEvidence(now, result, p)
 		}
 	})
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -52,3 +52,17 @@
 		assert.Assert(t, !r.quarantined(1200*r.crashes, "first"))
 	}
 }
+
+// Load: the first requests with a harmful part also share a later part that no engine has
+// survived; further ones do not.
+func TestTracker_LaterPartIsReleasedWhenTheOneBeforeItIsFound(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("deadly", "document", "r0"))
+	r.crash(1000, started("deadly", "document", "r0"))
+	assert.DeepEqual(t, r.crash(2000, started("deadly", "document", "r1")), []string{"document"})
+	for i := 3; !r.quarantined(1000*i, "deadly"); i++ {
+		r.crash(1000*i, started("deadly", fmt.Sprint("document-", i), fmt.Sprint("r", i)))
+		assert.Assert(t, i < 8)
+	}
+	assert.Assert(t, !r.quarantined(1000*r.crashes, "document"))
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -250,7 +250,7 @@
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
 			continue
 		}
-		if !t.justified(now, part) {
+		if !t.justified(now, part, nil) {
 			released = append(released, t.release(part, later(c.at, q.from.Add(retractionMargin))))
 		}
 	}
