The trial of a stored quarantine is not spent on a request with another one

Callers saw: after all entries had started anew with two parts in quarantine, a sound one and a harmful one, a request with both got the trial of the sound part. An engine crashed, and requests with the sound part were refused until the end of the quarantine.

Cause: the trial is looked up for the first part of the prompt that is in quarantine; the parts after it were not looked at.

Change: a trial is granted only if no other part of the prompt is in quarantine; otherwise the request is refused because of that one, and the trial stays.

Ruled out: trials of both parts for one request. Its crash would not tell which part is at fault.

Result: the request is refused, no engine crashes, and the next request with the sound part releases it.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -263,19 +263,25 @@
 	if len(e.inbound.Parts) == 0 || e.survived.Load() {
 		return nil
 	}
-	r, found := c.quarantine.Find(time.Now(), e.service, e.inbound.PartIDs())
+	now, parts := time.Now(), e.inbound.PartIDs()
+	r, found := c.quarantine.Find(now, e.service, parts)
 	if !found || e.trial {
 		return nil
 	}
 	if _, ok := c.trials[r.Part]; ok {
-		delete(c.trials, r.Part)
-		e.trial = true
-		c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
-		return nil
+		others := slices.DeleteFunc(slices.Clone(parts), func(id string) bool { return id == r.ID })
+		other, found := c.quarantine.Find(now, e.service, others)
+		if !found {
+			delete(c.trials, r.Part)
+			e.trial = true
+			c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
+			return nil
+		}
+		r = other
 	}
 	e.quarantinedUntil = r.Until
 	c.gateway.log.Event("quarantined", "request", e.inbound.ID, "part", partHash(r.ID), "for", time.Until(r.Until))
-	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(e.inbound.PartIDs(), r.ID))
+	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(parts, r.ID))
 }
 
 // addQuarantine adds what other entries need to know of crashes and quarantines to an update.
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -52,3 +52,32 @@
 	req := streamRequest()
 	assert.Equal(t, d.send(first, req).status, http.StatusOK)
 }
+
+// trialOfSharedPart has an entry hold a quarantine of the shared part from the store and the
+// trial of it.
+func (g *Gateway) trialOfSharedPart() {
+	now := time.Now()
+	part := quarantine.Part{Service: "writer", ID: sharedPart}
+	g.control.do(func() {
+		g.control.quarantine.Adopt(now, quarantine.Record{Part: part, From: now, Until: now.Add(time.Minute), Stored: true})
+		g.control.trials[part] = struct{}{}
+	})
+}
+
+// Load: the first request after the start has a part that engines crash on besides the one that
+// may be tried.
+func TestStart_TrialIsNotSpentOnARequestWithAnotherQuarantinedPart(t *testing.T) {
+	d := newDeployment(t)
+	engines := d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	g.trialOfSharedPart()
+	now := time.Now()
+	g.control.do(func() {
+		deadly := quarantine.Part{Service: "writer", ID: deadlyPart}
+		g.control.quarantine.Adopt(now, quarantine.Record{Part: deadly, From: now, Until: now.Add(time.Minute)})
+	})
+	assert.Equal(t, d.send(g, deadlyRequest()).status, http.StatusServiceUnavailable)
+	assert.Equal(t, crashedEngines(engines), 0)
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
+	assert.Equal(t, len(g.quarantinedParts()), 1)
+}
