The trial of a stored quarantine is not spent on a request that reaches no target

Callers saw: after all entries had started anew, requests with a sound part were refused until the end of its quarantine, because the request that had the only trial found no target.

Cause: the trial is used up when it is granted, before a target is chosen. A request for which there is none, that is not sent, or that its target refuses shows nothing about the part.

Change: such a request gives the trial back.

Ruled out: giving it back also when the response broke off. The engine may have crashed on the part, and a second trial would end another.

Result: the next request has the trial, and its response releases the part.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -53,6 +54,8 @@
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
+	// mayHaveRun is set once the request has been sent, unless the target refused it.
+	mayHaveRun bool
 	// sentBefore is set if the request was sent to the target before.
 	sentBefore bool
 	// prefillUncontended is set if the target had no other prompt to prefill when the
@@ -92,6 +95,8 @@
 	copyRefusedBy  []request.TargetID
 	streaming      bool
 	streamingSince time.Time
+	// trial is the part in quarantine of which this attempt is the trial, if any.
+	trial quarantine.Part
 	// reserved is set if the attempt uses up a request that was reserved for it at a target
 	// that asked for none.
 	reserved bool
@@ -117,12 +122,15 @@
 			return
 		}
 		requirements.CachedPrompt = c.promptIndex.Find(a.startedAt, requirements.Session)
-		if choice, err = c.table.Pick(a.startedAt, requirements); err == nil {
-			a.prefillUncontended = choice.Cost == 0
-			a.requirements = requirements.ForTarget(choice.Target)
-			c.reserve(a, choice.Target, ctx)
-			copyTarget = a.kvCopy.Target
+		if choice, err = c.table.Pick(a.startedAt, requirements); err != nil {
+			c.returnTrial(e.trial)
+			e.trial = quarantine.Part{}
+			return
 		}
+		a.prefillUncontended = choice.Cost == 0
+		a.requirements = requirements.ForTarget(choice.Target)
+		c.reserve(a, choice.Target, ctx)
+		copyTarget = a.kvCopy.Target
 	}) {
 		return nil, errors.WithStack(errStopping)
 	}
@@ -138,7 +146,7 @@
 // reserve adds an attempt to the load of a target and picks a target for its KV copy.
 func (c *control) reserve(a *attempt, t *placement.Target, ctx context.Context) {
 	a.target = t.Registration
-	a.exchange.trial = false
+	a.trial, a.exchange.trial = a.exchange.trial, quarantine.Part{}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.spec.Target = t.Endpoint
 	c.table.AddAttempt(t.ID, a.requirements)
@@ -174,6 +182,9 @@
 			c.updatePending = true
 		}
 		c.removeAttempt(a)
+		if !a.mayHaveRun {
+			c.returnTrial(a.trial)
+		}
 	})
 }
 
@@ -235,6 +246,7 @@
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
+	a.mayHaveRun = true
 	if err != nil {
 		a.responseFailed(err)
 		return nil, request.Reply{}, request.AttemptBroken
@@ -246,6 +258,7 @@
 	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
 		a.monitor.recordIdentified(g.control)
 	}
+	a.mayHaveRun = outcome != request.AttemptRefused
 	a.recordReply(a.reply)
 	a.logReply(outcome)
 	return response, a.reply, outcome
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
@@ -52,9 +53,9 @@
 	// the quarantine of a part of its prompt, if there is one.
 	survived         atomic.Bool
 	quarantinedUntil time.Time
-	// trial is set while the request may be sent once in spite of it; the control goroutine
-	// owns it.
-	trial bool
+	// trial is the part with which the request may be sent once in spite of it, if any; the
+	// control goroutine owns it.
+	trial quarantine.Part
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 }
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -265,7 +265,7 @@
 	}
 	now, parts := time.Now(), e.inbound.PartIDs()
 	r, found := c.quarantine.Find(now, e.service, parts)
-	if !found || e.trial {
+	if !found || e.trial != (quarantine.Part{}) {
 		return nil
 	}
 	if _, ok := c.trials[r.Part]; ok {
@@ -273,7 +273,7 @@
 		other, found := c.quarantine.Find(now, e.service, others)
 		if !found {
 			delete(c.trials, r.Part)
-			e.trial = true
+			e.trial = r.Part
 			c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
 			return nil
 		}
@@ -284,6 +284,13 @@
 	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(parts, r.ID))
 }
 
+// returnTrial lets another request have the trial of a part, if there is one.
+func (c *control) returnTrial(part quarantine.Part) {
+	if part != (quarantine.Part{}) {
+		c.trials[part] = struct{}{}
+	}
+}
+
 // addQuarantine adds what other entries need to know of crashes and quarantines to an update.
 func (c *control) addQuarantine(now time.Time, update *peers.Update) {
 	bytes := 0
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -81,3 +81,14 @@
 	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
 	assert.Equal(t, len(g.quarantinedParts()), 1)
 }
+
+// Fault: no engine is known yet when the first request with the part arrives.
+func TestStart_TrialIsNotSpentOnARequestWithoutATarget(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	g.trialOfSharedPart()
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusServiceUnavailable)
+	d.startEngine("e1", "naxos")
+	d.waitUntil(func() bool { return g.targetCount() == 1 })
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
+}
