The trial of a stored quarantine is claimed by an entry that has requests for it

Callers saw: after all entries had started anew, sound requests were refused until the end of a stored quarantine of their part, although one trial of it is to be made.

Cause: each entry that finds a quarantine in the store claims the trial, and the first gets it. If that one has no requests with the part, or ends, nobody makes the trial. Entries that learn of the quarantine from a peer's update did not claim at all.

Change: an entry claims the trial when it refuses a request because of such a quarantine. A claim that the store does not answer is repeated.

Ruled out: passing the trial on after a time. The holder may be cut off with its request sent.

Entries without such requests make no store call for the trial.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -111,6 +111,9 @@
 	storedParts     map[quarantine.Part]struct{}
 	// trials holds the parts in quarantine with which this entry may send one request.
 	trials map[quarantine.Part]struct{}
+	// trialsDue holds the parts whose quarantine is known from the store alone, and when this
+	// entry may claim the trial of each.
+	trialsDue map[quarantine.Part]time.Time
 	// bootClockOffset is the difference between the clock that includes suspended time
 	// and the time since the start of the process, which excludes it; it grows when the
 	// host is suspended. lastResume is when the host or the process was last seen to
@@ -162,6 +165,7 @@
 		recentSurvivals:   map[quarantine.Part]sentSurvival{},
 		storedParts:       map[quarantine.Part]struct{}{},
 		trials:            map[quarantine.Part]struct{}{},
+		trialsDue:         map[quarantine.Part]time.Time{},
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
 		durations:         map[string]*shutdown.DurationEstimate{},
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -221,6 +221,9 @@
 func (c *control) quarantineParts(records []quarantine.Record) {
 	now := time.Now()
 	for _, r := range records {
+		if r.Stored {
+			c.trialsDue[r.Part] = now.Add(trialDelay)
+		}
 		c.updatePending = true
 		ended := 0
 		for _, m := range c.monitors {
@@ -268,7 +271,7 @@
 	if !found || e.trial != (quarantine.Part{}) {
 		return nil
 	}
-	if _, ok := c.trials[r.Part]; ok {
+	if _, ok := c.trials[r.Part]; ok && r.Stored {
 		others := slices.DeleteFunc(slices.Clone(parts), func(id string) bool { return id == r.ID })
 		other, found := c.quarantine.Find(now, e.service, others)
 		if !found {
@@ -279,6 +282,10 @@
 		}
 		r = other
 	}
+	if due, ok := c.trialsDue[r.Part]; ok && r.Stored && !now.Before(due) {
+		delete(c.trialsDue, r.Part)
+		go c.gateway.protect("quarantine trial", func() { c.gateway.claimTrial(r) })
+	}
 	e.quarantinedUntil = r.Until
 	c.gateway.log.Event("quarantined", "request", e.inbound.ID, "part", partHash(r.ID), "for", time.Until(r.Until))
 	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(parts, r.ID))
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -92,3 +92,22 @@
 	d.waitUntil(func() bool { return g.targetCount() == 1 })
 	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
 }
+
+// Load: one entry knows the quarantine long before the others and gets no requests with the part.
+func TestStart_TrialIsLeftToAnEntryThatHasRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.startEngine("e1", "naxos")
+	idle := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now, Until: now.Add(10 * time.Minute)}
+	assert.NilError(t, idle.tryStoreQuarantine(record))
+	d.waitUntil(func() bool { return len(idle.quarantinedParts()) == 1 })
+	time.Sleep(trialDelay + 500*time.Millisecond)
+	busy := d.startEntryWithTargets("entry-2", 1)
+	d.waitUntil(func() bool { return len(busy.quarantinedParts()) == 1 })
+	served := false
+	for end := time.Now().Add(6 * time.Second); !served && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		served = d.send(busy, streamRequest()).status == http.StatusOK
+	}
+	assert.Assert(t, served)
+}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -123,34 +123,21 @@
 		// What this entry or a peer found itself stays so.
 		Stored: true,
 	}
-	adopted := false
 	g.control.do(func() {
-		if adopted = g.control.quarantine.Adopt(now, r); adopted {
+		if g.control.quarantine.Adopt(now, r) {
 			g.control.quarantineParts([]quarantine.Record{r})
 		}
 	})
-	if adopted {
-		go g.protect("quarantine trial", func() { g.claimTrial(r) })
-	}
 }
 
-// trialDelay is how long after a quarantine was found in the store a trial of it is claimed: by
-// then entries that have evidence have reported it.
+// trialDelay is how long after a quarantine was found in the store its trial may be claimed: by
+// then entries that have evidence have reported it. It is also the time between two tries.
 const trialDelay = 3 * updateInterval
 
-// claimTrial claims the only trial of a quarantine that was found in the store, for one request
-// with the part, unless another entry has evidence. If none is left, the part may have been
-// released since, and without a trial no request would show that it is sound.
+// claimTrial claims the only trial of a quarantine that is known from the store alone, for one
+// request with the part. The part may have been released since, and without a trial no request
+// would show that it is sound. An entry claims it when it has such requests.
 func (g *Gateway) claimTrial(r quarantine.Record) {
-	pause(g.background, trialDelay)
-	unproven := false
-	g.control.do(func() {
-		known, found := g.control.quarantine.Find(time.Now(), r.Service, []string{r.ID})
-		unproven = found && known.Stored
-	})
-	if !unproven {
-		return
-	}
 	ctx, cancel := g.withTimeout(storeTimeout)
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
@@ -163,6 +150,7 @@
 	if err != nil {
 		if !errors.Is(err, platform.ErrConflict) {
 			g.log.Event("quarantine_trial_not_claimed", "part", partHash(r.ID), "error", err.Error())
+			g.control.post(func() { g.control.trialsDue[r.Part] = time.Now().Add(trialDelay) })
 		}
 		return
 	}
