An entry that missed the release of a part is told again

Callers saw: at an entry that had been out of reach while a part was released, requests with the part were refused until the end of the quarantine, up to ten minutes.

Cause: a survived request is reported in three updates only, while a quarantine is in each. An entry that misses the three keeps the quarantine, and admits no request that would show that the part is sound. The others ignored its reports.

Change: an entry that hears of a quarantine which a survived request had ended reports that request again.

Ruled out: survived requests in each update. There is one for each part that was ever suspected.

Why it works: the entry repeats the quarantine in its updates until it knows the release. Result: it is released with the next exchange of updates.

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -347,6 +347,13 @@
 		r := quarantine.Record{Part: q.Part, From: now.Add(-q.Age), Until: now.Add(q.Remaining), Stored: q.Stored}
 		if c.quarantine.Adopt(now, r) {
 			c.quarantineParts([]quarantine.Record{r})
+			continue
+		}
+		for _, s := range c.quarantine.Survivals(now, r.Service, []string{r.ID}) {
+			if s.StartedAt.After(r.From) {
+				// The sender has missed the release.
+				c.reportSurvival(s)
+			}
 		}
 	}
 }
--- a/process/gateway/quarantine_release_test.go
+++ b/process/gateway/quarantine_release_test.go
@@ -37,3 +37,16 @@
 	g.storeQuarantine(quarantine.Record{Part: part, From: now, Until: now.Add(time.Minute)})
 	assert.Equal(t, len(d.storeValues(platform.QuarantinePrefix)), 0)
 }
+
+// Fault: an entry is out of reach while a part is released, and goes on refusing requests with it.
+func TestPeerUpdate_EntryThatMissedAReleaseIsToldAgain(t *testing.T) {
+	d := newDeployment(t)
+	first, second := d.startReadyEntry("entry-1"), d.startReadyEntry("entry-2")
+	d.waitForPeers(first, second)
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now.Add(-time.Second), Until: now.Add(time.Minute)}
+	second.control.do(func() { second.control.quarantine.RecordSurvival(now, "writer", []string{sharedPart, "last"}) })
+	first.control.do(func() { assert.Assert(t, first.control.quarantine.Adopt(now, record)) })
+	d.waitUntil(func() bool { return len(first.quarantinedParts()) == 0 })
+	assert.Equal(t, len(second.quarantinedParts()), 0)
+}
