Callers refused because of a quarantined part do not return together

Callers saw: all requests with a part in quarantine got a Retry-After that ends with the quarantine. If engines still crash on the part then, the requests that return in that moment, at all entries, are with engines before the first crash is known.

Cause: the Retry-After was the rest of the quarantine, without any spread.

Change: these callers return over half the time for which they were refused, as those do that were refused while no target wants requests.

Ruled out: to admit one request at a time after a quarantine. With a hundred entries that is a hundred requests at the same time, if their callers return together.

Evidence: the test failed before; twenty refusals within 20 ms had Retry-Afters from 599.979 to 599.999.

Result: they are spread over five minutes after a quarantine of ten.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -235,7 +235,7 @@
 		retryAfter = e.retryAfter(kind)
 	}
 	if kind == fault.Quarantined {
-		retryAfter = time.Until(e.quarantinedUntil)
+		retryAfter = spreadReturn(time.Until(e.quarantinedUntil))
 	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
 	e.writer.WriteHeader(response.Status)
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -346,3 +346,23 @@
 		})
 	}
 }
+
+// Load: many callers are refused because of a part while it is in quarantine. At its end, engines
+// may still crash on the part.
+func TestQuarantine_RefusedCallersDoNotReturnTogether(t *testing.T) {
+	d := newDeployment(t)
+	engines := d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: deadlyPart}, From: now, Until: now.Add(10 * time.Minute)}
+	g.control.do(func() { assert.Assert(t, g.control.quarantine.Adopt(now, record)) })
+	var returns []float64
+	for range 20 {
+		after, err := strconv.ParseFloat(d.send(g, deadlyRequest()).header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > time.Until(record.Until).Seconds()-1, after)
+		returns = append(returns, after)
+	}
+	assert.Assert(t, slices.Max(returns)-slices.Min(returns) > 60, "%v", returns)
+	assert.Equal(t, crashedEngines(engines), 0)
+}
--- a/process/gateway/target_state.go
+++ b/process/gateway/target_state.go
@@ -53,9 +53,16 @@
 	}
 }
 
-// backoffSpread is the part of the time for which no target wants requests over which the
-// callers that were refused meanwhile return after it, and retryAfterJitter at least.
-const backoffSpread = 0.5
+// returnSpread is the part of the time for which no request is taken over which the callers
+// that were refused meanwhile return after it, and retryAfterJitter at least.
+const returnSpread = 0.5
+
+// spreadReturn returns when a caller is to return that is refused for the given time, so that
+// those that are refused meanwhile do not return together.
+func spreadReturn(wait time.Duration) time.Duration {
+	spread := max(retryAfterJitter, time.Duration(returnSpread*float64(wait)))
+	return wait + time.Duration(rand.Int64N(int64(spread)))
+}
 
 // retryAfter returns when a refused request is worth retrying: if all targets of its service
 // asked for no requests, after the earliest of them wants some again.
@@ -65,8 +72,7 @@
 		wait := time.Duration(0)
 		c.do(func() { wait, _ = c.table.Unwilling(time.Now(), e.service) })
 		if wait > 0 {
-			spread := max(retryAfterJitter, time.Duration(backoffSpread*float64(wait)))
-			return wait + time.Duration(rand.Int64N(int64(spread)))
+			return spreadReturn(wait)
 		}
 	}
 	return e.gateway.retryAfter(kind)
