A look for quarantined parts does not go through all of them

Cause: for each part that is not in quarantine, Find compared all parts in quarantine, because those of other services count too. An evaluation calls it for each part of each lost request, several times.

Change: the services of a quarantined part are found by its ID.

Ruled out: leaving other services out of the evaluation. Requests with a part that is in quarantine elsewhere explain a crash, too.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -174,8 +174,8 @@
 // is in quarantine, leaving out those of requests with other parts that were found since.
 func (t *Tracker) justified(now time.Time, part Part, found []Record) bool {
 	q := t.parts[part]
-	delete(t.parts, part)
-	defer func() { t.parts[part] = q }()
+	t.remove(part)
+	defer t.add(part, q)
 	for _, s := range standards {
 		if t.unexplained(now, s, found)[part] != nil {
 			return true
@@ -244,7 +244,7 @@
 	}
 	for part, q := range t.parts {
 		if now.Sub(q.until) >= q.period {
-			delete(t.parts, part)
+			t.remove(part)
 		}
 	}
 }
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -149,6 +149,8 @@
 	// survivals maps parts to the start of the last request that an engine survived.
 	survivals *simplelru.LRU[Part, time.Time]
 	parts     map[Part]quarantined
+	// services maps the IDs of these parts to the services that have them.
+	services map[string][]string
 	// changed is set when there is evidence that has not been evaluated, changedAt is when
 	// the last came. settlesAt is when requests that waited count from then on, if not zero.
 	changed              bool
@@ -161,7 +163,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "quarantine"))
 	}
-	return &Tracker{crashes: map[incarnation]*crash{}, survivals: survivals, parts: map[Part]quarantined{}}
+	return &Tracker{crashes: map[incarnation]*crash{}, survivals: survivals, parts: map[Part]quarantined{}, services: map[string][]string{}}
 }
 
 // RecordCrash adds what an entry reports of a crash that it saw at the given time. Evaluate
@@ -260,7 +262,7 @@
 // release ends a quarantine, as if a request with the part had been survived at the given time:
 // what others still report of it is not adopted again.
 func (t *Tracker) release(part Part, at time.Time) Survival {
-	delete(t.parts, part)
+	t.remove(part)
 	t.survivals.Add(part, at)
 	return Survival{Part: part, StartedAt: at}
 }
@@ -304,7 +306,7 @@
 	}
 	t.survivals.Add(s.Part, s.StartedAt)
 	if q, ok := t.parts[s.Part]; ok && s.StartedAt.After(q.from) {
-		delete(t.parts, s.Part)
+		t.remove(s.Part)
 		return []Part{s.Part}
 	}
 	return nil
@@ -370,8 +372,8 @@
 		if _, survived := t.survived(now, part); survived {
 			continue
 		}
-		for other := range t.parts {
-			if r, ok := t.record(now, other); ok && other.ID == id {
+		for _, other := range t.services[id] {
+			if r, ok := t.record(now, Part{Service: other, ID: id}); ok {
 				return r, true
 			}
 		}
@@ -413,12 +415,23 @@
 }
 
 func (t *Tracker) add(part Part, q quarantined) {
-	if _, known := t.parts[part]; !known && len(t.parts) >= maxParts {
-		t.removeFirstToEnd()
+	if _, known := t.parts[part]; !known {
+		if len(t.parts) >= maxParts {
+			t.removeFirstToEnd()
+		}
+		t.services[part.ID] = append(t.services[part.ID], part.Service)
 	}
 	t.parts[part] = q
 }
 
+func (t *Tracker) remove(part Part) {
+	delete(t.parts, part)
+	services := slices.DeleteFunc(t.services[part.ID], func(service string) bool { return service == part.Service })
+	if t.services[part.ID] = services; len(services) == 0 {
+		delete(t.services, part.ID)
+	}
+}
+
 func (t *Tracker) removeFirstToEnd() {
 	var first Part
 	for part, q := range t.parts {
@@ -426,5 +439,5 @@
 			first = part
 		}
 	}
-	delete(t.parts, first)
+	t.remove(first)
 }
