The parts of lost requests are indexed for survived ones

Cause: Suspected compared each part of the request with each part of each suspect.

Change: an index of the suspects' parts, built anew after the crashes have changed.

Ruled out: counting the suspects of each part, which has to be kept right at five places.

There is no test of the time, since it would depend on the machine; TestTracker_PartsOfForgottenCrashesAreNotSuspected shows that the index follows the crashes.

--- a/process/quarantine/cost_test.go
+++ b/process/quarantine/cost_test.go
@@ -54,3 +54,17 @@
 	assert.Equal(t, len(r.tracker.services), 0)
 	assert.Equal(t, len(r.tracker.crashes), 0)
 }
+
+func TestTracker_PartsOfForgottenCrashesAreNotSuspected(t *testing.T) {
+	r := newReplay()
+	suspected := func() int { return len(r.tracker.Suspected("writer", []string{"first", "a", "b"})) }
+	assert.Equal(t, suspected(), 0)
+	r.crash(0, started("first", "a"))
+	assert.Equal(t, suspected(), 2)
+	r.crash(1000, waiting("first", "b"))
+	assert.Equal(t, suspected(), 3)
+	r.tracker.RetractCrash(r.at(1200), r.at(1100), "engine-2", 1)
+	assert.Equal(t, suspected(), 2)
+	r.evaluate(int(crashTTL.Milliseconds()))
+	assert.Equal(t, suspected(), 0)
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -146,6 +146,8 @@
 // Tracker holds the crashes of engines and the parts in quarantine.
 type Tracker struct {
 	crashes map[incarnation]*crash
+	// suspected holds the parts of all suspects, or is nil if crashes have changed since.
+	suspected map[Part]struct{}
 	// survivals maps parts to the start of the last request that an engine survived.
 	survivals *simplelru.LRU[Part, time.Time]
 	parts     map[Part]quarantined
@@ -186,6 +188,7 @@
 			continue
 		}
 		c.suspects[last] = s
+		t.suspected = nil
 		t.changed, t.changedAt = true, now
 		if t.settlesAt.IsZero() {
 			t.settlesAt = now.Add(reportDelay)
@@ -229,6 +232,7 @@
 func (t *Tracker) forget(key incarnation) {
 	c := t.crashes[key]
 	delete(t.crashes, key)
+	t.suspected = nil
 	for part, q := range t.parts {
 		if q.revisable && part.Service == c.service && c.concerns(part.ID) {
 			q.revisable = false
@@ -247,6 +251,7 @@
 		return nil
 	}
 	delete(t.crashes, key)
+	t.suspected = nil
 	var released []Survival
 	for part, q := range t.parts {
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
@@ -314,20 +319,31 @@
 
 // Suspected returns those of the parts that are in quarantine or that a suspect of a crash has.
 func (t *Tracker) Suspected(service string, parts []string) []Part {
+	if t.suspected == nil {
+		t.indexSuspects()
+	}
 	var suspected []Part
 	for _, id := range parts {
 		part := Part{Service: service, ID: id}
-		_, known := t.parts[part]
-		for _, c := range t.crashes {
-			known = known || c.service == service && c.concerns(id)
-		}
-		if known {
+		_, quarantined := t.parts[part]
+		if _, found := t.suspected[part]; found || quarantined {
 			suspected = append(suspected, part)
 		}
 	}
 	return suspected
 }
 
+func (t *Tracker) indexSuspects() {
+	t.suspected = map[Part]struct{}{}
+	for _, c := range t.crashes {
+		for _, s := range c.suspects {
+			for _, id := range s.Parts {
+				t.suspected[Part{Service: c.service, ID: id}] = struct{}{}
+			}
+		}
+	}
+}
+
 // Survivals returns the survived requests with the given parts that are known.
 func (t *Tracker) Survivals(now time.Time, service string, parts []string) []Survival {
 	var survivals []Survival
