--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -52,3 +52,62 @@
 	req := streamRequest()
 	assert.Equal(t, d.send(first, req).status, http.StatusOK)
 }
+
+// trialOfSharedPart has an entry hold a quarantine of the shared part from the store and the
+// trial of it.
+func (g *Gateway) trialOfSharedPart() {
+	now := time.Now()
+	part := quarantine.Part{Service: "writer", ID: sharedPart}
+	g.control.do(func() {
+		g.control.quarantine.Adopt(now, quarantine.Record{Part: part, From: now, Until: now.Add(time.Minute), Stored: true})
+		g.control.trials[part] = struct{}{}
+	})
+}
+
+// Load: the first request after the start has a part that engines crash on besides the one that
+// may be tried.
+func TestStart_TrialIsNotSpentOnARequestWithAnotherQuarantinedPart(t *testing.T) {
+	d := newDeployment(t)
+	engines := d.startDeadlyEngines()
+	g := d.startReadyEntry("entry-1")
+	g.trialOfSharedPart()
+	now := time.Now()
+	g.control.do(func() {
+		deadly := quarantine.Part{Service: "writer", ID: deadlyPart}
+		g.control.quarantine.Adopt(now, quarantine.Record{Part: deadly, From: now, Until: now.Add(time.Minute)})
+	})
+	assert.Equal(t, d.send(g, deadlyRequest()).status, http.StatusServiceUnavailable)
+	assert.Equal(t, crashedEngines(engines), 0)
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
+	assert.Equal(t, len(g.quarantinedParts()), 1)
+}
+
+// Fault: no engine is known yet when the first request with the part arrives.
+func TestStart_TrialIsNotSpentOnARequestWithoutATarget(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	g.trialOfSharedPart()
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusServiceUnavailable)
+	d.startEngine("e1", "naxos")
+	d.waitUntil(func() bool { return g.targetCount() == 1 })
+	assert.Equal(t, d.send(g, streamRequest()).status, http.StatusOK)
+}
+
+// Load: one entry knows the quarantine long before the others and gets no requests with the part.
+func TestStart_TrialIsLeftToAnEntryThatHasRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.startEngine("e1", "naxos")
+	idle := d.startReadyEntry("entry-1")
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: sharedPart}, From: now, Until: now.Add(10 * time.Minute)}
+	assert.NilError(t, idle.tryStoreQuarantine(record))
+	d.waitUntil(func() bool { return len(idle.quarantinedParts()) == 1 })
+	time.Sleep(trialDelay + 500*time.Millisecond)
+	busy := d.startEntryWithTargets("entry-2", 1)
+	d.waitUntil(func() bool { return len(busy.quarantinedParts()) == 1 })
+	served := false
+	for end := time.Now().Add(6 * time.Second); !served && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		served = d.send(busy, streamRequest()).status == http.StatusOK
+	}
+	assert.Assert(t, served)
+}
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -46,6 +46,9 @@
 	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
 	// the requests lost with it.
 	repeatedCrashes = 2
+	// repeatedRequests is how many requests that are each lost in several crashes have a
+	// harmful part in common, rather than one each.
+	repeatedRequests = 2
 )
 
 // lostRequest is a request that was lost in a crash; the last part of its prompt stands for it.
@@ -56,12 +59,14 @@
 
 // evidence is what the crashes say about one part.
 type evidence struct {
-	lost     []lostRequest
-	requests map[string]struct{}
+	lost []lostRequest
+	// requests maps the requests to the number of crashes in which they were lost.
+	requests map[string]int
 	// survived reports whether engines have survived the part.
 	survived bool
-	// crashes is the number of crashes, set by count.
-	crashes int
+	// crashes is the number of crashes, and repeated that of the requests that were lost in
+	// several; count sets both.
+	crashes, repeated int
 	// index is the last position of the part in a prompt.
 	index int
 }
@@ -69,16 +74,16 @@
 func (e *evidence) add(at time.Time, request string) {
 	e.lost = append(e.lost, lostRequest{at: at, request: request})
 	if e.requests == nil {
-		e.requests = map[string]struct{}{}
+		e.requests = map[string]int{}
 	}
-	e.requests[request] = struct{}{}
+	e.requests[request]++
 }
 
 // count orders the requests by time and counts the crashes. Those of different requests within
 // correlatedInterval count as one; a single request is lost in one crash after the other.
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
-	e.crashes = 0
+	e.crashes, e.repeated = 0, 0
 	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
@@ -92,6 +97,11 @@
 		}
 	}
 	e.crashes += most(lost)
+	for _, crashes := range e.requests {
+		if crashes >= repeatedCrashes {
+			e.repeated++
+		}
+	}
 }
 
 func most(counts map[string]int) int {
@@ -114,6 +124,13 @@
 
 func (p position) last() bool { return p.index == len(p.shared) }
 
+// hasOther reports whether the prompt has another part that is among the records.
+func (p position) hasOther(records []Record) bool {
+	return slices.ContainsFunc(records, func(r Record) bool {
+		return r.Part != p.Part && r.Service == p.Service && slices.Contains(p.shared, r.ID)
+	})
+}
+
 // Evaluate quarantines the parts that the crashes known by now show to be harmful and returns
 // them, and the survivals that release parts which others turn out to explain. It also ends
 // quarantines and forgets old crashes.
@@ -132,7 +149,7 @@
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	var released []Survival
 	for part, q := range t.parts {
-		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part) {
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part, added) {
 			released = append(released, t.release(part, q.from.Add(retractionMargin)))
 		}
 	}
@@ -154,13 +171,13 @@
 }
 
 // justified reports whether the crashes known by now would lead to the quarantine of a part that
-// is in quarantine.
-func (t *Tracker) justified(now time.Time, part Part) bool {
+// is in quarantine, leaving out those of requests with other parts that were found since.
+func (t *Tracker) justified(now time.Time, part Part, found []Record) bool {
 	q := t.parts[part]
-	delete(t.parts, part)
-	defer func() { t.parts[part] = q }()
+	t.remove(part)
+	defer t.add(part, q)
 	for _, s := range standards {
-		if t.unexplained(now, s)[part] != nil {
+		if t.unexplained(now, s, found)[part] != nil {
 			return true
 		}
 	}
@@ -173,7 +190,7 @@
 func (t *Tracker) mostLikely(now time.Time, s standard) (Part, *evidence) {
 	var best Part
 	var most *evidence
-	for part, e := range t.unexplained(now, s) {
+	for part, e := range t.unexplained(now, s, nil) {
 		if _, known := t.Find(now, part.Service, []string{part.ID}); known {
 			continue
 		}
@@ -227,14 +244,14 @@
 	}
 	for part, q := range t.parts {
 		if now.Sub(q.until) >= q.period {
-			delete(t.parts, part)
+			t.remove(part)
 		}
 	}
 }
 
 // unexplained returns the parts for which the evidence suffices, leaving out what other parts
-// of the same requests explain.
-func (t *Tracker) unexplained(now time.Time, s standard) map[Part]*evidence {
+// of the same requests explain, as those that were found do.
+func (t *Tracker) unexplained(now time.Time, s standard, found []Record) map[Part]*evidence {
 	index := map[Part]*evidence{}
 	t.forEachPosition(now, s, func(p position) { t.addEvidence(now, index, p) })
 	for _, e := range index {
@@ -242,7 +259,7 @@
 	}
 	result := map[Part]*evidence{}
 	t.forEachPosition(now, s, func(p position) {
-		if e := index[p.Part]; !explained(index, p, s, e.survived) && (s.survived || !e.survived) {
+		if !p.hasOther(found) && !explained(index, p, s) && (s.survived || !index[p.Part].survived) {
 			t.addEvidence(now, result, p)
 		}
 	})
@@ -281,8 +298,11 @@
 // explained reports whether another part of the prompt explains the crash better. A part
 // that no engine has survived is more likely to be at fault than one that some have, and a
 // later one, which fewer requests share, more likely than those before it. The last part is
-// at fault only if no other is.
-func explained(index map[Part]*evidence, p position, s standard, survived bool) bool {
+// at fault only if no other is. A part of one request does not explain what several requests
+// have in common that are each lost repeatedly.
+func explained(index map[Part]*evidence, p position, s standard) bool {
+	e := index[p.Part]
+	shared := e.repeated >= repeatedRequests
 	for i, id := range p.shared {
 		rival, ok := index[Part{Service: p.Service, ID: id}]
 		if !ok || i == p.index || rival.crashes < rivalCrashes {
@@ -294,10 +314,10 @@
 			}
 			continue
 		}
-		if len(rival.requests) < s.rivalRequests {
+		if len(rival.requests) < s.rivalRequests || shared && len(rival.requests) == 1 {
 			continue
 		}
-		if survived && !rival.survived || survived == rival.survived && i > p.index {
+		if e.survived && !rival.survived || e.survived == rival.survived && i > p.index {
 			return true
 		}
 	}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -146,9 +146,13 @@
 // Tracker holds the crashes of engines and the parts in quarantine.
 type Tracker struct {
 	crashes map[incarnation]*crash
+	// suspected holds the parts of all suspects, or is nil if crashes have changed since.
+	suspected map[Part]struct{}
 	// survivals maps parts to the start of the last request that an engine survived.
 	survivals *simplelru.LRU[Part, time.Time]
 	parts     map[Part]quarantined
+	// services maps the IDs of these parts to the services that have them.
+	services map[string][]string
 	// changed is set when there is evidence that has not been evaluated, changedAt is when
 	// the last came. settlesAt is when requests that waited count from then on, if not zero.
 	changed              bool
@@ -161,7 +165,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "quarantine"))
 	}
-	return &Tracker{crashes: map[incarnation]*crash{}, survivals: survivals, parts: map[Part]quarantined{}}
+	return &Tracker{crashes: map[incarnation]*crash{}, survivals: survivals, parts: map[Part]quarantined{}, services: map[string][]string{}}
 }
 
 // RecordCrash adds what an entry reports of a crash that it saw at the given time. Evaluate
@@ -184,6 +188,7 @@
 			continue
 		}
 		c.suspects[last] = s
+		t.suspected = nil
 		t.changed, t.changedAt = true, now
 		if t.settlesAt.IsZero() {
 			t.settlesAt = now.Add(reportDelay)
@@ -227,6 +232,7 @@
 func (t *Tracker) forget(key incarnation) {
 	c := t.crashes[key]
 	delete(t.crashes, key)
+	t.suspected = nil
 	for part, q := range t.parts {
 		if q.revisable && part.Service == c.service && c.concerns(part.ID) {
 			q.revisable = false
@@ -245,12 +251,13 @@
 		return nil
 	}
 	delete(t.crashes, key)
+	t.suspected = nil
 	var released []Survival
 	for part, q := range t.parts {
 		if part.Service != c.service || !c.concerns(part.ID) || !now.Before(q.until) {
 			continue
 		}
-		if !t.justified(now, part) {
+		if !t.justified(now, part, nil) {
 			released = append(released, t.release(part, later(c.at, q.from.Add(retractionMargin))))
 		}
 	}
@@ -260,7 +267,7 @@
 // release ends a quarantine, as if a request with the part had been survived at the given time:
 // what others still report of it is not adopted again.
 func (t *Tracker) release(part Part, at time.Time) Survival {
-	delete(t.parts, part)
+	t.remove(part)
 	t.survivals.Add(part, at)
 	return Survival{Part: part, StartedAt: at}
 }
@@ -304,7 +311,7 @@
 	}
 	t.survivals.Add(s.Part, s.StartedAt)
 	if q, ok := t.parts[s.Part]; ok && s.StartedAt.After(q.from) {
-		delete(t.parts, s.Part)
+		t.remove(s.Part)
 		return []Part{s.Part}
 	}
 	return nil
@@ -312,20 +319,31 @@
 
 // Suspected returns those of the parts that are in quarantine or that a suspect of a crash has.
 func (t *Tracker) Suspected(service string, parts []string) []Part {
+	if t.suspected == nil {
+		t.indexSuspects()
+	}
 	var suspected []Part
 	for _, id := range parts {
 		part := Part{Service: service, ID: id}
-		_, known := t.parts[part]
-		for _, c := range t.crashes {
-			known = known || c.service == service && c.concerns(id)
-		}
-		if known {
+		_, quarantined := t.parts[part]
+		if _, found := t.suspected[part]; found || quarantined {
 			suspected = append(suspected, part)
 		}
 	}
 	return suspected
 }
 
+func (t *Tracker) indexSuspects() {
+	t.suspected = map[Part]struct{}{}
+	for _, c := range t.crashes {
+		for _, s := range c.suspects {
+			for _, id := range s.Parts {
+				t.suspected[Part{Service: c.service, ID: id}] = struct{}{}
+			}
+		}
+	}
+}
+
 // Survivals returns the survived requests with the given parts that are known.
 func (t *Tracker) Survivals(now time.Time, service string, parts []string) []Survival {
 	var survivals []Survival
@@ -370,8 +388,8 @@
 		if _, survived := t.survived(now, part); survived {
 			continue
 		}
-		for other := range t.parts {
-			if r, ok := t.record(now, other); ok && other.ID == id {
+		for _, other := range t.services[id] {
+			if r, ok := t.record(now, Part{Service: other, ID: id}); ok {
 				return r, true
 			}
 		}
@@ -413,12 +431,23 @@
 }
 
 func (t *Tracker) add(part Part, q quarantined) {
-	if _, known := t.parts[part]; !known && len(t.parts) >= maxParts {
-		t.removeFirstToEnd()
+	if _, known := t.parts[part]; !known {
+		if len(t.parts) >= maxParts {
+			t.removeFirstToEnd()
+		}
+		t.services[part.ID] = append(t.services[part.ID], part.Service)
 	}
 	t.parts[part] = q
 }
 
+func (t *Tracker) remove(part Part) {
+	delete(t.parts, part)
+	services := slices.DeleteFunc(t.services[part.ID], func(service string) bool { return service == part.Service })
+	if t.services[part.ID] = services; len(services) == 0 {
+		delete(t.services, part.ID)
+	}
+}
+
 func (t *Tracker) removeFirstToEnd() {
 	var first Part
 	for part, q := range t.parts {
@@ -426,5 +455,5 @@
 			first = part
 		}
 	}
-	delete(t.parts, first)
+	t.remove(first)
 }
