The successor of a target that was leaving or full is found during a store outage

During an outage of the store an engine that had announced that it was leaving, or had asked for no requests for more than a second, crashed and started again at its address; it got no work until the store was back. With one engine all requests were refused meanwhile. Cause: since announcements are obeyed, the search for successors leaves out targets that announced that they drain, and those in backoff. The address stays with the service for a short time only, so the successor was never found. What a target announces counts for its incarnation alone. Change: only a registration that says so ends the search, as before the announcements. The target may be up after all, so an engine whose report, which is no request, names the known incarnation is not asked for its ID at the health path any more, and an application in backoff, which has no report, is still left out. A draining target is not adopted under its own ID without an incarnation. Ruled out: asking full applications, since a health check takes a slot there like a request; only they keep the gap, for the time of their backoff. Evidence: go test -race -count=2 -run TestStoreOutage_AdoptsSuccessorOf ./process/gateway with the condition of before, leaving and shedding each time: successor_test.go:84: assertion failed: not within 2s Why it works: the search runs at targets that are down alone, and adopts only what names another ID or incarnation.

--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -188,7 +188,7 @@
 	leaving, err := d.fleet.Start(config)
 	assert.NilError(t, err)
 	t.Cleanup(leaving.Crash)
-	_, incarnation, err := g.identifyTarget(config.AdvertisedAddress, "bookings")
+	_, incarnation, err := g.identifyTarget(config.AdvertisedAddress, "bookings", 0)
 	assert.NilError(t, err)
 	g.control.do(func() {
 		g.control.adoptSuccessor(peers.Successor{Old: "a1", ID: "a3", Incarnation: incarnation})
@@ -352,7 +352,7 @@
 func TestLeaving_IsLearnedFromOwnCalls(t *testing.T) {
 	for name, call := range map[string]func(g *Gateway, address string){
 		"report":          func(g *Gateway, address string) { _, _ = g.probeAddress(address, true) },
-		"identification":  func(g *Gateway, address string) { _, _, _ = g.identifyTarget(address, "writer") },
+		"identification":  func(g *Gateway, address string) { _, _, _ = g.identifyTarget(address, "writer", 0) },
 		"list of prompts": func(g *Gateway, _ string) { g.discoverCachedPrompts() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -138,11 +138,7 @@
 
 // probeIncarnationOnce is probeIncarnation with a single probe.
 func (c *control) probeIncarnationOnce(id request.TargetID, address, service string, done func(alive bool)) {
-	engine := false
-	if t := c.gateway.table.Load(); t != nil {
-		s := t.Service(service)
-		engine = s != nil && s.Engine != nil
-	}
+	engine := c.gateway.hasEngines(service)
 	known := request.Incarnation(0)
 	if t := c.table.Get(id); t != nil {
 		known = t.Incarnation
@@ -165,6 +161,16 @@
 	}()
 }
 
+// hasEngines reports whether the targets of a service are engines.
+func (g *Gateway) hasEngines(service string) bool {
+	table := g.table.Load()
+	if table == nil {
+		return false
+	}
+	s := table.Service(service)
+	return s != nil && s.Engine != nil
+}
+
 // reprobeDown probes targets that have been down for long enough.
 func (c *control) reprobeDown(now time.Time) {
 	for _, id := range c.table.ProbeDue(now) {
--- a/process/gateway/successor.go
+++ b/process/gateway/successor.go
@@ -46,11 +46,15 @@
 }
 
 // findSuccessors probes the addresses of targets that are down for their successors
-// while the store is unavailable.
+// while the store is unavailable. What a target announced does not count for its successor;
+// but an application that asked for no requests, and may be up, gets none.
 func (c *control) findSuccessors(now time.Time) {
 	for _, m := range c.monitors {
 		t := c.table.Get(m.id)
-		if t == nil || t.IsDraining() || t.BackingOff(now) || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
+		if t == nil || t.Draining || !t.AwaitingProbe() || m.identifying || now.Sub(m.lastIdentifyAttempt) < successorProbeInterval || !c.acceptsSuccessor(now, m) {
+			continue
+		}
+		if t.BackingOff(now) && !c.gateway.hasEngines(m.service) {
 			continue
 		}
 		m.identifying, m.lastIdentifyAttempt = true, now
@@ -59,7 +63,7 @@
 			var id request.TargetID
 			var incarnation request.Incarnation
 			err := errors.New("panic")
-			c.gateway.protect("probe", func() { id, incarnation, err = c.gateway.identifyTarget(m.address, m.service) })
+			c.gateway.protect("probe", func() { id, incarnation, err = c.gateway.identifyTarget(m.address, m.service, known) })
 			c.post(func() {
 				m.identifying = false
 				switch {
@@ -77,7 +81,11 @@
 // adoptSuccessor adds the successor of a target before the store reports it.
 func (c *control) adoptSuccessor(s peers.Successor) {
 	old := c.table.Get(s.Old)
-	if old == nil || old.IsDraining() || s.Old == s.ID && old.Incarnation == s.Incarnation {
+	if old == nil || old.Draining || s.Old == s.ID && old.Incarnation == s.Incarnation {
+		return
+	}
+	if s.Old == s.ID && s.Incarnation == 0 && old.IsDraining() {
+		// It may be the same process.
 		return
 	}
 	if s.Old != s.ID && c.table.Get(s.ID) != nil {
@@ -98,8 +106,8 @@
 
 // identifyTarget returns the ID of the target at an address, and its incarnation if the
 // report names one. The target must be an engine if, and only if, the service has
-// engines.
-func (g *Gateway) identifyTarget(address, service string) (request.TargetID, request.Incarnation, error) {
+// engines. The ID is empty if the incarnation is the known one, which is not asked for it.
+func (g *Gateway) identifyTarget(address, service string, known request.Incarnation) (request.TargetID, request.Incarnation, error) {
 	var declared *routes.Service
 	if table := g.table.Load(); table != nil {
 		declared = table.Service(service)
@@ -113,6 +121,8 @@
 		return "", 0, err
 	case (err == nil) != (declared.Engine != nil):
 		return "", 0, errors.Errorf("the target at %s does not match service %s", address, service)
+	case incarnation != 0 && incarnation == known:
+		return "", incarnation, nil
 	}
 	id, err := g.fetchTargetID(g.background, address, declared.HealthPath)
 	return id, incarnation, err
--- a/process/gateway/successor_test.go
+++ b/process/gateway/successor_test.go
@@ -62,6 +62,32 @@
 	d.waitWithin(registry.LeaseExpiryGrace+applyTimeout, func() bool { return !first.knowsTarget("e2") && !second.knowsTarget("e2") })
 }
 
+// What the previous target announced does not keep its successor from being found.
+func TestStoreOutage_AdoptsSuccessorOfTargetThatWantedNoRequests(t *testing.T) {
+	for name, faults := range map[string]replica.Faults{
+		"leaving":  {Leaving: true},
+		"shedding": {Shedding: true, RetryAfter: "30"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			previous := d.startEngine("e1", "naxos")
+			g := d.startReadyEntry("entry-1")
+			d.store.SetFaults(kv.Faults{Outage: true})
+			r := d.openStream(context.Background(), g, streamRequest())
+			r.skipTo(t, 2)
+			previous.SetFaults(faults)
+			d.openStream(context.Background(), g, streamRequest())
+			assert.Equal(t, d.send(g, streamRequest()).status, http.StatusServiceUnavailable)
+			assert.Equal(t, d.requestsAfter("e1", time.Time{}), 2)
+			previous.Crash()
+			d.restart(previous, "e2", "writer")
+			d.waitWithin(addressReuse, func() bool { return g.knowsTarget("e2") })
+			req := streamRequest()
+			d.openStream(context.Background(), g, req).expectRest(t, req.AttemptID, 0)
+		})
+	}
+}
+
 // addressReuse is how long an address stays with its service on both deployments.
 const addressReuse = 2 * time.Second
 
