Responses of calls are sent with their length

Callers saw (HTTP/1.0): a call's response of more than 2 KB had no length and ended with its connection, so one that was cut while it was written, by the end of the entry for instance, looked complete. Cause: net/http computes the length of short bodies only; longer ones are sent in chunks, or to HTTP/1.0 until the end of the connection. The length that the target gave is not forwarded, rightly: its framing is its own. Change: the whole body is known when the head is written, so the head says its length. Ruled out: a reset as for streams: a length is what RFC 9112, 8, asks for where there is one. Empty bodies get theirs from net/http, except responses that must not have one (204, 304, HEAD). Evidence: go test -race -run TestCallerFraming_Resp ./process/gateway on the code before fails in the eight cases of 100 KB: "assertion failed: -1 (response.ContentLength int64) != 102400 (int64)"; those of 0 and 10 bytes pass. Why it works: a body shorter than its length is not complete, whatever ended it. Result: go test -race -run 'TestCall_|TestCallerFraming' ./process/gateway passes.

--- a/process/gateway/caller_framing_test.go
+++ b/process/gateway/caller_framing_test.go
@@ -101,3 +101,27 @@
 		})
 	}
 }
+
+// The whole response of a call is known before its head is written.
+func TestCallerFraming_ResponseOfACallHasALength(t *testing.T) {
+	for version, change := range callerVersions {
+		for _, size := range []int{0, 10, 100 << 10} {
+			for framing, frame := range framings {
+				t.Run(fmt.Sprint(version, " ", size, " ", framing), func(t *testing.T) {
+					t.Parallel()
+					d := newDeployment(t)
+					d.startRawTarget("t1", "bookings", func(e rawExchange) {
+						e.write(frame(e, strings.Repeat("a", size), true))
+						e.close()
+					})
+					g := d.startReadyEntry("entry-1")
+					response, body, err := d.sendAs(g, bookingRequest(), change)
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					assert.Equal(t, len(body), size)
+					assert.Equal(t, response.ContentLength, int64(size))
+				})
+			}
+		}
+	}
+}
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -270,6 +270,10 @@
 	for name, values := range platform.ForwardedResponseHeader(head.Header) {
 		header[name] = values
 	}
+	if len(body) > 0 {
+		// Without it the end of the connection would end the response to HTTP/1.0.
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	e.writer.WriteHeader(head.StatusCode)
 	_, err := e.writer.Write(body)
 	return errors.WithStack(err)
