A target that leaves out an event does not go on with the request

Callers saw nothing; two targets worked on one request: the stream went on at another target while the one that had left out an event was still at work, to the end of its stream. Cause: events that arrive together and do not follow each other end the attempt in the stream's recovery only. A gap between separate reads is found by the recovery itself, which cancels the attempt. Change: the attempt is cancelled here too, which closes its connection. Ruled out: the same after an event that cannot be read, or without an ID: the attempt closes its connection then. Evidence: TestStream_TargetThatLeavesOutAnEventIsCancelled on the code before, three runs of three: "assertion failed: expression is false: cancelled.Load(): two targets work on the request". Why it works: a target ends a request whose connection is closed. Result: go test -race -count=5 -run 'TestStream_TargetThatLeaves|TestStream_Head' ./process/gateway passes.

--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -398,3 +398,36 @@
 	close(forwarded)
 	r.expectRest(t, req.AttemptID, deliveredBefore)
 }
+
+// cancelTimeout is how long a target may go on with a request that continues at another one.
+const cancelTimeout = 400 * time.Millisecond
+
+// A target leaves out an event, and the stream goes on at another one.
+func TestStream_TargetThatLeavesOutAnEventIsCancelled(t *testing.T) {
+	d := newDeployment(t)
+	var begun, cancelled atomic.Bool
+	closed := make(chan struct{})
+	respond := func(e rawExchange) {
+		if begun.CompareAndSwap(false, true) {
+			e.write(e.streamHead() + e.events(1, 2) + e.events(4, 4))
+			_, _ = e.conn.Read(make([]byte, 1))
+			close(closed)
+			return
+		}
+		select {
+		case <-closed:
+			cancelled.Store(true)
+		case <-time.After(cancelTimeout):
+		}
+		e.write(e.streamHead() + e.events(e.position+1, testEvents))
+		e.close()
+	}
+	d.startRawTarget("t1", "writer", respond)
+	d.startRawTarget("t2", "writer", respond)
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	response := d.send(g, req)
+	assert.Assert(t, response.complete)
+	assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+	assert.Assert(t, cancelled.Load(), "two targets work on the request")
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -310,6 +310,7 @@
 	s.rawEvents = s.rawEvents[:0]
 	for i, event := range update.events {
 		if event.ID != first+i {
+			update.attempt.cancel()
 			s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: fault.Crossed})
 			return
 		}
