A target that repeats events does not end a stream that broke off

Callers saw (in a test): a stream that had broken off looked complete, with the events before the break only, when the next target began again and ended its response no later than there. Cause: any event in a response made its end that of the stream, also one that the caller had before. The recovery discards such events without a failure. Change: only events that follow count (request.StreamEnd.Events). A response of repeated events alone (Repeats) is no end, whatever its framing: a target that was asked for the rest has no reason to send them. The place where a response broke off inside an event is told by the ID of its last event instead of their number. Ruled out: a response of repeated events as a sign like one without any, which two targets would have to confirm: its target has not done what it was asked for. Evidence: TestBrokenStream_TargetThatRepeatsEventsDoesNotEndIt on the code before fails in all twelve cases (four framings; the repeated run ends at event 1, 4 or 5 of 5): the body lacks the events after the fifth. Why it works: a response that ends after a new event is the end of the stream, any other goes through StreamEnd, whose combinations are all tested. Result: go test -race -run 'TestBrokenStream|TestStreamFraming|TestStreamEnd' ./process/gateway ./request passes.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -79,8 +79,9 @@
 	survived          atomic.Bool
 	quarantined       atomic.Bool
 
-	// eventCount counts the events received; the goroutine of the attempt owns it.
-	eventCount int
+	// eventCount counts the events received, lastEvent is the ID of the last one; the goroutine
+	// of the attempt owns them.
+	eventCount, lastEvent int
 
 	// The control goroutine owns the fields below once the attempt is placed.
 
--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -431,3 +431,37 @@
 	assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
 	assert.Assert(t, cancelled.Load(), "two targets work on the request")
 }
+
+// A stream breaks off, and the next target begins again before the place where it broke off
+// and ends its response there too.
+func TestBrokenStream_TargetThatRepeatsEventsDoesNotEndIt(t *testing.T) {
+	for framing, frame := range framings {
+		for _, last := range []int{1, deliveredBefore - 1, deliveredBefore} {
+			t.Run(fmt.Sprint(framing, " ", last), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var attempts atomic.Int64
+				respond := func(e rawExchange) {
+					switch attempts.Add(1) {
+					case 1:
+						e.write(frame(e, e.events(1, deliveredBefore)+e.half(deliveredBefore+1), false))
+					case 2:
+						e.write(frame(e, e.events(1, last), true))
+					default:
+						e.write(frame(e, e.events(e.position+1, testEvents), true))
+					}
+					time.Sleep(transferTime)
+					e.close()
+				}
+				for _, id := range []string{"t1", "t2", "t3"} {
+					d.startRawTarget(id, "writer", respond)
+				}
+				g := d.startReadyEntry("entry-1")
+				req := streamRequest()
+				response := d.send(g, req)
+				assert.Assert(t, response.complete)
+				assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+			})
+		}
+	}
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -271,8 +271,9 @@
 		if update.emptyEnd {
 			s.emptyEndAt = update.attempt.spec.Position
 		}
-		if update.insideEvent {
-			s.eventBegunAt = update.attempt.spec.Position + update.attempt.eventCount
+		position := s.inbound.Position + s.recovery.Output().Len()
+		if update.insideEvent && position == max(update.attempt.lastEvent, update.attempt.spec.Position) {
+			s.eventBegunAt = position
 		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -124,6 +124,7 @@
 		if err == nil {
 			a.monitor.recordIdentified(a.exchange.gateway.control)
 			a.eventCount++
+			a.lastEvent = event.ID
 			a.checkSurvival()
 			batch = append(batch, event)
 			if reader.Buffered() {
@@ -152,7 +153,9 @@
 func (a *attempt) endOfEvents(response *http.Response, err error) attemptUpdate {
 	ended := platform.IsEndOfStream(err)
 	end := request.StreamEnd{
-		Position: a.spec.Position, Events: a.eventCount, Confirmed: a.endSeen, EventBegun: a.eventBegun,
+		Position: a.spec.Position, Events: max(0, a.lastEvent-a.spec.Position),
+		Repeats:   a.eventCount > 0 && a.lastEvent <= a.spec.Position,
+		Confirmed: a.endSeen, EventBegun: a.eventBegun,
 		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		OtherContent: !platform.MayHoldEvents(response.Header),
 	}
--- a/request/stream_end.go
+++ b/request/stream_end.go
@@ -3,8 +3,10 @@
 // StreamEnd is how the response to one attempt of a stream ended without an error.
 type StreamEnd struct {
 	// Position is the ID of the last event that the caller had before the response, Events
-	// the number of events in it.
+	// the number of events in it that follow.
 	Position, Events int
+	// Repeats is set if all events in the response are ones that the caller had before.
+	Repeats bool
 	// Framed is set if the response itself marks its end, by a length or a last chunk. Other
 	// responses end with their connection, which also ends when a target stops.
 	Framed bool
@@ -22,11 +24,12 @@
 // Complete reports whether the stream is complete. A response that ends after an event is.
 // Without any event only a target that was asked for the rest can mean that nothing is left,
 // and if it does not mark that end, it may have stopped before its first event; so two must.
+// One that repeats events instead has begun again and ended early.
 func (e StreamEnd) Complete() bool {
 	switch {
 	case e.Events > 0:
 		return true
-	case e.OtherContent, e.EventBegun:
+	case e.OtherContent, e.EventBegun, e.Repeats:
 		return false
 	case e.Framed:
 		return true
@@ -42,5 +45,5 @@
 
 // DependsOnTarget reports whether what the end shows depends on whether the target runs.
 func (e StreamEnd) DependsOnTarget() bool {
-	return e.Position > 0 && e.Events == 0 && !e.Framed && !e.OtherContent && !e.EventBegun
+	return e.Position > 0 && e.Events == 0 && !e.Framed && !e.OtherContent && !e.EventBegun && !e.Repeats
 }
