Events that the caller has do not break its stream

Callers saw: the connection closed without a response, after they had asked for the rest of a stream and the target began with events that they have, or after a target had sent an event with ID 0. Cause: such an event has a negative position in the output, which indexed the accepted tokens: the handler panicked. Events repeated within one response of the entry have positions from 0 and were left out. Change: events up to the caller's position are left out like those; an ID below 1 is an error of the target; Output.Append takes a negative position for a mismatch. Ruled out: ending the attempt for such events: those after them are the ones asked for, and repeated events within a response are left out as well. Evidence: on the code before TestStream_EventsThatTheCallerHasAreLeftOut fails in its ten cases and TestStream_EventsBeforeTheFirstAreNone in its first: "error is not nil: Post ...: EOF". Why it works: what reaches the output has a position from 0, and the output checks. Result: go test -race -run 'TestStream_Events|TestBrokenStream_Go|TestStreamFr' ./process/gateway passes, as do ./request and ./platform.

--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -465,3 +465,49 @@
 		}
 	}
 }
+
+// A caller asks for the rest of a stream, and a target begins with events that the caller has.
+func TestStream_EventsThatTheCallerHasAreLeftOut(t *testing.T) {
+	for first := 1; first <= deliveredBefore; first++ {
+		for _, batches := range []bool{true, false} {
+			t.Run(fmt.Sprint(first, " ", batches), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				target := d.startRawTarget("t1", "writer", func(e rawExchange) {
+					e.write(e.streamHead())
+					for id := first; id <= testEvents; id++ {
+						e.write(e.events(id, id))
+						if !batches {
+							time.Sleep(transferTime / 10)
+						}
+					}
+					e.close()
+				})
+				g := d.startReadyEntry("entry-1")
+				req := streamRequest()
+				req.Position = deliveredBefore
+				response := d.send(g, req)
+				assert.Equal(t, response.status, http.StatusOK)
+				assert.Assert(t, response.complete)
+				assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(deliveredBefore+1, testEvents))
+				assert.Equal(t, target.arrived(req.AttemptID), 1)
+			})
+		}
+	}
+}
+
+// Events of a faulty target have IDs before the first of a stream.
+func TestStream_EventsBeforeTheFirstAreNone(t *testing.T) {
+	for _, id := range []int{0, -1, -100} {
+		d := newDeployment(t)
+		d.startRawTarget("t1", "writer", func(e rawExchange) {
+			e.write(e.streamHead() + e.events(id, id))
+			e.close()
+		})
+		g := d.startReadyEntry("entry-1")
+		req := streamRequest()
+		req.DeadlineRemaining = time.Second
+		response := d.send(g, req)
+		assert.Assert(t, response.complete && response.status/100 == 5 && !guaranteed(response), "id %d: %d", id, response.status)
+	}
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -305,11 +305,19 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
+	events := update.events
+	for len(events) > 0 && events[0].ID <= s.inbound.Position {
+		// The caller has it.
+		events = events[1:]
+	}
+	if len(events) == 0 {
+		return
+	}
 	s.head = update.head
-	first := update.events[0].ID
-	tokens := make([]request.TokenID, len(update.events))
+	first := events[0].ID
+	tokens := make([]request.TokenID, len(events))
 	s.rawEvents = s.rawEvents[:0]
-	for i, event := range update.events {
+	for i, event := range events {
 		if event.ID != first+i {
 			update.attempt.cancel()
 			s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: fault.Crossed})
--- a/request/output.go
+++ b/request/output.go
@@ -18,7 +18,8 @@
 	// Gap means that tokens are missing between the end of the output and the position
 	// of the first appended token.
 	Gap
-	// Mismatch means that a token differs from the accepted token at its position.
+	// Mismatch means that a token differs from the accepted token at its position, or has a
+	// position before the first.
 	Mismatch
 )
 
@@ -49,6 +50,9 @@
 // appended and returned as fresh. Nothing is appended unless the result is Accepted.
 func (o *Output) Append(position int, tokens []TokenID) (fresh []TokenID, result AppendResult) {
 	next := len(o.tokens)
+	if position < 0 {
+		return nil, Mismatch
+	}
 	if position > next {
 		return nil, Gap
 	}
