--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -273,8 +273,9 @@
 		if update.emptyEnd {
 			s.emptyEndAt = update.attempt.spec.Position
 		}
-		if update.insideEvent {
-			s.eventBegunAt = update.attempt.spec.Position + update.attempt.eventCount
+		position := s.inbound.Position + s.recovery.Output().Len()
+		if update.insideEvent && position == max(update.attempt.lastEvent, update.attempt.spec.Position) {
+			s.eventBegunAt = position
 		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
@@ -306,12 +307,21 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
+	events := update.events
+	for len(events) > 0 && events[0].ID <= s.inbound.Position {
+		// The caller has it.
+		events = events[1:]
+	}
+	if len(events) == 0 {
+		return
+	}
 	s.head = update.head
-	first := update.events[0].ID
-	tokens := make([]request.TokenID, len(update.events))
+	first := events[0].ID
+	tokens := make([]request.TokenID, len(events))
 	s.rawEvents = s.rawEvents[:0]
-	for i, event := range update.events {
+	for i, event := range events {
 		if event.ID != first+i {
+			update.attempt.cancel()
 			s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: fault.Crossed})
 			return
 		}
