knownred: a listed test whose run fails after it passed is an error

Callers saw: nothing. Cause: judge read the last action of the test and not that of its package. Change: such an entry is an error. It passes again only if the run of it alone passes, or if another listed test explains why that failed. Ruled out: to count it as a failure that is passed over. The entry names a test that does not fail, and what fails is not listed. Why it works: go test fails a package for everything that happens until the process ends.

--- a/scripts/knownred/gotest.go
+++ b/scripts/knownred/gotest.go
@@ -183,6 +183,13 @@
 // judge returns the result of the run of a listed test that ended with the given actions.
 func judge(e entry, entries []entry, actions map[string]string) result {
 	r := result{entry: e}
+	listed := func(test string) bool {
+		return slices.ContainsFunc(entries, func(o entry) bool { return o.directory == e.directory && o.test == test })
+	}
+	listedFailed := false
+	for test, action := range actions {
+		listedFailed = listedFailed || failed(action) && listed(test)
+	}
 	action, ran := actions[e.test]
 	switch {
 	case !ran && actions[""] == "pass":
@@ -191,16 +198,19 @@
 		r.problem = "the test did not run"
 	case action == "skip":
 		r.problem = "the test was skipped"
+	case action == "pass" && actions[""] != "pass" && !listedFailed:
+		r.problem = "the test passes, but the run of it alone fails"
 	case action == "pass":
 		r.passes = true
 	}
 	for test, action := range actions {
-		// A test that panics or hangs has no last action that says so.
-		failed := action != "pass" && action != "skip"
-		listed := slices.ContainsFunc(entries, func(o entry) bool { return o.directory == e.directory && o.test == test })
-		if failed && strings.HasPrefix(test, e.test+"/") && !listed {
+		if failed(action) && strings.HasPrefix(test, e.test+"/") && !listed(test) {
 			r.problem = fmt.Sprintf("its subtest %s fails and is not listed", test)
 		}
 	}
 	return r
 }
+
+// failed returns whether a test failed whose last action is given. A test that panics or hangs
+// has no last action that says so.
+func failed(action string) bool { return action != "pass" && action != "skip" }
--- a/scripts/knownred/knownred_test.go
+++ b/scripts/knownred/knownred_test.go
@@ -67,6 +67,9 @@
 		{"races", "TestRaces", nil, passedOver},
 		{"one-subtest", "TestSubtests/left", nil, passedOver},
 		{"passes", "TestPasses", nil, "passes again, remove its entry"},
+		{"passes-then-panics", "TestPassesThenPanics", nil, "error: the test passes, but the run of it alone fails"},
+		{"parent-fails", "TestSubtests/left", nil, "error: the test passes, but the run of it alone fails"},
+		{"parent-fails", "TestSubtests/left", []string{"TestSubtests"}, "passes again, remove its entry"},
 		{"skips", "TestSkips", nil, "error: the test was skipped"},
 		{"missing", "TestMissing", nil, "error: the test does not exist"},
 		{"missing-subtest", "TestSubtests/middle", nil, "error: the test does not exist"},
@@ -163,6 +166,35 @@
 	assert.Equal(t, strings.Count(out, "passes again, remove its entry"), 2)
 }
 
+// The tests beside a listed one run also if that ends the test process.
+func TestRun_ListedTestThatEndsTheProcessHidesNoOther(t *testing.T) {
+	tests := map[string]struct {
+		body  string
+		flags []string
+	}{
+		"exit":               {"os.Exit(1)", nil},
+		"exit as passed":     {"os.Exit(0)", nil},
+		"panic":              {`panic("the pond is dry")`, nil},
+		"panic of goroutine": {`go func() { panic("the pond is dry") }(); select {}`, nil},
+		"race":               {"n, done := 0, make(chan bool); go func() { n++; close(done) }(); n++; <-done", []string{"-race"}},
+		"timeout":            {"select {}", []string{"-timeout", "5s"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ok, out, err := runModule(t, map[string]string{
+				"reeds/reeds_test.go": "package reeds\n\nimport (\n\t\"os\"\n\t\"testing\"\n)\n\nvar _ = os.Exit\n\n" +
+					"func TestFails(*testing.T) { " + test.body + " }\n\nfunc TestMore(t *testing.T) { t.Fail() }\n",
+				listFile: entryText,
+			}, test.flags...)
+			assert.NilError(t, err)
+			assert.Assert(t, !ok, out)
+			assert.Assert(t, strings.Contains(out, "--- FAIL: TestMore"), out)
+			assert.Assert(t, strings.HasSuffix(strings.Split(out, "\n    issue 3")[0], "./reeds TestFails: failed, passed over"), out)
+		})
+	}
+}
+
 // Each change makes the module fail for a reason that no entry covers.
 func TestRun_NothingElseIsPassedOver(t *testing.T) {
 	reeds := func(body string) map[string]string {
@@ -187,6 +219,7 @@
 		"package not built":     {map[string]string{"herons/herons_test.go": "package herons\n\nvar x = missing\n"}, "FAIL\texample.com/pond/herons [build failed]", nil},
 		"listed package broken": {reeds("var x = missing"), "FAIL\texample.com/pond/reeds [build failed]", nil},
 		"missing test":          {map[string]string{"reeds/reeds_test.go": strings.Replace(reedsTests, "TestFails", "TestRenamed", 1)}, "error: the test does not exist", nil},
+		"panic after pass":      {map[string]string{"reeds/reeds_test.go": strings.NewReplacer(`import "testing"`, "import (\n\t\"testing\"\n\t\"time\"\n)", `{ t.Error("the pond is dry") }`, "{ go func() { time.Sleep(100 * time.Millisecond); panic(1) }() }\n\nfunc TestMain(m *testing.M) { m.Run(); time.Sleep(time.Second) }").Replace(reedsTests)}, "error: the test passes, but the run of it alone fails", nil},
 		"skipped test":          {map[string]string{"reeds/reeds_test.go": strings.Replace(reedsTests, "t.Error", "t.Skip", 1)}, "error: the test was skipped", nil},
 		"without a list":        {map[string]string{listFile: ""}, "--- FAIL: TestFails", nil},
 	}
