A connection on which a request has arrived is not closed as idle

What callers saw: a request that was sent before the entry closed its idle connections, 2.3 s after SIGTERM, ended with a reset and without a response if the entry had not come to read it: on a busy host, after the host had been suspended, or if one byte of it had been read while the response before was finished. The request had not been passed on, but its caller cannot know that. Cause: graceful.Listener looked only at what had been read. Change: it looks whether unread data has arrived (MSG_PEEK) before it closes a connection; if so, the request is read and gets a response, which closes the connection. The check is made without the lock, so that reads do not wait for it; a request that was read meanwhile is found under the lock as before. Ruled out: closing the writing side first and reading on for a while. The caller would see the end of the connection instead of a response. Why it works: what has reached the host is served; what is still on its way can be lost as before, and callers see a close without a response to it.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -1,7 +1,7 @@
 // Package graceful ends the connections of a server that stops. http.Server.Shutdown closes
 // a connection without a response when it reads the first request after it was called, or
 // when a request has been read in part. A Listener closes a connection only while no byte of
-// a request has been read.
+// a request has arrived.
 package graceful
 
 import (
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // acceptQueueTime is how long connections are still accepted that the kernel had queued when
@@ -90,19 +92,18 @@
 		return
 	}
 	l.mu.Lock()
+	draining, closing := l.draining, tracked.closing
 	switch state {
 	case http.StateIdle:
-		tracked.served, tracked.reading, tracked.closing = true, false, l.draining
+		tracked.served, tracked.reading = true, false
 	case http.StateActive:
 		tracked.reading = true
 	}
-	closing := tracked.closing
 	l.mu.Unlock()
 	switch {
-	case !closing:
-	case state == http.StateIdle:
-		_ = tracked.Close()
-	case state == http.StateActive:
+	case state == http.StateIdle && draining:
+		tracked.closeIdle()
+	case state == http.StateActive && closing:
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -116,14 +117,13 @@
 	var idle []*conn
 	for c := range l.open {
 		if c.served && !c.reading {
-			c.closing = true
 			idle = append(idle, c)
 		}
 	}
 	l.signalIfDrained()
 	l.mu.Unlock()
 	for _, c := range idle {
-		_ = c.Close()
+		c.closeIdle()
 	}
 	select {
 	case <-l.drained:
@@ -198,6 +198,39 @@
 	return n, err //nolint:wrapcheck // net.Conn
 }
 
+// hasUnreadData reports whether data has arrived that was not read yet, as happens on a busy
+// host. To close the connection would reset it.
+func (c *conn) hasUnreadData() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
+// closeIdle closes a connection that was idle, unless a request has arrived.
+func (c *conn) closeIdle() {
+	if c.hasUnreadData() {
+		return
+	}
+	c.listener.mu.Lock()
+	closing := !c.reading
+	c.closing = closing
+	c.listener.mu.Unlock()
+	if closing {
+		_ = c.Close()
+	}
+}
+
 // CloseWrite closes the writing side, which http.Server does before it closes a connection
 // whose request was not read whole.
 func (c *conn) CloseWrite() error {
--- a/connection/graceful/listener_test.go
+++ b/connection/graceful/listener_test.go
@@ -227,3 +227,83 @@
 	<-closed
 	assert.Equal(t, len(handled), 0)
 }
+
+// stalledConn does not read the next request until resume is closed, like a process on a busy
+// host. Reads of one byte are those that watch for a disconnect.
+type stalledConn struct {
+	*net.TCPConn
+	stalled chan struct{}
+	resume  <-chan struct{}
+}
+
+func (c *stalledConn) Read(buffer []byte) (int, error) {
+	select {
+	case <-c.stalled:
+		if len(buffer) > 1 {
+			<-c.resume
+		}
+	default:
+	}
+	return c.TCPConn.Read(buffer)
+}
+
+type stalledListener struct {
+	*net.TCPListener
+	stalled chan struct{}
+	resume  <-chan struct{}
+}
+
+func (l *stalledListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &stalledConn{TCPConn: c, stalled: l.stalled, resume: l.resume}, nil
+}
+
+// A request has arrived and has not been read yet when idle connections are closed.
+func TestDrain_RequestThatArrivedGetsResponse(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	stalled, resume := make(chan struct{}), make(chan struct{})
+	l := NewListener(&stalledListener{TCPListener: inner.(*net.TCPListener), stalled: stalled, resume: resume})
+	server := &http.Server{
+		ConnState: l.ConnState,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stall" {
+				close(stalled)
+				return
+			}
+			w.Header().Set("Connection", "close")
+		}),
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	c := dial(t, l)
+	responses := bufio.NewReader(c)
+	request := func(path string) {
+		t.Helper()
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	receive := func() {
+		t.Helper()
+		response, err := http.ReadResponse(responses, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+	}
+	request("/stall")
+	receive()
+	for l.Connections().Idle == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	request("/")
+	// Data on a loopback connection has arrived when the write returns.
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, l.Drain(ctx), context.Canceled)
+	close(resume)
+	receive()
+	assert.NilError(t, l.Drain(t.Context()))
+}
