The response to HEAD on a route of streams is complete with its head

Callers saw: 502 for HEAD on a streaming route, unless the target gave a length or chunks, and the request ran up to five times. Cause: a response without events ends a stream only if it marks its end; the response to HEAD has no body to mark. Change: its head counts as that mark. Ruled out: responses with status 204 or 304, and bodies that a faulty target sends with a response that has none: they pass on the code before. Evidence: TestBodilessResponse_BodyReachesNoCaller on the code before fails in the six cases of HEAD without a length on /report/x and /once/x: "assertion failed: 502 (got.status int) != 200 (response.status int)"; the other 78 pass. Why it works: RFC 9112, 6.3: the response to HEAD ends with its head, so a target that sent the head has sent all. Result: go test -race -run 'TestBodiless|TestCut' ./process/gateway passes.

--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -152,11 +152,13 @@
 // endOfEvents returns the update for the end of a stream, as which the reader returned err.
 func (a *attempt) endOfEvents(response *http.Response, err error) attemptUpdate {
 	ended := platform.IsEndOfStream(err)
+	// The head is all of a response to HEAD.
+	framed := a.exchange.inbound.Method == http.MethodHead || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	end := request.StreamEnd{
 		Position: a.spec.Position, Events: max(0, a.lastEvent-a.spec.Position),
 		Repeats:   a.eventCount > 0 && a.lastEvent <= a.spec.Position,
 		Confirmed: a.endSeen, EventBegun: a.eventBegun,
-		Framed:       response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		Framed:       framed,
 		OtherContent: !platform.MayHoldEvents(response.Header),
 	}
 	if ended && end.DependsOnTarget() {
