A caller's token counts cannot end its request with a panic

Callers saw: the connection closed without a response, if they named a negative maximum of output tokens or a very large one. Cause: the output of a stream reserved memory for as many tokens as the caller named; make panics for negative capacities and for those beyond the address space. Somewhat smaller ones would reserve gigabytes. Change: an output reserves memory for no more than 16384 tokens at first and grows. Ruled out: refusing such requests: the counts are an estimate for placement; a target decides whether it can run the request. Why it works: what is reserved does not depend on the caller beyond the limit. What remains: very large counts also count as load of their target while they run.

--- a/request/output.go
+++ b/request/output.go
@@ -32,9 +32,14 @@
 	digest xxhash.Digest
 }
 
-// NewOutput returns an empty output with capacity for the given number of tokens.
+// maxInitialCapacity limits the tokens for which an Output reserves memory at first: callers
+// name the number.
+const maxInitialCapacity = 16 << 10
+
+// NewOutput returns an empty output that reserves memory for the given number of tokens, or
+// for maxInitialCapacity if they are more.
 func NewOutput(capacity int) *Output {
-	o := &Output{tokens: make([]TokenID, 0, capacity)}
+	o := &Output{tokens: make([]TokenID, 0, min(max(capacity, 0), maxInitialCapacity))}
 	o.digest.Reset()
 	return o
 }
