mlentry: responses of calls are sent with their length

Callers saw (HTTP/1.0): a call's response of more than 2 KB had no length and ended with its connection, so one that was cut looked complete. Change: the whole body is known when the head is written, so the head says its length. Ruled out: the streams of mlentry: their last event says that they are complete. Evidence: TestCallReply_HasALength on the code before: "assertion failed: -1 (response.ContentLength int64) != 102400 (int64)". Why it works: a body shorter than its length is not complete, whatever ended it.

--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -82,6 +83,9 @@
 	for _, field := range reply.Header {
 		c.Header(field.Name, field.Value)
 	}
+	if len(reply.Body) > 0 {
+		c.Header("Content-Length", strconv.Itoa(len(reply.Body)))
+	}
 	c.Status(reply.Status)
 	_, _ = c.Writer.Write(reply.Body)
 }
--- a/process/entry/response_test.go
+++ b/process/entry/response_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -112,3 +114,28 @@
 		}
 	})
 }
+
+// To HTTP/1.0 a body without a length ends with the connection, so that a part of it looks
+// whole.
+func TestCallReply_HasALength(t *testing.T) {
+	for _, size := range []int{0, 10, 100 << 10} {
+		router := gin.New()
+		router.GET("/", func(c *gin.Context) {
+			writeCallReply(c, request.CallReply{Status: http.StatusOK, Body: make([]byte, size)}, request.Outcome{})
+		})
+		server := httptest.NewServer(router)
+		caller, err := net.Dial("tcp", server.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = caller.Write([]byte("GET / HTTP/1.0\r\nHost: entry\r\n\r\n"))
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), size)
+		assert.Equal(t, response.ContentLength, int64(size))
+		assert.NilError(t, response.Body.Close())
+		_ = caller.Close()
+		server.Close()
+	}
+}
