Two requests that crash engines together suffice to find their part

Callers saw: with prompts that are read within milliseconds, two requests with a harmful part that arrived together ended ten engines, five each, and the part was found only with a third request.

Cause: crashes of different requests within 250 ms count as one, and of each request two count at most. Two requests that are passed on side by side thus make two crashes, however many engines they end; and neither is quarantined itself, because the part explains their crashes.

Change: all crashes of a request count if two or more requests with the part were lost repeatedly.

Ruled out: a shorter time within which crashes are correlated. It keeps a failure domain from blaming a part, and there requests are rarely lost twice.

Evidence: the test failed before: "r.crashes is >= 10: after 10 crashes".

Result: five or six engines end with two such requests.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -41,7 +41,7 @@
 	sessionCrashes        = 3
 	sessionCrashesWaiting = 5
 	// maxCrashesOfRequest is how many crashes of one request count for a part that several
-	// have: more say something about that request.
+	// have, unless several of these are lost repeatedly: more say something about that request.
 	maxCrashesOfRequest = 2
 	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
 	// the requests lost with it.
@@ -84,6 +84,12 @@
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
 	e.crashes, e.repeated = 0, 0
+	for _, crashes := range e.requests {
+		if crashes >= repeatedCrashes {
+			e.repeated++
+		}
+	}
+	unlimited := len(e.requests) == 1 || e.repeated >= repeatedRequests
 	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
@@ -92,16 +98,11 @@
 			e.crashes += most(lost)
 			start, lost = l.at, map[string]int{}
 		}
-		if total[l.request]++; len(e.requests) == 1 || total[l.request] <= maxCrashesOfRequest {
+		if total[l.request]++; unlimited || total[l.request] <= maxCrashesOfRequest {
 			lost[l.request]++
 		}
 	}
 	e.crashes += most(lost)
-	for _, crashes := range e.requests {
-		if crashes >= repeatedCrashes {
-			e.repeated++
-		}
-	}
 }
 
 func most(counts map[string]int) int {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -364,3 +364,16 @@
 	assert.Assert(t, len(r.tracker.crashes) <= maxCrashes)
 	assert.Assert(t, !r.quarantined(180000, "first"))
 }
+
+// Load: two requests with the part arrive together and are passed on within milliseconds, so that
+// their crashes are correlated.
+func TestTracker_TwoRequestsThatCrashEnginesTogetherSuffice(t *testing.T) {
+	r := newReplay()
+	for i := 0; !r.quarantined(110*i, "deadly"); i++ {
+		r.crash(110*i, started("first", "deadly", "a"))
+		r.crash(110*i+5, started("first", "deadly", "b"))
+		assert.Assert(t, r.crashes < 10, "after %d crashes", r.crashes)
+	}
+	assert.Assert(t, r.crashes <= 6, "after %d crashes", r.crashes)
+	assert.Assert(t, !r.quarantined(110*r.crashes, "first"))
+}
