What an entry keeps of a quarantine ends with it

Callers saw: nothing; an entry that runs for long kept a record of each part that it had ever quarantined or was to try.

Cause: storedParts and the trials were removed with a release only, not at the end of a quarantine by time.

Change: each check forgets them for parts that are no longer in quarantine.

Ruled out: a bound by number, as for the parts in quarantine. Those that it drops are still to be removed from the store when they are released.

Result: the three maps are as bounded as the parts in quarantine.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -286,6 +286,7 @@
 	}
 	c.promptIndex.RemoveExpired(now)
 	c.evaluateCrashes(now)
+	c.forgetEndedQuarantines(now)
 	c.gateway.pool.CloseExpired()
 }
 
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -183,6 +184,17 @@
 	}
 }
 
+// forgetEndedQuarantines forgets what this entry keeps of parts that are no longer in quarantine.
+func (c *control) forgetEndedQuarantines(now time.Time) {
+	ended := func(part quarantine.Part) bool {
+		_, found := c.quarantine.Find(now, part.Service, []string{part.ID})
+		return !found
+	}
+	maps.DeleteFunc(c.storedParts, func(part quarantine.Part, _ struct{}) bool { return ended(part) })
+	maps.DeleteFunc(c.trials, func(part quarantine.Part, _ struct{}) bool { return ended(part) })
+	maps.DeleteFunc(c.trialsDue, func(part quarantine.Part, _ time.Time) bool { return ended(part) })
+}
+
 // handleCrash evaluates a crash that this or another entry saw.
 func (c *control) handleCrash(now, at time.Time, crash quarantine.Crash) {
 	c.quarantine.RecordCrash(now, at, crash)
--- a/process/gateway/quarantine_release_test.go
+++ b/process/gateway/quarantine_release_test.go
@@ -50,3 +50,25 @@
 	d.waitUntil(func() bool { return len(first.quarantinedParts()) == 0 })
 	assert.Equal(t, len(second.quarantinedParts()), 0)
 }
+
+// Load: ever new parts are quarantined and forgotten.
+func TestQuarantine_NothingIsKeptOfPartsAfterTheEnd(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	now := time.Now()
+	kept := func() int {
+		n := 0
+		g.control.do(func() { n = len(g.control.storedParts) + len(g.control.trials) + len(g.control.trialsDue) })
+		return n
+	}
+	g.control.do(func() {
+		c := g.control
+		part := quarantine.Part{Service: "writer", ID: sharedPart}
+		record := quarantine.Record{Part: part, From: now, Until: now.Add(300 * time.Millisecond), Stored: true}
+		assert.Assert(t, c.quarantine.Adopt(now, record))
+		c.quarantineParts([]quarantine.Record{record})
+		c.storedParts[part], c.trials[part] = struct{}{}, struct{}{}
+	})
+	assert.Equal(t, kept(), 3)
+	d.waitUntil(func() bool { return kept() == 0 })
+}
