A part that engines survive is not blamed before new survivals can be known

Callers saw: while requests with several harmful parts came, requests with the first part that all share were refused for ten minutes, though engines had survived it until then.

Cause: a part that engines have survived is quarantined by five crashes of three requests. It is cleared only by a request that started after those crashes, which is known a second later at the earliest. If the crashes come within a second, nothing can clear the part in time, and once it is in quarantine, nothing is admitted that could.

Change: such a part is quarantined 1.5 s after its first crash at the earliest. Crashes are evaluated again then.

Ruled out: to let a part of one request explain the crashes of one that was survived. Then a part that has turned harmful is not found if each request has a document of its own.

Evidence: the test failed before: "r.quarantined(ms, \"first\") is true: at 800 ms". The two tests hold both sides: TestTracker_PartThatIsNoLongerSurvivedIsBlamedSoon passed before, too.

Result: parts that engines had not survived are found as before.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -266,7 +266,7 @@
 	})
 	for part, e := range result {
 		e.count()
-		if !t.sufficient(part, e, s) {
+		if !t.sufficient(now, part, e, s) {
 			delete(result, part)
 		}
 	}
@@ -286,14 +286,24 @@
 
 // sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
 // last quarantine one crash does.
-func (t *Tracker) sufficient(part Part, e *evidence, s standard) bool {
+func (t *Tracker) sufficient(now time.Time, part Part, e *evidence, s standard) bool {
 	if past, ok := t.parts[part]; ok && s.startedOnly && e.lost[len(e.lost)-1].at.After(past.until) {
 		return true
 	}
 	if _, last := e.requests[part.ID]; last {
 		return e.crashes >= sessionCrashesWaiting || e.crashes >= sessionCrashes && s.startedOnly
 	}
-	return e.crashes >= s.crashes && len(e.requests) >= s.requests
+	if e.crashes < s.crashes || len(e.requests) < s.requests {
+		return false
+	}
+	due := e.lost[0].at.Add(survivalDelay)
+	if e.survived && now.Before(due) {
+		if t.settlesAt.IsZero() || due.Before(t.settlesAt) {
+			t.settlesAt = due
+		}
+		return false
+	}
+	return true
 }
 
 // explained reports whether another part of the prompt explains the crash better. A part
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -66,3 +66,34 @@
 	}
 	assert.Assert(t, !r.quarantined(1000*r.crashes, "document"))
 }
+
+// Load: requests with several harmful parts crash engines within a second, while sound requests
+// that share their first part are running.
+func TestTracker_PartThatEnginesSurviveIsNotBlamedForSeveralHarmfulParts(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "ok")
+	for i := range 9 {
+		r.crash(100*i, started("first", fmt.Sprint("deadly-", i/3), fmt.Sprint("r", i/3)))
+	}
+	for ms := 800; ms < 1300; ms += 50 {
+		r.evaluate(ms)
+		assert.Assert(t, !r.quarantined(ms, "first"), "at %d ms", ms)
+	}
+	// A request that started after the crashes has gone on for long enough.
+	r.survived(850, "first", "next")
+	r.evaluate(1900)
+	assert.Assert(t, !r.quarantined(1900, "first"))
+}
+
+// Engines were changed and crash on a part that they had survived, within a second.
+func TestTracker_PartThatIsNoLongerSurvivedIsBlamedSoon(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "turned", "ok")
+	for i := range 6 {
+		r.crash(260*i, started("first", "turned", fmt.Sprint("r", i)), started("first", fmt.Sprint("n", i)))
+	}
+	for ms := 800; ms <= 2500; ms += 50 {
+		r.evaluate(ms)
+	}
+	assert.Assert(t, r.quarantined(2500, "turned"))
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -49,6 +49,9 @@
 	// reportDelay is how long after a crash the requests that only waited begin to count: by
 	// then the other entries have reported the ones to which the engine had begun to respond.
 	reportDelay = 500 * time.Millisecond
+	// survivalDelay is how long after the first crash a part that engines have survived before
+	// may be quarantined: by then the entries know of requests that started after it.
+	survivalDelay = SurvivalPeriod + reportDelay
 )
 
 // Part identifies a part of prompts of one service.
@@ -154,7 +157,7 @@
 	// services maps the IDs of these parts to the services that have them.
 	services map[string][]string
 	// changed is set when there is evidence that has not been evaluated, changedAt is when
-	// the last came. settlesAt is when requests that waited count from then on, if not zero.
+	// the last came. settlesAt is when more of the evidence counts without a change, if not zero.
 	changed              bool
 	changedAt, settlesAt time.Time
 }
