The trial of a stored quarantine is not ended by another quarantine

Callers saw: a 502 for the request that was the trial of a sound part, if another part was quarantined while it waited at its engine; afterwards requests with the sound part were refused until the end of its quarantine.

Cause: a new quarantine ends all waiting attempts with any part in quarantine, not only those with the new one.

Change: it ends those with its part.

Ruled out: to spare attempts that are a trial. One that also has the new part must end.

Evidence: the test failed before: "502 ((<-done).status int) != 200 (http.StatusOK int)".

Result: the trial goes on and releases its part. Waiting attempts are ended as before when their part is quarantined (TestStream_WaitingRequestIsEndedWhenItsPartIsQuarantined).

--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -240,7 +240,7 @@
 		ended := 0
 		for _, m := range c.monitors {
 			for a := range m.attempts {
-				if !a.streaming && c.endsWaiting(now, a) {
+				if !a.streaming && c.endsWaiting(now, a, r.Part) {
 					a.quarantined.Store(true)
 					a.cancel()
 					ended++
@@ -253,10 +253,10 @@
 	}
 }
 
-// endsWaiting reports whether an attempt that waits must end because of a quarantine.
-func (c *control) endsWaiting(now time.Time, a *attempt) bool {
+// endsWaiting reports whether an attempt that waits must end because of the quarantine of a part.
+func (c *control) endsWaiting(now time.Time, a *attempt, part quarantine.Part) bool {
 	e := a.exchange
-	if len(e.inbound.Parts) == 0 || e.survived.Load() {
+	if !slices.Contains(e.inbound.PartIDs(), part.ID) || e.survived.Load() {
 		return false
 	}
 	_, found := c.quarantine.Find(now, e.service, e.inbound.PartIDs())
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
 // Fault: all entries end before the quarantine of a sound part that has been released has left
@@ -111,3 +112,26 @@
 	}
 	assert.Assert(t, served)
 }
+
+// Load: another part is quarantined while the request that is the trial waits at its engine.
+func TestStart_TrialIsNotEndedByAnotherQuarantine(t *testing.T) {
+	d := newDeployment(t)
+	d.startReplica(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+		PrefillTime: time.Second, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	g.trialOfSharedPart()
+	req := streamRequest()
+	done := make(chan callerResponse, 1)
+	go func() { done <- d.send(g, req) }()
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(req.AttemptID) > 0 })
+	now := time.Now()
+	record := quarantine.Record{Part: quarantine.Part{Service: "writer", ID: deadlyPart}, From: now, Until: now.Add(time.Minute)}
+	g.control.do(func() {
+		assert.Assert(t, g.control.quarantine.Adopt(now, record))
+		g.control.quarantineParts([]quarantine.Record{record})
+	})
+	assert.Equal(t, (<-done).status, http.StatusOK)
+	assert.Equal(t, len(g.quarantinedParts()), 1)
+}
