A request that crashes engines again and again is quarantined itself

Callers saw: with three engines, one request ended ten of their incarnations, and its part was found after thirteen crashes.

Cause: parts explained each other in a circle. The document of the request, a part of this request alone, explained the harmful part before it; that part, which another request had been lost with once, explained the request itself; and the document is not quarantined for one request.

Change: a request that was lost in five crashes is not explained by another part any more.

Ruled out: three crashes, as for a request that shares no suspected part. A third crash of a request often shows its part, and then the request need not be in quarantine.

Evidence: the test failed before: "i is >= 8: after 9 crashes".

Result: five crashes of one request at most.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -309,7 +309,7 @@
 // explained reports whether another part of the prompt explains the crash better. A part
 // that no engine has survived is more likely to be at fault than one that some have, and a
 // later one, which fewer requests share, more likely than those before it. The last part is
-// at fault only if no other is. A part of one request does not explain what several requests
+// at fault only if no other is, or if its request was lost again and again. A part of one request does not explain what several requests
 // have in common that are each lost repeatedly.
 func explained(index map[Part]*evidence, p position, s standard) bool {
 	e := index[p.Part]
@@ -320,7 +320,7 @@
 			continue
 		}
 		if p.last() {
-			if len(rival.requests) > 1 && !rival.survived {
+			if len(rival.requests) > 1 && !rival.survived && e.crashes < sessionCrashesWaiting {
 				return true
 			}
 			continue
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -97,3 +97,16 @@
 	}
 	assert.Assert(t, r.quarantined(2500, "turned"))
 }
+
+// Load: few engines, which one request crashes again and again. Another request with the part has
+// been lost once; each has a document of its own.
+func TestTracker_RequestThatCrashesEnginesAgainAndAgainIsQuarantined(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "deadly", "document-a", "a"))
+	r.crash(1000, started("first", "deadly", "document-b", "b"))
+	for i := 2; !r.quarantined(1000*i, "a") && !r.quarantined(1000*i, "deadly"); i++ {
+		r.crash(1000*i, started("first", "deadly", "document-a", "a"))
+		assert.Assert(t, i < 8, "after %d crashes", r.crashes)
+	}
+	assert.Assert(t, r.crashes <= 6, "after %d crashes", r.crashes)
+}
