Two requests lost again and again suffice though no response had started

Cause: where no request is known to have started, requests that only waited count, and the part needs five crashes of three requests. Two requests that are passed from engine to engine make ten crashes and are still two.

Change: two requests that were each lost repeatedly suffice, beside the five crashes. Sound neighbours are rarely lost twice, as they are served elsewhere meanwhile.

Ruled out: fewer crashes for requests that waited. An engine that crashes loses many of them, and they share their first parts.

Evidence: the test failed before: "r.crashes is greater than 8: after 10 crashes".

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -14,7 +14,8 @@
 	// survived admits parts that engines have survived before: such a part was sound, and
 	// is harmful only since a change of the engines.
 	survived bool
-	// crashes is the least number of crashes, requests that of different requests.
+	// crashes is the least number of crashes, requests that of different requests, or
+	// repeatedRequests of those that are each lost repeatedly.
 	crashes, requests int
 	// rivalRequests is how many requests another part has to be in so that it explains
 	// their crashes instead.
@@ -293,7 +294,7 @@
 	if _, last := e.requests[part.ID]; last {
 		return e.crashes >= sessionCrashesWaiting || e.crashes >= sessionCrashes && s.startedOnly
 	}
-	if e.crashes < s.crashes || len(e.requests) < s.requests {
+	if e.crashes < s.crashes || len(e.requests) < s.requests && e.repeated < repeatedRequests {
 		return false
 	}
 	due := e.lost[0].at.Add(survivalDelay)
@@ -309,8 +310,8 @@
 // explained reports whether another part of the prompt explains the crash better. A part
 // that no engine has survived is more likely to be at fault than one that some have, and a
 // later one, which fewer requests share, more likely than those before it. The last part is
-// at fault only if no other is, or if its request was lost again and again. A part of one request does not explain what several requests
-// have in common that are each lost repeatedly.
+// at fault only if no other is, or if its request was lost again and again. A part of one
+// request does not explain what several requests have in common that are each lost repeatedly.
 func explained(index map[Part]*evidence, p position, s standard) bool {
 	e := index[p.Part]
 	shared := e.repeated >= repeatedRequests
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -110,3 +110,22 @@
 	}
 	assert.Assert(t, r.crashes <= 6, "after %d crashes", r.crashes)
 }
+
+// Load: engines crash before the head of a response, so that the harmful requests look like those
+// that waited there; each is passed from engine to engine. Sound requests wait at each engine, and
+// other engines survive them.
+func TestTracker_TwoRequestsSufficeThoughNoResponseStarted(t *testing.T) {
+	r := newReplay()
+	for i := 0; !r.quarantined(1200*r.crashes, "deadly"); i++ {
+		last := fmt.Sprint("r", i)
+		for n := 0; n < 5 && !r.quarantined(1200*r.crashes, "deadly") && !r.quarantined(1200*r.crashes, last); n++ {
+			at := 1200 * r.crashes
+			neighbour := fmt.Sprint("n", r.crashes)
+			r.crash(at, waiting("first", "deadly", last), waiting("first", neighbour))
+			r.evaluate(at + 600)
+			r.survived(at+100, "first", neighbour)
+		}
+		assert.Assert(t, r.crashes <= 8, "after %d crashes", r.crashes)
+	}
+	assert.Assert(t, !r.quarantined(1200*r.crashes, "first"))
+}
