--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -187,6 +188,17 @@
 	}
 }
 
+// forgetEndedQuarantines forgets what this entry keeps of parts that are no longer in quarantine.
+func (c *control) forgetEndedQuarantines(now time.Time) {
+	ended := func(part quarantine.Part) bool {
+		_, found := c.quarantine.Find(now, part.Service, []string{part.ID})
+		return !found
+	}
+	maps.DeleteFunc(c.storedParts, func(part quarantine.Part, _ struct{}) bool { return ended(part) })
+	maps.DeleteFunc(c.trials, func(part quarantine.Part, _ struct{}) bool { return ended(part) })
+	maps.DeleteFunc(c.trialsDue, func(part quarantine.Part, _ time.Time) bool { return ended(part) })
+}
+
 // handleCrash evaluates a crash that this or another entry saw.
 func (c *control) handleCrash(now, at time.Time, crash quarantine.Crash) {
 	c.quarantine.RecordCrash(now, at, crash)
@@ -232,7 +244,7 @@
 		ended := 0
 		for _, m := range c.monitors {
 			for a := range m.attempts {
-				if !a.streaming && c.endsWaiting(now, a) {
+				if !a.streaming && c.endsWaiting(now, a, r.Part) {
 					a.quarantined.Store(true)
 					a.cancel()
 					ended++
@@ -245,10 +257,10 @@
 	}
 }
 
-// endsWaiting reports whether an attempt that waits must end because of a quarantine.
-func (c *control) endsWaiting(now time.Time, a *attempt) bool {
+// endsWaiting reports whether an attempt that waits must end because of the quarantine of a part.
+func (c *control) endsWaiting(now time.Time, a *attempt, part quarantine.Part) bool {
 	e := a.exchange
-	if len(e.inbound.Parts) == 0 || e.survived.Load() {
+	if !slices.Contains(e.inbound.PartIDs(), part.ID) || e.survived.Load() {
 		return false
 	}
 	_, found := c.quarantine.Find(now, e.service, e.inbound.PartIDs())
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -14,7 +14,8 @@
 	// survived admits parts that engines have survived before: such a part was sound, and
 	// is harmful only since a change of the engines.
 	survived bool
-	// crashes is the least number of crashes, requests that of different requests.
+	// crashes is the least number of crashes, requests that of different requests, or
+	// repeatedRequests of those that are each lost repeatedly.
 	crashes, requests int
 	// rivalRequests is how many requests another part has to be in so that it explains
 	// their crashes instead.
@@ -41,7 +42,7 @@
 	sessionCrashes        = 3
 	sessionCrashesWaiting = 5
 	// maxCrashesOfRequest is how many crashes of one request count for a part that several
-	// have: more say something about that request.
+	// have, unless several of these are lost repeatedly: more say something about that request.
 	maxCrashesOfRequest = 2
 	// repeatedCrashes is how many crashes a request has to be lost in to explain those of
 	// the requests lost with it.
@@ -84,6 +85,12 @@
 func (e *evidence) count() {
 	slices.SortFunc(e.lost, func(a, b lostRequest) int { return a.at.Compare(b.at) })
 	e.crashes, e.repeated = 0, 0
+	for _, crashes := range e.requests {
+		if crashes >= repeatedCrashes {
+			e.repeated++
+		}
+	}
+	unlimited := len(e.requests) == 1 || e.repeated >= repeatedRequests
 	total := map[string]int{}
 	var start time.Time
 	var lost map[string]int
@@ -92,16 +99,11 @@
 			e.crashes += most(lost)
 			start, lost = l.at, map[string]int{}
 		}
-		if total[l.request]++; len(e.requests) == 1 || total[l.request] <= maxCrashesOfRequest {
+		if total[l.request]++; unlimited || total[l.request] <= maxCrashesOfRequest {
 			lost[l.request]++
 		}
 	}
 	e.crashes += most(lost)
-	for _, crashes := range e.requests {
-		if crashes >= repeatedCrashes {
-			e.repeated++
-		}
-	}
 }
 
 func most(counts map[string]int) int {
@@ -265,7 +267,7 @@
 	})
 	for part, e := range result {
 		e.count()
-		if !t.sufficient(part, e, s) {
+		if !t.sufficient(now, part, e, s) {
 			delete(result, part)
 		}
 	}
@@ -285,21 +287,31 @@
 
 // sufficient reports whether the evidence leads to the quarantine of a part. Soon after its
 // last quarantine one crash does.
-func (t *Tracker) sufficient(part Part, e *evidence, s standard) bool {
+func (t *Tracker) sufficient(now time.Time, part Part, e *evidence, s standard) bool {
 	if past, ok := t.parts[part]; ok && s.startedOnly && e.lost[len(e.lost)-1].at.After(past.until) {
 		return true
 	}
 	if _, last := e.requests[part.ID]; last {
 		return e.crashes >= sessionCrashesWaiting || e.crashes >= sessionCrashes && s.startedOnly
 	}
-	return e.crashes >= s.crashes && len(e.requests) >= s.requests
+	if e.crashes < s.crashes || len(e.requests) < s.requests && e.repeated < repeatedRequests {
+		return false
+	}
+	due := e.lost[0].at.Add(survivalDelay)
+	if e.survived && now.Before(due) {
+		if t.settlesAt.IsZero() || due.Before(t.settlesAt) {
+			t.settlesAt = due
+		}
+		return false
+	}
+	return true
 }
 
 // explained reports whether another part of the prompt explains the crash better. A part
 // that no engine has survived is more likely to be at fault than one that some have, and a
 // later one, which fewer requests share, more likely than those before it. The last part is
-// at fault only if no other is. A part of one request does not explain what several requests
-// have in common that are each lost repeatedly.
+// at fault only if no other is, or if its request was lost again and again. A part of one
+// request does not explain what several requests have in common that are each lost repeatedly.
 func explained(index map[Part]*evidence, p position, s standard) bool {
 	e := index[p.Part]
 	shared := e.repeated >= repeatedRequests
@@ -309,7 +321,7 @@
 			continue
 		}
 		if p.last() {
-			if len(rival.requests) > 1 && !rival.survived {
+			if len(rival.requests) > 1 && !rival.survived && e.crashes < sessionCrashesWaiting {
 				return true
 			}
 			continue
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -66,3 +66,66 @@
 	}
 	assert.Assert(t, !r.quarantined(1000*r.crashes, "document"))
 }
+
+// Load: requests with several harmful parts crash engines within a second, while sound requests
+// that share their first part are running.
+func TestTracker_PartThatEnginesSurviveIsNotBlamedForSeveralHarmfulParts(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "ok")
+	for i := range 9 {
+		r.crash(100*i, started("first", fmt.Sprint("deadly-", i/3), fmt.Sprint("r", i/3)))
+	}
+	for ms := 800; ms < 1300; ms += 50 {
+		r.evaluate(ms)
+		assert.Assert(t, !r.quarantined(ms, "first"), "at %d ms", ms)
+	}
+	// A request that started after the crashes has gone on for long enough.
+	r.survived(850, "first", "next")
+	r.evaluate(1900)
+	assert.Assert(t, !r.quarantined(1900, "first"))
+}
+
+// Engines were changed and crash on a part that they had survived, within a second.
+func TestTracker_PartThatIsNoLongerSurvivedIsBlamedSoon(t *testing.T) {
+	r := newReplay()
+	r.survived(-1000, "first", "turned", "ok")
+	for i := range 6 {
+		r.crash(260*i, started("first", "turned", fmt.Sprint("r", i)), started("first", fmt.Sprint("n", i)))
+	}
+	for ms := 800; ms <= 2500; ms += 50 {
+		r.evaluate(ms)
+	}
+	assert.Assert(t, r.quarantined(2500, "turned"))
+}
+
+// Load: few engines, which one request crashes again and again. Another request with the part has
+// been lost once; each has a document of its own.
+func TestTracker_RequestThatCrashesEnginesAgainAndAgainIsQuarantined(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "deadly", "document-a", "a"))
+	r.crash(1000, started("first", "deadly", "document-b", "b"))
+	for i := 2; !r.quarantined(1000*i, "a") && !r.quarantined(1000*i, "deadly"); i++ {
+		r.crash(1000*i, started("first", "deadly", "document-a", "a"))
+		assert.Assert(t, i < 8, "after %d crashes", r.crashes)
+	}
+	assert.Assert(t, r.crashes <= 6, "after %d crashes", r.crashes)
+}
+
+// Load: engines crash before the head of a response, so that the harmful requests look like those
+// that waited there; each is passed from engine to engine. Sound requests wait at each engine, and
+// other engines survive them.
+func TestTracker_TwoRequestsSufficeThoughNoResponseStarted(t *testing.T) {
+	r := newReplay()
+	for i := 0; !r.quarantined(1200*r.crashes, "deadly"); i++ {
+		last := fmt.Sprint("r", i)
+		for n := 0; n < 5 && !r.quarantined(1200*r.crashes, "deadly") && !r.quarantined(1200*r.crashes, last); n++ {
+			at := 1200 * r.crashes
+			neighbour := fmt.Sprint("n", r.crashes)
+			r.crash(at, waiting("first", "deadly", last), waiting("first", neighbour))
+			r.evaluate(at + 600)
+			r.survived(at+100, "first", neighbour)
+		}
+		assert.Assert(t, r.crashes <= 8, "after %d crashes", r.crashes)
+	}
+	assert.Assert(t, !r.quarantined(1200*r.crashes, "first"))
+}
