Tests: no other process takes the port of a server that has ended

Callers saw: nothing. Found by reading for tests that expect an address to refuse. Cause: servers of the stand-ins and of some tests listened on a port of 127.0.0.1 that the system chose. After they end, the next listener of any test process may get it, and responds in place of nobody. Change: network.ProcessAddress, a loopback address that only one process uses, now for all of these. The bytes of the address are those of the process ID, so two processes never share one; the address of the gateway's tests left out some. Ruled out: to keep the port bound (a listener accepts connections). That the other places failed by this was not seen. Why it works: listeners on 127.0.0.1 do not get connections to another address. The assertions are as before.

--- a/bench/fleet/applications.go
+++ b/bench/fleet/applications.go
@@ -55,7 +55,7 @@
 func (f *Fleet) addApplications(ctx context.Context) error {
 	for i := range f.Layout.Applications.Count {
 		name := fmt.Sprintf("%s-%d", f.Layout.Applications.Service, i)
-		server, err := application.Serve(name, f.ExecutionLog, f.Layout.Applications.CallTime, loopback)
+		server, err := application.Serve(name, f.ExecutionLog, f.Layout.Applications.CallTime, network.ProcessAddress())
 		if err != nil {
 			return err
 		}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -160,7 +160,7 @@
 func (f *Fleet) newMember(ctx context.Context, i int) (*Member, error) {
 	config := f.Layout.Engine
 	config.Seed += uint64(i)
-	server, err := engine.Serve(config, loopback)
+	server, err := engine.Serve(config, network.ProcessAddress())
 	if err != nil {
 		return nil, err
 	}
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -96,7 +96,7 @@
 	incarnation := d.lastIncarnation
 	d.mu.Unlock()
 	config := replica.Config{
-		ID: fmt.Sprintf("i-%d", incarnation), Service: e.service, FailureDomain: e.failureDomain, Address: "127.0.0.1:0",
+		ID: fmt.Sprintf("i-%d", incarnation), Service: e.service, FailureDomain: e.failureDomain, Address: network.ProcessAddress(),
 		AdvertisedAddress: e.relay.Address(), Engine: e.service == "writer", EventCount: streamEvents,
 		PrefillTime: 80 * time.Millisecond, EventInterval: 30 * time.Millisecond, CallTime: 15 * time.Millisecond,
 		Slots: 16, Incarnation: incarnation,
--- a/command/timeline_test.go
+++ b/command/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/mulberrylane/mulberrylane/command"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 )
 
 // execute runs mlctl with args and returns its output and its error.
@@ -34,13 +36,14 @@
 	defer first.Close()
 	second := httptest.NewServer(agent.Handler())
 	defer second.Close()
-	unreachable := httptest.NewServer(agent.Handler())
-	unreachable.Close()
+	unreachable, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(t, err)
+	assert.NilError(t, unreachable.Close())
 
 	out, stderr, err := execute("timeline", "--request", "r",
 		"--process", strings.TrimPrefix(first.URL, "http://"),
 		"--process", strings.TrimPrefix(second.URL, "http://"),
-		"--process", strings.TrimPrefix(unreachable.URL, "http://"))
+		"--process", unreachable.Addr().String())
 	assert.NilError(t, err)
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	assert.Equal(t, len(lines), 2, out)
--- a/connection/graceful/listener_test.go
+++ b/connection/graceful/listener_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/standin/network"
 )
 
 const requestText = "GET / HTTP/1.1\r\nHost: entry.example\r\n\r\n"
@@ -20,7 +22,7 @@
 // requests that reach the handler.
 func startServer(t *testing.T, release <-chan struct{}) (l *Listener, handled *atomic.Int64) {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	inner, err := net.Listen("tcp", network.ProcessAddress())
 	assert.NilError(t, err)
 	l, handled = NewListener(inner), &atomic.Int64{}
 	server := &http.Server{
--- a/outside/application/target_test.go
+++ b/outside/application/target_test.go
@@ -1,6 +1,7 @@
 package application_test
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/outside/application"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 )
 
 func bookingCall() outside.ApplicationCall {
@@ -49,9 +51,10 @@
 }
 
 func TestCall_ConnectionRefusedIsNoTarget(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
-	server.Close()
-	_, err := application.NewTarget(server.URL).Call(t.Context(), bookingCall())
+	listener, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	_, err = application.NewTarget("http://"+listener.Addr().String()).Call(t.Context(), bookingCall())
 	assert.Equal(t, fault.KindOf(err), fault.NoTarget)
 }
 
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,6 +19,7 @@
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
 	"github.com/mulberrylane/mulberrylane/standin/caller"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 	"github.com/mulberrylane/mulberrylane/version"
 )
@@ -114,7 +114,7 @@
 	d.startCount++
 	config.Incarnation = int64(1000 + d.startCount)
 	if config.Address == "" {
-		config.Address = targetAddress
+		config.Address = network.ProcessAddress()
 	}
 	r, err := d.fleet.Start(config)
 	assert.NilError(d.t, err)
@@ -201,10 +201,6 @@
 	}
 }
 
-// targetAddress is a loopback address of this process alone, with any port: the port of a
-// crashed target is not taken by a listener of another process, which would respond.
-var targetAddress = fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()>>16%250, os.Getpid()>>8%256, 1+os.Getpid()%250)
-
 var requestCounter atomic.Int64
 
 // callerRequest is a request of a caller.
--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/standin/network"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -49,7 +50,7 @@
 // caller. Engines answer probes as well.
 func (d *deployment) startRawTarget(id, service string, respond func(rawExchange)) *rawTarget {
 	d.t.Helper()
-	listener, err := net.Listen("tcp", targetAddress)
+	listener, err := net.Listen("tcp", network.ProcessAddress())
 	assert.NilError(d.t, err)
 	d.startCount++
 	target := &rawTarget{
--- a/standin/network/address.go
+++ b/standin/network/address.go
@@ -1,7 +1,9 @@
 package network
 
 import (
+	"fmt"
 	"net/netip"
+	"os"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -52,3 +54,11 @@
 	}
 	return netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)), nil
 }
+
+// ProcessAddress returns a loopback address of this process alone, with any port. Other
+// processes listen on 127.0.0.1, so none of them takes the port of a server that has ended,
+// whose clients are refused.
+func ProcessAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%254, pid>>8%256, pid%256)
+}
--- a/standin/network/address_test.go
+++ b/standin/network/address_test.go
@@ -33,7 +33,7 @@
 	}
 	for range 1000 {
 		// No other process connects from this address and takes the port by that.
-		address, err := network.FreeAddress("127.77.0.1:0")
+		address, err := network.FreeAddress(network.ProcessAddress())
 		assert.NilError(t, err)
 		listener, err := net.Listen("tcp", address)
 		assert.NilError(t, err)
@@ -42,7 +42,7 @@
 }
 
 func TestFreeAddress_AddressInUse(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.77.0.1:0")
+	listener, err := net.Listen("tcp", network.ProcessAddress())
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, listener.Close()) }()
 	_, err = network.FreeAddress(listener.Addr().String())
@@ -50,3 +50,20 @@
 	_, err = network.FreeAddress("[::1]:0")
 	assert.ErrorContains(t, err, "not IPv4")
 }
+
+func TestProcessAddress_PortOfEndedServerRefuses(t *testing.T) {
+	server, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(t, err)
+	address := server.Addr().String()
+	assert.NilError(t, server.Close())
+	host, port, err := net.SplitHostPort(address)
+	assert.NilError(t, err)
+	assert.Assert(t, host != "127.0.0.1")
+	// As a server of another process that got the same port.
+	other, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port))
+	if err == nil {
+		defer func() { _ = other.Close() }()
+	}
+	_, err = net.Dial("tcp", address)
+	assert.ErrorContains(t, err, "refused")
+}
