Soak: requests that an entry holds and never answers are violations

Callers saw: nothing; this is a part of the tests. Cause: beside planned work the soak looked only at requests that had reached a target. A request that an entry had read, and whose connection ended without a response before any target had it, passed, however long it had been held. Change: a caller records when its whole request was written. If its connection ends without a response more than 200 ms later (LossSlackMs), that is a violation, also in the last part of the grace period, which excuses only requests that run at a target. Ruled out: a shorter bound. A request that crosses the end of its connection is no loss. Evidence: TestCheckPlannedWork/held_by_an_entry before: "assertion failed: 0 (int) != 1".

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,11 @@
 	if c.crashing {
 		sharedParts = []string{"aa", crashPart}
 	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			c.log.markWritten(record)
+		}
+	}})
 	r, err := caller.Request{
 		SharedParts: sharedParts,
 		Method:      method, Path: path, Host: routeHost, AttemptID: record.id, APIKey: record.key, DeadlineRemaining: requestTimeout,
--- a/bench/soak/requestlog.go
+++ b/bench/soak/requestlog.go
@@ -16,6 +16,8 @@
 	// entry is the address of the entry that the request was sent to.
 	entry  string
 	sentAt time.Time
+	// writtenAt is when the whole request had been written to a connection.
+	writtenAt time.Time
 	// respondedAt is when the head of the response arrived, headStatus is its status.
 	respondedAt time.Time
 	headStatus  int
@@ -63,6 +65,16 @@
 	r.respondedAt, r.headStatus = time.Now(), status
 }
 
+// markWritten records that the whole request has been written. The transport may say so after
+// the response.
+func (l *requestLog) markWritten(r *requestRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !r.finished {
+		r.writtenAt = time.Now()
+	}
+}
+
 // markAbandoned records that the caller will disconnect early.
 func (l *requestLog) markAbandoned(r *requestRecord) {
 	l.mu.Lock()
--- a/bench/soak/targetchecks.go
+++ b/bench/soak/targetchecks.go
@@ -180,12 +180,18 @@
 // hasCrashPart returns whether a list of prompt parts has the part that crashes engines.
 func hasCrashPart(parts string) bool { return strings.Contains(","+parts, ","+crashPart+":") }
 
-// checkPlannedWork returns the requests that reached a target and got no response until the
-// callers were stopped.
+// lossSlack is how soon after a whole request was written its connection may end without a
+// response, if it has not reached a target (LossSlackMs of the platform): it may cross the end.
+const lossSlack = 200 * time.Millisecond
+
+// checkPlannedWork returns the requests that got no response until the callers were stopped,
+// though they had reached a target or an entry had them for longer than lossSlack.
 func (v *targetView) checkPlannedWork(stoppedAt time.Time) []string {
 	var violations []string
 	for _, r := range v.requests {
-		if v.arrivalsOf[r.id] == 0 || r.abandoned || !r.finishedAt.Before(stoppedAt) {
+		reachedTarget := v.arrivalsOf[r.id] > 0
+		held := !r.writtenAt.IsZero() && r.finishedAt.Sub(r.writtenAt) > lossSlack
+		if !reachedTarget && !held || r.abandoned || !r.finishedAt.Before(stoppedAt) {
 			continue
 		}
 		if v.stalls.any(r.sentAt.Add(-stableWindow), r.finishedAt) {
@@ -193,7 +199,12 @@
 			continue
 		}
 		v.covered["requests beside planned work"]++
-		if r.status == 0 && !v.ranToEndOfGrace(r) {
+		switch {
+		case r.status != 0:
+		case !reachedTarget:
+			violations = append(violations, fmt.Sprintf("%s (%s) was held by an entry and left without a response after %s",
+				r.id, r.method, r.finishedAt.Sub(r.writtenAt)))
+		case !v.ranToEndOfGrace(r):
 			violations = append(violations, fmt.Sprintf("%s (%s) reached a target and was left without a response after %s",
 				r.id, r.method, r.finishedAt.Sub(r.sentAt)))
 		}
--- a/bench/soak/targetchecks_test.go
+++ b/bench/soak/targetchecks_test.go
@@ -220,6 +220,16 @@
 			r.finishedAt = b.at(2.5)
 		}, 0},
 		"reached no target": {func(b *viewBuilder, _ *requestRecord) { b.view.arrivals = nil }, 0},
+		"held by an entry": {func(b *viewBuilder, r *requestRecord) {
+			b.view.arrivals, r.writtenAt, r.finishedAt = nil, b.at(0.01), b.at(0.3)
+		}, 1},
+		"held by an entry, end of grace": {func(b *viewBuilder, r *requestRecord) {
+			b.view.arrivals, r.writtenAt, r.finishedAt = nil, b.at(0.01), b.at(2.5)
+			b.disrupt(b.view.entries["e1"], ending, -1, -1)
+		}, 1},
+		"crossed the end of the connection": {func(b *viewBuilder, r *requestRecord) {
+			b.view.arrivals, r.writtenAt, r.finishedAt = nil, b.at(0.01), b.at(0.2)
+		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newViewBuilder()
