--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -19,6 +19,10 @@
 // the listener was about to close: closing it would reset them.
 const acceptQueueTime = 20 * time.Millisecond
 
+// defaultLinger is the SetLinger argument with which the operating system sends what is left
+// after a connection was closed.
+const defaultLinger = -1
+
 // Listener accepts the connections of one or more http.Servers and keeps track of them. The
 // servers must call its ConnState.
 type Listener struct {
@@ -82,19 +86,55 @@
 	_ = l.Close()
 }
 
-// ConnState is the ConnState hook of the servers.
+// ConnState is the ConnState hook of the servers. It ends a connection whose next request was
+// read before the connection was closed as idle: a caller sent both at once.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
-	if !ok || state != http.StateIdle {
+	if !ok {
 		return
 	}
 	l.mu.Lock()
-	tracked.served, tracked.reading = true, false
-	idle := l.draining
+	switch state {
+	case http.StateIdle:
+		tracked.served, tracked.reading, tracked.closing = true, false, l.draining
+	case http.StateActive:
+		tracked.reading = true
+	}
+	closing := tracked.closing
 	l.mu.Unlock()
-	if idle {
+	switch {
+	case !closing:
+	case state == http.StateIdle:
 		_ = tracked.Close()
+	case state == http.StateActive:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+type contextKey struct{}
+
+// ConnContext is the ConnContext hook of the servers; SetReset needs it.
+func (*Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// SetReset sets whether the connection of a request is reset when it is closed, also by the
+// end of the process. A response that ends with its connection looks complete otherwise.
+func SetReset(ctx context.Context, reset bool) {
+	tracked, _ := ctx.Value(contextKey{}).(*conn)
+	if tracked == nil {
+		return
+	}
+	tcp, ok := tracked.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := defaultLinger
+	if reset {
+		linger = 0
 	}
+	// It fails if the connection is closed.
+	_ = tcp.SetLinger(linger)
 }
 
 // Drain closes the connections that are idle, and the others once they are. A connection
@@ -168,8 +208,8 @@
 	// The lock of the listener guards the fields below.
 
 	// served is set after the first response, reading when a byte was read after the last
-	// one. closing is set when the connection is closed as idle: what is read later is
-	// discarded.
+	// one, or a request that was read before. closing is set when the connection is closed as
+	// idle: what is read later is discarded.
 	served, reading, closing bool
 }
 
--- a/process/gateway/broken_stream_test.go
+++ b/process/gateway/broken_stream_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// A stream breaks off between two events, and the next targets crash between the head and the
+// first event.
+func TestBrokenStream_TargetsThatCrashAfterTheHeadDoNotEndIt(t *testing.T) {
+	for framing, frame := range framings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var begun atomic.Bool
+			respond := func(e rawExchange) {
+				if begun.CompareAndSwap(false, true) {
+					e.write(frame(e, e.events(1, deliveredBefore), false))
+					time.Sleep(transferTime)
+					e.reset()
+					return
+				}
+				e.write(e.streamHead())
+				e.target.stop()
+			}
+			for i := range 4 {
+				d.startRawTarget(fmt.Sprint("t", i), "writer", respond)
+			}
+			g := d.startReadyEntry("entry-1")
+			req := streamRequest()
+			req.DeadlineRemaining = 1500 * time.Millisecond
+			response := d.send(g, req)
+			assert.Equal(t, response.status, http.StatusOK)
+			assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, deliveredBefore))
+			assert.Assert(t, !response.complete, "a stream that broke off looks complete")
+		})
+	}
+}
+
 // Of a stream nothing has been written to the caller, and its only target breaks it off.
 func TestBrokenStream_WithoutAnEventIsNotComplete(t *testing.T) {
 	for _, path := range []string{"/once/x", "/report/x"} {
@@ -366,3 +398,116 @@
 	close(forwarded)
 	r.expectRest(t, req.AttemptID, deliveredBefore)
 }
+
+// cancelTimeout is how long a target may go on with a request that continues at another one.
+const cancelTimeout = 400 * time.Millisecond
+
+// A target leaves out an event, and the stream goes on at another one.
+func TestStream_TargetThatLeavesOutAnEventIsCancelled(t *testing.T) {
+	d := newDeployment(t)
+	var begun, cancelled atomic.Bool
+	closed := make(chan struct{})
+	respond := func(e rawExchange) {
+		if begun.CompareAndSwap(false, true) {
+			e.write(e.streamHead() + e.events(1, 2) + e.events(4, 4))
+			_, _ = e.conn.Read(make([]byte, 1))
+			close(closed)
+			return
+		}
+		select {
+		case <-closed:
+			cancelled.Store(true)
+		case <-time.After(cancelTimeout):
+		}
+		e.write(e.streamHead() + e.events(e.position+1, testEvents))
+		e.close()
+	}
+	d.startRawTarget("t1", "writer", respond)
+	d.startRawTarget("t2", "writer", respond)
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	response := d.send(g, req)
+	assert.Assert(t, response.complete)
+	assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+	assert.Assert(t, cancelled.Load(), "two targets work on the request")
+}
+
+// A stream breaks off, and the next target begins again before the place where it broke off
+// and ends its response there too.
+func TestBrokenStream_TargetThatRepeatsEventsDoesNotEndIt(t *testing.T) {
+	for framing, frame := range framings {
+		for _, last := range []int{1, deliveredBefore - 1, deliveredBefore} {
+			t.Run(fmt.Sprint(framing, " ", last), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				var attempts atomic.Int64
+				respond := func(e rawExchange) {
+					switch attempts.Add(1) {
+					case 1:
+						e.write(frame(e, e.events(1, deliveredBefore)+e.half(deliveredBefore+1), false))
+					case 2:
+						e.write(frame(e, e.events(1, last), true))
+					default:
+						e.write(frame(e, e.events(e.position+1, testEvents), true))
+					}
+					time.Sleep(transferTime)
+					e.close()
+				}
+				for _, id := range []string{"t1", "t2", "t3"} {
+					d.startRawTarget(id, "writer", respond)
+				}
+				g := d.startReadyEntry("entry-1")
+				req := streamRequest()
+				response := d.send(g, req)
+				assert.Assert(t, response.complete)
+				assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(1, testEvents))
+			})
+		}
+	}
+}
+
+// A caller asks for the rest of a stream, and a target begins with events that the caller has.
+func TestStream_EventsThatTheCallerHasAreLeftOut(t *testing.T) {
+	for first := 1; first <= deliveredBefore; first++ {
+		for _, batches := range []bool{true, false} {
+			t.Run(fmt.Sprint(first, " ", batches), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				target := d.startRawTarget("t1", "writer", func(e rawExchange) {
+					e.write(e.streamHead())
+					for id := first; id <= testEvents; id++ {
+						e.write(e.events(id, id))
+						if !batches {
+							time.Sleep(transferTime / 10)
+						}
+					}
+					e.close()
+				})
+				g := d.startReadyEntry("entry-1")
+				req := streamRequest()
+				req.Position = deliveredBefore
+				response := d.send(g, req)
+				assert.Equal(t, response.status, http.StatusOK)
+				assert.Assert(t, response.complete)
+				assert.Equal(t, response.body, rawExchange{id: req.AttemptID}.events(deliveredBefore+1, testEvents))
+				assert.Equal(t, target.arrived(req.AttemptID), 1)
+			})
+		}
+	}
+}
+
+// Events of a faulty target have IDs before the first of a stream.
+func TestStream_EventsBeforeTheFirstAreNone(t *testing.T) {
+	for _, id := range []int{0, -1, -100} {
+		d := newDeployment(t)
+		d.startRawTarget("t1", "writer", func(e rawExchange) {
+			e.write(e.streamHead() + e.events(id, id))
+			e.close()
+		})
+		g := d.startReadyEntry("entry-1")
+		req := streamRequest()
+		req.DeadlineRemaining = time.Second
+		response := d.send(g, req)
+		assert.Assert(t, response.complete && response.status/100 == 5 && !guaranteed(response), "id %d: %d", id, response.status)
+	}
+}
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
@@ -38,23 +39,29 @@
 
 // exchange is one request of a caller and its response.
 type exchange struct {
-	gateway   *Gateway
-	writer    http.ResponseWriter
-	inbound   request.Inbound
-	route     *routes.Route
-	service   string
+	gateway *Gateway
+	writer  http.ResponseWriter
+	inbound request.Inbound
+	route   *routes.Route
+	service string
+	// engine is what the configuration that applies to the request says of the engines of the
+	// service; nil if it has none.
+	engine    *routes.Engine
 	workspace *routes.Workspace
 	arrived   time.Time
 	deadline  time.Time
+	// endsWithConnection is set if only the end of the connection ends a response of unknown
+	// length.
+	endsWithConnection bool
 	// configVersion is the version of the configuration that applies to the request.
 	configVersion int64
 	// survived is set when a target has survived the request. quarantinedUntil is the end of
 	// the quarantine of a part of its prompt, if there is one.
 	survived         atomic.Bool
 	quarantinedUntil time.Time
-	// trial is set while the request may be sent once in spite of it; the control goroutine
-	// owns it.
-	trial bool
+	// trial is the part with which the request may be sent once in spite of it, if any; the
+	// control goroutine owns it.
+	trial quarantine.Part
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 }
@@ -62,7 +69,7 @@
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	e := &exchange{gateway: g, writer: w, arrived: time.Now()}
+	e := &exchange{gateway: g, writer: w, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1)}
 	var err error
 	e.inbound, err = platform.DecodeRequest(r)
 	g.activeRequests.add(e)
@@ -181,6 +188,9 @@
 	}
 	e.workspace = workspace
 	e.service = e.route.Service(string(e.inbound.ID))
+	if s := table.Service(e.service); s != nil {
+		e.engine = s.Engine
+	}
 	return nil
 }
 
@@ -234,7 +244,7 @@
 		retryAfter = e.retryAfter(kind)
 	}
 	if kind == fault.Quarantined {
-		retryAfter = time.Until(e.quarantinedUntil)
+		retryAfter = spreadReturn(time.Until(e.quarantinedUntil))
 	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
 	e.writer.WriteHeader(response.Status)
@@ -267,6 +277,10 @@
 	for name, values := range platform.ForwardedResponseHeader(head.Header) {
 		header[name] = values
 	}
+	if len(body) > 0 {
+		// Without it the end of the connection would end the response to HTTP/1.0.
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	e.writer.WriteHeader(head.StatusCode)
 	_, err := e.writer.Write(body)
 	return errors.WithStack(err)
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -113,6 +113,10 @@
 		return
 	}
 	c.post(func() {
+		if a.brokenRecorded {
+			return
+		}
+		a.brokenRecorded = true
 		m, now := a.monitor, time.Now()
 		m.forgetBroken(now)
 		m.broken = append(m.broken, brokenAttempt{attempt: a, at: now})
@@ -221,6 +225,9 @@
 func (c *control) quarantineParts(records []quarantine.Record) {
 	now := time.Now()
 	for _, r := range records {
+		if r.Stored {
+			c.trialsDue[r.Part] = now.Add(trialDelay)
+		}
 		c.updatePending = true
 		ended := 0
 		for _, m := range c.monitors {
@@ -263,19 +270,36 @@
 	if len(e.inbound.Parts) == 0 || e.survived.Load() {
 		return nil
 	}
-	r, found := c.quarantine.Find(time.Now(), e.service, e.inbound.PartIDs())
-	if !found || e.trial {
+	now, parts := time.Now(), e.inbound.PartIDs()
+	r, found := c.quarantine.Find(now, e.service, parts)
+	if !found || e.trial != (quarantine.Part{}) {
 		return nil
 	}
-	if _, ok := c.trials[r.Part]; ok {
-		delete(c.trials, r.Part)
-		e.trial = true
-		c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
-		return nil
+	if _, ok := c.trials[r.Part]; ok && r.Stored {
+		others := slices.DeleteFunc(slices.Clone(parts), func(id string) bool { return id == r.ID })
+		other, found := c.quarantine.Find(now, e.service, others)
+		if !found {
+			delete(c.trials, r.Part)
+			e.trial = r.Part
+			c.gateway.log.Event("quarantine_trial", "request", e.inbound.ID, "part", partHash(r.ID))
+			return nil
+		}
+		r = other
+	}
+	if due, ok := c.trialsDue[r.Part]; ok && r.Stored && !now.Before(due) {
+		delete(c.trialsDue, r.Part)
+		go c.gateway.protect("quarantine trial", func() { c.gateway.claimTrial(r) })
 	}
 	e.quarantinedUntil = r.Until
 	c.gateway.log.Event("quarantined", "request", e.inbound.ID, "part", partHash(r.ID), "for", time.Until(r.Until))
-	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(e.inbound.PartIDs(), r.ID))
+	return fault.New(fault.Quarantined, "engines crash on part %d of the prompt", 1+slices.Index(parts, r.ID))
+}
+
+// returnTrial lets another request have the trial of a part, if there is one.
+func (c *control) returnTrial(part quarantine.Part) {
+	if part != (quarantine.Part{}) {
+		c.trials[part] = struct{}{}
+	}
 }
 
 // addQuarantine adds what other entries need to know of crashes and quarantines to an update.
@@ -327,6 +351,13 @@
 		r := quarantine.Record{Part: q.Part, From: now.Add(-q.Age), Until: now.Add(q.Remaining), Stored: q.Stored}
 		if c.quarantine.Adopt(now, r) {
 			c.quarantineParts([]quarantine.Record{r})
+			continue
+		}
+		for _, s := range c.quarantine.Survivals(now, r.Service, []string{r.ID}) {
+			if s.StartedAt.After(r.From) {
+				// The sender has missed the release.
+				c.reportSurvival(s)
+			}
 		}
 	}
 }
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/admission"
@@ -174,6 +175,9 @@
 	if int(s.recovery.Attempts()) > s.unsentAttempts {
 		var ok bool
 		if charge, ok = s.gateway.takeRetry(s.inbound.ID, s.service, s.headWritten); !ok {
+			if s.hopeless() {
+				return request.Event{Type: request.EventCallerDisconnected, Kind: fault.NoTarget}
+			}
 			return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 		}
 	}
@@ -204,11 +208,10 @@
 }
 
 func (s *stream) tokensPerEvent() int {
-	service := s.gateway.table.Load().Service(s.service)
-	if service == nil || service.Engine == nil {
+	if s.engine == nil {
 		return 1
 	}
-	return max(1, service.Engine.TokensPerEvent)
+	return max(1, s.engine.TokensPerEvent)
 }
 
 // resumeFromCopy returns an attempt at the target that holds the KV copy, or nil.
@@ -270,8 +273,9 @@
 		if update.emptyEnd {
 			s.emptyEndAt = update.attempt.spec.Position
 		}
-		if update.insideEvent {
-			s.eventBegunAt = update.attempt.spec.Position + update.attempt.eventCount
+		position := s.inbound.Position + s.recovery.Output().Len()
+		if update.insideEvent && position == max(update.attempt.lastEvent, update.attempt.spec.Position) {
+			s.eventBegunAt = position
 		}
 		s.attemptFailed(update)
 		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: update.kind})
@@ -303,12 +307,21 @@
 }
 
 func (s *stream) handleTokens(update attemptUpdate) {
+	events := update.events
+	for len(events) > 0 && events[0].ID <= s.inbound.Position {
+		// The caller has it.
+		events = events[1:]
+	}
+	if len(events) == 0 {
+		return
+	}
 	s.head = update.head
-	first := update.events[0].ID
-	tokens := make([]request.TokenID, len(update.events))
+	first := events[0].ID
+	tokens := make([]request.TokenID, len(events))
 	s.rawEvents = s.rawEvents[:0]
-	for i, event := range update.events {
+	for i, event := range events {
 		if event.ID != first+i {
+			update.attempt.cancel()
 			s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: fault.Crossed})
 			return
 		}
@@ -365,7 +378,7 @@
 		}
 	}
 	c := s.gateway.control
-	expires := time.Now().Add(s.gateway.copyTTL(s.service))
+	expires := time.Now().Add(s.copyTTL())
 	retain := s.endKind != fault.None && kvCopy.Target != ""
 	c.post(func() {
 		delete(c.sessionCopies, session)
@@ -387,9 +400,18 @@
 	for name, values := range platform.ForwardedResponseHeader(s.head.Header) {
 		header[name] = values
 	}
+	s.resetConnectionOnClose(true)
 	s.writer.WriteHeader(s.head.StatusCode)
 }
 
+// resetConnectionOnClose sets whether closing the caller's connection resets it, if the stream
+// would look complete otherwise.
+func (s *stream) resetConnectionOnClose(reset bool) {
+	if s.endsWithConnection {
+		graceful.SetReset(s.ctx, reset)
+	}
+}
+
 // finish ends the response to the caller.
 func (s *stream) finish() {
 	s.retainOrDropCopy()
@@ -403,6 +425,7 @@
 		recordDuration(s.gateway.metrics.longestPause, s.longestPause)
 		// A caller that already has all events gets a response without any.
 		s.writeHead()
+		s.resetConnectionOnClose(false)
 		s.exchange.finish(fault.None, attempts, "events", events,
 			"firstAfter", s.firstEventDelay, "longestPause", s.longestPause)
 	case s.headWritten:
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -36,3 +36,33 @@
 	assert.Assert(t, r.quarantined(1300, "deadly"))
 	assert.Assert(t, !r.quarantined(1300, "first"))
 }
+
+// Load: each request has a document of its own after the harmful part, which no engine has
+// survived, and is passed from engine to engine.
+func TestTracker_PartBeforeDocumentsOfRetriedRequestsIsQuarantined(t *testing.T) {
+	for attempts := 1; attempts <= 5; attempts++ {
+		r := newReplay()
+		for i := 0; !r.quarantined(1200*r.crashes, "deadly"); i++ {
+			last := fmt.Sprint("r", i)
+			for n := 0; n < attempts && !r.quarantined(1200*r.crashes, "deadly") && !r.quarantined(1200*r.crashes, last); n++ {
+				r.crash(1200*r.crashes, started("first", "deadly", fmt.Sprint("doc-", i), last))
+			}
+		}
+		assert.Assert(t, r.crashes <= 5, "%d crashes with %d attempts", r.crashes, attempts)
+		assert.Assert(t, !r.quarantined(1200*r.crashes, "first"))
+	}
+}
+
+// Load: the first requests with a harmful part also share a later part that no engine has
+// survived; further ones do not.
+func TestTracker_LaterPartIsReleasedWhenTheOneBeforeItIsFound(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("deadly", "document", "r0"))
+	r.crash(1000, started("deadly", "document", "r0"))
+	assert.DeepEqual(t, r.crash(2000, started("deadly", "document", "r1")), []string{"document"})
+	for i := 3; !r.quarantined(1000*i, "deadly"); i++ {
+		r.crash(1000*i, started("deadly", fmt.Sprint("document-", i), fmt.Sprint("r", i)))
+		assert.Assert(t, i < 8)
+	}
+	assert.Assert(t, !r.quarantined(1000*r.crashes, "document"))
+}
