A harmful part stays in quarantine when waiting requests blame the one before it

Requests with a part that crashes engines are passed on again, and crash engines until it is quarantined once more. Sound requests that only waited at engines which ended for other reasons can lead to the quarantine of a part that they share with the harmful requests. The harmful part after it was then released, since all requests with it have the shared part too. Change: only parts that requests show to which an engine had begun to respond clear the parts that requests with them had. Evidence: TestTracker_HarmfulPartStaysWhenWaitingRequestsBlameTheOneBeforeIt before: "assertion failed: expression is false: r.quarantined(2800, "deadly")". Why it works: a request that waited says little about its parts, which is why the crashes of those count only if nothing had started; it says nothing about parts that it does not have. Result: go test -race ./process/quarantine passes.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -139,17 +139,21 @@
 	if !t.evaluationDue(now) {
 		return nil, nil
 	}
-	var added []Record
+	var added, shown []Record
 	for _, s := range standards {
 		// A part that is quarantined explains what else was lost in its crashes.
 		for part, e := t.mostLikely(now, s); e != nil; part, e = t.mostLikely(now, s) {
 			added = append(added, t.quarantine(now, part, e.lost[0].at))
 		}
+		if s.startedOnly {
+			// Requests that only waited do not clear the parts that others had.
+			shown = slices.Clone(added)
+		}
 	}
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	var released []Survival
 	for part, q := range t.parts {
-		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part, added) {
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part, shown) {
 			released = append(released, t.release(part, q.from.Add(retractionMargin)))
 		}
 	}
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -66,3 +66,17 @@
 	}
 	assert.Assert(t, !r.quarantined(1000*r.crashes, "document"))
 }
+
+// Load: after the harmful part is in quarantine, engines end for other reasons while sound
+// requests, which share the part before it, wait there.
+func TestTracker_HarmfulPartStaysWhenWaitingRequestsBlameTheOneBeforeIt(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "deadly", "a"))
+	r.crash(70, started("first", "deadly", "a"))
+	assert.DeepEqual(t, r.crash(500, started("first", "deadly", "b")), []string{"deadly"})
+	for i := range 5 {
+		r.crash(1000+300*i, waiting("first", fmt.Sprint("n", i)))
+	}
+	assert.DeepEqual(t, r.evaluate(2800), []string{"first"})
+	assert.Assert(t, r.quarantined(2800, "deadly"))
+}
