A late report releases a part that a known one explains

The first part of all prompts was in quarantine for ten minutes at all entries, also for the other service. Cause: within a second nine engines crashed on the harmful part, and sound requests waited there. An entry had the harmful part in quarantine as others had told it, but not yet their reports of all crashes. After reportDelay (500 ms) the requests that waited counted, and led to the quarantine of the part that they share. The reports came later. Parts are checked for release only beside parts that are quarantined just then; the harmful one had been before. Change: a part that requests which only waited led to is checked beside all parts in quarantine, when there is new evidence. A longer reportDelay: reports can always be later (an overloaded machine, a slow link, more than 200 entries, which send less often than each 500 ms). The same check for parts that started requests led to: the harmful one must stay. Evidence: TestTracker_PartIsReleasedWhenAKnownOneExplainsItsCrashesLater before: "assertion failed: r.quarantined(2900, "first") is true". Why it works: with the reports the crashes have requests that had started, so that those that waited do not count, and the harmful part explains the others. Result: go test -race passes for ./process/quarantine and the quarantine tests of ./process/gateway.

--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -143,7 +143,7 @@
 	for _, s := range standards {
 		// A part that is quarantined explains what else was lost in its crashes.
 		for part, e := t.mostLikely(now, s); e != nil; part, e = t.mostLikely(now, s) {
-			added = append(added, t.quarantine(now, part, e.lost[0].at))
+			added = append(added, t.quarantine(now, part, e.lost[0].at, !s.startedOnly))
 		}
 		if s.startedOnly {
 			// Requests that only waited do not clear the parts that others had.
@@ -152,8 +152,13 @@
 	}
 	slices.SortFunc(added, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	var released []Survival
+	quarantined := t.Quarantined(now)
 	for part, q := range t.parts {
-		if q.revisable && now.Before(q.until) && t.sharesCrash(part, added) && !t.justified(now, part, shown) {
+		rivals := added
+		if q.waited {
+			rivals = quarantined
+		}
+		if q.revisable && now.Before(q.until) && t.sharesCrash(part, rivals) && !t.justified(now, part, shown) {
 			released = append(released, t.release(part, q.from.Add(retractionMargin)))
 		}
 	}
@@ -228,14 +233,15 @@
 	return true
 }
 
-// quarantine adds a part whose first crash was at the given time.
-func (t *Tracker) quarantine(now time.Time, part Part, from time.Time) Record {
+// quarantine adds a part whose first crash was at the given time. waited is set if requests that
+// only waited led to it.
+func (t *Tracker) quarantine(now time.Time, part Part, from time.Time, waited bool) Record {
 	period := quarantinePeriod
 	if past, ok := t.parts[part]; ok {
 		period = min(maxQuarantinePeriod, 2*past.period)
 	}
 	r := Record{Part: part, From: from, Until: now.Add(period)}
-	t.add(part, quarantined{from: from, until: r.Until, period: period, revisable: period == quarantinePeriod})
+	t.add(part, quarantined{from: from, until: r.Until, period: period, revisable: period == quarantinePeriod, waited: waited})
 	return r
 }
 
--- a/process/quarantine/neighbours_test.go
+++ b/process/quarantine/neighbours_test.go
@@ -80,3 +80,25 @@
 	assert.DeepEqual(t, r.evaluate(2800), []string{"first"})
 	assert.Assert(t, r.quarantined(2800, "deadly"))
 }
+
+// Fault: the reports of other entries are late, on an overloaded machine or a slow link. By then
+// the harmful part is in quarantine, and so is the first part, which requests had that waited.
+func TestTracker_PartIsReleasedWhenAKnownOneExplainsItsCrashesLater(t *testing.T) {
+	r := newReplay()
+	r.crash(0, started("first", "deadly", "a"))
+	r.crash(70, started("first", "deadly", "a"))
+	assert.DeepEqual(t, r.crash(500, started("first", "deadly", "b")), []string{"deadly"})
+	const crashes = 5
+	for i := range crashes {
+		r.crash(1000+300*i, waiting("first", fmt.Sprint("n", i)))
+	}
+	r.evaluate(2800)
+	for i := range crashes {
+		r.tracker.RecordCrash(r.at(2900), r.at(1000+300*i), Crash{
+			Service: "writer", Target: request.TargetID(fmt.Sprintf("engine-%d", 4+i)), Incarnation: 1, Suspects: []Suspect{started("first", "deadly", fmt.Sprint("r", i))},
+		})
+	}
+	r.evaluate(2900)
+	assert.Assert(t, r.quarantined(2900, "deadly"))
+	assert.Assert(t, !r.quarantined(2900, "first"))
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -139,6 +139,9 @@
 	// revisable is set while all crashes that led to it are known here: it ends if another
 	// part turns out to explain them.
 	revisable bool
+	// waited is set if requests that only waited led to it. A late report may then show that
+	// a part which was in quarantine before explains their crashes.
+	waited bool
 	// stored is set if it is known from the store alone.
 	stored bool
 }
