Soak: entries and targets have an IP address of the soak's own process

Callers saw: nothing. Cause: each soak draws its ports from the same range, from a start that depends on its process ID. An address counts as free while its entry restarts or its target is down, so that another soak took it. Change: the addresses have the IP address of network.ProcessAddress, which only one process uses. The start of the draw no longer depends on the process ID. Evidence: TestFreeAddress_DrawsEachPortOnce with its new check failed before: 'host is "127.0.0.1": another soak draws the same ports'. Why it works: two processes never share the address, and a port that one soak draws twice is ruled out by its counter.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -189,25 +189,22 @@
 	return d.revoked
 }
 
-// Range of the entries' ports. Entries keep their addresses over restarts, so their
-// ports must lie outside the range that the operating system assigns to outgoing
-// connections, and no port may be drawn twice in one process.
+// Range of the entries' ports. Entries and targets keep their addresses over restarts, so
+// their ports must lie outside the range that the operating system assigns to outgoing
+// connections, and no port may be drawn twice in one process. Their IP address is that of
+// the process, since another soak draws the same ports.
 const (
 	firstPort = 12000
 	lastPort  = 30000
 )
 
-var nextPort atomic.Int64
-
-func init() {
-	nextPort.Store(int64(firstPort + os.Getpid()*64%(lastPort-firstPort)))
-}
+var lastDraw atomic.Int64
 
 // freeAddress returns a loopback address with a port that is not in use.
 func freeAddress() (string, error) {
 	for range lastPort - firstPort {
-		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
-		address, err := network.FreeAddress(fmt.Sprintf("127.0.0.1:%d", port))
+		port := firstPort + lastDraw.Add(1)%(lastPort-firstPort)
+		address, err := network.FreeAddress(fmt.Sprintf("%s:%d", network.ProcessHost(), port))
 		if err == nil {
 			return address, nil
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -130,8 +130,9 @@
 		assert.NilError(t, err)
 		assert.Assert(t, !seen[address], "%s was drawn twice", address)
 		seen[address] = true
-		_, text, err := net.SplitHostPort(address)
+		host, text, err := net.SplitHostPort(address)
 		assert.NilError(t, err)
+		assert.Assert(t, host != "127.0.0.1", "another soak draws the same ports")
 		port, err := strconv.Atoi(text)
 		assert.NilError(t, err)
 		assert.Assert(t, port >= firstPort && port < lastPort)
--- a/standin/network/address.go
+++ b/standin/network/address.go
@@ -58,7 +58,10 @@
 // ProcessAddress returns a loopback address of this process alone, with any port. Other
 // processes listen on 127.0.0.1, so none of them takes the port of a server that has ended,
 // whose clients are refused.
-func ProcessAddress() string {
+func ProcessAddress() string { return ProcessHost() + ":0" }
+
+// ProcessHost returns the IP address of ProcessAddress.
+func ProcessHost() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%254, pid>>8%256, pid%256)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16%254, pid>>8%256, pid%256)
 }
