Soak: a SIGHUP before a process runs its program is no failure of it

Callers saw: nothing. Cause: a series of signals sent SIGHUP to a process that had just been restarted. Until its program runs and has registered the signal, the kernel's default ends it. Change: an end by SIGHUP is not reported if the process had logged nothing since its start. Ruled out: the entry that was stopping (it logs and handles SIGHUP until its end); registering the signal earlier: mlgateway does so before it reads its settings (TestHangup_DoesNotEndTheProcessWhileItStarts), and no program can before it is executed. Waiting with the signal until the entry is ready: it would spare entries that start. The case "before" of TestKeepRunning_HangupIsAFailureOnceTheProgramRuns failed without the change. Why it works: the first line of the log comes after the signal is registered; from then on an end by SIGHUP is reported as before (case "after"). Result: the test passes.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -46,6 +46,8 @@
 	command *exec.Cmd
 	// stopRequested is set if the soak itself has sent a signal that ends the process.
 	stopRequested bool
+	// logStart is the size of the log when the process was started.
+	logStart int64
 	// endPause records the end of a pause. It is nil if the process is not paused.
 	endPause func()
 }
@@ -255,6 +257,10 @@
 		return errors.Wrap(err, "log")
 	}
 	defer func() { _ = out.Close() }()
+	log, err := out.Stat()
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
 	command := exec.Command(d.options.GatewayPath, "--settings", p.settingsPath)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
@@ -262,7 +268,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command, p.stopRequested = command, false
+	p.command, p.stopRequested, p.logStart = command, false, log.Size()
 	p.recordContinued()
 	p.disruptions.add(restarted)
 	return nil
@@ -280,7 +286,7 @@
 		p.mu.Lock()
 		stopRequested := p.stopRequested
 		p.mu.Unlock()
-		if err != nil && !stopRequested {
+		if err != nil && !stopRequested && !p.hungUpBeforeStart(command) {
 			d.addFailure("%s ended by itself (%v): %s", p.name, err, p.lastLogLine())
 		}
 		select {
@@ -294,6 +300,19 @@
 	}
 }
 
+// hungUpBeforeStart reports whether a SIGHUP ended the process before it had logged anything:
+// until a program runs, it cannot handle the signal.
+func (p *process) hungUpBeforeStart(command *exec.Cmd) bool {
+	status, ok := command.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() || status.Signal() != syscall.SIGHUP {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.Stat(p.logPath())
+	return err == nil && log.Size() == p.logStart
+}
+
 func (d *deployment) addFailure(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -138,3 +140,31 @@
 		assert.Assert(t, port >= firstPort && port < lastPort)
 	}
 }
+
+// A SIGHUP ends a process whose program does not run yet, whatever that program does.
+func TestKeepRunning_HangupIsAFailureOnceTheProgramRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		script   string
+		failures int
+	}{
+		"before": {"#!/bin/sh\nexec sleep 10\n", 0},
+		"after":  {"#!/bin/sh\necho started\nexec sleep 10\n", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			directory := t.TempDir()
+			d := &deployment{options: Options{GatewayPath: filepath.Join(directory, "gateway")}, stopping: make(chan struct{})}
+			close(d.stopping)
+			assert.NilError(t, os.WriteFile(d.options.GatewayPath, []byte(test.script), 0o700))
+			p := &process{name: "entry-0", settingsPath: filepath.Join(directory, "entry-0.json")}
+			// The log holds what an earlier process wrote.
+			assert.NilError(t, os.WriteFile(p.logPath(), []byte("stopped\n"), 0o600))
+			assert.NilError(t, d.startProcess(p))
+			for test.failures > 0 && p.lastLogLine() != "started" {
+				time.Sleep(time.Millisecond)
+			}
+			p.signal(syscall.SIGHUP)
+			d.keepRunning(p)
+			assert.Equal(t, len(d.failures), test.failures, "%v", d.failures)
+		})
+	}
+}
