Revert "TestLink_CarriesMoreRequestsThanStreamLimit: a timeout for each request"

Cause for the revert: that makes the test less strict. A link that carries the requests ten times as slowly would pass. Change: the test is as before. Ruled out: a longer bound for this machine.

--- a/bench/fleet/stop_test.go
+++ b/bench/fleet/stop_test.go
@@ -175,17 +175,10 @@
 	config.StepTime = time.Millisecond
 	config.StepPerSequence = 0
 	config.Batch = callers
-	document := fleet.TrialDocument()
-	profile := document.Profiles[fleet.TrialProfile]
-	// A busy machine must not be taken for an overloaded or a failed target.
-	profile.FirstTokenWithin = version.Duration(2 * testTimeout)
-	profile.SuspectAfter = version.Bounds{Min: version.Duration(testTimeout), Max: version.Duration(testTimeout)}
-	profile.Deadline = version.Duration(2 * testTimeout)
-	document.Profiles[fleet.TrialProfile] = profile
-	startCtx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	f, err := fleet.Start(startCtx, fleet.Layout{
-		Document: document, Service: fleet.TrialService, Domains: []string{"naxos"},
+	f, err := fleet.Start(ctx, fleet.Layout{
+		Document: fleet.TrialDocument(), Service: fleet.TrialService, Domains: []string{"naxos"},
 		Entries: 1, Engines: 1, Engine: config,
 	})
 	assert.NilError(t, err)
@@ -197,10 +190,7 @@
 	for range callers {
 		group.Go(func() {
 			for range requestsPerCaller {
-				// A request that gets no stream ends with its timeout.
-				ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 				resp, err := client.Complete(ctx, f.URL(0), req)
-				cancel()
 				if err != nil || resp.Outcome.Error != "" {
 					t.Errorf("%v %+v", err, resp.Outcome)
 					return
