--- a/bench/soak/targetchecks.go
+++ b/bench/soak/targetchecks.go
@@ -181,7 +181,7 @@
 func hasCrashPart(parts string) bool { return strings.Contains(","+parts, ","+crashPart+":") }
 
 // lossSlack is how soon after a whole request was written its connection may end without a
-// response, if it has not reached a target (LossSlackMs of the platform): it may cross the end.
+// response, if it has not reached a target: the request may cross the end. It is the platform's.
 const lossSlack = 200 * time.Millisecond
 
 // checkPlannedWork returns the requests that got no response until the callers were stopped,
