Registrations: bounds on everything that one may say

Cause: DecodeRegistration checked the types of the fields and the IP address, and nothing else. `born` was converted from floating point without a bound, which gives different incarnations on different processors (1e300); a report's too.

Change: placement.Registration.Normalize states what names a target: an ID that can be sent in a header, names of at most 200 bytes, one host with a port from 1 to 65535 in canonical form, 1 to 65,536 slots. The adapter requires the fields that every target writes, checks the types of those that it may omit, and takes only whole numbers up to 2^53-1 for `born`, in registrations and reports. Reasons are bounded, since one may hold a megabyte of digits. Unknown fields, a missing `born` and unusual forms of an address remain accepted.

Ruled out: nesting of any depth is an error of encoding/json and ends no process, and an unreadable value spoils neither a list nor a batch of changes (the test has both).

Now all calls are served at their first attempt, later registrations are followed, and each odd one is logged once with a bounded line.

--- /dev/null
+++ b/process/gateway/odd_entries_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/request"
+)
+
+// oddRegistrations maps target IDs to registrations that name no target to use. Those that can
+// be read name bookings, and most of them an address at which nothing listens.
+func oddRegistrations(soundAddress string) map[string]string {
+	registration := func(field, raw string) string {
+		fields := map[string]any{
+			"Service": "bookings", "Address": "127.0.0.1:1", "Zone": "naxos", "Slots": 6, "State": "ready", "Sequence": 1,
+		}
+		delete(fields, field)
+		value, err := json.Marshal(fields)
+		if err != nil {
+			panic(err)
+		}
+		if raw == "" {
+			return string(value)
+		}
+		return `{"` + field + `":` + raw + `,` + string(value[1:])
+	}
+	deep := strings.Repeat("[", 20000) + strings.Repeat("]", 20000)
+	return map[string]string{
+		"b-empty": "", "b-nul": "\x00", "b-text": "not json", "b-deep": strings.Repeat(`{"a":`, 20000),
+		"b-nested":        registration("Extension", deep),
+		"b-port-large":    registration("Address", `"127.0.0.1:70000"`),
+		"b-port-zero":     registration("Address", `"127.0.0.1:0"`),
+		"b-port-negative": registration("Address", `"127.0.0.1:-4"`),
+		"b-port-name":     registration("Address", `"127.0.0.1:http"`),
+		"b-slots-large":   registration("Slots", "9223372036854775807"),
+		"b-slots-sound":   registration("Slots", "9223372036854775807,\"Address\":\""+soundAddress+"\""),
+		"b-slots-less":    registration("Slots", "-7"),
+		"b-slots-none":    registration("Slots", ""),
+		"b-born-large":    registration("born", "1e300"),
+		"b-born-larger":   registration("born", "1e400"),
+		"b-zone-large":    registration("Zone", `"`+strings.Repeat("z", 1<<20)+`"`),
+		"b-zone-none":     registration("Zone", ""),
+		"b-sequence":      registration("Sequence", `"1"`),
+		"b-utf8":          registration("Zone", "\"\xff\""),
+	}
+}
+
+func (d *deployment) putOddRegistrations(soundAddress string) []string {
+	var keys []string
+	for id, value := range oddRegistrations(soundAddress) {
+		d.store.Put(platform.TargetPrefix+id, []byte(value))
+		keys = append(keys, platform.TargetPrefix+id)
+	}
+	return keys
+}
+
+// expectUnretriedCalls sends calls and checks that each is served at its first attempt.
+func (d *deployment) expectUnretriedCalls(g *Gateway, count int) {
+	d.t.Helper()
+	for range count {
+		for _, req := range []*callerRequest{bookingRequest(), statusRequest()} {
+			assert.Equal(d.t, d.send(g, req).status, http.StatusOK)
+			assert.Equal(d.t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 1)
+		}
+	}
+}
+
+func TestStoreWatch_OddRegistrationsCostNoRetries(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("listed=%t", listed), func(t *testing.T) {
+			var out strings.Builder
+			d := newDeployment(t)
+			d.log = eventlog.New(&out)
+			sound := d.startApplication("a1", "naxos")
+			var odd []string
+			if listed {
+				odd = d.putOddRegistrations(sound.Config().AdvertisedAddress)
+			}
+			g := d.startEntryWithTargets("entry-1", 1)
+			if !listed {
+				odd = d.putOddRegistrations(sound.Config().AdvertisedAddress)
+			}
+			d.startApplication("a2", "paros")
+			d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a2") })
+			assert.Equal(t, g.targetCount(), 2)
+			d.expectUnretriedCalls(g, 30)
+			d.startApplication("a3", "syros")
+			d.waitWithin(applyTimeout, func() bool { return g.targetCount() == 3 })
+			d.expectUnretriedCalls(g, 5)
+			time.Sleep(100 * time.Millisecond)
+			d.log.Close()
+			text := out.String()
+			for _, event := range []string{`"retried"`, `"hedged"`, `"panic"`, `"target_lost"`} {
+				assert.Assert(t, !strings.Contains(text, event), event)
+			}
+			for _, key := range odd {
+				assert.Equal(t, strings.Count(text, `"registration_unreadable" key="`+key+`"`), 1, key)
+			}
+			for line := range strings.Lines(text) {
+				assert.Assert(t, len(line) < 1000, "a line has %d bytes", len(line))
+			}
+		})
+	}
+}
+
+// knows reports whether an entry has a target in its table.
+func (d *deployment) knows(g *Gateway, id string) bool {
+	known := false
+	g.control.do(func() { known = g.control.table.Get(request.TargetID(id)) != nil })
+	return known
+}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -51,21 +51,6 @@
 	loadReportTTL = 200 * time.Millisecond
 )
 
-// Registration holds the data that a target registers in the store.
-type Registration struct {
-	request.Endpoint
-	Service       string
-	FailureDomain string
-	Slots         int
-	// Draining targets take no new work.
-	Draining bool
-	// Incarnation identifies one run of the target; a restart loses all its state.
-	Incarnation request.Incarnation
-	// AssumedIncarnation is set if the target did not tell its incarnation and is not
-	// registered in the store yet.
-	AssumedIncarnation bool
-}
-
 // Work is the load of one entry at one target.
 type Work struct {
 	// PrefillTokens counts the prompt tokens of attempts that have not finished prefill.
