Registrations: a target whose registration turns odd gets no new work meanwhile

What callers saw: when another writer overwrote the registration of a target with something that names none, entries went on sending new work by the one before, whatever had become of the target.

Cause: an unreadable registration was logged and skipped, and the target stayed in the table as it was.

Change: placement.Table.Suspend gives the target no new work until it registers again. It stays in the table, so what runs there goes on and is counted, and the next sound registration of the same incarnation finds its KV copies and load.

Ruled out: removing the target and adding it again. Its running attempts would be subtracted from a load that starts at zero, and it would look idle.

Evidence: before, TestStoreWatch_TargetWhoseRegistrationTurnsOddGetsNoNewWorkMeanwhile failed in all four cases with "odd_entries_test.go:155: assertion failed: expression is false: time.Now().Before(deadline): not within 2s". Now the running stream ends whole at its target, new ones go elsewhere, and the target is used again with the same incarnation.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
 // oddRegistrations maps target IDs to registrations that name no target to use. Those that can
@@ -117,3 +119,58 @@
 	g.control.do(func() { known = g.control.table.Get(request.TargetID(id)) != nil })
 	return known
 }
+
+// takesWork reports whether an entry may send new work to a target.
+func (d *deployment) takesWork(g *Gateway, id request.TargetID) bool {
+	takes := false
+	g.control.do(func() {
+		t := g.control.table.Get(id)
+		takes = t != nil && !t.IsDraining() && !t.Down(time.Now())
+	})
+	return takes
+}
+
+// Another writer overwrites the registration of a sound target, which writes it again later.
+func TestStoreWatch_TargetWhoseRegistrationTurnsOddGetsNoNewWorkMeanwhile(t *testing.T) {
+	for name, odd := range map[string]string{
+		"text": "not json", "empty": "", "port": `{"Service":"writer","Address":"127.0.0.1:70000","Zone":"naxos","Slots":64,"State":"ready"}`,
+		"state": `{"Service":"writer","Address":"127.0.0.1:1","Zone":"naxos","Slots":64,"State":"asleep"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			engines := map[string]*replica.Replica{}
+			for _, id := range []string{"e1", "e2"} {
+				engines[id] = d.startReplica(replica.Config{
+					ID: id, Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+					PrefillTime: 50 * time.Millisecond, EventInterval: 150 * time.Millisecond, Slots: 64,
+				})
+			}
+			g := d.startReadyEntry("entry-1")
+			running := streamRequest()
+			r := d.openStream(context.Background(), g, running)
+			r.skipTo(t, 1)
+			overwritten := d.executingReplica(running.AttemptID, engines["e1"], engines["e2"])
+			id := request.TargetID(overwritten.Config().ID)
+			d.store.Put(platform.TargetPrefix+string(id), []byte(odd))
+			d.waitWithin(applyTimeout, func() bool { return !d.takesWork(g, id) })
+			for range 6 {
+				req := streamRequest()
+				d.openStream(context.Background(), g, req).skipTo(t, 1)
+				assert.Assert(t, d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target != string(id))
+			}
+			r.expectRest(t, running.AttemptID, 1)
+			assert.Equal(t, d.fleet.ExecutionLog.Arrivals(running.AttemptID), 1)
+			d.register(overwritten, "ready")
+			d.waitWithin(applyTimeout, func() bool { return d.takesWork(g, id) })
+			used := func() bool {
+				req := streamRequest()
+				d.openStream(context.Background(), g, req).skipTo(t, 1)
+				return d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target == string(id)
+			}
+			d.waitUntil(used)
+			g.control.do(func() {
+				assert.Equal(t, g.control.table.Get(id).Incarnation, request.Incarnation(overwritten.Config().Incarnation))
+			})
+		})
+	}
+}
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -351,7 +351,9 @@
 	}
 	registration, err := platform.DecodeRegistration(item)
 	if err != nil {
-		g.log.Event("registration_unreadable", "key", item.Key, "error", err.Error())
+		suspended := false
+		g.control.do(func() { suspended = g.control.table.Suspend(id) })
+		g.log.Event("registration_unreadable", "key", item.Key, "error", err.Error(), "tookWork", suspended)
 		return
 	}
 	g.control.do(func() { g.control.register(registration) })
--- a/process/placement/draining_test.go
+++ b/process/placement/draining_test.go
@@ -124,3 +124,18 @@
 	last := targetID(2*maxAnnouncements - 1)
 	assert.Assert(t, table.Register(Registration{Endpoint: request.Endpoint{ID: last}, Service: "writer", Incarnation: 1}).IsDraining())
 }
+
+// The registration of a sound target is overwritten, and written again.
+func TestSuspend_LastsUntilTargetRegisters(t *testing.T) {
+	table := newEngineTable(2)
+	registration := table.Get(targetID(0)).Registration
+	table.AddAttempt(targetID(0), promptRequirements(""))
+	assert.Assert(t, table.Suspend(targetID(0)))
+	assert.Assert(t, !table.Suspend(targetID(0)), "suspended twice")
+	assert.Assert(t, !table.Suspend("unknown"))
+	assert.Equal(t, pickedTargets(table, start)[targetID(0)], 0)
+	assert.Equal(t, table.Get(targetID(0)).InFlight, 1)
+	table.Register(registration)
+	assert.Assert(t, pickedTargets(table, start)[targetID(0)] > 0)
+	assert.Equal(t, table.Get(targetID(0)).Incarnation, registration.Incarnation)
+}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -194,6 +194,17 @@
 	return target
 }
 
+// Suspend gives a target no new work until it registers again, because its registration names no
+// target any more. It reports whether the target took work before.
+func (t *Table) Suspend(id request.TargetID) bool {
+	target, ok := t.targets[id]
+	if !ok || target.Draining {
+		return false
+	}
+	target.Draining = true
+	return true
+}
+
 // serviceMemory returns the memory of the engines of a service, and whether it has engines.
 func (t *Table) serviceMemory(service string) (int, bool) {
 	memory, ok := t.engineMemory[service]
