Registrations: one for an undeclared service replaces no target

What callers saw: a registration for a service that no configuration names, with the address of a sound target and a later incarnation, took the sound target out of use. Calls that had no other target were answered with status 500.

Cause: a later registration at an address ends the earlier one, because the process there has restarted. The table did not ask whether the later one names a target at all.

Change: placement.Table knows the declared services. A registration for another one waits until a configuration declares it, since targets of a new service may register first; meanwhile it replaces nothing. A target that moves to an undeclared service gets no new work. Such registrations are logged as registration_undeclared.

Evidence: before, TestStoreWatch_UndeclaredServiceAtAddressOfTargetChangesNothing failed with "odd_entries_test.go:188: assertion failed: 500 (d.send(g, req).status int) != 200 (http.StatusOK int)". Now all calls are served at their first attempt, and targets that registered before their service was declared are used once it is.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -174,3 +174,43 @@
 		})
 	}
 }
+
+// A registration that could replace a sound target, but whose service no configuration names.
+func TestStoreWatch_UndeclaredServiceAtAddressOfTargetChangesNothing(t *testing.T) {
+	d := newDeployment(t)
+	sound := d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	d.store.Put(platform.TargetPrefix+"x1", []byte(`{"Service":"undeclared","Address":"`+sound.Config().AdvertisedAddress+
+		`","Zone":"naxos","Slots":6,"State":"ready","born":9007199254740991}`))
+	d.startApplication("a2", "naxos")
+	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a2") })
+	g.control.do(func() { assert.Assert(t, !g.control.table.Get("a1").Down(time.Now())) })
+	d.expectUnretriedCalls(g, 10)
+}
+
+// Targets of a new service may register before the configuration that declares it is read.
+func TestStoreWatch_TargetsRegisteredBeforeTheirServiceIsDeclaredAreUsed(t *testing.T) {
+	d := newDeployment(t)
+	early := d.startReplica(replica.Config{ID: "n1", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	d.startApplication("a1", "naxos")
+	g := d.startEntryWithTargets("entry-1", 1)
+	late := d.startReplica(replica.Config{ID: "n2", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	removed := d.startReplica(replica.Config{ID: "n3", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	d.store.Delete(platform.TargetPrefix + removed.Config().ID)
+	d.configure(func(config map[string]any) {
+		config["Services"] = append(config["Services"].([]any), map[string]any{"Name": "new", "MaxConnections": 100, "HealthPath": replica.HealthPath})
+		config["Routes"] = append(config["Routes"].([]any), map[string]any{
+			"Name": "new", "Host": testHost, "Prefix": "/new/", "RouteType": "idempotent", "TimeoutMs": 5000, "TargetLatencyMs": 500,
+			"Service": "new", "MaxAttempts": 2,
+		})
+	})
+	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "n1") && d.knows(g, "n2") })
+	assert.Assert(t, !d.knows(g, "n3"))
+	used := map[request.TargetID]bool{}
+	d.waitUntil(func() bool {
+		req := newCallerRequest(http.MethodGet, "/new/1", "")
+		assert.Equal(t, d.send(g, req).status, http.StatusOK)
+		used[request.TargetID(d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target)] = true
+		return used[request.TargetID(early.Config().ID)] && used[request.TargetID(late.Config().ID)]
+	})
+}
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -323,12 +323,12 @@
 	}
 	g.table.Store(table)
 	g.ingress.applyLimits(table.Limits())
-	g.control.do(func() { g.control.setEngines(table) })
+	g.control.do(func() { g.control.setServices(table) })
 	g.log.Event("configuration_in_force", "version", table.Version(), "revision", item.Revision, "routes", table.RouteCount())
 }
 
-// setEngines passes the KV capacity of the services' engines to the placement table.
-func (c *control) setEngines(table *routes.Table) {
+// setServices passes the services and the KV capacity of their engines to the placement table.
+func (c *control) setServices(table *routes.Table) {
 	for _, name := range table.Services() {
 		memory := 0
 		if engine := table.Service(name).Engine; engine != nil {
@@ -336,6 +336,7 @@
 		}
 		c.table.SetEngineMemory(name, memory)
 	}
+	c.table.SetServices(table.Services())
 }
 
 func (w *storeWatcher) applyTarget(item platform.Item) {
@@ -362,11 +363,14 @@
 func (c *control) register(r placement.Registration) {
 	c.registry.Register(r.ID)
 	old := c.table.Get(r.ID)
-	if old == nil || old.Draining != r.Draining || old.Incarnation != r.Incarnation {
+	changed := old == nil || old.Draining != r.Draining || old.Incarnation != r.Incarnation
+	switch {
+	case c.table.Register(r) == nil:
+		c.gateway.log.Event("registration_undeclared", "target", r.ID, "service", r.Service)
+	case changed:
 		c.gateway.log.Event("target_registered", "target", r.ID, "service", r.Service,
 			"failureDomain", r.FailureDomain, "leaving", r.Draining, "incarnation", r.Incarnation)
 	}
-	c.table.Register(r)
 }
 
 // entryRecord is the value that an entry registers.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -125,6 +126,10 @@
 	addresses map[string][]*Target
 	// engineMemory maps services that have engines to the memory of each engine, in tokens.
 	engineMemory map[string]int
+	// declared holds the declared services; nil if they are not known yet. undeclared holds the
+	// registrations that name another service.
+	declared     map[string]struct{}
+	undeclared   map[request.TargetID]Registration
 	peers        map[string]receivedPeerState
 	peerStateTTL time.Duration
 	// peerWork is the sum of the work in peers.
@@ -146,6 +151,7 @@
 		services:       map[string][]*Target{},
 		addresses:      map[string][]*Target{},
 		engineMemory:   map[string]int{},
+		undeclared:     map[request.TargetID]Registration{},
 		peers:          map[string]receivedPeerState{},
 		peerStateTTL:   defaultPeerStateTTL,
 		peerWork:       map[request.TargetID]Work{},
@@ -157,8 +163,15 @@
 }
 
 // Register adds or updates a target. A new incarnation or endpoint resets the failures
-// recorded before.
+// recorded before. It returns nil if the service is not declared; the target is then added once
+// it is, and until then replaces none at its address.
 func (t *Table) Register(r Registration) *Target {
+	delete(t.undeclared, r.ID)
+	if !t.declares(r.Service) {
+		t.undeclared[r.ID] = r
+		t.Suspend(r.ID)
+		return nil
+	}
 	target, ok := t.targets[r.ID]
 	if ok && target.Service != r.Service {
 		t.Remove(r.ID)
@@ -205,6 +218,24 @@
 	return true
 }
 
+// SetServices sets the declared services, and adds the targets that registered for them before.
+func (t *Table) SetServices(names []string) {
+	t.declared = make(map[string]struct{}, len(names))
+	for _, name := range names {
+		t.declared[name] = struct{}{}
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.undeclared)) {
+		if r := t.undeclared[id]; t.declares(r.Service) {
+			t.Register(r)
+		}
+	}
+}
+
+func (t *Table) declares(service string) bool {
+	_, ok := t.declared[service]
+	return ok || t.declared == nil
+}
+
 // serviceMemory returns the memory of the engines of a service, and whether it has engines.
 func (t *Table) serviceMemory(service string) (int, bool) {
 	memory, ok := t.engineMemory[service]
@@ -246,6 +277,7 @@
 
 // Remove removes a target from the table.
 func (t *Table) Remove(id request.TargetID) {
+	delete(t.undeclared, id)
 	target, ok := t.targets[id]
 	if !ok {
 		return
--- a/process/placement/registration_test.go
+++ b/process/placement/registration_test.go
@@ -72,3 +72,37 @@
 	r.FailureDomain, r.Slots = "Νάξος 1", 65536
 	assert.NilError(t, r.Normalize())
 }
+
+func TestRegister_UndeclaredServiceReplacesNoTarget(t *testing.T) {
+	table := NewTable()
+	sound := soundRegistration()
+	table.Register(sound)
+	table.SetServices([]string{"s", "later"})
+	odd := sound
+	odd.ID, odd.Service, odd.Incarnation = "x", "undeclared", sound.Incarnation+1
+	assert.Assert(t, table.Register(odd) == nil)
+	assert.Assert(t, !table.Get(sound.ID).Down(start))
+	assert.Equal(t, table.TargetAt(sound.Address).ID, sound.ID)
+	removed := odd
+	removed.ID, removed.Address = "y", "10.0.0.2:1"
+	assert.Assert(t, table.Register(removed) == nil)
+	table.Remove(removed.ID)
+	table.SetServices([]string{"s", "undeclared"})
+	assert.Equal(t, table.TargetAt(sound.Address).ID, odd.ID)
+	assert.Equal(t, table.Len(), 2)
+}
+
+func TestRegister_TargetThatMovesToUndeclaredServiceGetsNoWorkThere(t *testing.T) {
+	table := NewTable()
+	table.SetServices([]string{"s"})
+	sound := soundRegistration()
+	table.Register(sound)
+	moved := sound
+	moved.Service = "undeclared"
+	assert.Assert(t, table.Register(moved) == nil)
+	assert.Assert(t, table.Get(sound.ID).IsDraining())
+	table.Register(sound)
+	assert.Assert(t, !table.Get(sound.ID).IsDraining())
+	table.SetServices([]string{"s", "undeclared"})
+	assert.Equal(t, table.Get(sound.ID).Service, "s")
+}
