--- /dev/null
+++ b/process/gateway/odd_entries_test.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+// oddRegistrations maps target IDs to registrations that name no target to use. Those that can
+// be read name bookings, and most of them an address at which nothing listens.
+func oddRegistrations(soundAddress string) map[string]string {
+	registration := func(field, raw string) string {
+		fields := map[string]any{
+			"Service": "bookings", "Address": "127.0.0.1:1", "Zone": "naxos", "Slots": 6, "State": "ready", "Sequence": 1,
+		}
+		delete(fields, field)
+		value, err := json.Marshal(fields)
+		if err != nil {
+			panic(err)
+		}
+		if raw == "" {
+			return string(value)
+		}
+		return `{"` + field + `":` + raw + `,` + string(value[1:])
+	}
+	deep := strings.Repeat("[", 20000) + strings.Repeat("]", 20000)
+	return map[string]string{
+		"b-empty": "", "b-nul": "\x00", "b-text": "not json", "b-deep": strings.Repeat(`{"a":`, 20000),
+		"b-nested":        registration("Extension", deep),
+		"b-port-large":    registration("Address", `"127.0.0.1:70000"`),
+		"b-port-zero":     registration("Address", `"127.0.0.1:0"`),
+		"b-port-negative": registration("Address", `"127.0.0.1:-4"`),
+		"b-port-name":     registration("Address", `"127.0.0.1:http"`),
+		"b-slots-large":   registration("Slots", "9223372036854775807"),
+		"b-slots-sound":   registration("Slots", "9223372036854775807,\"Address\":\""+soundAddress+"\""),
+		"b-slots-less":    registration("Slots", "-7"),
+		"b-slots-none":    registration("Slots", ""),
+		"b-born-large":    registration("born", "1e300"),
+		"b-born-larger":   registration("born", "1e400"),
+		"b-zone-large":    registration("Zone", `"`+strings.Repeat("z", 1<<20)+`"`),
+		"b-zone-none":     registration("Zone", ""),
+		"b-sequence":      registration("Sequence", `"1"`),
+		"b-utf8":          registration("Zone", "\"\xff\""),
+	}
+}
+
+func (d *deployment) putOddRegistrations(soundAddress string) []string {
+	var keys []string
+	for id, value := range oddRegistrations(soundAddress) {
+		d.store.Put(platform.TargetPrefix+id, []byte(value))
+		keys = append(keys, platform.TargetPrefix+id)
+	}
+	return keys
+}
+
+// expectUnretriedCalls sends calls and checks that each is served at its first attempt.
+func (d *deployment) expectUnretriedCalls(g *Gateway, count int) {
+	d.t.Helper()
+	for range count {
+		for _, req := range []*callerRequest{bookingRequest(), statusRequest()} {
+			assert.Equal(d.t, d.send(g, req).status, http.StatusOK)
+			assert.Equal(d.t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 1)
+		}
+	}
+}
+
+func TestStoreWatch_OddRegistrationsCostNoRetries(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("listed=%t", listed), func(t *testing.T) {
+			var out strings.Builder
+			d := newDeployment(t)
+			d.log = eventlog.New(&out)
+			sound := d.startApplication("a1", "naxos")
+			var odd []string
+			if listed {
+				odd = d.putOddRegistrations(sound.Config().AdvertisedAddress)
+			}
+			g := d.startEntryWithTargets("entry-1", 1)
+			if !listed {
+				odd = d.putOddRegistrations(sound.Config().AdvertisedAddress)
+			}
+			d.startApplication("a2", "paros")
+			d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a2") })
+			assert.Equal(t, g.targetCount(), 2)
+			d.expectUnretriedCalls(g, 30)
+			d.startApplication("a3", "syros")
+			d.waitWithin(applyTimeout, func() bool { return g.targetCount() == 3 })
+			d.expectUnretriedCalls(g, 5)
+			time.Sleep(100 * time.Millisecond)
+			d.log.Close()
+			text := out.String()
+			for _, event := range []string{`"retried"`, `"hedged"`, `"panic"`, `"target_lost"`} {
+				assert.Assert(t, !strings.Contains(text, event), event)
+			}
+			for _, key := range odd {
+				assert.Equal(t, strings.Count(text, `"registration_unreadable" key="`+key+`"`), 1, key)
+			}
+			for line := range strings.Lines(text) {
+				assert.Assert(t, len(line) < 1000, "a line has %d bytes", len(line))
+			}
+		})
+	}
+}
+
+// knows reports whether an entry has a target in its table.
+func (d *deployment) knows(g *Gateway, id string) bool {
+	known := false
+	g.control.do(func() { known = g.control.table.Get(request.TargetID(id)) != nil })
+	return known
+}
+
+// takesWork reports whether an entry may send new work to a target.
+func (d *deployment) takesWork(g *Gateway, id request.TargetID) bool {
+	takes := false
+	g.control.do(func() {
+		t := g.control.table.Get(id)
+		takes = t != nil && !t.IsDraining() && !t.Down(time.Now())
+	})
+	return takes
+}
+
+// Another writer overwrites the registration of a sound target, which writes it again later.
+func TestStoreWatch_TargetWhoseRegistrationTurnsOddGetsNoNewWorkMeanwhile(t *testing.T) {
+	for name, odd := range map[string]string{
+		"text": "not json", "empty": "", "port": `{"Service":"writer","Address":"127.0.0.1:70000","Zone":"naxos","Slots":64,"State":"ready"}`,
+		"state": `{"Service":"writer","Address":"127.0.0.1:1","Zone":"naxos","Slots":64,"State":"asleep"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			engines := map[string]*replica.Replica{}
+			for _, id := range []string{"e1", "e2"} {
+				engines[id] = d.startReplica(replica.Config{
+					ID: id, Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+					PrefillTime: 50 * time.Millisecond, EventInterval: 150 * time.Millisecond, Slots: 64,
+				})
+			}
+			g := d.startReadyEntry("entry-1")
+			running := streamRequest()
+			r := d.openStream(context.Background(), g, running)
+			r.skipTo(t, 1)
+			overwritten := d.executingReplica(running.AttemptID, engines["e1"], engines["e2"])
+			id := request.TargetID(overwritten.Config().ID)
+			d.store.Put(platform.TargetPrefix+string(id), []byte(odd))
+			d.waitWithin(applyTimeout, func() bool { return !d.takesWork(g, id) })
+			for range 6 {
+				req := streamRequest()
+				d.openStream(context.Background(), g, req).skipTo(t, 1)
+				assert.Assert(t, d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target != string(id))
+			}
+			r.expectRest(t, running.AttemptID, 1)
+			assert.Equal(t, d.fleet.ExecutionLog.Arrivals(running.AttemptID), 1)
+			d.register(overwritten, "ready")
+			d.waitWithin(applyTimeout, func() bool { return d.takesWork(g, id) })
+			used := func() bool {
+				req := streamRequest()
+				d.openStream(context.Background(), g, req).skipTo(t, 1)
+				return d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target == string(id)
+			}
+			d.waitUntil(used)
+			g.control.do(func() {
+				assert.Equal(t, g.control.table.Get(id).Incarnation, request.Incarnation(overwritten.Config().Incarnation))
+			})
+		})
+	}
+}
+
+// A registration that could replace a sound target, but whose service no configuration names.
+func TestStoreWatch_UndeclaredServiceAtAddressOfTargetChangesNothing(t *testing.T) {
+	d := newDeployment(t)
+	sound := d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	d.store.Put(platform.TargetPrefix+"x1", []byte(`{"Service":"undeclared","Address":"`+sound.Config().AdvertisedAddress+
+		`","Zone":"naxos","Slots":6,"State":"ready","born":9007199254740991}`))
+	d.startApplication("a2", "naxos")
+	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a2") })
+	g.control.do(func() { assert.Assert(t, !g.control.table.Get("a1").Down(time.Now())) })
+	d.expectUnretriedCalls(g, 10)
+}
+
+// Targets of a new service may register before the configuration that declares it is read.
+func TestStoreWatch_TargetsRegisteredBeforeTheirServiceIsDeclaredAreUsed(t *testing.T) {
+	d := newDeployment(t)
+	early := d.startReplica(replica.Config{ID: "n1", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	d.startApplication("a1", "naxos")
+	g := d.startEntryWithTargets("entry-1", 1)
+	late := d.startReplica(replica.Config{ID: "n2", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	removed := d.startReplica(replica.Config{ID: "n3", Service: "new", FailureDomain: "naxos", CallTime: 10 * time.Millisecond, Slots: 6})
+	d.store.Delete(platform.TargetPrefix + removed.Config().ID)
+	d.configure(func(config map[string]any) {
+		config["Services"] = append(config["Services"].([]any), map[string]any{"Name": "new", "MaxConnections": 100, "HealthPath": replica.HealthPath})
+		config["Routes"] = append(config["Routes"].([]any), map[string]any{
+			"Name": "new", "Host": testHost, "Prefix": "/new/", "RouteType": "idempotent", "TimeoutMs": 5000, "TargetLatencyMs": 500,
+			"Service": "new", "MaxAttempts": 2,
+		})
+	})
+	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "n1") && d.knows(g, "n2") })
+	assert.Assert(t, !d.knows(g, "n3"))
+	used := map[request.TargetID]bool{}
+	d.waitUntil(func() bool {
+		req := newCallerRequest(http.MethodGet, "/new/1", "")
+		assert.Equal(t, d.send(g, req).status, http.StatusOK)
+		used[request.TargetID(d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target)] = true
+		return used[request.TargetID(early.Config().ID)] && used[request.TargetID(late.Config().ID)]
+	})
+}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -51,21 +52,6 @@
 	loadReportTTL = 200 * time.Millisecond
 )
 
-// Registration holds the data that a target registers in the store.
-type Registration struct {
-	request.Endpoint
-	Service       string
-	FailureDomain string
-	Slots         int
-	// Draining targets take no new work.
-	Draining bool
-	// Incarnation identifies one run of the target; a restart loses all its state.
-	Incarnation request.Incarnation
-	// AssumedIncarnation is set if the target did not tell its incarnation and is not
-	// registered in the store yet.
-	AssumedIncarnation bool
-}
-
 // Work is the load of one entry at one target.
 type Work struct {
 	// PrefillTokens counts the prompt tokens of attempts that have not finished prefill.
@@ -140,6 +126,10 @@
 	addresses map[string][]*Target
 	// engineMemory maps services that have engines to the memory of each engine, in tokens.
 	engineMemory map[string]int
+	// declared holds the declared services; nil if they are not known yet. undeclared holds the
+	// registrations that name another service.
+	declared     map[string]struct{}
+	undeclared   map[request.TargetID]Registration
 	peers        map[string]receivedPeerState
 	peerStateTTL time.Duration
 	// peerWork is the sum of the work in peers.
@@ -161,6 +151,7 @@
 		services:       map[string][]*Target{},
 		addresses:      map[string][]*Target{},
 		engineMemory:   map[string]int{},
+		undeclared:     map[request.TargetID]Registration{},
 		peers:          map[string]receivedPeerState{},
 		peerStateTTL:   defaultPeerStateTTL,
 		peerWork:       map[request.TargetID]Work{},
@@ -172,8 +163,15 @@
 }
 
 // Register adds or updates a target. A new incarnation or endpoint resets the failures
-// recorded before.
+// recorded before. It returns nil if the service is not declared; the target is then added once
+// it is, and until then replaces none at its address.
 func (t *Table) Register(r Registration) *Target {
+	delete(t.undeclared, r.ID)
+	if !t.declares(r.Service) {
+		t.undeclared[r.ID] = r
+		t.Suspend(r.ID)
+		return nil
+	}
 	target, ok := t.targets[r.ID]
 	if ok && target.Service != r.Service {
 		t.Remove(r.ID)
@@ -209,6 +207,35 @@
 	return target
 }
 
+// Suspend gives a target no new work until it registers again, because its registration names no
+// target any more. It reports whether the target took work before.
+func (t *Table) Suspend(id request.TargetID) bool {
+	target, ok := t.targets[id]
+	if !ok || target.Draining {
+		return false
+	}
+	target.Draining = true
+	return true
+}
+
+// SetServices sets the declared services, and adds the targets that registered for them before.
+func (t *Table) SetServices(names []string) {
+	t.declared = make(map[string]struct{}, len(names))
+	for _, name := range names {
+		t.declared[name] = struct{}{}
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.undeclared)) {
+		if r := t.undeclared[id]; t.declares(r.Service) {
+			t.Register(r)
+		}
+	}
+}
+
+func (t *Table) declares(service string) bool {
+	_, ok := t.declared[service]
+	return ok || t.declared == nil
+}
+
 // serviceMemory returns the memory of the engines of a service, and whether it has engines.
 func (t *Table) serviceMemory(service string) (int, bool) {
 	memory, ok := t.engineMemory[service]
@@ -250,6 +277,7 @@
 
 // Remove removes a target from the table.
 func (t *Table) Remove(id request.TargetID) {
+	delete(t.undeclared, id)
 	target, ok := t.targets[id]
 	if !ok {
 		return
