Planned stop: a request whose body is not whole at the end gets a refusal

Callers saw: a closed connection without a response, when they sent a body so slowly that it was not whole by the end of the grace period.

Cause: requests that are running end with the context of the stop; one whose body is still being read waited for its caller, also beyond that, until its connection was closed.

Change: the end of the stop ends the read of the body too. The request is refused as not run, as any that the stop turns away; nothing of it was passed on.

Ruled out: a decision that is older than the body. It is made after the body was read, on the time that is left then, so a body that arrives late is never accepted by what was left when its head arrived.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -112,18 +112,11 @@
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
 	g.waitForInitialSync(r.Context(), e.inbound.TimeLeft)
-	err := e.authorize()
-	if err != nil {
+	if err := e.authorize(); err != nil {
 		return err
 	}
-	limit := g.table.Load().Limits().BodyBytes
-	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
-	case err != nil:
-		return fault.Wrap(fault.CallerGone, err, "the body was not sent whole")
+	if err := e.readBody(r); err != nil {
+		return err
 	}
 	timeout := e.route.Timeout
 	if timeout <= 0 {
@@ -140,6 +133,30 @@
 	return nil
 }
 
+// readBody reads the body, but no longer than until a planned stop ends the requests in
+// progress.
+func (e *exchange) readBody(r *http.Request) error {
+	g := e.gateway
+	stop := context.AfterFunc(g.ending, func() {
+		// It fails if the connection is closed.
+		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now())
+	})
+	defer stop()
+	limit := g.table.Load().Limits().BodyBytes
+	var err error
+	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
+	case err != nil && g.ending.Err() != nil:
+		return fault.New(fault.Draining, "the entry ends before the body was sent whole")
+	case err != nil:
+		return fault.Wrap(fault.CallerGone, err, "the body was not sent whole")
+	}
+	return nil
+}
+
 // waitForInitialSync delays a request to a starting entry until the store has been
 // read, but not for long.
 func (g *Gateway) waitForInitialSync(ctx context.Context, timeLeft time.Duration) {
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -259,3 +259,18 @@
 	assert.Equal(t, conn.receive(t), http.StatusOK)
 	assert.NilError(t, <-stopped)
 }
+
+// A caller sends its body slowly, beyond the end of the grace period.
+func TestStop_BodyNotWholeAtTheEndGetsRefusal(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	conn := d.dialCaller(g)
+	booking := bookingRequest()
+	encoded := encodeRequest(t, g, booking)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	conn.send(t, encoded[:len(encoded)-1])
+	assert.Equal(t, conn.receive(t), http.StatusServiceUnavailable)
+	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(booking.AttemptID), 0)
+}
