Other entries learn the handle of a KV copy that was moved

Callers saw: a stream that its entry ended at the end of a planned stop (or lost) began again with its whole prompt at the next entry, after a refusal there, if the KV copy had been moved while the stream ran.

Cause: a copy that the engine sends by itself is named by the request; one that was asked for is named by the handle in the engine's answer. The entry kept that handle for its own attempts and put it into peer updates only when the stream ended; a process that stops has no time to send another one. The others tried the name of the request, which the target refuses.

Change: the handle is recorded with the session's copy when it arrives or changes, and goes out with the next peer update, as the place of the copy does.

Ruled out: a last peer update at the end of the stop; it would not help when the entry is lost.

Evidence: on the code before, TestStop_StreamGoesOnAtAnotherEntryFromItsCopy: FAIL "moved=true: the prompt was prefilled again"; a copy that was not moved passes. Result: both go on from the copy, with one arrival; passes with -race.

--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// updateRecordedCopy records a changed copy, unless its stream has ended.
+func (c *control) updateRecordedCopy(a *attempt) {
+	if recorded, ok := c.sessionCopies[a.exchange.inbound.Session()]; ok && recorded.expires.IsZero() {
+		c.recordCopy(a)
+		c.updatePending = true
+	}
+}
+
 // replaceCopiesOn picks another target for each copy at a target that is down.
 func (c *control) replaceCopiesOn(id request.TargetID) {
 	for _, m := range c.monitors {
@@ -143,10 +151,7 @@
 	c.table.AddKVCopyTokens(next.ID, a.requirements.MemoryTokens)
 	a.kvCopy = peers.KVCopy{RequestID: a.exchange.inbound.ID, Target: next.ID, Incarnation: next.Incarnation}
 	a.copyRequested = true
-	if recorded, ok := c.sessionCopies[a.exchange.inbound.Session()]; ok && recorded.expires.IsZero() {
-		c.recordCopy(a)
-		c.updatePending = true
-	}
+	c.updateRecordedCopy(a)
 	a.exchange.gateway.log.Event("copy_moved", "request", a.exchange.inbound.ID, "target", next.ID, "runs", a.target.ID)
 	kvCopy := a.kvCopy
 	go c.gateway.protect("KV copy", func() { a.maintainCopy(kvCopy, next.Address) })
@@ -176,8 +181,10 @@
 		c.do(func() {
 			current = a.kvCopy.Target == kvCopy.Target
 			switch {
-			case current && err == nil:
+			case current && err == nil && a.kvCopy.Handle != handle:
+				// Another entry can resume from it only by its handle.
 				a.kvCopy.Handle, a.kvCopy.Source = handle, a.target.Address
+				c.updateRecordedCopy(a)
 			case current && failures >= maxCopyFailures && a.ctx.Err() == nil:
 				current = !c.moveRefusedCopy(a)
 			}
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -274,3 +275,60 @@
 	assert.Equal(t, conn.receive(t), http.StatusServiceUnavailable)
 	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(booking.AttemptID), 0)
 }
+
+// waitForMovedCopy marks the target of the stream's copy down and waits until another target
+// holds the copy.
+func (d *copyTest) waitForMovedCopy() {
+	d.t.Helper()
+	first, _ := d.copyTargets()
+	d.gateway.control.post(func() { d.gateway.control.markDown(request.TargetID(first), "test") })
+	d.waitUntil(func() bool {
+		moved := false
+		d.gateway.control.do(func() {
+			for _, m := range d.gateway.control.monitors {
+				for running := range m.attempts {
+					moved = running.kvCopy.Handle != ""
+				}
+			}
+		})
+		return moved
+	})
+}
+
+// A stream that the end of a planned stop cuts off goes on at another entry, from its KV copy,
+// also if that was moved while the stream ran.
+func TestStop_StreamGoesOnAtAnotherEntryFromItsCopy(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		d := newCopyTestWith(t, replica.Config{EventCount: 400, PrefillTime: 50 * time.Millisecond, EventInterval: 25 * time.Millisecond})
+		second := d.startReadyEntry("entry-2")
+		d.waitUntil(func() bool {
+			known := 0
+			d.gateway.control.do(func() { known = len(d.gateway.control.peers) })
+			return known == 2
+		})
+		if moved {
+			d.waitForMovedCopy()
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.gateway.Stop(context.Background()) }()
+		last := 0
+		for {
+			event, err := d.reader.stream.Next()
+			if err != nil {
+				break
+			}
+			last = event.ID
+		}
+		retry := streamRequest()
+		retry.Position, retry.PromptID = last, d.req.AttemptID
+		rest := d.openStream(context.Background(), second, retry)
+		event, err := rest.stream.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, event.ID, last+1)
+		assert.NilError(t, <-stopped)
+		executions := d.fleet.ExecutionLog.Executions(retry.AttemptID)
+		assert.Equal(t, len(executions), 1)
+		assert.Assert(t, executions[0].FromKVCopy, "moved=%t: the prompt was prefilled again", moved)
+		assert.Equal(t, d.fleet.ExecutionLog.Arrivals(retry.AttemptID), 1, "moved=%t", moved)
+	}
+}
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -139,10 +139,12 @@
 }
 
 func newCopyTest(t *testing.T) *copyTest {
+	return newCopyTestWith(t, replica.Config{EventCount: 60, PrefillTime: 50 * time.Millisecond, EventInterval: 40 * time.Millisecond})
+}
+
+func newCopyTestWith(t *testing.T, config replica.Config) *copyTest {
 	d := &copyTest{deployment: newDeployment(t)}
-	config := replica.Config{
-		Service: "writer", Engine: true, EventCount: 60, PrefillTime: 50 * time.Millisecond, EventInterval: 40 * time.Millisecond, Slots: 128,
-	}
+	config.Service, config.Engine, config.Slots = "writer", true, 128
 	for id, failureDomain := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros", "e4": "milos"} {
 		config.ID, config.FailureDomain = id, failureDomain
 		d.engines = append(d.engines, d.startReplica(config))
