Planned stop: a stream is accepted if it can be handed over before the end

Callers saw: 503 from an entry that got SIGTERM up to 2.3 s before, for streams that on average last longer than what is left of the grace period.

Cause: a stream that can be resumed was accepted if its mean duration fitted. What matters is whether a copy is there by then. A refused caller may be sent to the same entry again until the balancer has removed it.

Change: until idle connections are closed, a stream that can be resumed is accepted also if its first event, and a KV copy a quarter of a second later, are expected before the end: the mean plus four mean deviations, observed for each service. It needs engines that send copies.

Evidence: on the code before, TestPlan_LongStreamsThatCanBeHandedOverAreAccepted: FAIL "first event in half a second: 0 of 2301 accepted"; TestStop_StreamLongerThanGracePeriodIsHandedOver: FAIL "503 != 200". Result: both pass, with -race.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -154,7 +154,7 @@
 	a.spec.Target = t.Endpoint
 	c.table.AddAttempt(t.ID, a.requirements)
 	if a.requirements.MemoryTokens > 0 {
-		if copyTarget := c.table.PickKVCopyTarget(a.startedAt, t, a.requirements); copyTarget != nil && a.sendsKVCopies() {
+		if copyTarget := c.table.PickKVCopyTarget(a.startedAt, t, a.requirements); copyTarget != nil && a.exchange.usesKVCopies() {
 			a.kvCopy = peers.KVCopy{RequestID: a.exchange.inbound.ID, Target: copyTarget.ID, Incarnation: copyTarget.Incarnation}
 			a.spec.KVCopyTo = copyTarget.Address
 			c.table.AddKVCopyTokens(copyTarget.ID, a.requirements.MemoryTokens)
@@ -165,11 +165,10 @@
 	c.addAttempt(a)
 }
 
-// sendsKVCopies reports whether the engines of the service send KV copies for this
+// usesKVCopies reports whether the engines of the service send KV copies for this
 // route.
-func (a *attempt) sendsKVCopies() bool {
-	engine := a.exchange.engine
-	return engine != nil && engine.SupportsKVCopies && a.exchange.route.Resumable
+func (e *exchange) usesKVCopies() bool {
+	return e.engine != nil && e.engine.SupportsKVCopies && e.route.Resumable
 }
 
 // release cancels the attempt and removes it from the load of its target.
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -132,6 +132,9 @@
 
 	// durations maps services to the durations of the requests that they served.
 	durations map[string]*shutdown.DurationEstimate
+	// handovers maps services to how long their streams ran before another entry could have
+	// gone on with them from a KV copy.
+	handovers map[string]*shutdown.DurationEstimate
 
 	// freshness is read by requests; it is never modified in place, only replaced as a
 	// whole.
@@ -169,6 +172,7 @@
 		updateScheduler:   peers.NewUpdateScheduler(),
 		discoveredPrompts: map[peers.CachedPrompt]time.Time{},
 		durations:         map[string]*shutdown.DurationEstimate{},
+		handovers:         map[string]*shutdown.DurationEstimate{},
 		incarnation:       now.UnixNano(),
 	}
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -29,6 +29,9 @@
 		if estimate := g.control.durations[e.service]; estimate != nil {
 			r.Expected = *estimate
 		}
+		if estimate := g.control.handovers[e.service]; estimate != nil && e.usesKVCopies() {
+			r.Handover = *estimate
+		}
 	})
 	accepted := plan.Accept(time.Now(), r)
 	if accepted {
@@ -99,12 +102,22 @@
 		return
 	}
 	took := time.Since(e.arrived)
-	g.control.post(func() {
-		estimate := g.control.durations[e.service]
-		if estimate == nil {
-			estimate = &shutdown.DurationEstimate{}
-			g.control.durations[e.service] = estimate
-		}
-		estimate.Observe(took)
-	})
+	g.control.post(func() { observe(g.control.durations, e.service, took) })
+}
+
+// observeHandover records that a stream that began here had its first event after some time.
+func (g *Gateway) observeHandover(e *exchange, firstEventDelay time.Duration) {
+	if e.inbound.Position > 0 {
+		return
+	}
+	g.control.post(func() { observe(g.control.handovers, e.service, firstEventDelay+firstCopyDelay) })
+}
+
+func observe(estimates map[string]*shutdown.DurationEstimate, service string, took time.Duration) {
+	estimate := estimates[service]
+	if estimate == nil {
+		estimate = &shutdown.DurationEstimate{}
+		estimates[service] = estimate
+	}
+	estimate.Observe(took)
 }
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -295,6 +295,17 @@
 	})
 }
 
+// readUntilBroken reads events until the stream breaks off, and returns the ID of the last one.
+func (r *streamReader) readUntilBroken() (last int) {
+	for {
+		event, err := r.stream.Next()
+		if err != nil {
+			return last
+		}
+		last = event.ID
+	}
+}
+
 // A stream that the end of a planned stop cuts off goes on at another entry, from its KV copy,
 // also if that was moved while the stream ran.
 func TestStop_StreamGoesOnAtAnotherEntryFromItsCopy(t *testing.T) {
@@ -311,14 +322,7 @@
 		}
 		stopped := make(chan error, 1)
 		go func() { stopped <- d.gateway.Stop(context.Background()) }()
-		last := 0
-		for {
-			event, err := d.reader.stream.Next()
-			if err != nil {
-				break
-			}
-			last = event.ID
-		}
+		last := d.reader.readUntilBroken()
 		retry := streamRequest()
 		retry.Position, retry.PromptID = last, d.req.AttemptID
 		rest := d.openStream(context.Background(), second, retry)
@@ -332,3 +336,25 @@
 		assert.Equal(t, d.fleet.ExecutionLog.Arrivals(retry.AttemptID), 1, "moved=%t", moved)
 	}
 }
+
+// Streams longer than the grace period arrive while the balancer still sends connections. A
+// caller that is turned away returns to the same entry.
+func TestStop_StreamLongerThanGracePeriodIsHandedOver(t *testing.T) {
+	d := newCopyTestWith(t, replica.Config{EventCount: 60, PrefillTime: 50 * time.Millisecond, EventInterval: 70 * time.Millisecond})
+	second := d.startReadyEntry("entry-2")
+	d.reader.skipTo(t, 60)
+	_, err := d.reader.stream.Next()
+	assert.ErrorIs(t, err, io.EOF)
+	go func() { _ = d.gateway.Stop(context.Background()) }()
+	d.waitUntil(d.gateway.draining)
+	req := streamRequest()
+	reader := d.openStream(context.Background(), d.gateway, req)
+	assert.Equal(t, reader.response.StatusCode, http.StatusOK)
+	last := reader.readUntilBroken()
+	retry := streamRequest()
+	retry.Position, retry.PromptID = last, req.AttemptID
+	d.openStream(context.Background(), second, retry).skipTo(t, 60)
+	executions := d.fleet.ExecutionLog.Executions(retry.AttemptID)
+	assert.Equal(t, len(executions), 1)
+	assert.Assert(t, executions[0].FromKVCopy)
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -357,6 +357,7 @@
 func (s *stream) recordTiming(now time.Time) {
 	if s.lastWrite.IsZero() {
 		s.firstEventDelay = now.Sub(s.arrived)
+		s.gateway.observeHandover(s.exchange, s.firstEventDelay)
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastWrite))
 	}
--- a/process/shutdown/shutdown.go
+++ b/process/shutdown/shutdown.go
@@ -47,6 +47,9 @@
 	Repeatability Repeatability
 	// Expected estimates how long such requests take, from those that were served.
 	Expected DurationEstimate
+	// Handover estimates how long it takes until another process can go on with such a
+	// request without doing its work again. It has no observations if none can.
+	Handover DurationEstimate
 }
 
 // Plan is the schedule of one planned stop.
@@ -78,11 +81,12 @@
 }
 
 // Accept reports whether a request that arrives now is accepted. One whose time limit passes
-// before the end is. A later one is accepted if it may run again and is expected to end
-// before; for one that can be resumed the mean duration counts, since to be cut off costs its
-// caller less than to be turned away. That holds until idle connections are closed: the few
-// streams that arrive later have most of the grace period behind them, and their callers find
-// another entry at once.
+// before the end is. A later one is accepted if it may run again and is expected to end before;
+// one that can be resumed also if another process is expected to be able to go on with it by
+// then. For one that must be resumed from its beginning the mean duration counts. Until idle
+// connections are closed, a caller that is turned away may be sent to this process again; that
+// costs it more than to be cut off. The few streams that arrive later have most of the grace
+// period behind them, and their callers find another entry at once.
 func (p *Plan) Accept(now time.Time, r Request) bool {
 	left := p.End().Sub(now)
 	if r.TimeLimit <= left {
@@ -98,6 +102,9 @@
 		if now.After(p.CloseIdle()) {
 			return false
 		}
+		if handover, ok := r.Handover.Duration(safeDeviations); ok && handover <= left {
+			return true
+		}
 	}
 	if expected, ok := r.Expected.Duration(deviations); ok {
 		return expected <= left
--- a/process/shutdown/shutdown_test.go
+++ b/process/shutdown/shutdown_test.go
@@ -116,3 +116,43 @@
 		assert.Equal(t, accepted > 0, load.timeLimit < testGrace, load.name)
 	}
 }
+
+// Streams that last as long as the grace period or longer keep arriving until the balancer has
+// removed the process; one that is turned away returns to the same process until then. Their
+// first events come soon, and from then on another process can go on with them.
+func TestPlan_LongStreamsThatCanBeHandedOverAreAccepted(t *testing.T) {
+	for _, load := range []struct {
+		name       string
+		firstEvent time.Duration
+		// accepted is the smallest share of the arrivals that are accepted.
+		accepted float64
+	}{
+		{name: "first event in half a second", firstEvent: 500 * time.Millisecond, accepted: 1},
+		{name: "first event in a second", firstEvent: time.Second, accepted: 0.7},
+		{name: "first event after the grace period", firstEvent: 2 * testGrace, accepted: 0},
+	} {
+		random := rand.New(rand.NewPCG(5, 1))
+		start := time.Unix(1000, 0)
+		plan := NewPlan(start, testGrace)
+		handover := func() time.Duration { return time.Duration(float64(load.firstEvent) * (0.5 + random.ExpFloat64()/2)) }
+		r := Request{TimeLimit: 60 * time.Second, Repeatability: Resumable}
+		for range 200 {
+			r.Expected.Observe(3 * testGrace)
+			r.Handover.Observe(handover())
+		}
+		arrived, accepted, tooEarly := 0, 0, 0
+		for now := start; !now.After(plan.CloseIdle()); now = now.Add(time.Millisecond) {
+			arrived++
+			if !plan.Accept(now, r) {
+				continue
+			}
+			accepted++
+			if now.Add(handover()).After(plan.End()) {
+				tooEarly++
+			}
+		}
+		assert.Assert(t, float64(accepted) >= load.accepted*float64(arrived), "%s: %d of %d accepted", load.name, accepted, arrived)
+		assert.Equal(t, accepted > 0, load.accepted > 0, load.name)
+		assert.Assert(t, tooEarly*100 <= accepted, "%s: %d of %d cut off before they could be handed over", load.name, tooEarly, accepted)
+	}
+}
