Test of requests that may not be repeated throughout a planned stop

Reported by another operator: requests that came late in the grace period of a planned stop, in calm, were taken, passed on and cut with no answer at its end, among them requests that may not be repeated.

Looked for here: 80 such requests, their heads before the entry closes idle connections and the last byte of their bodies at any moment until the end of the grace period, their target silent for a second in the middle. The decision is made when the body is whole, on the time that is left then, so the report does not hold here: each one that reached a target gets its own response, or 504 at its own time limit, which is never after the end.

--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -358,3 +359,60 @@
 	assert.Equal(t, len(executions), 1)
 	assert.Assert(t, executions[0].FromKVCopy)
 }
+
+// Requests that may not be repeated keep arriving throughout the stop, most as the last byte of
+// a body that was begun before; their target is silent for a second. One that reached a target
+// is not cut off by the stop: it gets its response, or 504 when its own time is over.
+func TestStop_NonRepeatableCallsThatReachedATargetGetResponses(t *testing.T) {
+	d := newDeployment(t)
+	startLongStreams(d)
+	a1 := d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 200 * time.Millisecond, Slots: 256})
+	g := d.startReadyEntry("entry-1")
+	d.keepBusy(g)
+	grace := g.settings.Bounds.Grace.Std()
+	const callers = 80
+	type result struct {
+		id string
+		// status is 0 without a whole response.
+		status int
+	}
+	results := make(chan result, callers)
+	var begin sync.WaitGroup
+	begin.Add(1)
+	for i := range callers {
+		conn, req := d.dialCaller(g), bookingRequest()
+		delay := time.Duration(i) * grace / callers
+		req.DeadlineRemaining = delay + 520*time.Millisecond
+		encoded := encodeRequest(t, g, req)
+		go func() {
+			begin.Wait()
+			_, _ = conn.Write(encoded[:len(encoded)-1])
+			time.Sleep(delay)
+			_, _ = conn.Write(encoded[len(encoded)-1:])
+			r := result{id: req.AttemptID}
+			if response, err := http.ReadResponse(conn.responses, nil); err == nil {
+				if _, err := io.Copy(io.Discard, response.Body); err == nil {
+					r.status = response.StatusCode
+				}
+			}
+			results <- r
+		}()
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	begin.Done()
+	time.AfterFunc(grace/2, func() { a1.SetFaults(replica.Faults{Silent: true}) })
+	time.AfterFunc(grace/2+time.Second, func() { a1.SetFaults(replica.Faults{}) })
+	reached := 0
+	for range callers {
+		r := <-results
+		if d.fleet.ExecutionLog.Arrivals(r.id) > 0 {
+			reached++
+			assert.Assert(t, r.status == http.StatusOK || r.status == http.StatusGatewayTimeout,
+				"%s reached a target, and its response was %d", r.id, r.status)
+		}
+	}
+	assert.Assert(t, reached > 0)
+	assert.NilError(t, <-stopped)
+}
