--- a/process/daemon/daemon_test.go
+++ b/process/daemon/daemon_test.go
@@ -44,11 +44,13 @@
 
 func (*anySettings) Check() error { return nil }
 
-// signalled is a process that gets signals while it starts.
-type signalled []syscall.Signal
+// signalled is a process that gets signals while it starts and while it stops.
+type signalled struct {
+	starting, stopping []syscall.Signal
+}
 
-func (s signalled) Start(context.Context) error {
-	for _, sig := range s {
+func sendSignals(signals []syscall.Signal) error {
+	for _, sig := range signals {
 		if err := syscall.Kill(os.Getpid(), sig); err != nil {
 			return err
 		}
@@ -57,18 +59,23 @@
 	return nil
 }
 
+func (s signalled) Start(context.Context) error { return sendSignals(s.starting) }
+
 func (s signalled) Stop(context.Context) error {
+	err := sendSignals(s.stopping)
 	fmt.Println("stopped as planned")
-	return nil
+	return err
 }
 
 const signalledVariable = "MULBERRYLANE_TEST_SETTINGS"
 
-// A process that gets signals while it starts is stopped like any other.
-func TestSignalsWhileStarting_ProcessStopsAsPlanned(t *testing.T) {
+// runSignalled runs the calling test again, in a process that gets the signals, and checks that
+// it stops as planned.
+func runSignalled(t *testing.T, signals signalled) {
+	t.Helper()
 	if path := os.Getenv(signalledVariable); path != "" {
 		command := newCommand("test", "", func(anySettings) *fx.App {
-			return lifecycle.NewApp(fx.Supply(signalled{syscall.SIGHUP, syscall.SIGTERM}), fx.Invoke(lifecycle.Hook[signalled]))
+			return lifecycle.NewApp(fx.Supply(signals), fx.Invoke(lifecycle.Hook[signalled]))
 		})
 		command.SetArgs([]string{"--settings", path})
 		assert.NilError(t, command.Execute())
@@ -80,5 +87,18 @@
 	child.Env = append(os.Environ(), signalledVariable+"="+path)
 	output, err := child.CombinedOutput()
 	assert.NilError(t, err, "%s", output)
-	assert.Assert(t, strings.Contains(string(output), "stopped as planned"), "%s", output)
+	assert.Equal(t, strings.Count(string(output), "stopped as planned"), 1, "%s", output)
+}
+
+// A process that gets signals while it starts is stopped like any other.
+func TestSignalsWhileStarting_ProcessStopsAsPlanned(t *testing.T) {
+	runSignalled(t, signalled{starting: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}})
+}
+
+// Further signals do not shorten a planned stop.
+func TestSignalsWhileStopping_ProcessStopsAsPlanned(t *testing.T) {
+	runSignalled(t, signalled{
+		starting: []syscall.Signal{syscall.SIGTERM},
+		stopping: []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT},
+	})
 }
