--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -259,3 +261,158 @@
 	assert.Equal(t, conn.receive(t), http.StatusOK)
 	assert.NilError(t, <-stopped)
 }
+
+// A caller sends its body slowly, beyond the end of the grace period.
+func TestStop_BodyNotWholeAtTheEndGetsRefusal(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	conn := d.dialCaller(g)
+	booking := bookingRequest()
+	encoded := encodeRequest(t, g, booking)
+	go func() { _ = g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	conn.send(t, encoded[:len(encoded)-1])
+	assert.Equal(t, conn.receive(t), http.StatusServiceUnavailable)
+	assert.Equal(t, d.fleet.ExecutionLog.Arrivals(booking.AttemptID), 0)
+}
+
+// waitForMovedCopy marks the target of the stream's copy down and waits until another target
+// holds the copy.
+func (d *copyTest) waitForMovedCopy() {
+	d.t.Helper()
+	first, _ := d.copyTargets()
+	d.gateway.control.post(func() { d.gateway.control.markDown(request.TargetID(first), "test") })
+	d.waitUntil(func() bool {
+		moved := false
+		d.gateway.control.do(func() {
+			for _, m := range d.gateway.control.monitors {
+				for running := range m.attempts {
+					moved = running.kvCopy.Handle != ""
+				}
+			}
+		})
+		return moved
+	})
+}
+
+// readUntilBroken reads events until the stream breaks off, and returns the ID of the last one.
+func (r *streamReader) readUntilBroken() (last int) {
+	for {
+		event, err := r.stream.Next()
+		if err != nil {
+			return last
+		}
+		last = event.ID
+	}
+}
+
+// A stream that the end of a planned stop cuts off goes on at another entry, from its KV copy,
+// also if that was moved while the stream ran.
+func TestStop_StreamGoesOnAtAnotherEntryFromItsCopy(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		d := newCopyTestWith(t, replica.Config{EventCount: 400, PrefillTime: 50 * time.Millisecond, EventInterval: 25 * time.Millisecond})
+		second := d.startReadyEntry("entry-2")
+		d.waitUntil(func() bool {
+			known := 0
+			d.gateway.control.do(func() { known = len(d.gateway.control.peers) })
+			return known == 2
+		})
+		if moved {
+			d.waitForMovedCopy()
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.gateway.Stop(context.Background()) }()
+		last := d.reader.readUntilBroken()
+		retry := streamRequest()
+		retry.Position, retry.PromptID = last, d.req.AttemptID
+		rest := d.openStream(context.Background(), second, retry)
+		event, err := rest.stream.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, event.ID, last+1)
+		assert.NilError(t, <-stopped)
+		executions := d.fleet.ExecutionLog.Executions(retry.AttemptID)
+		assert.Equal(t, len(executions), 1)
+		assert.Assert(t, executions[0].FromKVCopy, "moved=%t: the prompt was prefilled again", moved)
+		assert.Equal(t, d.fleet.ExecutionLog.Arrivals(retry.AttemptID), 1, "moved=%t", moved)
+	}
+}
+
+// Streams longer than the grace period arrive while the balancer still sends connections. A
+// caller that is turned away returns to the same entry.
+func TestStop_StreamLongerThanGracePeriodIsHandedOver(t *testing.T) {
+	d := newCopyTestWith(t, replica.Config{EventCount: 60, PrefillTime: 50 * time.Millisecond, EventInterval: 70 * time.Millisecond})
+	second := d.startReadyEntry("entry-2")
+	d.reader.skipTo(t, 60)
+	_, err := d.reader.stream.Next()
+	assert.ErrorIs(t, err, io.EOF)
+	go func() { _ = d.gateway.Stop(context.Background()) }()
+	d.waitUntil(d.gateway.draining)
+	req := streamRequest()
+	reader := d.openStream(context.Background(), d.gateway, req)
+	assert.Equal(t, reader.response.StatusCode, http.StatusOK)
+	last := reader.readUntilBroken()
+	retry := streamRequest()
+	retry.Position, retry.PromptID = last, req.AttemptID
+	d.openStream(context.Background(), second, retry).skipTo(t, 60)
+	executions := d.fleet.ExecutionLog.Executions(retry.AttemptID)
+	assert.Equal(t, len(executions), 1)
+	assert.Assert(t, executions[0].FromKVCopy)
+}
+
+// Requests that may not be repeated keep arriving throughout the stop, most as the last byte of
+// a body that was begun before; their target is silent for a second. One that reached a target
+// is not cut off by the stop: it gets its response, or 504 when its own time is over.
+func TestStop_NonRepeatableCallsThatReachedATargetGetResponses(t *testing.T) {
+	d := newDeployment(t)
+	startLongStreams(d)
+	a1 := d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 200 * time.Millisecond, Slots: 256})
+	g := d.startReadyEntry("entry-1")
+	d.keepBusy(g)
+	grace := g.settings.Bounds.Grace.Std()
+	const callers = 80
+	type result struct {
+		id string
+		// status is 0 without a whole response.
+		status int
+	}
+	results := make(chan result, callers)
+	var begin sync.WaitGroup
+	begin.Add(1)
+	for i := range callers {
+		conn, req := d.dialCaller(g), bookingRequest()
+		delay := time.Duration(i) * grace / callers
+		req.DeadlineRemaining = delay + 520*time.Millisecond
+		encoded := encodeRequest(t, g, req)
+		go func() {
+			begin.Wait()
+			_, _ = conn.Write(encoded[:len(encoded)-1])
+			time.Sleep(delay)
+			_, _ = conn.Write(encoded[len(encoded)-1:])
+			r := result{id: req.AttemptID}
+			if response, err := http.ReadResponse(conn.responses, nil); err == nil {
+				if _, err := io.Copy(io.Discard, response.Body); err == nil {
+					r.status = response.StatusCode
+				}
+			}
+			results <- r
+		}()
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- g.Stop(context.Background()) }()
+	d.waitUntil(g.draining)
+	begin.Done()
+	time.AfterFunc(grace/2, func() { a1.SetFaults(replica.Faults{Silent: true}) })
+	time.AfterFunc(grace/2+time.Second, func() { a1.SetFaults(replica.Faults{}) })
+	reached := 0
+	for range callers {
+		r := <-results
+		if d.fleet.ExecutionLog.Arrivals(r.id) > 0 {
+			reached++
+			assert.Assert(t, r.status == http.StatusOK || r.status == http.StatusGatewayTimeout,
+				"%s reached a target, and its response was %d", r.id, r.status)
+		}
+	}
+	assert.Assert(t, reached > 0)
+	assert.NilError(t, <-stopped)
+}
