Silence of a target is a suspicion: what runs there goes on until another can take it

What callers saw: a stream broke off, or an idempotent call got 502, because a target that was sound sent nothing for a second or so. The target went on; the request had been given up.

Cause: a target that did not answer a probe within 120 ms was marked down and all its attempts were cancelled at once, before it was known whether another target, a retry of the budget or an attempt of the route was left. If none was, the stream ended with a closed connection, at the latest when its time was over.

Change: a probe without an answer makes the attempts suspected. The recovery of a stream keeps a suspected attempt until another one has a connection and is about to be sent; only then the old one is cancelled, so the two do not run side by side. It goes on if there is no other target, no retry or no further attempt, and is kept if its target speaks or answers a probe first; then the other attempt is not sent and its charge is refunded. An idempotent call is sent to another target beside the suspected one. A refused connection and another incarnation at the address still end attempts at once. A target that sent something since the probe began is not suspected.

Ruled out: streams that must not be resumed and calls that are not idempotent were never cancelled for silence (TestSilence_CallsAtTheOnlyTargetAreServed on the code before).

Evidence: on the code before, with the same tests: TestSilence_StreamWithoutRetriesIsNotBrokenOff: error is not nil: unexpected EOF TestSilence_StreamAtItsLastAttemptIsNotBrokenOff: error is not nil: unexpected EOF TestSilence_CallAtItsLastAttemptIsServed: 502 != 200

Why it works: the decision stands in the core with its replay tests and the property of the recovery now draws it. At each moment one attempt runs until its successor is sent, and the count of failed attempts can no longer end a request whose last attempt is only silent.

Result: the three tests and those of the package pass with -race. Whether pauses of streams on targets that are really gone change is not measured here.

--- a/command/explain.go
+++ b/command/explain.go
@@ -42,6 +42,7 @@
 	"not_reached":             "no connection to the target; nothing was sent",
 	"broken":                  "the answer broke off",
 	"retried":                 "it was sent to another target",
+	"replaced":                "its target was silent, and another one was at hand",
 	"resumed_from_copy":       "the stream went on from a copy of its memory",
 	"copy_gone":               "the copy was lost with its target",
 	"copy_moved":              "a new copy was asked for",
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -66,6 +66,13 @@
 	// other attempts when they are cancelled for that reason.
 	keepWhenDown bool
 	targetDown   atomic.Bool
+	// suspected is set while the target does not answer probes. The attempt goes on until
+	// another one can replace it, since the target may.
+	suspected atomic.Bool
+	// replaces is set if the attempt is to replace one at a suspected target. confirmSending
+	// then reports whether it may be sent; the other one has ended when it returns true.
+	replaces       bool
+	confirmSending func() bool
 	// endSeen is set if an earlier attempt of the stream ended at the same position without
 	// an event.
 	endSeen bool
@@ -113,6 +120,17 @@
 	}
 }
 
+// setSuspected records whether the target of the attempt is suspected.
+func (a *attempt) setSuspected(suspected bool) {
+	if a.keepWhenDown || a.suspected.Swap(suspected) == suspected {
+		return
+	}
+	select {
+	case a.exchange.suspicionChanged <- struct{}{}:
+	default:
+	}
+}
+
 // placeAttempt picks a target and adds the attempt to its load.
 func (e *exchange) placeAttempt(ctx context.Context, requirements placement.Requirements) (*attempt, error) {
 	c := e.gateway.control
@@ -231,6 +249,11 @@
 		conn.Close()
 		return nil
 	}
+	if a.confirmSending != nil && !a.confirmSending() {
+		a.refundCharge()
+		conn.Close()
+		return nil
+	}
 	return conn
 }
 
@@ -321,19 +344,25 @@
 // connectFailed handles a failure to send the request: the retry budget is refunded and
 // the target checked.
 func (a *attempt) connectFailed(err error) {
-	c := a.exchange.gateway.control
-	c.post(func() { c.budget(a.exchange.service).Refund(a.charge) })
+	a.refundCharge()
 	if a.ctx.Err() != nil {
 		return
 	}
 	a.exchange.gateway.log.Event("not_reached", "request", a.exchange.inbound.ID, "target", a.target.ID, "error", err.Error())
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		c := a.exchange.gateway.control
 		c.post(func() { c.markDown(a.target.ID, "connection refused") })
 		return
 	}
 	a.exchange.gateway.probeAfterFailure(a.target.ID)
 }
 
+// refundCharge refunds the retry budget for an attempt that is not sent.
+func (a *attempt) refundCharge() {
+	c := a.exchange.gateway.control
+	c.post(func() { c.budget(a.exchange.service).Refund(a.charge) })
+}
+
 // responseFailed handles a response that is missing or incomplete.
 func (a *attempt) responseFailed(err error) {
 	if a.ctx.Err() != nil && !a.targetDown.Load() {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -39,8 +39,11 @@
 	retry        request.RetryState
 	requirements placement.Requirements
 	results      chan callResult
-	// running counts the attempts in progress, attempts those that were started.
-	running, attempts int
+	// running holds the attempts in progress; attempts counts those that were started.
+	running  []*attempt
+	attempts int
+	// notRetried is set if an attempt ended that must not be followed by another.
+	notRetried bool
 	// failedTargets lists the targets that responded with an error.
 	failedTargets []request.TargetID
 	// lastResponse is the last response that can be forwarded, which may be an error
@@ -67,6 +70,7 @@
 		e.refuse(err, 0)
 		return
 	}
+	var replaceTimer <-chan time.Time
 	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayFraction * float64(e.route.LatencyObjective)))
 	defer hedgeTimer.Stop()
 	for {
@@ -76,11 +80,28 @@
 				return
 			}
 		case <-hedgeTimer.C:
-			c.hedge(ctx)
+			if len(c.running) == 1 {
+				c.hedge(ctx, false)
+			}
+		case <-c.suspicionChanged:
+		case <-replaceTimer:
+		}
+		if replaceTimer = nil; c.allSuspected() && !c.hedge(ctx, true) {
+			replaceTimer = time.After(replaceDelay)
 		}
 	}
 }
 
+// replaceDelay is how long after no other target could be tried beside a suspected one that
+// is tried again.
+const replaceDelay = 100 * time.Millisecond
+
+// allSuspected reports whether the targets of all attempts in progress are suspected. They go
+// on, since their targets may.
+func (c *call) allSuspected() bool {
+	return !slices.ContainsFunc(c.running, func(a *attempt) bool { return !a.suspected.Load() })
+}
+
 // maxAttempts limits the attempts of one call, whatever their results.
 const maxAttempts = 16
 
@@ -95,7 +116,7 @@
 	a.charge = charge
 	a.sentBefore = slices.Contains(c.requirements.Avoid, a.target.ID)
 	c.requirements.Avoid = append(c.requirements.Avoid, a.target.ID)
-	c.running++
+	c.running = append(c.running, a)
 	c.attempts++
 	go func() {
 		result := callResult{attempt: a, outcome: request.AttemptBroken}
@@ -106,23 +127,26 @@
 	return nil
 }
 
-// hedge starts a second attempt beside one that has not responded.
-func (c *call) hedge(ctx context.Context) {
-	if c.running != 1 || !c.retry.MayHedge(c.running) || c.attempts >= maxAttempts {
-		return
+// hedge starts another attempt beside those that have not responded, and reports whether it
+// could or no other may be started any more.
+func (c *call) hedge(ctx context.Context, urgent bool) bool {
+	if !c.retry.MayHedge(len(c.running)) || c.attempts >= maxAttempts || c.notRetried {
+		return true
 	}
-	charge, ok := c.gateway.takeRetry(c.inbound.ID, c.service, false)
+	charge, ok := c.gateway.takeRetry(c.inbound.ID, c.service, urgent)
 	if !ok {
-		return
+		return false
 	}
-	if err := c.startAttempt(ctx, charge); err == nil {
-		c.gateway.log.Event("hedged", "request", c.inbound.ID, "after", time.Since(c.arrived))
+	if err := c.startAttempt(ctx, charge); err != nil {
+		return false
 	}
+	c.gateway.log.Event("hedged", "request", c.inbound.ID, "after", time.Since(c.arrived))
+	return true
 }
 
 // handleResult handles the result of an attempt and reports whether the call has ended.
 func (c *call) handleResult(ctx context.Context, result callResult) bool {
-	c.running--
+	c.running = slices.DeleteFunc(c.running, func(a *attempt) bool { return a == result.attempt })
 	c.mayHaveRun = c.mayHaveRun || result.outcome != request.AttemptUnsent && result.outcome != request.AttemptRefused
 	if result.response != nil {
 		c.lastResponse = result.response
@@ -142,7 +166,8 @@
 		c.respond(fault.None)
 		return true
 	}
-	if c.running > 0 {
+	c.notRetried = !retry
+	if len(c.running) > 0 {
 		return false
 	}
 	if ctx.Err() != nil {
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -47,6 +47,9 @@
 	// attempts holds the running attempts.
 	attempts map[*attempt]struct{}
 	probing  bool
+	// suspectedAt is when the target last failed to answer a probe and was suspected, in
+	// nanoseconds since the start of the process, zero if it has been active since.
+	suspectedAt int64
 	// broken holds the attempts whose responses broke off, until it is known whether the
 	// target has crashed.
 	broken []brokenAttempt
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -64,12 +64,17 @@
 	trial quarantine.Part
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
+	// suspicionChanged receives when the target of a running attempt is suspected, or no longer.
+	suspicionChanged chan struct{}
 }
 
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	e := &exchange{gateway: g, writer: w, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1)}
+	e := &exchange{
+		gateway: g, writer: w, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1),
+		suspicionChanged: make(chan struct{}, 1),
+	}
 	var err error
 	e.inbound, err = platform.DecodeRequest(r)
 	g.activeRequests.add(e)
--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -306,7 +306,7 @@
 			address = engine.Config().AdvertisedAddress
 		}
 	}
-	alive, _ := d.gateway.probeAddress(address, true)
+	alive := d.gateway.probeAddress(address, true).alive
 	assert.Assert(t, alive)
 	d.reader.skipTo(t, 25)
 	moved, _ := d.copyTargets()
@@ -334,7 +334,7 @@
 		if engine != source && len(leaving) == 0 {
 			leaving[engine.Config().ID] = true
 			engine.SetFaults(replica.Faults{Leaving: true})
-			_, _ = g.probeAddress(engine.Config().AdvertisedAddress, true)
+			_ = g.probeAddress(engine.Config().AdvertisedAddress, true)
 		}
 	}
 	time.Sleep(settleTime)
@@ -351,7 +351,7 @@
 // An entry learns it from each call that it makes on its own behalf.
 func TestLeaving_IsLearnedFromOwnCalls(t *testing.T) {
 	for name, call := range map[string]func(g *Gateway, address string){
-		"report":          func(g *Gateway, address string) { _, _ = g.probeAddress(address, true) },
+		"report":          func(g *Gateway, address string) { _ = g.probeAddress(address, true) },
 		"identification":  func(g *Gateway, address string) { _, _, _ = g.identifyTarget(address, "writer", 0) },
 		"list of prompts": func(g *Gateway, _ string) { g.discoverCachedPrompts() },
 	} {
@@ -401,7 +401,7 @@
 	leaving := d.startEngine("e4", "milos")
 	g := d.startReadyEntry("entry-1")
 	leaving.SetFaults(replica.Faults{Leaving: true})
-	alive, _ := g.probeAddress(leaving.Config().AdvertisedAddress, true)
+	alive := g.probeAddress(leaving.Config().AdvertisedAddress, true).alive
 	assert.Assert(t, alive)
 	time.Sleep(settleTime)
 	for range 12 {
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -93,6 +94,9 @@
 	}
 	m.detector.SetBounds(bounds)
 	m.detector.Observe(c.startedAt.Add(time.Duration(m.lastSeen.Load())))
+	if m.suspectedAt != 0 && m.lastSeen.Load() > m.suspectedAt {
+		c.trust(m.id)
+	}
 	if m.detector.State(now) != detector.Trusted {
 		c.probe(m)
 	}
@@ -104,26 +108,81 @@
 		return
 	}
 	m.probing = true
-	c.probeIncarnation(m.id, m.address, m.service, func(alive bool) {
+	c.probeIncarnation(m.id, m.address, m.service, func(result probeResult) {
 		m.probing = false
-		if !alive {
-			c.markDown(m.id, "no answer to a probe")
-			return
+		if result.alive {
+			m.recordSeen(c)
+			m.detector.Observe(time.Now())
 		}
-		m.recordSeen(c)
-		m.detector.Observe(time.Now())
+		c.recordProbe(m.id, result)
 	})
 }
 
+// recordProbe records the result of a probe of a target.
+func (c *control) recordProbe(id request.TargetID, result probeResult) {
+	t, now := c.table.Get(id), time.Now()
+	alreadyDown := t != nil && t.AwaitingProbe()
+	switch {
+	case result.alive:
+		c.trust(id)
+		if t != nil && t.AwaitingProbe() {
+			c.table.RecordResponse(now, id, false, nil)
+			c.gateway.log.Event("target_back", "target", id)
+		}
+	case result.gone:
+		c.cancelAttempts(id)
+		c.recordCrash(id)
+	default:
+		c.suspect(id, result.startedAt)
+	}
+	if !result.alive && !alreadyDown {
+		c.setDown(id, "no answer to a probe")
+	}
+}
+
+// suspect marks the attempts at a target as suspected that did not answer a probe sent at the
+// given time, unless something else has come from it since.
+func (c *control) suspect(id request.TargetID, probedAt time.Time) {
+	m := c.monitors[id]
+	if m == nil || m.lastSeen.Load() >= int64(probedAt.Sub(c.startedAt)) {
+		return
+	}
+	m.suspectedAt = c.sinceStart()
+	for a := range m.attempts {
+		a.setSuspected(true)
+	}
+}
+
+// trust records that a target was active.
+func (c *control) trust(id request.TargetID) {
+	m := c.monitors[id]
+	if m == nil || m.suspectedAt == 0 {
+		return
+	}
+	m.suspectedAt = 0
+	for a := range m.attempts {
+		a.setSuspected(false)
+	}
+}
+
+// cancelAttempts cancels the attempts at a target that is no longer there.
+func (c *control) cancelAttempts(id request.TargetID) {
+	if m := c.monitors[id]; m != nil {
+		for a := range m.attempts {
+			a.handleTargetDown()
+		}
+	}
+}
+
 // probeIncarnation probes a registered target and calls done on the control goroutine.
 // A target whose incarnation differs from the registered one is marked replaced and
 // counts as not alive. If this process stood still meanwhile, a missing response says nothing
 // about the target, which is probed once more.
-func (c *control) probeIncarnation(id request.TargetID, address, service string, done func(alive bool)) {
+func (c *control) probeIncarnation(id request.TargetID, address, service string, done func(probeResult)) {
 	start := time.Now()
-	c.probeIncarnationOnce(id, address, service, func(alive bool) {
-		if alive || !c.pausedSince(start) {
-			done(alive)
+	c.probeIncarnationOnce(id, address, service, func(result probeResult) {
+		if result.alive || !c.pausedSince(start) {
+			done(result)
 			return
 		}
 		c.gateway.log.Event("probed_again", "target", id, "after", time.Since(start))
@@ -137,7 +196,7 @@
 }
 
 // probeIncarnationOnce is probeIncarnation with a single probe.
-func (c *control) probeIncarnationOnce(id request.TargetID, address, service string, done func(alive bool)) {
+func (c *control) probeIncarnationOnce(id request.TargetID, address, service string, done func(probeResult)) {
 	engine := c.gateway.hasEngines(service)
 	known := request.Incarnation(0)
 	if t := c.table.Get(id); t != nil {
@@ -145,18 +204,19 @@
 	}
 	start := time.Now()
 	go func() {
-		alive, incarnation := true, request.Incarnation(0)
-		c.gateway.protect("probe", func() { alive, incarnation = c.gateway.probeAddress(address, engine) })
+		result := probeResult{alive: true}
+		c.gateway.protect("probe", func() { result = c.gateway.probeAddress(address, engine) })
+		result.startedAt = start
 		c.post(func() {
 			switch {
-			case !alive || !engine || known == 0 || incarnation == 0:
-			case incarnation != known:
+			case !result.alive || !engine || known == 0 || result.incarnation == 0:
+			case result.incarnation != known:
 				c.markReplaced(id)
-				alive = false
+				result.alive, result.gone = false, true
 			default:
-				c.retractCrash(start, id, incarnation)
+				c.retractCrash(start, id, result.incarnation)
 			}
-			done(alive)
+			done(result)
 		})
 	}()
 }
@@ -176,19 +236,24 @@
 	for _, id := range c.table.ProbeDue(now) {
 		t := c.table.Get(id)
 		c.table.MarkDown(now, id)
-		c.probeIncarnation(id, t.Address, t.Service, func(alive bool) {
-			if alive {
-				c.table.RecordResponse(time.Now(), id, false, nil)
-				c.gateway.log.Event("target_back", "target", id)
-			}
-		})
+		c.probeIncarnation(id, t.Address, t.Service, func(result probeResult) { c.recordProbe(id, result) })
 	}
 }
 
-// probeAddress reports whether something responds at an address, and the incarnation if
-// the response names one. If there is no response soon, a second probe is sent on a new
+// probeResult is the result of a probe.
+type probeResult struct {
+	startedAt time.Time
+	// alive is set if something responded, with the incarnation if the response named one.
+	alive       bool
+	incarnation request.Incarnation
+	// gone is set if the target is known not to run: its address refuses connections, or
+	// another incarnation responded there. A target that is not gone may only be silent.
+	gone bool
+}
+
+// probeAddress probes an address. If there is no response soon, a second probe is sent on a new
 // connection: open connections may have gone silent, and packets get lost.
-func (g *Gateway) probeAddress(address string, engine bool) (bool, request.Incarnation) {
+func (g *Gateway) probeAddress(address string, engine bool) probeResult {
 	type result struct {
 		incarnation request.Incarnation
 		err         error
@@ -203,21 +268,23 @@
 	go send(maxIdleTime)
 	secondProbe := time.NewTimer(secondProbeDelay)
 	defer secondProbe.Stop()
+	gone := false
 	for sent, failed := 1, 0; ; {
 		select {
 		case <-secondProbe.C:
 		case r := <-results:
 			if r.err == nil {
-				return true, r.incarnation
+				return probeResult{alive: true, incarnation: r.incarnation}
 			}
 			failed++
+			gone = gone || errors.Is(r.err, syscall.ECONNREFUSED)
 		}
 		switch {
 		case sent == 1:
 			sent++
 			go send(0)
 		case failed == sent:
-			return false, 0
+			return probeResult{gone: gone}
 		}
 	}
 }
@@ -263,10 +330,16 @@
 	return incarnation, nil
 }
 
-// markDown marks a target down: it gets no work for a while, and its attempts are
-// cancelled so that they are retried at other targets, unless keepWhenDown is set. Busy
-// targets of the same failure domain are probed at once.
+// markDown marks a target down that is no longer there. Its attempts are cancelled so that
+// they are retried at other targets, unless keepWhenDown is set.
 func (c *control) markDown(id request.TargetID, reason string) {
+	c.cancelAttempts(id)
+	c.setDown(id, reason)
+}
+
+// setDown records that a target is down: it gets no work for a while. Busy targets of the same
+// failure domain are probed at once.
+func (c *control) setDown(id request.TargetID, reason string) {
 	t := c.table.Get(id)
 	now := time.Now()
 	c.table.MarkDown(now, id)
@@ -278,9 +351,6 @@
 	running := 0
 	if m != nil {
 		running = len(m.attempts)
-		for a := range m.attempts {
-			a.handleTargetDown()
-		}
 		c.gateway.pool.CloseIdle(m.address)
 	}
 	c.gateway.metrics.targetsLost.Add(context.Background(), 1)
--- a/process/gateway/liveness_test.go
+++ b/process/gateway/liveness_test.go
@@ -21,7 +21,7 @@
 	best := time.Hour
 	for range 3 {
 		start := time.Now()
-		alive, _ := g.probeAddress(engine.Config().AdvertisedAddress, true)
+		alive := g.probeAddress(engine.Config().AdvertisedAddress, true).alive
 		assert.Assert(t, !alive)
 		best = min(best, time.Since(start))
 	}
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -121,3 +122,77 @@
 		assert.Equal(t, <-statuses, http.StatusOK)
 	}
 }
+
+// startEntryWithoutRetries starts an entry whose retry budget is empty.
+func (d *deployment) startEntryWithoutRetries() *Gateway {
+	d.t.Helper()
+	settings := d.entrySettings("entry-1")
+	settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = 0, 0
+	g := d.startEntryWith(settings)
+	d.waitUntil(func() bool { return g.ready() && g.targetCount() >= len(d.storeValues(platform.TargetPrefix)) })
+	return g
+}
+
+func pauseAll(links []*pausingLink, d time.Duration) {
+	for _, link := range links {
+		go link.pause(d)
+	}
+}
+
+func TestSilence_StreamWithoutRetriesIsNotBrokenOff(t *testing.T) {
+	d := newDeployment(t)
+	config := replica.Config{
+		Service: "writer", Engine: true, EventCount: testEvents,
+		PrefillTime: 60 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	}
+	var links []*pausingLink
+	for id, failureDomain := range map[string]string{"e1": "naxos", "e2": "paros"} {
+		config.ID, config.FailureDomain = id, failureDomain
+		links = append(links, d.startBehindLink(config))
+	}
+	g := d.startEntryWithoutRetries()
+	req := streamRequest()
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, 5)
+	pauseAll(links, silence)
+	r.expectRest(t, req.AttemptID, 5)
+}
+
+// All targets fall silent for longer than the route's attempts take to be given up.
+func TestSilence_StreamAtItsLastAttemptIsNotBrokenOff(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(func(config map[string]any) {
+		config["Routes"].([]any)[0].(map[string]any)["MaxAttempts"] = 2
+	})
+	config := replica.Config{
+		Service: "writer", Engine: true, EventCount: testEvents,
+		PrefillTime: 60 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	}
+	var links []*pausingLink
+	for id, failureDomain := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros", "e4": "milos"} {
+		config.ID, config.FailureDomain = id, failureDomain
+		links = append(links, d.startBehindLink(config))
+	}
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, 5)
+	pauseAll(links, 3*silence/2)
+	r.expectRest(t, req.AttemptID, 5)
+}
+
+func TestSilence_CallAtItsLastAttemptIsServed(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(func(config map[string]any) {
+		config["Routes"].([]any)[2].(map[string]any)["MaxAttempts"] = 1
+	})
+	link := d.startBehindLink(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 300 * time.Millisecond, Slots: 6})
+	g := d.startReadyEntry("entry-1")
+	req := statusRequest()
+	response := make(chan callerResponse, 1)
+	go func() { response <- d.send(g, req) }()
+	d.waitUntil(func() bool { return d.fleet.ExecutionLog.Arrivals(req.AttemptID) > 0 })
+	go link.pause(silence)
+	g.control.do(func() { g.control.recordProbe("a1", probeResult{startedAt: time.Now()}) })
+	assert.Equal(t, (<-response).status, http.StatusOK)
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -40,12 +41,16 @@
 	recovery *request.Recovery
 	updates  chan attemptUpdate
 	// stopped is closed when updates are no longer received.
-	stopped  chan struct{}
-	running  map[request.AttemptNumber]*attempt
-	selected *attempt
+	stopped chan struct{}
+	running map[request.AttemptNumber]*attempt
+	// suspected holds the running attempts of which the recovery knows that their targets are
+	// suspected.
+	suspected map[request.AttemptNumber]bool
+	selected  *attempt
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
-	resumeCopy, retriedCopy peers.KVCopy
+	// failedCopy is the one from which the last attempt that failed was to resume.
+	resumeCopy, retriedCopy, failedCopy peers.KVCopy
 	// head is the head of the latest response with events; the caller gets that of the
 	// first events that are delivered.
 	head        *http.Response
@@ -83,12 +88,12 @@
 		exchange: e,
 		ctx:      ctx,
 		recovery: request.NewRecovery(request.RecoveryPolicy{
-			Deadline: e.deadline, ResumeTimeout: resumeTimeout, MaxAttempts: limit,
+			Deadline: e.deadline, ResumeTimeout: resumeTimeout, MaxAttempts: limit, ReplaceSuspected: true,
 		}, request.NewOutput(e.inbound.MaxTokens)),
 		updates: make(chan attemptUpdate, updateBuffer),
 		stopped: make(chan struct{}),
-		running: map[request.AttemptNumber]*attempt{},
-		timer:   time.NewTimer(time.Until(e.deadline)),
+		running: map[request.AttemptNumber]*attempt{}, suspected: map[request.AttemptNumber]bool{},
+		timer: time.NewTimer(time.Until(e.deadline)),
 	}
 	defer s.timer.Stop()
 	defer close(s.stopped)
@@ -100,6 +105,8 @@
 		select {
 		case update := <-s.updates:
 			s.handleUpdate(update)
+		case <-s.suspicionChanged:
+			s.handleSuspicions()
 		case <-s.timer.C:
 			s.handleEvent(request.Event{Type: request.EventTimer})
 		case <-ctx.Done():
@@ -147,10 +154,9 @@
 	case request.ActionStartAttempt:
 		s.startAttempt(action)
 	case request.ActionCancelAttempt:
-		if a := s.running[action.Attempt]; a != nil {
-			a.cancel()
-		}
+		s.cancelAttempt(action.Attempt)
 	case request.ActionReleaseTarget:
+		s.selected.refundCharge()
 		s.selected.release()
 		s.selected = nil
 	case request.ActionDeliver:
@@ -165,6 +171,53 @@
 	return request.Event{}, false
 }
 
+// handleSuspicions tells the recovery which targets of running attempts are suspected.
+func (s *stream) handleSuspicions() {
+	for number, a := range maps.Clone(s.running) {
+		suspected := a.suspected.Load()
+		if suspected == s.suspected[number] || s.running[number] == nil {
+			continue
+		}
+		s.suspected[number] = suspected
+		event := request.Event{Type: request.EventTrusted, Target: a.target.ID}
+		if suspected {
+			event.Type = request.EventSuspected
+		}
+		s.handleEvent(event)
+	}
+}
+
+// suspectedAttempt returns the only running attempt if its target is suspected, else nil.
+func (s *stream) suspectedAttempt() *attempt {
+	for number, a := range s.running {
+		if len(s.running) == 1 && s.suspected[number] {
+			return a
+		}
+	}
+	return nil
+}
+
+// cancelAttempt cancels an attempt. Unless the stream ends, another one goes on instead.
+func (s *stream) cancelAttempt(number request.AttemptNumber) {
+	a := s.running[number]
+	if a == nil {
+		return
+	}
+	a.cancel()
+	if s.recovery.Ended() {
+		return
+	}
+	delete(s.running, number)
+	if !s.suspected[number] {
+		return
+	}
+	if s.interruptedAt.IsZero() {
+		s.interruptedAt = time.Now()
+	}
+	s.gateway.log.Event("replaced", "request", s.inbound.ID, "target", a.target.ID, "after", time.Since(a.startedAt),
+		"events", s.recovery.Output().Len())
+}
+
 // selectTarget selects the target of the next attempt: the one that holds the KV copy
 // if there is one, else the best for prefilling the whole prompt.
 func (s *stream) selectTarget(action request.Action) request.Event {
@@ -181,6 +234,11 @@
 			return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 		}
 	}
+	if suspect := s.suspectedAttempt(); suspect != nil {
+		if usable := suspect.usableCopy(); usable != s.failedCopy {
+			s.resumeCopy = usable
+		}
+	}
 	a := s.resumeFromCopy()
 	if a == nil {
 		var err error
@@ -248,6 +306,7 @@
 func (s *stream) startAttempt(action request.Action) {
 	a := s.selected
 	s.selected = nil
+	a.replaces = len(s.running) > 0
 	s.running[action.Attempt] = a
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
 	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
@@ -259,6 +318,11 @@
 // handleUpdate passes an update of an attempt to the recovery.
 func (s *stream) handleUpdate(update attemptUpdate) {
 	switch {
+	case update.sending != nil:
+		s.handleEvent(request.Event{Type: request.EventSending, Attempt: update.number})
+		close(update.sending)
+	case s.running[update.number] == nil:
+		// It was cancelled.
 	case len(update.events) > 0:
 		s.handleTokens(update)
 	case update.complete:
@@ -285,10 +349,8 @@
 // attemptFailed records that an attempt failed. The next one can resume from its KV
 // copy if it ran for long enough that some memory was copied.
 func (s *stream) attemptFailed(update attemptUpdate) {
-	if s.running[update.number] == nil {
-		return
-	}
 	delete(s.running, update.number)
+	s.failedCopy = update.attempt.resumeFrom
 	if s.interruptedAt.IsZero() {
 		s.interruptedAt = time.Now()
 	}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -29,6 +29,8 @@
 	// noResponse is set if the request was sent and no valid response received, unless
 	// the target was marked down meanwhile.
 	noResponse bool
+	// sending is set if the attempt is about to be sent and waits until it is closed.
+	sending chan struct{}
 }
 
 // runStreamAttempt runs one attempt of a stream and sends its updates.
@@ -54,6 +56,20 @@
 			return false
 		}
 	}
+	if a.replaces {
+		a.confirmSending = func() bool {
+			sending := make(chan struct{})
+			if !send(attemptUpdate{sending: sending}) {
+				return false
+			}
+			select {
+			case <-sending:
+				return a.ctx.Err() == nil
+			case <-stopped:
+				return false
+			}
+		}
+	}
 	response, reply, outcome := a.do()
 	a.exchange.gateway.metrics.countAttempt(outcome.String())
 	if a.quarantined.Load() {
@@ -185,7 +201,7 @@
 	c.recordBroken(a)
 	result := make(chan bool, 1)
 	c.post(func() {
-		c.probeIncarnation(a.target.ID, a.target.Address, a.target.Service, func(alive bool) { result <- alive })
+		c.probeIncarnation(a.target.ID, a.target.Address, a.target.Service, func(probed probeResult) { result <- probed.alive })
 	})
 	select {
 	case alive := <-result:
--- a/request/event.go
+++ b/request/event.go
@@ -39,6 +39,11 @@
 	// EventAttached starts the request instead of EventStart, with Attempt already
 	// running on Target. The output already holds the tokens generated before.
 	EventAttached
+	// EventTrusted means that Target, which was suspected, has been active.
+	EventTrusted
+	// EventSending means that Attempt reached its target and is about to be sent. It is
+	// not sent if the resulting actions cancel it.
+	EventSending
 )
 
 // Event is one input of a Recovery.
--- a/request/property_test.go
+++ b/request/property_test.go
@@ -166,7 +166,7 @@
 func (s *simulation) randomEvent(t *rapid.T) {
 	attempts := s.runningAttempts()
 	s.now = s.now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * time.Millisecond)
-	choice := rapid.IntRange(0, 9).Draw(t, "what")
+	choice := rapid.IntRange(0, 11).Draw(t, "what")
 	if len(attempts) == 0 || choice < 2 {
 		s.replyToSelection(rapid.IntRange(0, 4).Draw(t, "found") > 0)
 		return
@@ -183,6 +183,10 @@
 		s.resendLastToken(number)
 	case 6:
 		s.sendLateToken(t)
+	case 7:
+		s.step(request.Event{Type: request.EventTrusted, Target: s.targetOf[number]})
+	case 8:
+		s.step(request.Event{Type: request.EventSending, Attempt: attempts[len(attempts)-1]})
 	default:
 		s.sendTokens(number, rapid.IntRange(1, 3).Draw(t, "count"))
 	}
@@ -250,7 +254,10 @@
 
 // runSchedule runs one random schedule and returns the violations it found.
 func runSchedule(t *rapid.T, mutate func(*simulation, request.Event) request.Event) []string {
-	s := newSimulation(request.RecoveryPolicy{Hedge: rapid.Bool().Draw(t, "hedge"), ResumeTimeout: time.Hour, MaxTokens: outputTokens})
+	s := newSimulation(request.RecoveryPolicy{
+		Hedge: rapid.Bool().Draw(t, "hedge"), ReplaceSuspected: rapid.Bool().Draw(t, "replaceSuspected"),
+		ResumeTimeout: time.Hour, MaxTokens: outputTokens,
+	})
 	s.mutate = mutate
 	s.step(request.Event{Type: request.EventStart})
 	s.replyToSelection(true)
--- a/request/recovery.go
+++ b/request/recovery.go
@@ -16,6 +16,9 @@
 	// Hedge enables a second attempt when the target is suspected, before the first
 	// attempt has failed.
 	Hedge bool
+	// ReplaceSuspected replaces the attempt at a suspected target: it goes on until another
+	// attempt is about to be sent.
+	ReplaceSuspected bool
 	// MaxTokens is the requested length. An output of this length is complete even
 	// when the end of its attempt was lost. Zero means unknown.
 	MaxTokens int
@@ -154,6 +157,10 @@
 		r.onFailed(now, event.Attempt, event.Kind)
 	case EventSuspected, EventMigrate:
 		r.onSuspectedOrMigrate(now, event)
+	case EventTrusted:
+		r.onTrusted(event.Target)
+	case EventSending:
+		r.onSending(now, event.Attempt)
 	case EventCallerDisconnected:
 		r.onCallerDisconnected(event.Kind)
 	case EventTimer:
@@ -229,7 +236,13 @@
 		return false
 	}
 	only := r.running[0]
-	return only.migrating || only.suspected && r.policy.Hedge
+	return only.migrating || only.suspected && (r.policy.Hedge || r.mayReplace())
+}
+
+// mayReplace reports whether a suspected attempt may be replaced: the last one that the
+// request has goes on instead, since its target may.
+func (r *Recovery) mayReplace() bool {
+	return r.policy.ReplaceSuspected && (r.policy.MaxAttempts == 0 || r.failures+1 < r.policy.MaxAttempts)
 }
 
 // onNoTarget ends the request when no attempt was started yet, since the selection
@@ -244,7 +257,7 @@
 			return
 		}
 	}
-	if len(r.running) > 0 {
+	if len(r.running) > 0 && !r.policy.ReplaceSuspected {
 		r.reselectAt = now.Add(secondAttemptDelay)
 		return
 	}
@@ -252,7 +265,9 @@
 		r.reselectAt = now.Add(retryBudgetDelay)
 		return
 	}
-	r.avoid = r.avoid[:0]
+	if len(r.running) == 0 {
+		r.avoid = r.avoid[:0]
+	}
 	r.reselectAt = now.Add(reselectDelay)
 }
 
@@ -408,14 +423,46 @@
 	r.selectSecondTarget(now)
 }
 
+// onTrusted records that a suspected target was active.
+func (r *Recovery) onTrusted(target TargetID) {
+	for i := range r.running {
+		if r.running[i].target == target {
+			r.running[i].suspected = false
+		}
+	}
+}
+
+// onSending decides which attempt goes on when one of two is about to be sent: the other if
+// its target is no longer suspected.
+func (r *Recovery) onSending(now time.Time, number AttemptNumber) {
+	i := r.indexOf(number)
+	if i < 0 || len(r.running) < 2 || !r.policy.ReplaceSuspected {
+		return
+	}
+	other := r.running[1-i]
+	if other.migrating {
+		return
+	}
+	if !other.suspected {
+		r.cancel(number)
+		r.running = append(r.running[:0], other)
+		return
+	}
+	r.cancel(other.number)
+	r.countFailure(now, fault.TargetLost)
+	r.running = append(r.running[:0], r.running[i])
+}
+
 // selectSecondTarget selects a target for a second attempt if one is wanted.
 func (r *Recovery) selectSecondTarget(now time.Time) {
 	switch {
 	case !r.wantsSecondAttempt() || r.attemptsExhausted() || !r.reselectAt.IsZero():
-	case r.failures+r.refusals > maxImmediateRetries:
-		r.reselectAt = now.Add(secondAttemptDelay)
-	default:
+	case r.failures+r.refusals <= maxImmediateRetries:
 		r.selectTarget()
+	case r.policy.ReplaceSuspected:
+		r.reselectAt = now.Add(reselectDelay)
+	default:
+		r.reselectAt = now.Add(secondAttemptDelay)
 	}
 }
 
--- a/request/recovery_test.go
+++ b/request/recovery_test.go
@@ -1,6 +1,7 @@
 package request_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -170,3 +171,74 @@
 	assert.Equal(t, end.Kind, fault.Quarantined)
 	assert.Equal(t, recovery.WasRun(), request.RunUnknown)
 }
+
+// suspectedRequest returns the recovery of a request whose only attempt runs at t1, which was
+// suspected after the first token, and the actions that followed.
+func suspectedRequest(now time.Time, maxAttempts int) (*request.Recovery, []request.Action) {
+	recovery := request.NewRecovery(request.RecoveryPolicy{
+		ResumeTimeout: time.Second, MaxAttempts: maxAttempts, ReplaceSuspected: true,
+	}, request.NewOutput(10))
+	recovery.Step(now, request.Event{Type: request.EventStart})
+	recovery.Step(now, request.Event{Type: request.EventTargetSelected, Target: "t1"})
+	recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Tokens: []request.TokenID{7}})
+	return recovery, recovery.Step(now, request.Event{Type: request.EventSuspected, Target: "t1"})
+}
+
+func hasAction(actions []request.Action, actionType request.ActionType) bool {
+	return slices.ContainsFunc(actions, func(a request.Action) bool { return a.Type == actionType })
+}
+
+// Load: targets that are sound and silent for longer than the resume timeout, while no other
+// can be tried.
+func TestRecovery_SuspectedAttemptGoesOnWithoutAnother(t *testing.T) {
+	now := time.Unix(1, 0)
+	recovery, actions := suspectedRequest(now, 5)
+	for range 40 {
+		assert.Assert(t, hasAction(actions, request.ActionSelectTarget))
+		actions = recovery.Step(now, request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted})
+		assert.Equal(t, last(actions).Type, request.ActionSetTimer)
+		now = last(actions).At
+		actions = recovery.Step(now, request.Event{Type: request.EventTimer})
+	}
+	assert.Assert(t, !recovery.Ended())
+	actions = recovery.Step(now, request.Event{Type: request.EventTokens, Attempt: 1, Position: 1, Tokens: []request.TokenID{8}})
+	assert.Assert(t, hasAction(actions, request.ActionDeliver))
+}
+
+func TestRecovery_LastAttemptIsNotReplaced(t *testing.T) {
+	recovery, actions := suspectedRequest(time.Unix(1, 0), 1)
+	assert.Assert(t, !hasAction(actions, request.ActionSelectTarget))
+	assert.Assert(t, !recovery.Ended())
+}
+
+// The suspected attempt ends when the other one is sent, not before, so that one of them always
+// runs and never both for long.
+func TestRecovery_SuspectedAttemptEndsWhenAnotherIsSent(t *testing.T) {
+	now := time.Unix(1, 0)
+	recovery, actions := suspectedRequest(now, 5)
+	assert.Assert(t, hasAction(actions, request.ActionSelectTarget))
+	actions = recovery.Step(now, request.Event{Type: request.EventTargetSelected, Target: "t2"})
+	assert.Assert(t, hasAction(actions, request.ActionStartAttempt))
+	assert.Assert(t, !hasAction(actions, request.ActionCancelAttempt))
+	actions = recovery.Step(now, request.Event{Type: request.EventSending, Attempt: 2})
+	assert.Equal(t, actions[0].Type, request.ActionCancelAttempt)
+	assert.Equal(t, actions[0].Attempt, request.AttemptNumber(1))
+}
+
+func TestRecovery_TargetThatSpeaksAgainKeepsItsAttempt(t *testing.T) {
+	for name, event := range map[string]request.Event{
+		"answers a probe": {Type: request.EventTrusted, Target: "t1"},
+		"sends a token":   {Type: request.EventTokens, Attempt: 1, Position: 1, Tokens: []request.TokenID{8}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1, 0)
+			recovery, _ := suspectedRequest(now, 5)
+			recovery.Step(now, request.Event{Type: request.EventTargetSelected, Target: "t2"})
+			actions := slices.Clone(recovery.Step(now, event))
+			actions = append(actions, recovery.Step(now, request.Event{Type: request.EventSending, Attempt: 2})...)
+			i := slices.IndexFunc(actions, func(a request.Action) bool { return a.Type == request.ActionCancelAttempt })
+			assert.Assert(t, i >= 0)
+			assert.Equal(t, actions[i].Attempt, request.AttemptNumber(2))
+		})
+	}
+}
