Planned stop: the time for the last responses is part of the plan

By the constants: with a grace period of 1.4 s or less the entry was killed while it still waited for the last responses to be written, and on a host that stands still for a tenth of a second 150 ms may be too short for them, while 350 ms of an 8 s grace period were left unused.

Cause: the time for these responses was a constant of the gateway, 0.15 s after the end that the plan sets, whatever the grace period.

Change: shutdown.Plan.Close says when all connections are closed: in the middle of what the plan reserves at the end of the grace period (0.25 s after the end for 0.5 s). An entry whose requests have ended does not wait for it.

Evidence: TestPlan_ResponsesAreWrittenBeforeTheProcessIsKilled. It has no counterpart on the code before, where End() + 150 ms is after the end of a grace period of 1 s (0.9 s + 0.15 s).

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -127,10 +127,6 @@
 // errStopping is the error of work that is cancelled because the process is stopping.
 var errStopping = errors.New("the process is stopping")
 
-// responseFlushTime is how long requests that are ended by a planned stop have for writing
-// their responses.
-const responseFlushTime = 150 * time.Millisecond
-
 // Stop keeps serving until callers have moved to other entries and running requests
 // have ended, but no longer than the grace period.
 func (g *Gateway) Stop(context.Context) error {
@@ -145,9 +141,9 @@
 	if err := g.ingress.shutdown(untilEnd); err != nil {
 		g.log.Event("cut_off", "running", g.activeRequests.count())
 		g.endRequests()
-		flush, cancelFlush := context.WithTimeout(g.background, responseFlushTime)
-		defer cancelFlush()
-		if err := g.ingress.shutdown(flush); err != nil {
+		untilClose, cancelClose := context.WithDeadline(g.background, plan.Close())
+		defer cancelClose()
+		if err := g.ingress.shutdown(untilClose); err != nil {
 			g.recordConnectionsClosed()
 		}
 	}
--- a/process/shutdown/shutdown.go
+++ b/process/shutdown/shutdown.go
@@ -22,6 +22,9 @@
 	exitTime = 500 * time.Millisecond
 	// exitTimeShare limits exitTime to this fraction of a short grace period.
 	exitTimeShare = 0.1
+	// responseShare is the fraction of exitTime in which requests that are ended write their
+	// responses.
+	responseShare = 0.5
 	// unknownDurationShare is the fraction of the grace period in which repeatable requests
 	// of unknown duration are accepted.
 	unknownDurationShare = 0.125
@@ -76,6 +79,13 @@
 	return p.start.Add(p.grace - share(p.grace, exitTime, exitTimeShare))
 }
 
+// Close returns when all connections are closed, also those of requests that were ended and
+// have not written their responses.
+func (p *Plan) Close() time.Time {
+	exit := share(p.grace, exitTime, exitTimeShare)
+	return p.End().Add(time.Duration(responseShare * float64(exit)))
+}
+
 func share(grace, limit time.Duration, fraction float64) time.Duration {
 	return min(limit, time.Duration(fraction*float64(grace)))
 }
--- a/process/shutdown/shutdown_test.go
+++ b/process/shutdown/shutdown_test.go
@@ -156,3 +156,17 @@
 		assert.Assert(t, tooEarly*100 <= accepted, "%s: %d of %d cut off before they could be handed over", load.name, tooEarly, accepted)
 	}
 }
+
+// Requests that the end of the stop cuts off write their responses before the process is
+// killed, also on a host that stands still for a tenth of a second.
+func TestPlan_ResponsesAreWrittenBeforeTheProcessIsKilled(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, testGrace, time.Minute} {
+		plan := NewPlan(start, grace)
+		assert.Assert(t, plan.Close().After(plan.End()), "%s", grace)
+		assert.Assert(t, plan.Close().Before(start.Add(grace)), "%s", grace)
+	}
+	plan := NewPlan(start, testGrace)
+	assert.Assert(t, plan.Close().Sub(plan.End()) > 200*time.Millisecond)
+	assert.Assert(t, start.Add(testGrace).Sub(plan.Close()) > 200*time.Millisecond)
+}
