Tests of planned stops: a stream that is cut off must not look whole

The tests of streams that go on at another entry ended the first part at any error, also at one that looks like the end of a whole stream. They now require a response that breaks off.

--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -296,11 +296,14 @@
 	})
 }
 
-// readUntilBroken reads events until the stream breaks off, and returns the ID of the last one.
-func (r *streamReader) readUntilBroken() (last int) {
+// readUntilBroken reads events until the stream breaks off, which must not look like its end,
+// and returns the ID of the last one.
+func (r *streamReader) readUntilBroken(t *testing.T) (last int) {
+	t.Helper()
 	for {
 		event, err := r.stream.Next()
 		if err != nil {
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 			return last
 		}
 		last = event.ID
@@ -323,7 +326,7 @@
 		}
 		stopped := make(chan error, 1)
 		go func() { stopped <- d.gateway.Stop(context.Background()) }()
-		last := d.reader.readUntilBroken()
+		last := d.reader.readUntilBroken(t)
 		retry := streamRequest()
 		retry.Position, retry.PromptID = last, d.req.AttemptID
 		rest := d.openStream(context.Background(), second, retry)
@@ -351,7 +354,7 @@
 	req := streamRequest()
 	reader := d.openStream(context.Background(), d.gateway, req)
 	assert.Equal(t, reader.response.StatusCode, http.StatusOK)
-	last := reader.readUntilBroken()
+	last := reader.readUntilBroken(t)
 	retry := streamRequest()
 	retry.Position, retry.PromptID = last, req.AttemptID
 	d.openStream(context.Background(), second, retry).skipTo(t, 60)
