Test: silence of new connections alone moves no running stream

What callers saw: a stream whose events kept coming was cut off from its target and read its prompt again, because one connection for another request could not be opened in time.

Cause: one connection that was not opened led to a probe on another new one; without an answer to it, all attempts at the target were cancelled, also those with events in between.

--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/platform"
@@ -22,6 +23,8 @@
 type pausingLink struct {
 	net.Listener
 	mu sync.RWMutex
+	// accepting is held while no new connections are accepted.
+	accepting sync.Mutex
 }
 
 func newPausingLink(t *testing.T) *pausingLink {
@@ -38,7 +41,9 @@
 		if err != nil {
 			return
 		}
+		l.accepting.Lock()
 		go l.connect(from, to)
+		l.accepting.Unlock()
 	}
 }
 
@@ -196,3 +201,44 @@
 	g.control.do(func() { g.control.recordProbe("a1", probeResult{startedAt: time.Now()}) })
 	assert.Equal(t, (<-response).status, http.StatusOK)
 }
+
+// holdNewConnections lets no connection be opened until release is called, as a host does whose
+// kernel drops the packets that open them. Open connections go on.
+func (l *pausingLink) holdNewConnections(t *testing.T) (release func()) {
+	t.Helper()
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	setBacklog := func(n int) {
+		assert.Check(t, raw.Control(func(fd uintptr) { assert.Check(t, unix.Listen(int(fd), n)) }))
+	}
+	l.accepting.Lock()
+	setBacklog(0)
+	// The first one is accepted and held, the next ones fill the queue.
+	for range 3 {
+		if conn, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}
+	return func() {
+		setBacklog(128)
+		l.accepting.Unlock()
+	}
+}
+
+func TestSilence_OfNewConnectionsMovesNoRunningStream(t *testing.T) {
+	d := newDeployment(t)
+	link := d.startBehindLink(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: 60,
+		PrefillTime: 60 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	running := streamRequest()
+	r := d.openStream(context.Background(), g, running)
+	r.skipTo(t, 5)
+	time.AfterFunc(silence, link.holdNewConnections(t))
+	g.pool.CloseIdle(link.Addr().String())
+	response := d.send(g, streamRequest())
+	assert.Assert(t, response.complete)
+	r.skipTo(t, 60)
+	assert.Equal(t, len(d.fleet.ExecutionLog.Executions(running.AttemptID)), 1)
+}
