A log event and a counter for callers' connections closed as idle

Cause of the gap: http.Server closes idle connections by itself. Change: the listener of callers' connections reports each idle close: how long the connection was idle, the limit then, how many requests it had carried, and whether data arrived after the close, for which the closed connection is read for up to half a second more (until its caller closes it). The gateway logs it as idle_connection_closed and counts it.

Ruled out: an event for each idle connection that callers close, which says nothing of a loss.

Evidence: TestIdleClose_IsReported does not build on the code before (no such report).

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -21,14 +21,33 @@
 // the listener was about to close: closing it would reset them.
 const acceptQueueTime = 20 * time.Millisecond
 
+// lateRequestTime is how long a connection that was closed as idle is still read, so that a
+// request that crossed the close is known. Most callers close their side much sooner.
+const lateRequestTime = 500 * time.Millisecond
+
 // defaultLinger is the SetLinger argument with which the operating system sends what is left
 // after a connection was closed.
 const defaultLinger = -1
 
+// IdleClose is the close of an idle connection.
+type IdleClose struct {
+	// Idle is how long the connection was idle after its last response, Limit how long it may
+	// be. Requests counts the requests that it carried.
+	Idle, Limit time.Duration
+	Requests    int
+	// LateRequest is set if data arrived after the close: the caller used the connection
+	// before it knew. Stopping is set if the connection was closed because the server stops;
+	// data that arrives then is not watched for.
+	LateRequest, Stopping bool
+}
+
 // Listener accepts the connections of one or more http.Servers and keeps track of them. The
 // servers must call its ConnState.
 type Listener struct {
 	net.Listener
+	// OnIdleClose, if set, is called for each idle connection that was closed. It must be set
+	// before the first connection is accepted.
+	OnIdleClose func(IdleClose)
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -100,8 +119,10 @@
 	switch state {
 	case http.StateIdle:
 		tracked.served, tracked.reading = true, false
+		tracked.idleSince = time.Now()
 	case http.StateActive:
 		tracked.reading = true
+		tracked.requests++
 	}
 	l.mu.Unlock()
 	switch {
@@ -146,7 +167,7 @@
 	l.draining = true
 	var idle []*conn
 	for c := range l.open {
-		if c.served && !c.reading {
+		if c.idle() && !c.closed {
 			idle = append(idle, c)
 		}
 	}
@@ -211,16 +232,37 @@
 	// one, or a request that was read before. closing is set when the connection is closed as
 	// idle: what is read later is discarded.
 	served, reading, closing bool
+	// expired is set when the idle timeout of the server, idleTimeout, has passed.
+	expired     bool
+	idleSince   time.Time
+	idleTimeout time.Duration
+	requests    int
+	// closed is set when the connection is being closed.
+	closed bool
 }
 
+// SetReadDeadline implements net.Conn. The server sets its idle timeout with it.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	if c.idle() && !t.IsZero() {
+		c.idleTimeout = t.Sub(c.idleSince)
+	}
+	c.listener.mu.Unlock()
+	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // net.Conn
+}
+
+// idle must be called with the lock held.
+func (c *conn) idle() bool { return c.served && !c.reading }
+
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	if n == 0 {
+		c.expired = c.idle() && errors.Is(err, os.ErrDeadlineExceeded)
 		return 0, err //nolint:wrapcheck // net.Conn
 	}
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	if c.closing {
 		return 0, net.ErrClosed
 	}
@@ -272,10 +314,34 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	report := !c.closed && (c.expired || c.closing) && c.listener.OnIdleClose != nil
+	c.closed = true
+	closed := IdleClose{
+		Idle: time.Since(c.idleSince).Round(time.Millisecond), Limit: c.idleTimeout.Round(time.Millisecond),
+		Requests: c.requests, Stopping: c.closing,
+	}
+	c.listener.mu.Unlock()
+	if report && !closed.Stopping {
+		closed.LateRequest = c.receivesLateRequest()
+	}
 	err := c.Conn.Close()
+	if report {
+		c.listener.OnIdleClose(closed)
+	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	delete(c.listener.open, c)
 	c.listener.signalIfDrained()
 	return err //nolint:wrapcheck // net.Conn
 }
+
+// receivesLateRequest closes the writing side and reports whether data arrives before the
+// caller has closed the other one.
+func (c *conn) receivesLateRequest() bool {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lateRequestTime)) != nil {
+		return false
+	}
+	n, _ := c.Conn.Read(make([]byte, 1))
+	return n > 0
+}
--- a/connection/graceful/listener_test.go
+++ b/connection/graceful/listener_test.go
@@ -309,3 +309,64 @@
 	receive()
 	assert.NilError(t, l.Drain(t.Context()))
 }
+
+// startIdleServer starts a server that closes idle connections after timeout, and returns the
+// closes that its listener reports.
+func startIdleServer(t *testing.T, timeout time.Duration) (*Listener, <-chan IdleClose) {
+	t.Helper()
+	inner, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(t, err)
+	l, closes := NewListener(inner), make(chan IdleClose, 1)
+	l.OnIdleClose = func(c IdleClose) { closes <- c }
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: l.ConnState, IdleTimeout: timeout}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l, closes
+}
+
+// Operators could not see that the entry had closed the connection of a request that got no
+// response.
+func TestIdleClose_IsReported(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	l, closes := startIdleServer(t, timeout)
+	for _, late := range []bool{false, true} {
+		c := dial(t, l)
+		for range 3 {
+			assert.NilError(t, exchange(c))
+		}
+		expectClosed(t, c)
+		if late {
+			_, err := io.WriteString(c, requestText)
+			assert.NilError(t, err)
+		} else {
+			assert.NilError(t, c.Close())
+		}
+		closed := <-closes
+		assert.Assert(t, closed.Idle >= timeout, "%s", closed.Idle)
+		closed.Idle = 0
+		assert.Equal(t, closed, IdleClose{Limit: timeout, Requests: 3, LateRequest: late})
+	}
+}
+
+// A connection that its caller closed was not closed as idle.
+func TestIdleClose_ByCallerIsNotReported(t *testing.T) {
+	l, closes := startIdleServer(t, time.Minute)
+	c := dial(t, l)
+	assert.NilError(t, exchange(c))
+	assert.NilError(t, c.Close())
+	for l.Connections() != (Connections{}) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, len(closes), 0)
+}
+
+func TestIdleClose_ByDrainIsReported(t *testing.T) {
+	l, closes := startIdleServer(t, time.Minute)
+	c := dial(t, l)
+	assert.NilError(t, exchange(c))
+	l.StopAccepting()
+	assert.NilError(t, l.Drain(t.Context()))
+	closed := <-closes
+	closed.Idle = 0
+	assert.Equal(t, closed, IdleClose{Limit: time.Minute, Requests: 1, Stopping: true})
+}
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -80,6 +80,7 @@
 		*open.listener = listener
 	}
 	i.callerListener = graceful.NewListener(callers)
+	i.callerListener.OnIdleClose = i.gateway.recordIdleClose
 	i.applyLimits(defaultLimits)
 	health := http.NewServeMux()
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
@@ -169,6 +170,13 @@
 	}
 }
 
+// recordIdleClose logs and counts that the connection of a caller was closed as idle.
+func (g *Gateway) recordIdleClose(closed graceful.IdleClose) {
+	g.metrics.countIdleClose(closed.LateRequest, closed.Stopping)
+	g.log.Event("idle_connection_closed", "idle", closed.Idle, "limit", closed.Limit, "requests", closed.Requests,
+		"lateRequest", closed.LateRequest, "stopping", closed.Stopping)
+}
+
 // shutdown accepts no more connections, closes idle ones, and the others after the response
 // in progress. It returns an error if ctx ends before all are closed.
 func (i *ingress) shutdown(ctx context.Context) error {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -30,6 +30,7 @@
 	panics            metric.Int64Counter
 	partsQuarantined  metric.Int64Counter
 	stopping          metric.Int64Counter
+	idleCloses        metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -54,6 +55,7 @@
 		partsQuarantined:  b.Counter("mulberrylane.prompt.parts.quarantined", "Prompt parts put in quarantine because engines crashed on them"),
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
+		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -135,6 +137,12 @@
 	m.stopping.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
 }
 
+// countIdleClose counts a connection of a caller that was closed as idle.
+func (m *instruments) countIdleClose(lateRequest, stopping bool) {
+	m.idleCloses.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.Bool("late_request", lateRequest), attribute.Bool("stopping", stopping)))
+}
+
 func (m *instruments) countAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
