Callers' connections: idle times are announced, and limits apply while they are open

Callers saw a request end with its connection, without a response, in calm: the entry closed the connection as idle (15 s) within a few ms of the request's arrival. A caller that counted on a grown idle timeout or a grown header limit was cut, or refused with 431, on a connection accepted before.

Causes: callers were not told how long a connection is kept; http.Server closes when its timer fires, also if the request is in the kernel by then; its limits are those of its start, so each set of limits had a server of its own, which was kept for good.

Change: connection/keepalive decides (plain, replayed by tests) when a connection may be closed and what is announced; connection/graceful applies it, in the goroutine that reads. Responses carry Keep-Alive with four fifths of the idle timeout in whole seconds, unless the connection is going to be closed; the time counts from the end of the response. The limits in force apply to open connections; what has begun, or was announced, under looser ones keeps those. When a timer fires, a request that has arrived is served. The time for a head counts from its first byte: a connection without a request yet is kept as long as an idle one (it was 3 s from accept), but no longer than the time for a head once the entry stops. Heads are bounded before they are buffered, as before. There is one http.Server; mlentry does the same with its settings.

Ruled out: a longer idle timeout than announced, which would take the limit from operators; timers of our own that close from another goroutine, which must know what the server has read.

--- a/bench/fleet/stop_test.go
+++ b/bench/fleet/stop_test.go
@@ -220,3 +220,14 @@
 	assert.NilError(t, ctx.Err())
 	assert.Assert(t, f.Members[0].Engine.Work().DecodedTokens < longOutputTokens)
 }
+
+// Callers used connections until the entry closed them, which cost some a response.
+func TestIdleTimeout_CallersAreTold(t *testing.T) {
+	f := startTwoEntries(t, 1, nil)
+	for _, path := range []string{"/health", "/v1/models", "/unknown"} {
+		response, err := http.Get(f.URL(0) + path)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.Header.Get("Keep-Alive"), "timeout=96", path)
+	}
+}
--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -1,26 +1,45 @@
-// Package graceful ends the connections of a server that stops. http.Server.Shutdown closes
-// a connection without a response when it reads the first request after it was called, or
-// when a request has been read in part. A Listener closes a connection only while no byte of
-// a request has arrived.
+// Package graceful closes callers' connections without cutting off requests. http.Server closes
+// an idle connection when its timer fires, also if a request has arrived by then, keeps the
+// limits with which it was started, and when it shuts down it closes a connection without a
+// response that reads its first request then, or has read a part of one. A Listener has limits
+// that can be changed, applies them to open connections, and closes one only while no byte of a
+// request has arrived.
 package graceful
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mulberrylane/mulberrylane/connection/keepalive"
 )
 
 // acceptQueueTime is how long connections are still accepted that the kernel had queued when
 // the listener was about to close: closing it would reset them.
 const acceptQueueTime = 20 * time.Millisecond
 
+// headSlopBytes is how much more than the head of a request may be read with it: a part of its
+// body.
+const headSlopBytes = 4096
+
+// backgroundReadBytes is how much http.Server reads while it handles a request, to learn whether
+// the caller is still there. Other reads ask for more.
+const backgroundReadBytes = 1
+
+// refusalTime is how long the rest of a request is read whose head was refused.
+const refusalTime = 500 * time.Millisecond
+
 // lateRequestTime is how long a connection that was closed as idle is still read, so that a
 // request that crossed the close is known. Most callers close their side much sooner.
 const lateRequestTime = 500 * time.Millisecond
@@ -31,8 +50,8 @@
 
 // IdleClose is the close of an idle connection.
 type IdleClose struct {
-	// Idle is how long the connection was idle after its last response, Limit how long it may
-	// be. Requests counts the requests that it carried.
+	// Idle is how long the connection was idle after its last response, or after it was accepted,
+	// Limit how long it may be. Requests counts the requests that it carried.
 	Idle, Limit time.Duration
 	Requests    int
 	// LateRequest is set if data arrived after the close: the caller used the connection
@@ -41,20 +60,22 @@
 	LateRequest, Stopping bool
 }
 
-// Listener accepts the connections of one or more http.Servers and keeps track of them. The
-// servers must call its ConnState.
+// Listener accepts the connections of an http.Server and keeps track of them. The server must
+// call its ConnState and ConnContext, and have no timeouts and no limit of its own; see
+// ConfigureServer.
 type Listener struct {
 	net.Listener
 	// OnIdleClose, if set, is called for each idle connection that was closed. It must be set
 	// before the first connection is accepted.
 	OnIdleClose func(IdleClose)
 
-	mu   sync.Mutex
-	open map[*conn]struct{}
-	// draining is set when idle connections are closed, drained is closed when no
-	// connections are open any more.
-	draining bool
-	drained  chan struct{}
+	mu     sync.Mutex
+	open   map[*conn]struct{}
+	limits keepalive.Limits
+	// drainingSince is when idle connections were first closed because the server stops.
+	// drained is closed when no connections are open any more.
+	drainingSince time.Time
+	drained       chan struct{}
 	// closed is closed when the listener is closed.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -64,6 +85,31 @@
 func NewListener(inner net.Listener) *Listener {
 	return &Listener{
 		Listener: inner, open: map[*conn]struct{}{}, drained: make(chan struct{}), closed: make(chan struct{}),
+		limits: keepalive.Limits{HeaderBytes: http.DefaultMaxHeaderBytes},
+	}
+}
+
+// ConfigureServer prepares a server whose connections l accepts: l applies the limits.
+func (l *Listener) ConfigureServer(server *http.Server) {
+	server.ConnState, server.ConnContext = l.ConnState, l.ConnContext
+	server.ReadHeaderTimeout, server.ReadTimeout, server.IdleTimeout = 0, 0, -1
+	server.MaxHeaderBytes = math.MaxInt32
+}
+
+// SetLimits changes the limits of all connections, also of those that are open. What a caller
+// may already count on is not taken away.
+func (l *Listener) SetLimits(limits keepalive.Limits) {
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = http.DefaultMaxHeaderBytes
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limits == l.limits {
+		return
+	}
+	l.limits = limits
+	for c := range l.open {
+		c.setDeadline()
 	}
 }
 
@@ -78,10 +124,11 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // net.Listener
 	}
-	c := &conn{Conn: accepted, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c := &conn{Conn: accepted, listener: l, state: keepalive.NewConnection(time.Now(), l.limits)}
 	l.open[c] = struct{}{}
+	c.setDeadline()
 	return c, nil
 }
 
@@ -107,39 +154,54 @@
 	_ = l.Close()
 }
 
-// ConnState is the ConnState hook of the servers. It ends a connection whose next request was
-// read before the connection was closed as idle: a caller sent both at once.
+// ConnState is the ConnState hook of the server.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
 	if !ok {
 		return
 	}
 	l.mu.Lock()
-	draining, closing := l.draining, tracked.closing
+	defer l.mu.Unlock()
 	switch state {
-	case http.StateIdle:
-		tracked.served, tracked.reading = true, false
-		tracked.idleSince = time.Now()
 	case http.StateActive:
-		tracked.reading = true
-		tracked.requests++
-	}
-	l.mu.Unlock()
-	switch {
-	case state == http.StateIdle && draining:
-		tracked.closeIdle()
-	case state == http.StateActive && closing:
-		panic(http.ErrAbortHandler)
+		tracked.state.HeadRead()
+		_ = tracked.Conn.SetReadDeadline(time.Time{})
+	case http.StateIdle:
+		tracked.state.ResponseSent(time.Now(), l.limits)
+		tracked.setDeadline()
 	}
 }
 
 type contextKey struct{}
 
-// ConnContext is the ConnContext hook of the servers; SetReset needs it.
+// ConnContext is the ConnContext hook of the server; Announce and SetReset need it.
 func (*Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
+// Announce tells a caller in the header of a response for how long it may use its connection
+// again, unless the connection is going to be closed. It is called before the header is written.
+func Announce(r *http.Request, header http.Header) {
+	const field = "Keep-Alive"
+	tracked, _ := r.Context().Value(contextKey{}).(*conn)
+	if tracked == nil {
+		return
+	}
+	header.Del(field)
+	// The end of the connection ends a response of unknown length to HTTP/1.0.
+	endsWithConnection := !r.ProtoAtLeast(1, 1) && header.Get("Content-Length") == ""
+	if r.Close || endsWithConnection || header.Get("Connection") == "close" {
+		return
+	}
+	l := tracked.listener
+	l.mu.Lock()
+	seconds := tracked.state.Announce(l.limits)
+	l.mu.Unlock()
+	if seconds > 0 {
+		header.Set(field, "timeout="+strconv.Itoa(seconds))
+	}
+}
+
 // SetReset sets whether the connection of a request is reset when it is closed, also by the
 // end of the process. A response that ends with its connection looks complete otherwise.
 func SetReset(ctx context.Context, reset bool) {
@@ -160,22 +222,18 @@
 }
 
 // Drain closes the connections that are idle, and the others once they are. A connection
-// that has carried no request yet is left open for its first one. Drain returns when no
-// connections are open, or with an error when ctx ends.
+// that has carried no request yet is left open for its first one, for as long as the head of a
+// request may take. Drain returns when no connections are open, or with an error when ctx ends.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.mu.Lock()
-	l.draining = true
-	var idle []*conn
+	if l.drainingSince.IsZero() {
+		l.drainingSince = time.Now()
+	}
 	for c := range l.open {
-		if c.idle() && !c.closed {
-			idle = append(idle, c)
-		}
+		c.setDeadline()
 	}
 	l.signalIfDrained()
 	l.mu.Unlock()
-	for _, c := range idle {
-		c.closeIdle()
-	}
 	select {
 	case <-l.drained:
 		return nil
@@ -197,13 +255,13 @@
 	defer l.mu.Unlock()
 	var counts Connections
 	for c := range l.open {
-		switch {
-		case c.reading:
-			counts.InUse++
-		case c.served:
+		switch c.state.Phase() {
+		case keepalive.Unused:
+			counts.Unused++
+		case keepalive.Idle:
 			counts.Idle++
 		default:
-			counts.Unused++
+			counts.InUse++
 		}
 	}
 	return counts
@@ -211,7 +269,7 @@
 
 // signalIfDrained must be called with the lock held.
 func (l *Listener) signalIfDrained() {
-	if !l.draining || len(l.open) > 0 {
+	if l.drainingSince.IsZero() || len(l.open) > 0 {
 		return
 	}
 	select {
@@ -221,53 +279,115 @@
 	}
 }
 
-// conn is an accepted connection.
+// conn is an accepted connection. Only the goroutine that reads from it closes it as idle.
 type conn struct {
 	net.Conn
 	listener *Listener
 
 	// The lock of the listener guards the fields below.
 
-	// served is set after the first response, reading when a byte was read after the last
-	// one, or a request that was read before. closing is set when the connection is closed as
-	// idle: what is read later is discarded.
-	served, reading, closing bool
-	// expired is set when the idle timeout of the server, idleTimeout, has passed.
-	expired     bool
-	idleSince   time.Time
-	idleTimeout time.Duration
-	requests    int
-	// closed is set when the connection is being closed.
-	closed bool
+	state keepalive.Connection
+	// expired is set when the connection is to be closed as idle, closed when it is being
+	// closed.
+	expired, closed bool
 }
 
-// SetReadDeadline implements net.Conn. The server sets its idle timeout with it.
+// SetReadDeadline implements net.Conn. Between a response and the end of the next request's
+// head, the listener sets the deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.listener.mu.Lock()
-	if c.idle() && !t.IsZero() {
-		c.idleTimeout = t.Sub(c.idleSince)
+	defer c.listener.mu.Unlock()
+	if c.state.Phase() != keepalive.InUse {
+		return nil
 	}
-	c.listener.mu.Unlock()
 	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // net.Conn
 }
 
-// idle must be called with the lock held.
-func (c *conn) idle() bool { return c.served && !c.reading }
+// setDeadline ends the wait for data when the connection may be closed. It must be called with
+// the lock held.
+func (c *conn) setDeadline() {
+	if c.state.Phase() != keepalive.InUse && !c.closed {
+		_ = c.Conn.SetReadDeadline(c.state.Expires(c.listener.limits, c.listener.drainingSince))
+	}
+}
 
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	for {
+		c.listener.mu.Lock()
+		left, limited := c.state.HeadBytesLeft(c.listener.limits)
+		c.listener.mu.Unlock()
+		if limited && left+headSlopBytes <= 0 {
+			c.refuseHead()
+			return 0, io.EOF
+		}
+		if limited {
+			buffer = buffer[:min(len(buffer), left+headSlopBytes)]
+		}
+		n, err := c.Conn.Read(buffer)
+		if n > 0 {
+			c.received(n, len(buffer) == backgroundReadBytes)
+			return n, err //nolint:wrapcheck // net.Conn
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepWaiting() {
+			return 0, err //nolint:wrapcheck // net.Conn
+		}
+	}
+}
+
+func (c *conn) received(count int, inBackground bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if n == 0 {
-		c.expired = c.idle() && errors.Is(err, os.ErrDeadlineExceeded)
-		return 0, err //nolint:wrapcheck // net.Conn
+	if c.state.Phase() == keepalive.InUse {
+		if inBackground {
+			c.state.ReceivedAhead()
+		}
+		return
+	}
+	c.state.Received(time.Now(), count, c.listener.limits)
+	c.setDeadline()
+}
+
+// keepWaiting reports whether a read whose deadline has passed is to be repeated: the connection
+// may be kept for longer by now, or data has arrived, on a busy host long ago.
+func (c *conn) keepWaiting() bool {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	phase := c.state.Phase()
+	if phase == keepalive.InUse || c.closed {
+		return false
+	}
+	expires := c.state.Expires(l.limits, l.drainingSince)
+	if expires.IsZero() || time.Now().Before(expires) {
+		c.setDeadline()
+		return true
 	}
-	if c.closing {
-		return 0, net.ErrClosed
+	if c.hasUnreadData() {
+		// The read does not wait, and the deadline is set again afterwards.
+		return c.Conn.SetReadDeadline(time.Time{}) == nil
+	}
+	c.expired = phase != keepalive.ReadingHead
+	return false
+}
+
+// refuseHead responds to a request whose head is too long, and discards the rest for a while:
+// data that is not read when the connection is closed would reset it before the caller has the
+// response.
+func (c *conn) refuseHead() {
+	c.listener.mu.Lock()
+	err := c.SetDeadline(time.Now().Add(refusalTime))
+	c.listener.mu.Unlock()
+	if err != nil {
+		return
+	}
+	const code = http.StatusRequestHeaderFieldsTooLarge
+	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", code, http.StatusText(code)); err != nil {
+		return
+	}
+	if c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
 	}
-	c.reading = true
-	return n, err //nolint:wrapcheck // net.Conn
 }
 
 // hasUnreadData reports whether data has arrived that was not read yet, as happens on a busy
@@ -289,20 +409,6 @@
 	return err == nil && unread
 }
 
-// closeIdle closes a connection that was idle, unless a request has arrived.
-func (c *conn) closeIdle() {
-	if c.hasUnreadData() {
-		return
-	}
-	c.listener.mu.Lock()
-	closing := !c.reading
-	c.closing = closing
-	c.listener.mu.Unlock()
-	if closing {
-		_ = c.Close()
-	}
-}
-
 // CloseWrite closes the writing side, which http.Server does before it closes a connection
 // whose request was not read whole.
 func (c *conn) CloseWrite() error {
@@ -315,11 +421,12 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
-	report := !c.closed && (c.expired || c.closing) && c.listener.OnIdleClose != nil
+	report := c.expired && !c.closed && c.listener.OnIdleClose != nil
 	c.closed = true
 	closed := IdleClose{
-		Idle: time.Since(c.idleSince).Round(time.Millisecond), Limit: c.idleTimeout.Round(time.Millisecond),
-		Requests: c.requests, Stopping: c.closing,
+		Idle:     time.Since(c.state.Since()).Round(time.Millisecond),
+		Limit:    c.state.IdleTimeout(c.listener.limits),
+		Requests: c.state.Requests(), Stopping: !c.listener.drainingSince.IsZero(),
 	}
 	c.listener.mu.Unlock()
 	if report && !closed.Stopping {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/keepalive"
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/outside"
@@ -147,13 +148,13 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	e.listener = graceful.NewListener(listener)
-	e.server = &http.Server{
-		Handler:           e.router(),
-		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: e.settings.Limits.CallerWriteTimeout.Std(),
-		IdleTimeout:       e.settings.Limits.IdleTimeout.Std(),
-		ConnState:         e.listener.ConnState,
-	}
+	e.listener.SetLimits(keepalive.Limits{
+		HeaderBytes:   e.settings.Limits.MaxHeaderBytes,
+		HeaderTimeout: e.settings.Limits.CallerWriteTimeout.Std(),
+		IdleTimeout:   e.settings.Limits.IdleTimeout.Std(),
+	})
+	e.server = &http.Server{Handler: e.router()}
+	e.listener.ConfigureServer(e.server)
 	return nil
 }
 
@@ -198,7 +199,7 @@
 	router.HandleMethodNotAllowed = true
 	router.NoRoute(noRoute)
 	router.NoMethod(noRoute)
-	router.Use(gin.CustomRecoveryWithWriter(io.Discard, handlePanic), e.closeWhileDraining, e.limitBody)
+	router.Use(gin.CustomRecoveryWithWriter(io.Discard, handlePanic), e.setConnectionHeader, e.limitBody)
 	router.GET("/health", func(c *gin.Context) { c.Status(http.StatusOK) })
 	router.GET("/ready", e.ready)
 	v1 := router.Group("/v1", e.authenticate)
@@ -210,11 +211,13 @@
 	return router
 }
 
-// closeWhileDraining makes callers open a connection to another entry for their next request.
-func (e *Entry) closeWhileDraining(c *gin.Context) {
+// setConnectionHeader tells callers for how long they may use their connections again. While the
+// entry drains they are to open one to another entry for their next request.
+func (e *Entry) setConnectionHeader(c *gin.Context) {
 	if e.draining.Load() {
 		c.Header("Connection", "close")
 	}
+	graceful.Announce(c.Request, c.Writer.Header())
 	c.Next()
 }
 
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
@@ -41,9 +42,11 @@
 type exchange struct {
 	gateway *Gateway
 	writer  http.ResponseWriter
-	inbound request.Inbound
-	route   *routes.Route
-	service string
+	// httpRequest is the request as it was received.
+	httpRequest *http.Request
+	inbound     request.Inbound
+	route       *routes.Route
+	service     string
 	// engine is what the configuration that applies to the request says of the engines of the
 	// service; nil if it has none.
 	engine    *routes.Engine
@@ -69,7 +72,7 @@
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer g.protectHandler()
-	e := &exchange{gateway: g, writer: w, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1)}
+	e := &exchange{gateway: g, writer: w, httpRequest: r, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1)}
 	var err error
 	e.inbound, err = platform.DecodeRequest(r)
 	g.activeRequests.add(e)
@@ -238,7 +241,7 @@
 func (e *exchange) refuse(err error, attempts int) {
 	kind := fault.KindOf(err)
 	response := kind.Response()
-	header := e.responseHeader()
+	header := e.writer.Header()
 	retryAfter := time.Duration(0)
 	if response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests {
 		retryAfter = e.retryAfter(kind)
@@ -247,7 +250,7 @@
 		retryAfter = spreadReturn(time.Until(e.quarantinedUntil))
 	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
-	e.writer.WriteHeader(response.Status)
+	e.writeHead(response.Status)
 	e.finish(kind, attempts, "status", response.Status, "retryAfter", retryAfter, "error", err.Error())
 }
 
@@ -273,7 +276,7 @@
 
 // writeResponse forwards a target's response to the caller.
 func (e *exchange) writeResponse(head *http.Response, body []byte) error {
-	header := e.responseHeader()
+	header := e.writer.Header()
 	for name, values := range platform.ForwardedResponseHeader(head.Header) {
 		header[name] = values
 	}
@@ -281,18 +284,20 @@
 		// Without it the end of the connection would end the response to HTTP/1.0.
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	e.writer.WriteHeader(head.StatusCode)
+	e.writeHead(head.StatusCode)
 	_, err := e.writer.Write(body)
 	return errors.WithStack(err)
 }
 
-// responseHeader returns the header of the response, before it is written.
-func (e *exchange) responseHeader() http.Header {
+// writeHead writes the head of the response, whose header is complete but for what concerns the
+// connection.
+func (e *exchange) writeHead(status int) {
 	header := e.writer.Header()
 	if e.gateway.draining() {
 		header.Set("Connection", "close")
 	}
-	return header
+	graceful.Announce(e.httpRequest, header)
+	e.writer.WriteHeader(status)
 }
 
 // abort closes the caller's connection in the middle of a response, so that it does not
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -5,13 +5,13 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/keepalive"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
@@ -20,50 +20,34 @@
 	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
-// ingress accepts connections of callers. The limits of an http.Server cannot be
-// changed while it runs, so each set of limits has its own server, which serves the
-// connections accepted while those limits were active.
+// ingress accepts connections of callers, operators and health checks.
 type ingress struct {
 	gateway         *Gateway
 	callerListener  *graceful.Listener
+	callerServer    *http.Server
 	healthListener  net.Listener
 	metricsListener net.Listener
 	adminServers    []*http.Server
-
-	mu            sync.Mutex
-	limits        routes.Limits
-	current       *connListener
-	callerServers []*http.Server
-	closed        bool
 }
 
-// connListener is a listener whose connections are passed to it through a channel.
-type connListener struct {
-	conns chan net.Conn
-	addr  net.Addr
-	done  chan struct{}
-	once  sync.Once
+// callerAcceptor logs connections of callers that cannot be accepted.
+type callerAcceptor struct {
+	*graceful.Listener
+	gateway *Gateway
 }
 
 // Accept implements net.Listener.
-func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
+func (a callerAcceptor) Accept() (net.Conn, error) {
+	for {
+		conn, err := a.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err //nolint:wrapcheck // net.Listener
+		}
+		a.gateway.log.Event("accept_failed", "error", err.Error())
+		pause(a.gateway.background, checkInterval)
 	}
 }
 
-// Close implements net.Listener.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *connListener) Addr() net.Addr { return l.addr }
-
 func newIngress(g *Gateway) *ingress { return &ingress{gateway: g} }
 
 func (i *ingress) listen() error {
@@ -82,6 +66,13 @@
 	i.callerListener = graceful.NewListener(callers)
 	i.callerListener.OnIdleClose = i.gateway.recordIdleClose
 	i.applyLimits(defaultLimits)
+	i.callerServer = &http.Server{
+		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     klog.NewStandardLogger("WARNING"),
+		BaseContext:                  func(net.Listener) context.Context { return i.gateway.background },
+	}
+	i.callerListener.ConfigureServer(i.callerServer)
 	health := http.NewServeMux()
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
 	metrics := http.NewServeMux()
@@ -104,70 +95,16 @@
 	}
 }
 
-// applyLimits applies limits to connections that are accepted from now on.
+// applyLimits applies limits to callers' connections.
 func (i *ingress) applyLimits(limits routes.Limits) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.closed || i.current != nil && limits == i.limits {
-		return
-	}
-	i.limits = limits
-	if i.current != nil {
-		// The previous server keeps serving its connections under its limits.
-		_ = i.current.Close()
-	}
-	i.current = &connListener{conns: make(chan net.Conn), addr: i.callerListener.Addr(), done: make(chan struct{})}
-	server := &http.Server{
-		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
-		ReadHeaderTimeout:            limits.HeaderTimeout,
-		IdleTimeout:                  limits.IdleTimeout,
-		MaxHeaderBytes:               limits.HeaderBytes,
-		DisableGeneralOptionsHandler: true,
-		ConnState:                    i.callerListener.ConnState,
-		ConnContext:                  i.callerListener.ConnContext,
-		ErrorLog:                     klog.NewStandardLogger("WARNING"),
-		BaseContext:                  func(net.Listener) context.Context { return i.gateway.background },
-	}
-	i.callerServers = append(i.callerServers, server)
-	go i.runServer(server, i.current)
+	i.callerListener.SetLimits(keepalive.Limits{
+		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	})
 }
 
-// serve passes accepted connections to the server with the current limits.
+// serve serves callers until the listener is closed.
 func (i *ingress) serve() {
-	for {
-		conn, err := i.callerListener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			i.gateway.log.Event("accept_failed", "error", err.Error())
-			pause(i.gateway.background, checkInterval)
-			continue
-		}
-		for !i.dispatch(conn) {
-		}
-	}
-}
-
-// dispatch passes a connection to the server with the current limits. It returns false
-// if the limits changed meanwhile.
-func (i *ingress) dispatch(conn net.Conn) bool {
-	i.mu.Lock()
-	current, closed := i.current, i.closed
-	i.mu.Unlock()
-	if closed {
-		_ = conn.Close()
-		return true
-	}
-	select {
-	case current.conns <- conn:
-		return true
-	case <-current.done:
-		return false
-	case <-i.gateway.background.Done():
-		_ = conn.Close()
-		return true
-	}
+	i.runServer(i.callerServer, callerAcceptor{Listener: i.callerListener, gateway: i.gateway})
 }
 
 // recordIdleClose logs and counts that the connection of a caller was closed as idle.
@@ -188,10 +125,7 @@
 
 // close closes all connections.
 func (i *ingress) close() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.closed = true
-	for _, server := range append(i.callerServers, i.adminServers...) {
+	for _, server := range append(i.adminServers, i.callerServer) {
 		_ = server.Close()
 	}
 }
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -339,7 +339,7 @@
 	if err := controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.WithStack(err)
 	}
-	s.writeHead()
+	s.forwardHead()
 	s.recordTiming(time.Now())
 	if !s.interruptedAt.IsZero() {
 		recordDuration(s.gateway.metrics.resumeLatency, time.Since(s.interruptedAt))
@@ -389,19 +389,19 @@
 	})
 }
 
-// writeHead forwards the response head unless one was forwarded before.
-func (s *stream) writeHead() {
+// forwardHead forwards the response head unless one was forwarded before.
+func (s *stream) forwardHead() {
 	if s.headWritten {
 		return
 	}
 	s.headWritten = true
 	recordDuration(s.gateway.metrics.firstEventLatency, time.Since(s.arrived))
-	header := s.responseHeader()
+	header := s.writer.Header()
 	for name, values := range platform.ForwardedResponseHeader(s.head.Header) {
 		header[name] = values
 	}
 	s.resetConnectionOnClose(true)
-	s.writer.WriteHeader(s.head.StatusCode)
+	s.writeHead(s.head.StatusCode)
 }
 
 // resetConnectionOnClose sets whether closing the caller's connection resets it, if the stream
@@ -424,7 +424,7 @@
 	case s.endKind == fault.None:
 		recordDuration(s.gateway.metrics.longestPause, s.longestPause)
 		// A caller that already has all events gets a response without any.
-		s.writeHead()
+		s.forwardHead()
 		s.resetConnectionOnClose(false)
 		s.exchange.finish(fault.None, attempts, "events", events,
 			"firstAfter", s.firstEventDelay, "longestPause", s.longestPause)
