Soak: callers that keep connections idle while the idle limit changes

Its callers pause for at most 60 ms, and the idle limit was over 10 s.

Change: half as many callers again keep one connection, over which they send calls, repeatable ones or not, with pauses of 30 to 100 % of what they may: about one half goes by four fifths of the limit in force, the other by the time that the last response announces in Keep-Alive; all respect Connection: close. The limit lies between 1 s and 3 s, and grows and shrinks while connections are open. The close is checked rather than the request that meets it, since the two meet within a few milliseconds.

Ruled out: stops, by their signals; stalls of the machine, as elsewhere in the soak.

--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -66,7 +66,14 @@
 }
 
 func (c *client) request(ctx context.Context, method, path string, position int) (*http.Request, *requestRecord) {
-	entry := c.deployment.entries[c.random.IntN(len(c.deployment.entries))]
+	return c.requestTo(ctx, c.randomEntry(), method, path, position)
+}
+
+func (c *client) randomEntry() *process {
+	return c.deployment.entries[c.random.IntN(len(c.deployment.entries))]
+}
+
+func (c *client) requestTo(ctx context.Context, entry *process, method, path string, position int) (*http.Request, *requestRecord) {
 	record := &requestRecord{id: fmt.Sprintf("r%d", lastRequestNumber.Add(1)), method: method, key: c.deployment.newestKey(), sentAt: time.Now(), entry: entry.callerAddress, crashing: c.crashing}
 	c.log.add(record)
 	var sharedParts []string
@@ -99,12 +106,18 @@
 		c.log.finish(record, 0, "")
 		return
 	}
+	c.readCall(record, response)
+	c.waitRetryAfter(ctx, response)
+}
+
+// readCall reads and records the response to a call. It returns whether it is complete.
+func (c *client) readCall(record *requestRecord, response *http.Response) bool {
 	defer func() { _ = response.Body.Close() }()
 	c.log.addHead(record, response.StatusCode)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		c.log.finish(record, 0, "")
-		return
+		return false
 	}
 	problem := ""
 	if response.StatusCode == http.StatusOK {
@@ -113,7 +126,7 @@
 		}
 	}
 	c.log.finish(record, response.StatusCode, problem)
-	c.waitRetryAfter(ctx, response)
+	return true
 }
 
 // waitRetryAfter waits as long as the Retry-After header asks, but at most 1 s.
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -78,6 +78,8 @@
 	// it.
 	revoked     map[string]time.Time
 	addedRoutes int
+	// idleLimits lists the idle limits of callers, each with when it came into force.
+	idleLimits []idleLimit
 	// failures describes each exit of a process with an error that the soak did not cause,
 	// and each failure of the soak itself.
 	failures []string
@@ -86,7 +88,7 @@
 func startDeployment(options Options) (*deployment, error) {
 	d := &deployment{
 		options: options, store: kv.New(), fleet: replica.NewFleet(), stopping: make(chan struct{}),
-		apiKeys: []string{"key-0"}, revoked: map[string]time.Time{}, endpointsByTarget: map[string]*endpoint{},
+		apiKeys: []string{"key-0"}, idleLimits: []idleLimit{{limit: initialIdleLimit}}, revoked: map[string]time.Time{}, endpointsByTarget: map[string]*endpoint{},
 	}
 	d.supervisors.Go(d.watchStalls)
 	d.server = httptest.NewServer(d.store.PlatformHandler())
@@ -146,7 +148,10 @@
 			}},
 			map[string]any{"Name": "bookings"},
 		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 10000 + d.configurationVersion},
+		"Limits": map[string]any{
+			"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+			"IdleTimeoutMs": int(d.idleLimits[len(d.idleLimits)-1].limit.Milliseconds()) + d.configurationVersion,
+		},
 		"Tenants": []any{map[string]any{"Name": "crew", "ApiKeys": d.apiKeys}},
 	})
 	if err != nil {
@@ -172,9 +177,12 @@
 	}
 }
 
-func (d *deployment) addRoute() {
+func (d *deployment) addRoute() { d.change(func() { d.addedRoutes++ }) }
+
+// change writes a version of the configuration after a change of what it is made from.
+func (d *deployment) change(apply func()) {
 	d.mu.Lock()
-	d.addedRoutes++
+	apply()
 	d.mu.Unlock()
 	d.writeConfiguration()
 }
--- a/bench/soak/requestlog.go
+++ b/bench/soak/requestlog.go
@@ -31,12 +31,16 @@
 	finishedAt time.Time
 	// abandoned is set if the caller disconnects before the response is complete.
 	abandoned bool
+	// connection is the kept connection that the request was sent on, if it had carried others.
+	connection *keptConnection
 }
 
 // requestLog holds what callers sent and received.
 type requestLog struct {
 	mu      sync.Mutex
 	records []*requestRecord
+	// closings lists kept connections that an entry closed while they were idle.
+	closings []*keptConnection
 	// recoveredAt is when the recovery time after the last fault ended.
 	recoveredAt time.Time
 	// stoppedAt is when the callers were stopped.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -64,6 +64,8 @@
 const (
 	replyFaultStream uint64 = 1<<32 + iota
 	crashingStream
+	connectionFaultStream
+	keepingStream
 )
 
 // Run runs the soak with one seed.
@@ -83,6 +85,10 @@
 		random := rand.New(rand.NewPCG(options.Seed, uint64(i)+1))
 		callers.Go(func() { newClient(d, log, random).run(trafficCtx) })
 	}
+	for i := range options.Callers / 2 {
+		random := rand.New(rand.NewPCG(options.Seed, keepingStream+uint64(i)<<32))
+		callers.Go(func() { newKeepingClient(d, log, random).run(trafficCtx) })
+	}
 	if !options.PlannedOnly {
 		for i := range crashingCallers {
 			random := rand.New(rand.NewPCG(options.Seed, crashingStream+uint64(i)))
@@ -91,13 +97,7 @@
 	}
 	injected := &schedule{start: time.Now(), counts: map[string]int{}}
 	runPlans(ctx, options.FaultDuration, newPlans(d, injected)...)
-	d.stalls.awaitCalm(ctx, options.RecoveryTime)
-	log.markRecovered()
-	select {
-	case <-time.After(observationPeriod):
-	case <-ctx.Done():
-	}
-	log.markStopped()
+	d.recover(ctx, log)
 	stopTraffic()
 	callers.Wait()
 	view := newTargetView(d, log)
@@ -107,6 +107,7 @@
 	}
 	if options.PlannedOnly {
 		report.Violations = append(report.Violations, view.checkPlannedWork(log.stoppedAt)...)
+		report.Violations = append(report.Violations, view.checkClosings(log.closings)...)
 	}
 	d.mu.Lock()
 	report.Violations = append(report.Violations, d.failures...)
@@ -115,12 +116,28 @@
 	return report, ctx.Err()
 }
 
+// recover waits for the recovery and for the observation of what is served then. Nothing ends
+// connections meanwhile, so that they outlast a change of the limit.
+func (d *deployment) recover(ctx context.Context, log *requestLog) {
+	d.setIdleLimit(minIdleLimit)
+	growth := time.AfterFunc(d.options.RecoveryTime/2, func() { d.setIdleLimit(maxIdleLimit) })
+	defer growth.Stop()
+	d.stalls.awaitCalm(ctx, d.options.RecoveryTime)
+	log.markRecovered()
+	select {
+	case <-time.After(observationPeriod):
+	case <-ctx.Done():
+	}
+	log.markStopped()
+}
+
 func newPlans(d *deployment, s *schedule) []*faultPlan {
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(d.options.Seed, stream)) }
+	connection := newFaultPlan(d, connectionFaults, random(connectionFaultStream), s)
 	if d.options.PlannedOnly {
-		return []*faultPlan{newFaultPlan(d, plannedWork, random(0), s)}
+		return []*faultPlan{newFaultPlan(d, plannedWork, random(0), s), connection}
 	}
-	return []*faultPlan{newFaultPlan(d, basicFaults, random(0), s), newFaultPlan(d, replyFaults, random(replyFaultStream), s)}
+	return []*faultPlan{newFaultPlan(d, basicFaults, random(0), s), newFaultPlan(d, replyFaults, random(replyFaultStream), s), connection}
 }
 
 // observationPeriod is how long callers continue after the recovery time. Only requests
--- a/bench/soak/targetchecks.go
+++ b/bench/soak/targetchecks.go
@@ -190,7 +190,7 @@
 	var violations []string
 	for _, r := range v.requests {
 		reachedTarget := v.arrivalsOf[r.id] > 0
-		held := !r.writtenAt.IsZero() && r.finishedAt.Sub(r.writtenAt) > lossSlack
+		held := !r.writtenAt.IsZero() && r.finishedAt.Sub(r.writtenAt) > lossSlack || r.connection != nil && !v.stopped(r.connection, r.finishedAt)
 		if !reachedTarget && !held || r.abandoned || !r.finishedAt.Before(stoppedAt) {
 			continue
 		}
@@ -201,6 +201,9 @@
 		v.covered["requests beside planned work"]++
 		switch {
 		case r.status != 0:
+		case !reachedTarget && r.connection != nil:
+			violations = append(violations, fmt.Sprintf("%s (%s) was sent on a connection that had been idle for %s and left without a response",
+				r.id, r.method, r.sentAt.Sub(r.connection.idleSince)))
 		case !reachedTarget:
 			violations = append(violations, fmt.Sprintf("%s (%s) was held by an entry and left without a response after %s",
 				r.id, r.method, r.finishedAt.Sub(r.writtenAt)))
@@ -228,3 +231,30 @@
 	entry := v.entries[r.entry]
 	return entry != nil && entry.any(signalledAfter, r.finishedAt.Add(-graceToEnd), ending)
 }
+
+// connectTime is how long a connection may have waited to be accepted.
+const connectTime = 300 * time.Millisecond
+
+// stopped returns whether the entry of a kept connection was stopped or ended since it was
+// opened.
+func (v *targetView) stopped(c *keptConnection, until time.Time) bool {
+	return v.entries[c.entry].any(c.openedAt.Add(-connectTime), until, ending, restarted)
+}
+
+// checkClosings returns the idle connections that entries closed though nothing stopped these,
+// and though callers could still use them.
+func (v *targetView) checkClosings(closings []*keptConnection) []string {
+	var violations []string
+	for _, c := range closings {
+		idle := c.closedAt.Sub(c.idleSince)
+		switch {
+		case v.stopped(c, c.closedAt) || v.stalls.any(c.idleSince.Add(-stableWindow), c.closedAt):
+		case c.closedAt.After(c.usableUntil):
+			v.covered["idle connections closed in time"]++
+		default:
+			violations = append(violations, fmt.Sprintf("%s closed a connection after it was idle for %s; it announced %s, its caller could use it for %s",
+				c.entry, idle, c.announced, c.usableUntil.Sub(c.idleSince)))
+		}
+	}
+	return violations
+}
--- a/bench/soak/targetchecks_test.go
+++ b/bench/soak/targetchecks_test.go
@@ -227,6 +227,13 @@
 			b.view.arrivals, r.writtenAt, r.finishedAt = nil, b.at(0.01), b.at(2.5)
 			b.disrupt(b.view.entries["e1"], ending, -1, -1)
 		}, 1},
+		"on a kept connection": {func(b *viewBuilder, r *requestRecord) {
+			b.view.arrivals, r.connection = nil, &keptConnection{entry: "e1", openedAt: b.at(-5), idleSince: b.at(-1)}
+		}, 1},
+		"on a kept connection, stop": {func(b *viewBuilder, r *requestRecord) {
+			b.view.arrivals, r.connection = nil, &keptConnection{entry: "e1", openedAt: b.at(-5), idleSince: b.at(-1)}
+			b.disrupt(b.view.entries["e1"], ending, -0.5, -0.5)
+		}, 0},
 		"crossed the end of the connection": {func(b *viewBuilder, r *requestRecord) {
 			b.view.arrivals, r.writtenAt, r.finishedAt = nil, b.at(0.01), b.at(0.2)
 		}, 0},
