--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -80,6 +80,11 @@
 	addedRoutes int
 	// idleLimits lists the idle limits of callers, each with when it came into force.
 	idleLimits []idleLimit
+	// statusDropped is set if no route leads to /status/. statusSplit is set if a second one
+	// does, statusMoved if this is of a service that has no targets.
+	statusDropped, statusSplit, statusMoved bool
+	// extraLimit is added to the limits of callers and to the timeouts of routes.
+	extraLimit int
 	// failures describes each exit of a process with an error that the soak did not cause,
 	// and each failure of the soak itself.
 	failures []string
@@ -128,14 +133,22 @@
 	d.configurationVersion++
 	route := func(prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
-			"Name": prefix, "Host": routeHost, "Prefix": prefix, "RouteType": kind, "TimeoutMs": 4000, "TargetLatencyMs": 300,
+			"Name": prefix, "Host": routeHost, "Prefix": prefix, "RouteType": kind, "TimeoutMs": 4000 + d.extraLimit, "TargetLatencyMs": 300,
 			"Service": service, "MaxAttempts": attempts, "StreamResumption": kind == "streaming", "GapAimMs": 700,
 		}
 	}
 	routes := []any{
 		route("/report/", "streaming", "writer", 5),
 		route("/book/", "non_idempotent", "bookings", 1),
-		route("/status/", "idempotent", "bookings", 2),
+	}
+	if !d.statusDropped {
+		routes = append(routes, route("/status/", "idempotent", "bookings", 2))
+	}
+	switch {
+	case d.statusMoved:
+		routes = append(routes, route("/status/7", "idempotent", "archive", 2))
+	case d.statusSplit:
+		routes = append(routes, route("/status/7", "idempotent", "bookings", 3))
 	}
 	for i := range d.addedRoutes {
 		routes = append(routes, route(fmt.Sprintf("/added%d/", i), "idempotent", "bookings", 2))
@@ -146,10 +159,10 @@
 			map[string]any{"Name": "writer", "Engine": map[string]any{
 				"Slots": 16, "KvCapacityTokens": 88000, "Backups": true, "HandleS": 2.0, "Stride": 5,
 			}},
-			map[string]any{"Name": "bookings"},
+			map[string]any{"Name": "bookings"}, map[string]any{"Name": "archive"},
 		},
 		"Limits": map[string]any{
-			"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+			"MaxHeaderBytes": 16384 + d.extraLimit, "MaxBodyBytes": 65536 + d.extraLimit, "HeaderTimeoutMs": 3000 + d.extraLimit,
 			"IdleTimeoutMs": int(d.idleLimits[len(d.idleLimits)-1].limit.Milliseconds()) + d.configurationVersion,
 		},
 		"Tenants": []any{map[string]any{"Name": "crew", "ApiKeys": d.apiKeys}},
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -73,6 +73,15 @@
 	e.setFaults(target, faults)
 }
 
+// ifRunning does something if a target is the current one and is not being ended.
+func (e *endpoint) ifRunning(target *replica.Replica, action func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == target && !e.stopRequested {
+		action()
+	}
+}
+
 // end crashes a target if it is the current one.
 func (e *endpoint) end(target *replica.Replica) {
 	e.mu.Lock()
--- a/bench/soak/faultplan.go
+++ b/bench/soak/faultplan.go
@@ -260,14 +260,15 @@
 }
 
 func relayFault(f network.TCPFaults) func(p *faultPlan) func() {
-	return func(p *faultPlan) func() {
-		e := p.randomEndpoint()
-		end := e.disruptions.begin(linkFault)
-		e.relay.SetFaults(f)
-		return func() {
-			e.relay.SetFaults(network.TCPFaults{})
-			end()
-		}
+	return func(p *faultPlan) func() { return holdRelay(p.randomEndpoint(), f) }
+}
+
+func holdRelay(e *endpoint, f network.TCPFaults) func() {
+	end := e.disruptions.begin(linkFault)
+	e.relay.SetFaults(f)
+	return func() {
+		e.relay.SetFaults(network.TCPFaults{})
+		end()
 	}
 }
 
--- a/standin/network/tcp.go
+++ b/standin/network/tcp.go
@@ -18,6 +18,9 @@
 	HoldBothDirections bool
 	// HoldResponses forwards the data of callers and holds the server's responses.
 	HoldResponses bool
+	// SpareOpen spares connections that were opened before the faults, SpareNew those that are
+	// opened since.
+	SpareOpen, SpareNew bool
 }
 
 // TCPRelay forwards connections to a server, which can be replaced.
@@ -28,8 +31,9 @@
 	listener net.Listener
 	upstream string
 	faults   TCPFaults
-	// faultsChanged is closed and replaced when the faults change.
+	// faultsChanged is closed and replaced when the faults change, changes counts how often.
 	faultsChanged chan struct{}
+	changes       int
 	connections   map[net.Conn]bool
 }
 
@@ -84,6 +88,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = faults
+	r.changes++
 	close(r.faultsChanged)
 	r.faultsChanged = make(chan struct{})
 }
@@ -119,7 +124,7 @@
 
 func (r *TCPRelay) relayConnection(client net.Conn) {
 	r.mu.Lock()
-	upstream := r.upstream
+	upstream, openedIn := r.upstream, r.changes
 	r.mu.Unlock()
 	server, err := net.Dial("tcp", upstream)
 	if err != nil {
@@ -129,8 +134,8 @@
 	r.track(client, server)
 	defer r.untrack(client, server)
 	var directions sync.WaitGroup
-	directions.Go(func() { r.copyDirection(server, client, false) })
-	directions.Go(func() { r.copyDirection(client, server, true) })
+	directions.Go(func() { r.copyDirection(server, client, openedIn, false) })
+	directions.Go(func() { r.copyDirection(client, server, openedIn, true) })
 	directions.Wait()
 }
 
@@ -152,8 +157,9 @@
 }
 
 // copyDirection copies the data of one direction. When one direction ends, so does the
-// other, since a half-closed connection is of no use to either side.
-func (r *TCPRelay) copyDirection(to, from net.Conn, response bool) {
+// other, since a half-closed connection is of no use to either side. The connection was opened
+// after the faults had changed openedIn times.
+func (r *TCPRelay) copyDirection(to, from net.Conn, openedIn int, response bool) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -162,7 +168,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			r.applyFaults(response)
+			r.applyFaults(openedIn, response)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -171,18 +177,21 @@
 			if !errors.Is(err, io.EOF) {
 				return
 			}
-			r.applyFaults(response)
+			r.applyFaults(openedIn, response)
 			return
 		}
 	}
 }
 
 // applyFaults blocks while the direction is held, then waits for the delay.
-func (r *TCPRelay) applyFaults(response bool) {
+func (r *TCPRelay) applyFaults(openedIn int, response bool) {
 	for {
 		r.mu.Lock()
-		faults, changed := r.faults, r.faultsChanged
+		faults, changed, changes := r.faults, r.faultsChanged, r.changes
 		r.mu.Unlock()
+		if isNew := openedIn == changes; isNew && faults.SpareNew || !isNew && faults.SpareOpen {
+			return
+		}
 		hold := faults.HoldBothDirections || response && faults.HoldResponses
 		if !hold {
 			time.Sleep(faults.Delay)
--- a/standin/replica/faults.go
+++ b/standin/replica/faults.go
@@ -6,6 +6,8 @@
 type Faults struct {
 	// Silent accepts requests and never responds; running responses stop.
 	Silent bool
+	// HoldOutput holds responses, and running ones, until the fault ends. They go on then.
+	HoldOutput bool
 	// RejectRequests refuses all requests as not executed.
 	RejectRequests bool
 	// DropResponses executes calls and breaks the connection without a response.
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -68,6 +68,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// outputCheckInterval is how often a held response is tried again.
+const outputCheckInterval = 10 * time.Millisecond
+
+// awaitOutput waits while output is held.
+func (r *Replica) awaitOutput(ctx context.Context) {
+	for r.currentFaults().HoldOutput && ctx.Err() == nil {
+		r.wait(ctx, outputCheckInterval)
+	}
+}
+
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	faults := r.currentFaults()
 	id := req.Header.Get("Attempt-Id")
@@ -95,6 +105,7 @@
 	}
 	r.beginRequest(req, id)
 	defer r.endRequest(req)
+	r.awaitOutput(req.Context())
 	r.setHeaders(w, id, faults)
 	if r.config.Engine {
 		r.stream(w, req, id)
@@ -207,6 +218,7 @@
 	r.crashOnPart(req, controller)
 	for eventID := position + 1; eventID <= r.config.EventCount; eventID++ {
 		r.recordKVCopy(req.Header.Get("Kv-Backup"), id)
+		r.awaitOutput(req.Context())
 		faults := r.currentFaults()
 		if faults.Silent {
 			r.hang(req.Context())
