--- a/scripts/score.sh
+++ b/scripts/score.sh
@@ -19,8 +19,8 @@
       ;;
   esac
 done <<SITES
-40 further/pelita-festoon.toml
-8 further-grown/pelita-festoon-grown.toml
+40 sites/lakkos-mulberry.toml
+40 sites/vasilescu-inscrieri.toml
 8 grown/lakkos-mulberry-grown.toml
 8 grown/vasilescu-inscrieri-grown.toml
 8 large/lakkos-mulberry-large.toml
