--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -78,6 +78,13 @@
 	// it.
 	revoked     map[string]time.Time
 	addedRoutes int
+	// idleLimits lists the idle limits of callers, each with when it came into force.
+	idleLimits []idleLimit
+	// statusDropped is set if no route leads to /status/. statusSplit is set if a second one
+	// does, statusMoved if this is of a service that has no targets.
+	statusDropped, statusSplit, statusMoved bool
+	// extraLimit is added to the limits of callers and to the timeouts of routes.
+	extraLimit int
 	// failures describes each exit of a process with an error that the soak did not cause,
 	// and each failure of the soak itself.
 	failures []string
@@ -86,7 +93,7 @@
 func startDeployment(options Options) (*deployment, error) {
 	d := &deployment{
 		options: options, store: kv.New(), fleet: replica.NewFleet(), stopping: make(chan struct{}),
-		apiKeys: []string{"key-0"}, revoked: map[string]time.Time{}, endpointsByTarget: map[string]*endpoint{},
+		apiKeys: []string{"key-0"}, idleLimits: []idleLimit{{limit: initialIdleLimit}}, revoked: map[string]time.Time{}, endpointsByTarget: map[string]*endpoint{},
 	}
 	d.supervisors.Go(d.watchStalls)
 	d.server = httptest.NewServer(d.store.PlatformHandler())
@@ -126,14 +133,26 @@
 	d.configurationVersion++
 	route := func(prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
-			"Name": prefix, "Host": routeHost, "Prefix": prefix, "RouteType": kind, "TimeoutMs": 4000, "TargetLatencyMs": 300,
+			"Name": prefix, "Host": routeHost, "Prefix": prefix, "RouteType": kind, "TimeoutMs": 4000 + d.extraLimit, "TargetLatencyMs": 300,
 			"Service": service, "MaxAttempts": attempts, "StreamResumption": kind == "streaming", "GapAimMs": 700,
 		}
 	}
+	streamAttempts := 5
+	if d.options.calm() {
+		streamAttempts = 1 + int(d.options.Seed/2)%2
+	}
 	routes := []any{
-		route("/report/", "streaming", "writer", 5),
+		route("/report/", "streaming", "writer", streamAttempts),
 		route("/book/", "non_idempotent", "bookings", 1),
-		route("/status/", "idempotent", "bookings", 2),
+	}
+	if !d.statusDropped {
+		routes = append(routes, route("/status/", "idempotent", "bookings", 2))
+	}
+	switch {
+	case d.statusMoved:
+		routes = append(routes, route("/status/7", "idempotent", "archive", 2))
+	case d.statusSplit:
+		routes = append(routes, route("/status/7", "idempotent", "bookings", 3))
 	}
 	for i := range d.addedRoutes {
 		routes = append(routes, route(fmt.Sprintf("/added%d/", i), "idempotent", "bookings", 2))
@@ -144,9 +163,12 @@
 			map[string]any{"Name": "writer", "Engine": map[string]any{
 				"Slots": 16, "KvCapacityTokens": 88000, "Backups": true, "HandleS": 2.0, "Stride": 5,
 			}},
-			map[string]any{"Name": "bookings"},
+			map[string]any{"Name": "bookings"}, map[string]any{"Name": "archive"},
+		},
+		"Limits": map[string]any{
+			"MaxHeaderBytes": 16384 + d.extraLimit, "MaxBodyBytes": 65536 + d.extraLimit, "HeaderTimeoutMs": 3000 + d.extraLimit,
+			"IdleTimeoutMs": int(d.idleLimits[len(d.idleLimits)-1].limit.Milliseconds()) + d.configurationVersion,
 		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 10000 + d.configurationVersion},
 		"Tenants": []any{map[string]any{"Name": "crew", "ApiKeys": d.apiKeys}},
 	})
 	if err != nil {
@@ -172,9 +194,12 @@
 	}
 }
 
-func (d *deployment) addRoute() {
+func (d *deployment) addRoute() { d.change(func() { d.addedRoutes++ }) }
+
+// change writes a version of the configuration after a change of what it is made from.
+func (d *deployment) change(apply func()) {
 	d.mu.Lock()
-	d.addedRoutes++
+	apply()
 	d.mu.Unlock()
 	d.writeConfiguration()
 }
