Configuration: numbers out of their bounds cut no caller off

What callers saw: nothing yet; found while looking for odd entries. With MaxHeaderBytes 2^63-1 every request was answered 431, with MaxBodyBytes 0 or less, or without limits, every request with a body 413, with TimeoutMs every request 503, and without a target latency each idempotent call was sent twice.

Cause: numbers were taken as they came. Milliseconds wrapped when they became nanoseconds, net/http adds to the size of the head, and HandleS 1e300 became a duration that depends on the processor.

What was changed is logged as configuration_out_of_bounds. Rejecting the document instead would leave an entry that starts then without any.

MaxAttempts and Priority were bounded before.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -67,7 +67,11 @@
 		e.refuse(err, 0)
 		return
 	}
-	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayFraction * float64(e.route.LatencyObjective)))
+	objective := e.route.LatencyObjective
+	if objective <= 0 {
+		objective = time.Until(e.deadline)
+	}
+	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayFraction * float64(objective)))
 	defer hedgeTimer.Stop()
 	for {
 		select {
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -15,11 +14,6 @@
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
-// defaultLimits apply to callers until a configuration has been read.
-var defaultLimits = routes.Limits{
-	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
-}
-
 // ingress accepts connections of callers. The limits of an http.Server cannot be
 // changed while it runs, so each set of limits has its own server, which serves the
 // connections accepted while those limits were active.
@@ -80,7 +74,7 @@
 		*open.listener = listener
 	}
 	i.callerListener = graceful.NewListener(callers)
-	i.applyLimits(defaultLimits)
+	i.applyLimits(routes.DefaultLimits)
 	health := http.NewServeMux()
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
 	metrics := http.NewServeMux()
@@ -92,7 +86,7 @@
 
 // serveAdmin serves health checks or metrics at a listener of their own.
 func (i *ingress) serveAdmin(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultLimits.HeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: routes.DefaultLimits.HeaderTimeout}
 	i.adminServers = append(i.adminServers, server)
 	go i.runServer(server, listener)
 }
--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -214,3 +215,76 @@
 		return used[request.TargetID(early.Config().ID)] && used[request.TargetID(late.Config().ID)]
 	})
 }
+
+// overflowingMs is a number of milliseconds that wraps to 448,384 ns in 64 bits.
+const overflowingMs = 18446744073710
+
+// A configuration with numbers out of range must cut no caller off.
+func TestConfiguration_OddNumbersCutNoCallerOff(t *testing.T) {
+	limit := func(name string, value any) func(config map[string]any) {
+		return func(config map[string]any) { config["Limits"].(map[string]any)[name] = value }
+	}
+	routes := func(name string, value any) func(config map[string]any) {
+		return func(config map[string]any) {
+			for _, route := range config["Routes"].([]any) {
+				route.(map[string]any)[name] = value
+			}
+		}
+	}
+	engine := func(name string, value any) func(config map[string]any) {
+		return func(config map[string]any) {
+			config["Services"].([]any)[0].(map[string]any)["Engine"].(map[string]any)[name] = value
+		}
+	}
+	for name, change := range map[string]func(config map[string]any){
+		"header size":      limit("MaxHeaderBytes", int64(1<<63-1)),
+		"no header size":   limit("MaxHeaderBytes", -1),
+		"body size":        limit("MaxBodyBytes", int64(1<<63-1)),
+		"negative body":    limit("MaxBodyBytes", -1),
+		"no body":          limit("MaxBodyBytes", 0),
+		"header time":      limit("HeaderTimeoutMs", overflowingMs),
+		"idle time":        limit("IdleTimeoutMs", overflowingMs),
+		"no idle time":     limit("IdleTimeoutMs", 0),
+		"no limits":        func(config map[string]any) { delete(config, "Limits") },
+		"time":             routes("TimeoutMs", overflowingMs),
+		"negative time":    routes("TimeoutMs", -overflowingMs),
+		"latency":          routes("TargetLatencyMs", int64(-1<<63)),
+		"no latency":       routes("TargetLatencyMs", 0),
+		"pause":            routes("GapAimMs", overflowingMs),
+		"no attempts":      routes("MaxAttempts", -5),
+		"priority":         routes("Priority", int64(-1<<63)),
+		"copy time":        engine("HandleS", 1e300),
+		"negative copy":    engine("HandleS", -1e300),
+		"tokens per event": engine("Stride", int64(1<<63-1)),
+		"no memory":        engine("KvCapacityTokens", -1),
+		"memory":           engine("KvCapacityTokens", int64(1<<63-1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.startApplication("a1", "naxos")
+			d.startApplication("a2", "paros")
+			d.startEngine("e1", "naxos")
+			d.startEngine("e2", "paros")
+			g := d.startReadyEntry("entry-1")
+			d.configure(change)
+			d.waitWithin(applyTimeout, func() bool { return g.table.Load().Version() == int64(d.version) })
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for range 3 {
+				req := bookingRequest()
+				req.Body = "a body"
+				response, err := client.Do(req.httpRequest(context.Background(), g))
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			d.expectUnretriedCalls(g, 3)
+			stream := streamRequest()
+			d.openStream(context.Background(), g, stream).expectRest(t, stream.AttemptID, 0)
+			assert.Equal(t, d.fleet.ExecutionLog.Arrivals(stream.AttemptID), 1)
+		})
+	}
+}
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -49,6 +49,8 @@
 	// keepAliveInterval how often its lease is renewed.
 	leaseTTL          = 12 * time.Second
 	keepAliveInterval = 4 * time.Second
+	// maxLoggedFields limits how many fields of a configuration one line names.
+	maxLoggedFields = 8
 )
 
 // watchStore keeps configuration, targets and entries up to date with the store until
@@ -324,6 +326,9 @@
 	g.table.Store(table)
 	g.ingress.applyLimits(table.Limits())
 	g.control.do(func() { g.control.setServices(table) })
+	if names := table.OutOfBounds(); len(names) > 0 {
+		g.log.Event("configuration_out_of_bounds", "version", table.Version(), "count", len(names), "fields", strings.Join(names[:min(len(names), maxLoggedFields)], ", "))
+	}
 	g.log.Event("configuration_in_force", "version", table.Version(), "revision", item.Revision, "routes", table.RouteCount())
 }
 
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -158,13 +158,17 @@
 	// requiresKey is set when requests need an API key.
 	requiresKey bool
 	routeCount  int
+	// outOfBounds names the numbers of the document that were out of their bounds.
+	outOfBounds []string
 }
 
-// Compile returns the table of a document.
+// Compile returns the table of a document. Numbers out of their bounds do not reject the
+// document: the nearest bound holds, or the default of a limit that is not positive.
 func Compile(document Document) (*Table, error) {
+	b := &bounder{}
 	t := &Table{
 		version:        document.Version,
-		limits:         document.Limits,
+		limits:         b.limits(document.Limits),
 		routesByHost:   map[string]map[string]*Route{},
 		longestPrefix:  map[string]int{},
 		services:       map[string]*Service{},
@@ -173,10 +177,12 @@
 		routeCount:     len(document.Routes),
 	}
 	for i := range document.Services {
-		t.services[document.Services[i].Name] = &document.Services[i]
+		service := b.service(document.Services[i])
+		t.services[service.Name] = &service
 	}
 	for i := range document.Routes {
-		if err := t.addRoute(&document.Routes[i]); err != nil {
+		route := b.route(document.Routes[i])
+		if err := t.addRoute(&route); err != nil {
 			return nil, err
 		}
 	}
@@ -185,6 +191,7 @@
 			t.workspaceByKey[key] = &document.Workspaces[i]
 		}
 	}
+	t.outOfBounds = b.changed
 	return t, nil
 }
 
@@ -221,6 +228,9 @@
 // RouteCount returns the number of declared routes.
 func (t *Table) RouteCount() int { return t.routeCount }
 
+// OutOfBounds names the numbers of the document that were out of their bounds.
+func (t *Table) OutOfBounds() []string { return t.outOfBounds }
+
 // Match returns the route of host with the longest prefix of path, or nil. Its cost
 // grows with the number of slashes in path, not with the number of routes.
 func (t *Table) Match(host, path string) *Route {
