Registrations: the test of an undeclared service uses one target; a correction

The test in asserted inside a command of the control goroutine. Another test asserted there too; both now read the value and assert outside.

Measured again on the code before: the sound target takes no work ("odd_entries_test.go:189: assertion failed: expression is false: d.takesWork(g, "a1")"), and if it is the only one of its service all 40 calls are refused with 503. The test now has one target, and fails before with "assertion failed: 503 (d.send(g, req).status int) != 200 (http.StatusOK int)" as well when the first assertion is left out.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -169,9 +169,9 @@
 				return d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target == string(id)
 			}
 			d.waitUntil(used)
-			g.control.do(func() {
-				assert.Equal(t, g.control.table.Get(id).Incarnation, request.Incarnation(overwritten.Config().Incarnation))
-			})
+			var incarnation request.Incarnation
+			g.control.do(func() { incarnation = g.control.table.Get(id).Incarnation })
+			assert.Equal(t, incarnation, request.Incarnation(overwritten.Config().Incarnation))
 		})
 	}
 }
@@ -183,9 +183,9 @@
 	g := d.startReadyEntry("entry-1")
 	d.store.Put(platform.TargetPrefix+"x1", []byte(`{"Service":"undeclared","Address":"`+sound.Config().AdvertisedAddress+
 		`","Zone":"naxos","Slots":6,"State":"ready","born":9007199254740991}`))
-	d.startApplication("a2", "naxos")
-	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a2") })
-	g.control.do(func() { assert.Assert(t, !g.control.table.Get("a1").Down(time.Now())) })
+	d.startEngine("e1", "naxos")
+	d.waitWithin(applyTimeout, func() bool { return d.knows(g, "e1") })
+	assert.Assert(t, d.takesWork(g, "a1"))
 	d.expectUnretriedCalls(g, 10)
 }
 
