--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -71,7 +71,11 @@
 		return
 	}
 	var replaceTimer <-chan time.Time
-	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayFraction * float64(e.route.LatencyObjective)))
+	objective := e.route.LatencyObjective
+	if objective <= 0 {
+		objective = time.Until(e.deadline)
+	}
+	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayFraction * float64(objective)))
 	defer hedgeTimer.Stop()
 	for {
 		select {
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -15,11 +14,6 @@
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
-// defaultLimits apply to callers until a configuration has been read.
-var defaultLimits = routes.Limits{
-	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
-}
-
 // ingress accepts connections of callers, operators and health checks.
 type ingress struct {
 	gateway         *Gateway
@@ -65,7 +59,7 @@
 	}
 	i.callerListener = graceful.NewListener(callers)
 	i.callerListener.OnIdleClose = i.gateway.recordIdleClose
-	i.applyLimits(defaultLimits)
+	i.applyLimits(routes.DefaultLimits)
 	i.callerServer = &http.Server{
 		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
 		DisableGeneralOptionsHandler: true,
@@ -84,7 +78,7 @@
 
 // serveAdmin serves health checks or metrics at a listener of their own.
 func (i *ingress) serveAdmin(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultLimits.HeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: routes.DefaultLimits.HeaderTimeout}
 	i.adminServers = append(i.adminServers, server)
 	go i.runServer(server, listener)
 }
