Quarantine: an odd record in the store has no effect

What callers saw: nothing yet; found while looking for odd entries. A record with a part of 40 KB was adopted, and from then on every peer update of every entry was too long for a datagram: entries no longer heard of each other. A record under the key of another part was adopted too, and times beyond 64 bits of nanoseconds wrapped.

Cause: a record was taken if it had a service and a part.

Change: quarantine.Part.Valid bounds both names, for records and for what peers report. A record must lie under the key of its part and have a first crash before its end, at most 24 hours apart; others are logged as quarantine_unreadable with the reason.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -288,3 +289,45 @@
 		})
 	}
 }
+
+func TestStoreWatch_OddQuarantinesHaveNoEffect(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	entries := d.startEntries("entry-1", "entry-2")
+	now := time.Now().UnixMilli()
+	until := now + time.Minute.Milliseconds()
+	record := func(part string, from, until int64) []byte {
+		value, err := json.Marshal(quarantineRecord{Service: "writer", Part: part, From: from, Until: until})
+		assert.NilError(t, err)
+		return value
+	}
+	long := strings.Repeat("p", 40<<10)
+	for key, value := range map[string][]byte{
+		"empty": {}, "nul": {0}, "deep": []byte(strings.Repeat("[", 20000)), "large": []byte(`{"service":"writer","part":"p","until":1e400}`),
+		"float": []byte(`{"service":"writer","part":"p","until":1e300}`), "other/key": record("p", now, until),
+	} {
+		d.store.Put(platform.QuarantinePrefix+key, value)
+	}
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: long}), record(long, now, until))
+	d.store.Put(quarantineKey(quarantine.Part{Service: long, ID: "p"}), []byte(`{"service":"`+long+`","part":"p","until":9223372036854775807}`))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "endless"}), record("endless", -1<<63, 1<<63-1))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "ends first"}), record("ends first", until, now))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "later"}), record("later", now, until))
+	for _, g := range entries {
+		d.waitWithin(applyTimeout, func() bool { return g.quarantines(quarantine.Part{Service: "writer", ID: "later"}) })
+		for _, part := range []quarantine.Part{
+			{Service: "writer", ID: "p"}, {Service: "writer", ID: long}, {Service: long, ID: "p"},
+			{Service: "writer", ID: "endless"}, {Service: "writer", ID: "ends first"},
+		} {
+			assert.Assert(t, !g.quarantines(part))
+		}
+	}
+	// What peers report must still fit into a datagram.
+	var before uint64
+	entries[0].control.do(func() { before = entries[0].control.peerUpdates["entry-2"].Sequence })
+	d.waitWithin(applyTimeout, func() bool {
+		var now uint64
+		entries[0].control.do(func() { now = entries[0].control.peerUpdates["entry-2"].Sequence })
+		return now > before+1
+	})
+}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -18,6 +18,9 @@
 	quarantineStoreInterval = 2 * time.Second
 	// maxQuarantineLease is the longest lease that the store grants.
 	maxQuarantineLease = 10 * time.Minute
+	// maxQuarantineSpan is the longest time from the first crash to the end of a quarantine
+	// that a stored record may name.
+	maxQuarantineSpan = 24 * time.Hour
 )
 
 // quarantineRecord is the value under which a quarantine is stored, for entries that start when
@@ -109,19 +112,11 @@
 // since leases may expire during an outage of the store.
 func (w *storeWatcher) applyQuarantine(item platform.Item) {
 	g := w.gateway
-	var record quarantineRecord
-	if err := json.Unmarshal(item.Value, &record); err != nil || record.Service == "" || record.Part == "" {
-		g.log.Event("quarantine_unreadable", "key", item.Key)
-		return
-	}
 	now := time.Now()
-	// The clock of the entry that wrote the record may be ahead.
-	r := quarantine.Record{
-		Part:  quarantine.Part{Service: record.Service, ID: record.Part},
-		From:  now.Add(-max(0, time.Duration(now.UnixMilli()-record.From)*time.Millisecond)),
-		Until: now.Add(time.Duration(record.Until-now.UnixMilli()) * time.Millisecond),
-		// What this entry or a peer found itself stays so.
-		Stored: true,
+	r, err := decodeQuarantine(now, item)
+	if err != nil {
+		g.log.Event("quarantine_unreadable", "key", item.Key, "error", err.Error())
+		return
 	}
 	g.control.do(func() {
 		if g.control.quarantine.Adopt(now, r) {
@@ -130,6 +125,32 @@
 	})
 }
 
+// decodeQuarantine decodes a stored quarantine. Other writers may leave anything there.
+func decodeQuarantine(now time.Time, item platform.Item) (quarantine.Record, error) {
+	var record quarantineRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return quarantine.Record{}, errors.New("the value is not a record")
+	}
+	part := quarantine.Part{Service: record.Service, ID: record.Part}
+	from, until := time.UnixMilli(record.From), time.UnixMilli(record.Until)
+	switch {
+	case !part.Valid():
+		return quarantine.Record{}, errors.New("invalid part")
+	case item.Key != quarantineKey(part):
+		return quarantine.Record{}, errors.New("the key is that of another part")
+	case record.From <= 0 || until.Before(from) || until.Sub(from) > maxQuarantineSpan:
+		return quarantine.Record{}, errors.Errorf("invalid times %d to %d", record.From, record.Until)
+	}
+	return quarantine.Record{
+		Part: part,
+		// The clock of the entry that wrote the record may be ahead.
+		From:  now.Add(-max(0, now.Sub(from))),
+		Until: now.Add(until.Sub(now)),
+		// What this entry or a peer found itself stays so.
+		Stored: true,
+	}, nil
+}
+
 // trialDelay is how long after a quarantine was found in the store its trial may be claimed: by
 // then entries that have evidence have reported it. It is also the time between two tries.
 const trialDelay = 3 * updateInterval
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 import (
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	maxCrashes    = 64
 	maxSoundParts = 4096
 	maxParts      = 128
+	// maxPartBytes limits the service and the ID of a part that another process reports.
+	maxPartBytes = 200
 	// retractionMargin is how much the times of a quarantine may differ among entries, because
 	// reports arrive late.
 	retractionMargin = time.Second
@@ -60,6 +63,12 @@
 	ID      string `cbor:"2,keyasint"`
 }
 
+// Valid reports whether the part may be one that an entry found.
+func (p Part) Valid() bool {
+	valid := func(text string) bool { return text != "" && len(text) <= maxPartBytes && utf8.ValidString(text) }
+	return valid(p.Service) && valid(p.ID)
+}
+
 // Suspect is a request that was lost when its engine crashed.
 type Suspect struct {
 	// Parts lists the IDs of the parts of the prompt, in order. The last belongs to the
@@ -416,7 +425,7 @@
 // quarantine. A report arrives late and would move the times of a known part by the delay with
 // each entry that passes it on: the end stays, the first crash is the earliest that was reported.
 func (t *Tracker) Adopt(now time.Time, r Record) bool {
-	if last, ok := t.survived(now, r.Part); ok && last.After(r.From) || !now.Before(r.Until) {
+	if last, ok := t.survived(now, r.Part); ok && last.After(r.From) || !now.Before(r.Until) || !r.Valid() {
 		return false
 	}
 	known, ok := t.parts[r.Part]
