Entries: odd registrations of entries name no peers

What callers saw: nothing yet; found while looking for odd entries. Any text counted as the address of a peer. Such a peer had a share of the targets, was asked for changes of the store at a start, and got each update; a host name was looked up for each of them, on the goroutine that decides for all requests.

Cause: a registration of an entry was taken if it had an address.

Change: the address is an IP address and port, names have at most 200 visible bytes. The reason is logged. What was known of an entry stays when another writer overwrites its registration, and that entry registers again within its next renewal.

Evidence: before, TestStoreWatch_OddEntriesAreNoPeers failed with "odd_entries_test.go:312: assertion failed: 13 (known int) != 2 (int)" and TestStoreWatch_EntryWhoseRegistrationTurnsOddStaysAPeer with "odd_entries_test.go:333: assertion failed: 127.0.0.1:70000 (address string) != 127.0.0.1:58446 (string)".

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -49,6 +49,8 @@
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
+	// registrationLost is set when another writer has overwritten this entry's registration.
+	registrationLost atomic.Bool
 	// syncAnswers and syncAnnouncements pass messages of other entries to the watch on the
 	// store.
 	syncAnswers       chan peers.SyncAnswer
--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -290,6 +290,58 @@
 	}
 }
 
+// Other writers may leave anything among the registrations of entries.
+func TestStoreWatch_OddEntriesAreNoPeers(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	odd := map[string]string{
+		"o-empty": "", "o-nul": "\x00", "o-null": "null", "o-number": "1e400", "o-deep": strings.Repeat("[", 20000),
+		"o-type": `{"peers":7}`, "o-none": `{}`, "o-name": `{"peers":"nowhere.example:9"}`, "o-port-name": `{"peers":"127.0.0.1:http"}`,
+		"o-port": `{"peers":"127.0.0.1:70000"}`, "o-zero": `{"peers":"127.0.0.1:0"}`, "o-negative": `{"peers":"127.0.0.1:-4"}`,
+		"o-many": `{"peers":"224.0.0.1:9"}`, "o-long": `{"peers":"127.0.0.1:9","failureDomain":"` + strings.Repeat("z", 1<<20) + `"}`,
+		"o-utf8": "{\"peers\":\"127.0.0.1:9\",\"failureDomain\":\"\xff\"}", "o\tname": `{"peers":"127.0.0.1:9"}`, "": `{"peers":"127.0.0.1:9"}`,
+		strings.Repeat("o", 300): `{"peers":"127.0.0.1:9"}`,
+	}
+	for name, value := range odd {
+		d.store.Put(platform.EntryPrefix+name, []byte(value))
+	}
+	entries := d.startEntries("entry-1", "entry-2")
+	for _, g := range entries {
+		known := 0
+		g.control.do(func() { known = len(g.control.peers) })
+		assert.Equal(t, known, 2)
+		d.expectUnretriedCalls(g, 3)
+	}
+	d.startEntries("entry-3")
+	d.waitWithin(applyTimeout, func() bool {
+		known := 0
+		entries[0].control.do(func() { known = len(entries[0].control.peers) })
+		return known == 3
+	})
+}
+
+// Another writer overwrites the registration of an entry.
+func TestStoreWatch_EntryWhoseRegistrationTurnsOddStaysAPeer(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	entries := d.startEntries("entry-1", "entry-2")
+	d.store.Put(platform.EntryPrefix+"entry-2", []byte(`{"peers":"127.0.0.1:70000"}`))
+	d.startApplication("a2", "naxos")
+	d.waitWithin(applyTimeout, func() bool { return d.knows(entries[0], "a2") })
+	address := ""
+	entries[0].control.do(func() { address = entries[0].control.peers["entry-2"].address })
+	assert.Equal(t, address, entries[1].peers.Address())
+	restored := func() bool {
+		for _, value := range d.storeValues(platform.EntryPrefix) {
+			if strings.Contains(string(value), entries[1].peers.Address()) {
+				return true
+			}
+		}
+		return false
+	}
+	d.waitUntil(restored)
+}
+
 func TestStoreWatch_OddQuarantinesHaveNoEffect(t *testing.T) {
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -49,6 +52,8 @@
 	// keepAliveInterval how often its lease is renewed.
 	leaseTTL          = 12 * time.Second
 	keepAliveInterval = 4 * time.Second
+	// maxEntryNameBytes limits the name of an entry and of its failure domain.
+	maxEntryNameBytes = 200
 	// maxLoggedFields limits how many fields of a configuration one line names.
 	maxLoggedFields = 8
 )
@@ -384,6 +389,31 @@
 	FailureDomain string `json:"failureDomain,omitempty"`
 }
 
+// decodeEntry decodes the registration of an entry. Other writers may leave anything there; an
+// address that is no IP address would be looked up each time that peers are told something.
+func decodeEntry(name string, value []byte) (entryRecord, error) {
+	var record entryRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		return entryRecord{}, errors.New("the value is not a record")
+	}
+	address, err := netip.ParseAddrPort(record.Peers)
+	switch {
+	case err != nil || address.Port() == 0 || address.Addr().IsMulticast():
+		return entryRecord{}, errors.New("the address is not an IP address and a port from 1 to 65535")
+	case !isEntryName(name):
+		return entryRecord{}, errors.Errorf("the name is not 1 to %d visible bytes", maxEntryNameBytes)
+	case record.FailureDomain != "" && !isEntryName(record.FailureDomain):
+		return entryRecord{}, errors.Errorf("the failure domain is not a name of at most %d visible bytes", maxEntryNameBytes)
+	}
+	return record, nil
+}
+
+// isEntryName reports whether text may name an entry or its failure domain.
+func isEntryName(text string) bool {
+	invisible := func(r rune) bool { return !unicode.IsGraphic(r) || r == utf8.RuneError }
+	return text != "" && len(text) <= maxEntryNameBytes && !strings.ContainsFunc(text, invisible)
+}
+
 func (w *storeWatcher) applyEntry(item platform.Item) {
 	g := w.gateway
 	name := strings.TrimPrefix(item.Key, platform.EntryPrefix)
@@ -394,9 +424,12 @@
 		})
 		return
 	}
-	var record entryRecord
-	if err := json.Unmarshal(item.Value, &record); err != nil || record.Peers == "" {
-		g.log.Event("entry_unreadable", "key", item.Key)
+	record, err := decodeEntry(name, item.Value)
+	if err != nil {
+		g.log.Event("entry_unreadable", "key", item.Key, "error", err.Error())
+		if name == g.settings.Name {
+			g.registrationLost.Store(true)
+		}
 		return
 	}
 	g.control.do(func() {
@@ -410,6 +443,9 @@
 	lease := int64(0)
 	for g.background.Err() == nil {
 		var err error
+		if g.registrationLost.Swap(false) {
+			lease = 0
+		}
 		if lease == 0 {
 			lease, err = g.acquireLease()
 		} else {
