--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -288,3 +289,97 @@
 		})
 	}
 }
+
+// Other writers may leave anything among the registrations of entries.
+func TestStoreWatch_OddEntriesAreNoPeers(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	odd := map[string]string{
+		"o-empty": "", "o-nul": "\x00", "o-null": "null", "o-number": "1e400", "o-deep": strings.Repeat("[", 20000),
+		"o-type": `{"peers":7}`, "o-none": `{}`, "o-name": `{"peers":"nowhere.example:9"}`, "o-port-name": `{"peers":"127.0.0.1:http"}`,
+		"o-port": `{"peers":"127.0.0.1:70000"}`, "o-zero": `{"peers":"127.0.0.1:0"}`, "o-negative": `{"peers":"127.0.0.1:-4"}`,
+		"o-many": `{"peers":"224.0.0.1:9"}`, "o-long": `{"peers":"127.0.0.1:9","failureDomain":"` + strings.Repeat("z", 1<<20) + `"}`,
+		"o-utf8": "{\"peers\":\"127.0.0.1:9\",\"failureDomain\":\"\xff\"}", "o\tname": `{"peers":"127.0.0.1:9"}`, "": `{"peers":"127.0.0.1:9"}`,
+		strings.Repeat("o", 300): `{"peers":"127.0.0.1:9"}`,
+	}
+	for name, value := range odd {
+		d.store.Put(platform.EntryPrefix+name, []byte(value))
+	}
+	entries := d.startEntries("entry-1", "entry-2")
+	for _, g := range entries {
+		known := 0
+		g.control.do(func() { known = len(g.control.peers) })
+		assert.Equal(t, known, 2)
+		d.expectUnretriedCalls(g, 3)
+	}
+	d.startEntries("entry-3")
+	d.waitWithin(applyTimeout, func() bool {
+		known := 0
+		entries[0].control.do(func() { known = len(entries[0].control.peers) })
+		return known == 3
+	})
+}
+
+// Another writer overwrites the registration of an entry.
+func TestStoreWatch_EntryWhoseRegistrationTurnsOddStaysAPeer(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	entries := d.startEntries("entry-1", "entry-2")
+	d.store.Put(platform.EntryPrefix+"entry-2", []byte(`{"peers":"127.0.0.1:70000"}`))
+	d.startApplication("a2", "naxos")
+	d.waitWithin(applyTimeout, func() bool { return d.knows(entries[0], "a2") })
+	address := ""
+	entries[0].control.do(func() { address = entries[0].control.peers["entry-2"].address })
+	assert.Equal(t, address, entries[1].peers.Address())
+	restored := func() bool {
+		for _, value := range d.storeValues(platform.EntryPrefix) {
+			if strings.Contains(string(value), entries[1].peers.Address()) {
+				return true
+			}
+		}
+		return false
+	}
+	d.waitUntil(restored)
+}
+
+func TestStoreWatch_OddQuarantinesHaveNoEffect(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	entries := d.startEntries("entry-1", "entry-2")
+	now := time.Now().UnixMilli()
+	until := now + time.Minute.Milliseconds()
+	record := func(part string, from, until int64) []byte {
+		value, err := json.Marshal(quarantineRecord{Service: "writer", Part: part, From: from, Until: until})
+		assert.NilError(t, err)
+		return value
+	}
+	long := strings.Repeat("p", 40<<10)
+	for key, value := range map[string][]byte{
+		"empty": {}, "nul": {0}, "deep": []byte(strings.Repeat("[", 20000)), "large": []byte(`{"service":"writer","part":"p","until":1e400}`),
+		"float": []byte(`{"service":"writer","part":"p","until":1e300}`), "other/key": record("p", now, until),
+	} {
+		d.store.Put(platform.QuarantinePrefix+key, value)
+	}
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: long}), record(long, now, until))
+	d.store.Put(quarantineKey(quarantine.Part{Service: long, ID: "p"}), []byte(`{"service":"`+long+`","part":"p","until":9223372036854775807}`))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "endless"}), record("endless", -1<<63, 1<<63-1))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "ends first"}), record("ends first", until, now))
+	d.store.Put(quarantineKey(quarantine.Part{Service: "writer", ID: "later"}), record("later", now, until))
+	for _, g := range entries {
+		d.waitWithin(applyTimeout, func() bool { return g.quarantines(quarantine.Part{Service: "writer", ID: "later"}) })
+		for _, part := range []quarantine.Part{
+			{Service: "writer", ID: "p"}, {Service: "writer", ID: long}, {Service: long, ID: "p"},
+			{Service: "writer", ID: "endless"}, {Service: "writer", ID: "ends first"},
+		} {
+			assert.Assert(t, !g.quarantines(part))
+		}
+	}
+	// What peers report must still fit into a datagram.
+	var before uint64
+	entries[0].control.do(func() { before = entries[0].control.peerUpdates["entry-2"].Sequence })
+	d.waitWithin(applyTimeout, func() bool {
+		var now uint64
+		entries[0].control.do(func() { now = entries[0].control.peerUpdates["entry-2"].Sequence })
+		return now > before+1
+	})
+}
