Streams: the end of a response has its own time to be written

Callers saw a stream whose target sent nothing for more than 5 s before its end as truncated: all events came, but not the final chunk. A caller that stopped reading a long response of a call kept its request running without an end.

Cause: the write deadline was set with each delivery of events and not again for the end, which net/http writes after the handler; responses of calls had no write deadline at all.

Change: writing the head and ending a stream renew the deadline; the body of a call is written in parts of 64 KiB, each of which may take 5 s, so that a slow reader still gets all of it. Refusals have the deadline of their head.

Ruled out: no deadline for the end, which a caller that does not read would hold open.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -285,8 +286,21 @@
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.writeHead(head.StatusCode)
-	_, err := e.writer.Write(body)
-	return errors.WithStack(err)
+	for part := range slices.Chunk(body, writeBytes) {
+		if err := e.extendWriteDeadline(); err != nil {
+			return err
+		}
+		if _, err := e.writer.Write(part); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+// extendWriteDeadline gives the next write to the caller its time. The end of the response is
+// written after the handler has returned.
+func (e *exchange) extendWriteDeadline() error {
+	return errors.WithStack(http.NewResponseController(e.writer).SetWriteDeadline(time.Now().Add(writeTimeout)))
 }
 
 // writeHead writes the head of the response, whose header is complete but for what concerns the
@@ -297,6 +311,8 @@
 		header.Set("Connection", "close")
 	}
 	graceful.Announce(e.httpRequest, header)
+	// It fails if the connection is closed.
+	_ = e.extendWriteDeadline()
 	e.writer.WriteHeader(status)
 }
 
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -24,8 +24,10 @@
 	maxEmptyAttempts = 5
 	// updateBuffer is how many updates of an attempt may queue for a slow caller.
 	updateBuffer = 16
-	// writeTimeout is how long one write to a caller may take.
+	// writeTimeout is how long one write to a caller may take, writeBytes how much of a
+	// response that is not a stream one write holds.
 	writeTimeout = 5 * time.Second
+	writeBytes   = 64 << 10
 	// expectedOutputFraction is the part of a request's maximum output that its memory
 	// requirement counts.
 	expectedOutputFraction = 0.9
@@ -335,9 +337,8 @@
 
 // deliver writes the last count events to the caller.
 func (s *stream) deliver(count int) error {
-	controller := http.NewResponseController(s.writer)
-	if err := controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return errors.WithStack(err)
+	if err := s.extendWriteDeadline(); err != nil {
+		return err
 	}
 	s.forwardHead()
 	s.recordTiming(time.Now())
@@ -350,7 +351,7 @@
 			return errors.WithStack(err)
 		}
 	}
-	return errors.WithStack(controller.Flush())
+	return errors.WithStack(http.NewResponseController(s.writer).Flush())
 }
 
 // recordTiming records when events are written.
@@ -425,6 +426,8 @@
 		recordDuration(s.gateway.metrics.longestPause, s.longestPause)
 		// A caller that already has all events gets a response without any.
 		s.forwardHead()
+		// It fails if the connection is closed.
+		_ = s.extendWriteDeadline()
 		s.resetConnectionOnClose(false)
 		s.exchange.finish(fault.None, attempts, "events", events,
 			"firstAfter", s.firstEventDelay, "longestPause", s.longestPause)
