A test for limits of connections that were accepted before the first configuration

Callers that connect to a starting entry were refused with 431 by the limits from before it had read the configuration, although they kept to those in force.

--- a/process/gateway/idle_test.go
+++ b/process/gateway/idle_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -131,3 +132,26 @@
 	}
 	r.expectRest(t, req.AttemptID, 1)
 }
+
+// A caller connected to a starting entry, which kept the limits from before it had read the
+// configuration for that connection.
+func TestLimits_OfFirstConfigurationApplyToConnectionsAcceptedBeforeIt(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	d.configure(func(config map[string]any) {
+		config["Limits"] = map[string]any{
+			"MaxHeaderBytes": 64 << 10, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 60000,
+		}
+	})
+	d.store.SetFaults(kv.Faults{Outage: true})
+	g := d.startEntry("entry-1")
+	conn := d.dialCaller(g)
+	d.waitUntil(func() bool { return g.ingress.callerListener.Connections().Unused == 1 })
+	assert.Assert(t, g.table.Load() == nil)
+	d.store.SetFaults(kv.Faults{})
+	d.waitUntil(func() bool { return g.ready() && g.targetCount() == 1 })
+	large := bookingRequest()
+	large.Header = http.Header{"X-Wide": {strings.Repeat("x", 40000)}}
+	conn.send(t, encodeRequest(t, g, large))
+	assert.Equal(t, conn.receive(t), http.StatusOK)
+}
