Connections to targets: the announced idle time is kept with its margin

What callers can see: a call that must not be repeated is lost (502) if its target closes the connection just as the request is sent.

Cause: of the idle time that a target announces half a second is to be left as a margin, but it only decided whether a connection is kept; it was used again for up to 0.8 s of 1 s. And the idle time was counted from when the response had been read, on a busy or paused host long after the target had sent it.

Change: the announced time less the margin limits the use of a connection; idle time counts from the arrival of the last data, as the kernel has it (TCP_INFO).

Ruled out: a shorter idle time for all targets, since most announce more.

Evidence: on the code before, TestPool_AnnouncedIdleTimeIsKeptWithAMargin: idle_test.go:58: isReused(t, pool, short) is true TestPool_IdleTimeCountsFromTheArrivalOfTheResponse: idle_test.go:67: isReused(t, pool, short) is true

--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -72,8 +73,10 @@
 	sendDone chan struct{}
 	sendErr  error
 	// Reused means that the connection was used for an earlier request.
-	Reused    bool
-	idleSince time.Time
+	Reused bool
+	// idleSince is when the connection became idle, maxIdleTime how long it may be.
+	idleSince   time.Time
+	maxIdleTime time.Duration
 	// lastID is the ID of the last request that had one.
 	lastID string
 	// LateCopies counts the responses that were discarded because they answer the previous
@@ -212,6 +215,27 @@
 	return c.sendErr == nil && !response.Close && c.reader.Buffered() == 0
 }
 
+// idleTime returns for how long the connection has been idle. The target counts from when it
+// sent the response, which may have waited here for a while before it was read.
+func (c *Conn) idleTime() time.Duration {
+	idle := time.Since(c.idleSince)
+	syscallConn, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return idle
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return idle
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			idle = max(idle, time.Duration(info.Last_data_recv)*time.Millisecond)
+		}
+	})
+	return idle
+}
+
 // idleAndOpen reports whether an idle connection is open and has nothing to read.
 // Bytes that arrive before a request is sent cannot be its response.
 func (c *Conn) idleAndOpen() bool {
--- a/connection/target/pool.go
+++ b/connection/target/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,8 +14,8 @@
 	// idleTimeout is how long an idle connection is kept. Targets close idle connections
 	// eventually, and a request that is sent at that moment may be lost.
 	idleTimeout = 900 * time.Millisecond
-	// keepAliveMargin is subtracted from the timeout in a target's Keep-Alive header. A
-	// connection is kept only if time remains.
+	// keepAliveMargin is subtracted from the timeout in a target's Keep-Alive header: the
+	// target closes the connection at that time.
 	keepAliveMargin = 500 * time.Millisecond
 	// maxIdlePerTarget limits the idle connections to one target.
 	maxIdlePerTarget = 4
@@ -37,7 +38,7 @@
 		if conn == nil {
 			return Dial(ctx, address)
 		}
-		if time.Since(conn.idleSince) < maxIdleTime && conn.idleAndOpen() {
+		if conn.idleTime() < min(maxIdleTime, conn.maxIdleTime) && conn.idleAndOpen() {
 			conn.Reused = true
 			return conn, nil
 		}
@@ -61,7 +62,8 @@
 // Put returns a connection to the pool after the body of response was read to its end,
 // or closes it if it cannot be reused.
 func (p *Pool) Put(conn *Conn, response *http.Response) {
-	if !conn.reusable(response) || keepAliveTimeout(response.Header) <= keepAliveMargin {
+	conn.maxIdleTime = min(idleTimeout, keepAliveTimeout(response.Header)-keepAliveMargin)
+	if !conn.reusable(response) || conn.maxIdleTime <= 0 {
 		conn.Close()
 		return
 	}
@@ -91,15 +93,18 @@
 	return idleTimeout + keepAliveMargin
 }
 
-// CloseExpired closes connections that have been idle for longer than idleTimeout.
+// CloseExpired closes connections that have been idle for too long.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
-		for len(conns) > 0 && time.Since(conns[0].idleSince) > idleTimeout {
-			conns[0].Close()
-			conns = conns[1:]
-		}
+		conns = slices.DeleteFunc(conns, func(conn *Conn) bool {
+			expired := time.Since(conn.idleSince) > conn.maxIdleTime
+			if expired {
+				conn.Close()
+			}
+			return expired
+		})
 		if len(conns) == 0 {
 			delete(p.idle, address)
 		} else {
