Planned stops: idle connections are closed together

What callers saw: beside a rolling stop several tries in a row ended without a response at one entry.

Cause, as far as the log shows: a caller whose request crossed the close sends it again at once on another idle connection, which was closed a little later. Closing them one by one, with the end of each handler and a log line between, made this more likely than before the listener's own idle timeouts.

Change: the goroutine of a connection that is to be closed ends its writing side at once and lets the others do so before it goes on; while the entry stops, only connections with a late request are reported (and watched for one).

The order has no test of its own: it depends on the scheduler.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -55,8 +56,7 @@
 	Idle, Limit time.Duration
 	Requests    int
 	// LateRequest is set if data arrived after the close: the caller used the connection
-	// before it knew. Stopping is set if the connection was closed because the server stops;
-	// data that arrives then is not watched for.
+	// before it knew. Stopping is set if the connection was closed because the server stops.
 	LateRequest, Stopping bool
 }
 
@@ -65,8 +65,9 @@
 // ConfigureServer.
 type Listener struct {
 	net.Listener
-	// OnIdleClose, if set, is called for each idle connection that was closed. It must be set
-	// before the first connection is accepted.
+	// OnIdleClose, if set, is called for each idle connection that was closed; while the server
+	// stops, only for those with a late request. It must be set before the first connection is
+	// accepted.
 	OnIdleClose func(IdleClose)
 
 	mu     sync.Mutex
@@ -330,6 +331,9 @@
 			return n, err //nolint:wrapcheck // net.Conn
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepWaiting() {
+			// A caller whose request crossed the close sends it again at once, on another
+			// connection: those that are to be closed at the same time are closed first.
+			runtime.Gosched()
 			return 0, err //nolint:wrapcheck // net.Conn
 		}
 	}
@@ -367,7 +371,11 @@
 		// The read does not wait, and the deadline is set again afterwards.
 		return c.Conn.SetReadDeadline(time.Time{}) == nil
 	}
-	c.expired = phase != keepalive.ReadingHead
+	if phase != keepalive.ReadingHead {
+		c.expired = true
+		// It fails if the caller has reset the connection.
+		_ = c.CloseWrite()
+	}
 	return false
 }
 
@@ -429,11 +437,11 @@
 		Requests: c.state.Requests(), Stopping: !c.listener.drainingSince.IsZero(),
 	}
 	c.listener.mu.Unlock()
-	if report && !closed.Stopping {
+	if report {
 		closed.LateRequest = c.receivesLateRequest()
 	}
 	err := c.Conn.Close()
-	if report {
+	if report && (closed.LateRequest || !closed.Stopping) {
 		c.listener.OnIdleClose(closed)
 	}
 	c.listener.mu.Lock()
@@ -443,10 +451,10 @@
 	return err //nolint:wrapcheck // net.Conn
 }
 
-// receivesLateRequest closes the writing side and reports whether data arrives before the
-// caller has closed the other one.
+// receivesLateRequest reports whether data arrives, after the writing side was closed, before
+// the caller has closed the other one.
 func (c *conn) receivesLateRequest() bool {
-	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lateRequestTime)) != nil {
+	if c.Conn.SetReadDeadline(time.Now().Add(lateRequestTime)) != nil {
 		return false
 	}
 	n, _ := c.Conn.Read(make([]byte, 1))
