A target that is heard: what is silent there itself is suspected

Cause: a target that sent something since the probe began was not suspected at all.

Change: its attempts that have received nothing themselves for longer than prefillSilenceBounds are suspected, the others are not. An attempt is trusted again by what it receives itself, or by an answer of its target to a probe, not by events of other attempts.

Evidence: on the code before this commit, twice of two: TestSilence_OfOneRequestMovesItAlone: assertion failed: 504 (result.status int) != 200

Result: three of three with -race; the packages gateway, request and command pass with -race.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -66,6 +66,9 @@
 	// other attempts when they are cancelled for that reason.
 	keepWhenDown bool
 	targetDown   atomic.Bool
+	// lastSeen is when something was last received in response to it, in nanoseconds since the
+	// start of the process; until then, when it was placed.
+	lastSeen atomic.Int64
 	// suspected is set while the target does not answer probes. The attempt goes on until
 	// another one can replace it, since the target may.
 	suspected atomic.Bool
@@ -277,7 +280,7 @@
 		a.responseFailed(err)
 		return nil, request.Reply{}, request.AttemptBroken
 	}
-	a.monitor.recordSeen(g.control)
+	a.recordSeen()
 	a.reply = platform.DecodeReply(response, a.exchange.inbound.ID)
 	a.reply.ConnectionReused = conn.Reused
 	outcome := a.reply.Outcome()
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -50,6 +50,13 @@
 	m.lastIdentified.Store(m.lastSeen.Load())
 }
 
+// recordSeen records that something was received in response to the attempt.
+func (a *attempt) recordSeen() {
+	c := a.exchange.gateway.control
+	a.monitor.recordSeen(c)
+	a.lastSeen.Store(c.sinceStart())
+}
+
 // addAttempt adds an attempt to the monitor of its target.
 func (c *control) addAttempt(a *attempt) {
 	id := a.target.ID
@@ -65,6 +72,7 @@
 		c.monitors[id] = m
 	}
 	a.monitor = m
+	a.lastSeen.Store(c.sinceStart())
 	m.attempts[a] = struct{}{}
 	m.detector.SetBusy(now, true)
 }
@@ -94,9 +102,7 @@
 	}
 	m.detector.SetBounds(bounds)
 	m.detector.Observe(c.startedAt.Add(time.Duration(m.lastSeen.Load())))
-	if m.suspectedAt != 0 && m.lastSeen.Load() > m.suspectedAt {
-		c.trust(m.id)
-	}
+	m.trustActive()
 	if m.detector.State(now) != detector.Trusted {
 		c.probe(m)
 	}
@@ -141,19 +147,23 @@
 }
 
 // suspect marks the attempts at a target as suspected that did not answer a probe sent at the
-// given time, unless something else has come from it since.
+// given time. If something else has come from it since, it is those that have been silent
+// themselves for longer than a prefill takes.
 func (c *control) suspect(id request.TargetID, probedAt time.Time) {
 	m := c.monitors[id]
-	if m == nil || m.lastSeen.Load() >= int64(probedAt.Sub(c.startedAt)) {
+	if m == nil {
 		return
 	}
+	heard := m.lastSeen.Load() >= int64(probedAt.Sub(c.startedAt))
 	m.suspectedAt = c.sinceStart()
 	for a := range m.attempts {
-		a.setSuspected(true)
+		if !heard || m.suspectedAt-a.lastSeen.Load() > int64(prefillSilenceBounds.Max) {
+			a.setSuspected(true)
+		}
 	}
 }
 
-// trust records that a target was active.
+// trust records that a target answered a probe.
 func (c *control) trust(id request.TargetID) {
 	m := c.monitors[id]
 	if m == nil || m.suspectedAt == 0 {
@@ -165,6 +175,18 @@
 	}
 }
 
+// trustActive records which attempts of a suspected target have been active since.
+func (m *targetMonitor) trustActive() {
+	if m.suspectedAt == 0 {
+		return
+	}
+	for a := range m.attempts {
+		if a.lastSeen.Load() > m.suspectedAt {
+			a.setSuspected(false)
+		}
+	}
+}
+
 // cancelAttempts cancels the attempts at a target that is no longer there.
 func (c *control) cancelAttempts(id request.TargetID) {
 	if m := c.monitors[id]; m != nil {
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -242,3 +242,49 @@
 	r.skipTo(t, 60)
 	assert.Equal(t, len(d.fleet.ExecutionLog.Executions(running.AttemptID)), 1)
 }
+
+// An engine answers one request and is mute for another and for probes.
+func TestSilence_OfOneRequestMovesItAlone(t *testing.T) {
+	d := newDeployment(t)
+	const muteBody = "mute"
+	arrived := make(chan struct{})
+	events := make(chan struct{})
+	engine := d.startRawTarget("e1", "writer", func(e rawExchange) {
+		if e.request.ContentLength == int64(len(muteBody)) {
+			close(arrived)
+			time.Sleep(5 * time.Second)
+			return
+		}
+		e.write(e.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		for id := 1; id <= testEvents; id++ {
+			<-events
+			e.write(chunk(e.events(id, id)))
+		}
+		e.write("0\r\n\r\n")
+	})
+	g := d.startReadyEntry("entry-1")
+	flowing, mute := streamRequest(), newCallerRequest(http.MethodPost, "/report/x", muteBody)
+	go func() { events <- struct{}{} }()
+	r := d.openStream(context.Background(), g, flowing)
+	r.skipTo(t, 1)
+	response := make(chan callerResponse, 1)
+	go func() { response <- d.send(g, mute) }()
+	<-arrived
+	d.startEngine("e2", "paros")
+	d.waitUntil(func() bool { return g.targetCount() == 2 })
+	time.Sleep(prefillSilenceBounds.Max + 100*time.Millisecond)
+	probedAt := time.Now()
+	events <- struct{}{}
+	r.skipTo(t, 2)
+	g.control.do(func() { g.control.recordProbe("e1", probeResult{startedAt: probedAt}) })
+	result := <-response
+	assert.Equal(t, result.status, http.StatusOK)
+	assert.Equal(t, len(d.fleet.ExecutionLog.Executions(mute.AttemptID)), 1)
+	go func() {
+		for range testEvents - 2 {
+			events <- struct{}{}
+		}
+	}()
+	r.expectRest(t, flowing.AttemptID, 2)
+	assert.Equal(t, engine.arrived(flowing.AttemptID), 1)
+}
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -138,6 +138,7 @@
 	for {
 		event, err := reader.Next()
 		if err == nil {
+			a.recordSeen()
 			a.monitor.recordIdentified(a.exchange.gateway.control)
 			a.eventCount++
 			a.lastEvent = event.ID
