A restarted target ends the suspected attempts of its earlier incarnation

What callers saw: found by playing dark servers beside a storm of versions: a stream whose engine had restarted without resetting its connections waited for it until its time was over.

Cause: when the successor had registered under the same name, its answer to a probe was taken for that of the target where the stream ran, and the stream was trusted again. The same held for the successor of a target that had left the table.

Change: an answer of another incarnation than that of an attempt is evidence that the attempt has ended; it is cancelled as by a refused connection.

Result: the test passes three of three with -race.

--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -130,6 +130,7 @@
 	alreadyDown := t != nil && t.AwaitingProbe()
 	switch {
 	case result.alive:
+		c.cancelReplaced(id, result.incarnation)
 		c.trust(id)
 		if t != nil && t.AwaitingProbe() {
 			c.table.RecordResponse(now, id, false, nil)
@@ -359,6 +360,20 @@
 	c.setDown(id, reason)
 }
 
+// cancelReplaced cancels the attempts at earlier incarnations of a target, which is known by now
+// to be of the given one, if that is not zero.
+func (c *control) cancelReplaced(id request.TargetID, incarnation request.Incarnation) {
+	m := c.monitors[id]
+	if m == nil || incarnation == 0 {
+		return
+	}
+	for a := range m.attempts {
+		if known := a.target.Incarnation; known != 0 && known != incarnation && !a.target.AssumedIncarnation {
+			a.handleTargetDown()
+		}
+	}
+}
+
 // setDown records that a target is down: it gets no work for a while. Busy targets of the same
 // failure domain are probed at once.
 func (c *control) setDown(id request.TargetID, reason string) {
--- a/process/gateway/raw_target_test.go
+++ b/process/gateway/raw_target_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -20,9 +21,9 @@
 
 // rawTarget is a target that decides each byte of its responses.
 type rawTarget struct {
-	id          string
+	id, service string
 	respond     func(rawExchange)
-	incarnation int64
+	incarnation atomic.Int64
 	listener    net.Listener
 	// open holds the connections.
 	open sync.Map
@@ -53,9 +54,8 @@
 	listener, err := net.Listen("tcp", network.ProcessAddress())
 	assert.NilError(d.t, err)
 	d.startCount++
-	target := &rawTarget{
-		id: id, respond: respond, incarnation: int64(1000 + d.startCount), listener: listener, arrivals: map[string]int{},
-	}
+	target := &rawTarget{id: id, service: service, respond: respond, listener: listener, arrivals: map[string]int{}}
+	target.incarnation.Store(int64(1000 + d.startCount))
 	d.t.Cleanup(target.stop)
 	go func() {
 		for {
@@ -67,14 +67,20 @@
 			go target.serve(conn)
 		}
 	}()
+	d.registerRaw(target)
+	return target
+}
+
+// registerRaw registers a target with its current incarnation.
+func (d *deployment) registerRaw(r *rawTarget) {
+	d.t.Helper()
 	registration := map[string]any{
-		"Service": service, "Address": listener.Addr().String(), "Zone": "naxos", "Slots": 64, "State": "ready",
-		"Sequence": 1, "born": target.incarnation,
+		"Service": r.service, "Address": r.listener.Addr().String(), "Zone": "naxos", "Slots": 64, "State": "ready",
+		"Sequence": 1, "born": r.incarnation.Load(),
 	}
 	value, err := json.Marshal(registration)
 	assert.NilError(d.t, err)
-	d.store.Put(platform.TargetPrefix+id, value)
-	return target
+	d.store.Put(platform.TargetPrefix+r.id, value)
 }
 
 // stop closes the listener and then the connections, as the end of a process does.
@@ -96,7 +102,7 @@
 			return
 		}
 		if req.URL.Path == platform.ReportPath {
-			body := fmt.Sprintf(`{"Running":0,"KvTotal":88000,"born":%d}`, r.incarnation)
+			body := fmt.Sprintf(`{"Running":0,"KvTotal":88000,"born":%d}`, r.incarnation.Load())
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			continue
 		}
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -288,3 +288,27 @@
 	r.expectRest(t, flowing.AttemptID, 2)
 	assert.Equal(t, engine.arrived(flowing.AttemptID), 1)
 }
+
+// A silent engine restarts, and its connections are not reset. Its successor under the same name
+// answers probes.
+func TestSilence_EndsStreamOfAnEarlierIncarnation(t *testing.T) {
+	d := newDeployment(t)
+	engine := d.startRawTarget("e1", "writer", func(e rawExchange) {
+		last := deliveredBefore
+		if e.position > 0 {
+			last = testEvents
+		}
+		e.write(framings["chunked"](e, e.events(e.position+1, last), e.position > 0))
+		if e.position == 0 {
+			time.Sleep(5 * time.Second)
+		}
+	})
+	g := d.startReadyEntry("entry-1")
+	req := streamRequest()
+	r := d.openStream(context.Background(), g, req)
+	r.skipTo(t, deliveredBefore)
+	g.control.do(func() { g.control.recordProbe("e1", probeResult{startedAt: time.Now()}) })
+	engine.incarnation.Add(1)
+	d.registerRaw(engine)
+	r.expectRest(t, req.AttemptID, deliveredBefore)
+}
