--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -203,8 +203,8 @@
 	sent := bootClock()
 	items, revision, err := g.store.Watch(ctx, "", w.revision, wait)
 	g.metrics.countStoreCall("watch", err)
-	if errors.Is(err, platform.ErrCompacted) {
-		g.log.Event("store_history_gone", "revision", w.revision)
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLong) {
+		g.log.Event("store_history_gone", "revision", w.revision, "reason", err.Error())
 		w.revision = 0
 		return nil
 	}
