A restarted entry gets the whole state from the others at once

Callers saw: streams that a planned stop of one entry had cut off, and that went on at an entry that had just started again, had their whole prompt prefilled again, with pauses of up to 2.9 s.

Cause: an entry sends the whole state at once to a peer that it has not known. One that restarts within the four seconds for which it counts as running was taken for known; it waited for the next full update, up to a second, and the KV copies that did not change in the last two seconds are in no delta.

Change: a new incarnation counts as a new peer.

Ruled out: a last full update of the stopping entry. An entry that is up by then has got one now; one that starts later would not get it either.

Evidence: on the code before, TestPeerUpdates_RestartedEntryGetsWholeStateAtOnce: FAIL "expression is false: c.updatePending". Result: passes, with -race. Streams whose callers come to an entry that started after the end of the stopped one still have no copy there.

--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -176,7 +176,8 @@
 		}
 		return
 	}
-	if !known {
+	before := c.peerUpdates[update.Entry]
+	if !known || before.Incarnation != update.Incarnation {
 		c.updateScheduler.ForceFull()
 		c.updatePending = true
 	}
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -419,3 +420,19 @@
 	assert.Assert(t, reached > 0)
 	assert.NilError(t, <-stopped)
 }
+
+// An entry that was stopped starts again at once, knowing nothing, while the others still count
+// it as running.
+func TestPeerUpdates_RestartedEntryGetsWholeStateAtOnce(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	c := g.control
+	c.do(func() {
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true})
+		c.sendPeerUpdate()
+		c.updateScheduler.Compose(time.Now(), peers.Update{})
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 2, Full: true})
+		assert.Check(t, c.updatePending)
+		assert.Check(t, c.updateScheduler.Compose(time.Now(), peers.Update{}).Full)
+	})
+}
