KV copies of an entry that was stopped outlive its restart

Callers saw (by the test): the prompt of a stream that a planned stop cut off is prefilled again, at any entry, if its caller comes after the stopped entry has started again.

Cause: entries know the copies of another one from its updates.

Evidence: on the code before, TestStop_CopyIsFoundAfterStoppedEntryRestarted: FAIL "ok is false". Result: passes, with -race.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -84,6 +84,9 @@
 	peerLastSeen map[string]time.Time
 	// sessionCopies maps the sessions of this entry's streams to their KV copies.
 	sessionCopies map[string]sessionCopy
+	// endedCopies maps sessions to the KV copies of streams of entries that have ended and
+	// started again.
+	endedCopies map[string]sessionCopy
 	// peerUpdates holds the merged updates of each other entry.
 	peerUpdates map[string]peers.Update
 	// recentlyDown maps targets that this entry marked down to the time when it did so.
@@ -157,6 +160,7 @@
 		peers:             map[string]peer{},
 		peerLastSeen:      map[string]time.Time{},
 		sessionCopies:     map[string]sessionCopy{},
+		endedCopies:       map[string]sessionCopy{},
 		peerUpdates:       map[string]peers.Update{},
 		recentlyDown:      map[request.TargetID]time.Time{},
 		recentlyReplaced:  map[request.TargetID]time.Time{},
@@ -289,6 +293,7 @@
 		c.updatePending = true
 	}
 	c.promptIndex.RemoveExpired(now)
+	c.forgetEndedCopies(now)
 	c.evaluateCrashes(now)
 	c.forgetEndedQuarantines(now)
 	c.gateway.pool.CloseExpired()
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -62,7 +63,21 @@
 			return kvCopy, true
 		}
 	}
-	return peers.KVCopy{}, false
+	ended, ok := c.endedCopies[session]
+	return ended.KVCopy, ok
+}
+
+// retainCopies retains the copies of an entry that has ended and started again, for as long as
+// they are known if it does not: the callers of its streams may still come.
+func (c *control) retainCopies(now time.Time, ended peers.Update) {
+	for session, kvCopy := range ended.KVCopies {
+		c.endedCopies[session] = sessionCopy{KVCopy: kvCopy, expires: now.Add(c.peerTimeout())}
+	}
+}
+
+// forgetEndedCopies deletes the retained copies that have expired.
+func (c *control) forgetEndedCopies(now time.Time) {
+	maps.DeleteFunc(c.endedCopies, func(_ string, retained sessionCopy) bool { return now.After(retained.expires) })
 }
 
 // copyTTL returns how long the copy of the stream stays usable if the stream is interrupted.
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -181,6 +181,9 @@
 		c.updateScheduler.ForceFull()
 		c.updatePending = true
 	}
+	if before.Incarnation != update.Incarnation {
+		c.retainCopies(now, before)
+	}
 	c.peerLastSeen[update.Entry] = now
 	c.mergePeerUpdate(now, update)
 	for _, id := range update.Down {
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -436,3 +436,22 @@
 		assert.Check(t, c.updateScheduler.Compose(time.Now(), peers.Update{}).Full)
 	})
 }
+
+// The caller of a stream that a planned stop cut off comes after the stopped entry has started
+// again and has told the others that it runs no streams.
+func TestStop_CopyIsFoundAfterStoppedEntryRestarted(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	c := g.control
+	kvCopy := peers.KVCopy{RequestID: "request-a", Target: "e1", Incarnation: 1}
+	c.do(func() {
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true, KVCopies: map[string]peers.KVCopy{"session-a": kvCopy}})
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 2, Full: true})
+		found, ok := c.findCopy("session-a")
+		assert.Check(t, ok)
+		assert.Check(t, found == kvCopy)
+		c.forgetEndedCopies(time.Now().Add(c.peerTimeout() + time.Second))
+		_, ok = c.findCopy("session-a")
+		assert.Check(t, !ok)
+	})
+}
