--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -176,10 +176,14 @@
 		}
 		return
 	}
-	if !known {
+	before := c.peerUpdates[update.Entry]
+	if !known || before.Incarnation != update.Incarnation {
 		c.updateScheduler.ForceFull()
 		c.updatePending = true
 	}
+	if before.Incarnation != update.Incarnation {
+		c.retainCopies(now, before)
+	}
 	c.peerLastSeen[update.Entry] = now
 	c.mergePeerUpdate(now, update)
 	for _, id := range update.Down {
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -419,3 +420,38 @@
 	assert.Assert(t, reached > 0)
 	assert.NilError(t, <-stopped)
 }
+
+// An entry that was stopped starts again at once, knowing nothing, while the others still count
+// it as running.
+func TestPeerUpdates_RestartedEntryGetsWholeStateAtOnce(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	c := g.control
+	c.do(func() {
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true})
+		c.sendPeerUpdate()
+		c.updateScheduler.Compose(time.Now(), peers.Update{})
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 2, Full: true})
+		assert.Check(t, c.updatePending)
+		assert.Check(t, c.updateScheduler.Compose(time.Now(), peers.Update{}).Full)
+	})
+}
+
+// The caller of a stream that a planned stop cut off comes after the stopped entry has started
+// again and has told the others that it runs no streams.
+func TestStop_CopyIsFoundAfterStoppedEntryRestarted(t *testing.T) {
+	d := newDeployment(t)
+	g := d.startReadyEntry("entry-1")
+	c := g.control
+	kvCopy := peers.KVCopy{RequestID: "request-a", Target: "e1", Incarnation: 1}
+	c.do(func() {
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true, KVCopies: map[string]peers.KVCopy{"session-a": kvCopy}})
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 2, Full: true})
+		found, ok := c.findCopy("session-a")
+		assert.Check(t, ok)
+		assert.Check(t, found == kvCopy)
+		c.forgetEndedCopies(time.Now().Add(c.peerTimeout() + time.Second))
+		_, ok = c.findCopy("session-a")
+		assert.Check(t, !ok)
+	})
+}
