Listener: a change of limits does not prolong the refusal of a long head

What callers saw: nothing. A caller that went on sending after its request was refused with 431 could keep its connection open for as long as it liked.

Cause: the time for discarding the rest was replaced when the limits changed; without a header timeout it had no end.

Change: a connection whose request is refused counts as being closed, so that the listener leaves its deadline alone.

Evidence: TestHeaderBytes_RefusalEndsAlthoughLimitsChange failed before: listener_test.go:564: expression is false: time.Now().Before(deadline).

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -384,6 +384,7 @@
 // response.
 func (c *conn) refuseHead() {
 	c.listener.mu.Lock()
+	c.closed = true
 	err := c.SetDeadline(time.Now().Add(refusalTime))
 	c.listener.mu.Unlock()
 	if err != nil {
--- a/connection/graceful/listener_test.go
+++ b/connection/graceful/listener_test.go
@@ -551,3 +551,18 @@
 	l.SetLimits(keepalive.Limits{IdleTimeout: time.Second})
 	assert.Equal(t, send(requestText), "")
 }
+
+// A caller goes on sending after its request was refused, and the limits change meanwhile.
+func TestHeaderBytes_RefusalEndsAlthoughLimitsChange(t *testing.T) {
+	l, _ := startIdleServer(t, time.Minute)
+	l.SetLimits(keepalive.Limits{HeaderBytes: 1 << 10, IdleTimeout: time.Minute})
+	c := dial(t, l)
+	refusedBytes(t, c)
+	l.SetLimits(keepalive.Limits{HeaderBytes: 2 << 10})
+	deadline := time.Now().Add(10 * refusalTime)
+	for l.Connections() != (Connections{}) {
+		assert.Assert(t, time.Now().Before(deadline))
+		_, _ = io.WriteString(c, "x")
+		time.Sleep(time.Millisecond)
+	}
+}
