Soak: the seeds of planned work that failed, with their causes

Change: PlannedWorkSeeds lists seeds 1, 8 and 52. TestPlannedWork_BreaksOffNoRequest runs them at the same time, where it ran seed 1; each as long as before.

--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -17,8 +17,20 @@
 // endlessPauseCause is the cause of failures that were errors of the soak itself.
 const endlessPauseCause = "the last signal of a series came after the fault had been reverted, and paused an entry for good"
 
-// RegressionSeeds lists every seed whose run has failed, with the cause.
+// RegressionSeeds lists every seed whose run with all faults has failed, with the cause.
 var RegressionSeeds = []RegressionSeed{
 	{202, earlyDisconnectCause}, {215, earlyDisconnectCause + "; " + staleQuarantineCause}, {303, earlyDisconnectCause}, {311, earlyDisconnectCause}, {315, earlyDisconnectCause},
 	{1004, staleQuarantineCause}, {2001, endlessPauseCause}, {2003, staleQuarantineCause}, {4009, staleQuarantineCause},
 }
+
+// idleLimitCause is the cause of failures in which entries closed idle connections that callers
+// could still use.
+const idleLimitCause = "a connection kept the idle limit under which it was accepted, and callers were not told of it"
+
+// silenceCause is the cause of failures in which streams ended without a response.
+const silenceCause = "a target that sent nothing for a second was given up, though no other could take over the stream"
+
+// PlannedWorkSeeds lists every seed whose run with planned work alone has failed, with the cause.
+var PlannedWorkSeeds = []RegressionSeed{
+	{1, idleLimitCause + "; a registration with negative slots was used"}, {8, idleLimitCause + "; " + silenceCause}, {52, silenceCause},
+}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -56,10 +56,13 @@
 }
 
 func TestPlannedWork_BreaksOffNoRequest(t *testing.T) {
-	options := DefaultOptions()
-	options.GatewayPath, options.Directory, options.Seed, options.FaultDuration = buildGateway(t), t.TempDir(), 1, 6*time.Second
-	options.PlannedOnly = true
-	runSoak(t, options)
+	gateway := buildGateway(t)
+	runSeeds(t, PlannedWorkSeeds, func(t *testing.T, seed uint64) {
+		options := DefaultOptions()
+		options.GatewayPath, options.Directory, options.Seed, options.FaultDuration = gateway, t.TempDir(), seed, 6*time.Second
+		options.PlannedOnly = true
+		runSoak(t, options)
+	})
 }
 
 // parallelSeeds is how many seeds run at a time; more slow each other down.
@@ -67,13 +70,20 @@
 
 func TestRegressionSeeds(t *testing.T) {
 	gateway := buildGateway(t)
+	runSeeds(t, RegressionSeeds, func(t *testing.T, seed uint64) {
+		runSeed(t, gateway, seed, DefaultOptions().FaultDuration)
+	})
+}
+
+func runSeeds(t *testing.T, seeds []RegressionSeed, run func(t *testing.T, seed uint64)) {
+	t.Helper()
 	running := make(chan struct{}, parallelSeeds)
-	for _, regression := range RegressionSeeds {
+	for _, regression := range seeds {
 		t.Run(strconv.FormatUint(regression.Seed, 10), func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
 			defer func() { <-running }()
-			runSeed(t, gateway, regression.Seed, DefaultOptions().FaultDuration)
+			run(t, regression.Seed)
 		})
 	}
 }
