Bodies: a caller that stops sending gets a response at the deadline of its request

Callers that stopped sending the body of a request got no response, and the request was kept running without an end; the same where it had been refused before its body was read, which net/http reads first.

Cause: reading a body had no deadline.

Change: the deadline of the request (its own or that of its route, one minute at most before the route is known) also ends the wait for its body, with 408 and outcome slow_caller. It is not set for requests without a body: it would end the watch for callers that leave.

Ruled out: the header timeout for bodies, which are longer and whose callers keep to their own time.

Evidence: on the code before, TestBody_CallerThatStopsSendingGetsAResponse: write_deadline_test.go:109: read: i/o timeout (after 20 s). TestBody_TimeLimitDoesNotOutlastTheBody guards the connection after it.

Result: tests of process/gateway, process/entry and the root pass under the race detector.

--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -115,28 +116,18 @@
 // admit reads the rest of the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
+	// net/http reads the body of a request that is refused before.
+	e.setDeadline(defaultTimeout)
 	g.waitForInitialSync(r.Context(), e.inbound.TimeLeft)
-	err := e.authorize()
-	if err != nil {
+	if err := e.authorize(); err != nil {
 		return err
 	}
-	limit := g.table.Load().Limits().BodyBytes
-	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
-	case err != nil:
-		return fault.Wrap(fault.CallerGone, err, "the body was not sent whole")
-	}
-	timeout := e.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	if e.route.Timeout > 0 {
+		e.setDeadline(e.route.Timeout)
 	}
-	if e.inbound.TimeLeft > 0 {
-		timeout = min(timeout, e.inbound.TimeLeft)
+	if err := e.readBody(g.table.Load().Limits().BodyBytes); err != nil {
+		return err
 	}
-	e.deadline = e.arrived.Add(timeout)
 	if !g.acceptsWhileStopping(e) {
 		return fault.New(fault.Draining, "the entry is about to end")
 	}
@@ -144,6 +135,38 @@
 	return nil
 }
 
+// setDeadline sets the deadline of the request, which its caller may have shortened, also for its
+// body.
+func (e *exchange) setDeadline(timeout time.Duration) {
+	if e.inbound.TimeLeft > 0 {
+		timeout = min(timeout, e.inbound.TimeLeft)
+	}
+	e.deadline = e.arrived.Add(timeout)
+	if e.httpRequest.ContentLength == 0 {
+		// It would end the watch for a caller that leaves.
+		return
+	}
+	// It fails if the connection is closed, and ends with the body.
+	_ = http.NewResponseController(e.writer).SetReadDeadline(e.deadline)
+}
+
+// readBody reads the body of the request, which may have up to limit bytes.
+func (e *exchange) readBody(limit int64) error {
+	var err error
+	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, e.httpRequest.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.Wrap(fault.SlowCaller, err, "the body was not sent in time")
+	default:
+		return fault.Wrap(fault.CallerGone, err, "the body was not sent whole")
+	}
+}
+
 // waitForInitialSync delays a request to a starting entry until the store has been
 // read, but not for long.
 func (g *Gateway) waitForInitialSync(ctx context.Context, timeLeft time.Duration) {
--- a/process/gateway/write_deadline_test.go
+++ b/process/gateway/write_deadline_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
 // setTimeouts sets the timeouts of all routes.
@@ -93,3 +95,38 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
 }
+
+// A caller that stopped sending the body of its request kept it running without an end.
+func TestBody_CallerThatStopsSendingGetsAResponse(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	req := bookingRequest()
+	req.DeadlineRemaining = 500 * time.Millisecond
+	refused := newCallerRequest(http.MethodPost, "/unknown", "a body")
+	refused.DeadlineRemaining = req.DeadlineRemaining
+	for req, status := range map[*callerRequest]int{req: http.StatusRequestTimeout, refused: http.StatusNotFound} {
+		encoded := encodeRequest(t, g, req)
+		conn := d.dialCaller(g)
+		conn.send(t, encoded[:len(encoded)-1])
+		assert.Equal(t, conn.receive(t), status)
+		_, err := conn.responses.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 0)
+	}
+}
+
+// The time limit of a body ends with it.
+func TestBody_TimeLimitDoesNotOutlastTheBody(t *testing.T) {
+	d := newDeployment(t)
+	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 100 * time.Millisecond, Slots: 6})
+	g := d.startReadyEntry("entry-1")
+	conn := d.dialCaller(g)
+	req := bookingRequest()
+	req.DeadlineRemaining = time.Second
+	conn.send(t, encodeRequest(t, g, req))
+	assert.Equal(t, conn.receive(t), http.StatusOK)
+	time.Sleep(req.DeadlineRemaining)
+	conn.send(t, encodeRequest(t, g, bookingRequest()))
+	assert.Equal(t, conn.receive(t), http.StatusOK)
+}
