--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -120,50 +121,63 @@
 // admit reads the rest of the request and returns an error if it must not be served.
 func (e *exchange) admit(r *http.Request) error {
 	g := e.gateway
+	// net/http reads the body of a request that is refused before.
+	e.setDeadline(defaultTimeout)
 	g.waitForInitialSync(r.Context(), e.inbound.TimeLeft)
 	if err := e.authorize(); err != nil {
 		return err
 	}
-	if err := e.readBody(r); err != nil {
+	if e.route.Timeout > 0 {
+		e.setDeadline(e.route.Timeout)
+	}
+	if err := e.readBody(g.table.Load().Limits().BodyBytes); err != nil {
 		return err
 	}
-	timeout := e.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	if !g.acceptsWhileStopping(e) {
+		return fault.New(fault.Draining, "the entry is about to end")
 	}
+	g.control.post(func() { g.control.budget(e.service).CountRequest(e.arrived) })
+	return nil
+}
+
+// setDeadline sets the deadline of the request, which its caller may have shortened, also for its
+// body.
+func (e *exchange) setDeadline(timeout time.Duration) {
 	if e.inbound.TimeLeft > 0 {
 		timeout = min(timeout, e.inbound.TimeLeft)
 	}
 	e.deadline = e.arrived.Add(timeout)
-	if !g.acceptsWhileStopping(e) {
-		return fault.New(fault.Draining, "the entry is about to end")
+	if e.httpRequest.ContentLength == 0 {
+		// It would end the watch for a caller that leaves.
+		return
 	}
-	g.control.post(func() { g.control.budget(e.service).CountRequest(e.arrived) })
-	return nil
+	// It fails if the connection is closed, and ends with the body.
+	_ = http.NewResponseController(e.writer).SetReadDeadline(e.deadline)
 }
 
-// readBody reads the body, but no longer than until a planned stop ends the requests in
-// progress.
-func (e *exchange) readBody(r *http.Request) error {
-	g := e.gateway
-	stop := context.AfterFunc(g.ending, func() {
+// readBody reads the body of the request, which may have up to limit bytes, but no longer than
+// until a planned stop ends the requests in progress.
+func (e *exchange) readBody(limit int64) error {
+	stop := context.AfterFunc(e.gateway.ending, func() {
 		// It fails if the connection is closed.
 		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now())
 	})
 	defer stop()
-	limit := g.table.Load().Limits().BodyBytes
 	var err error
-	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, r.Body, limit))
+	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, e.httpRequest.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		return nil
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
-	case err != nil && g.ending.Err() != nil:
+	case e.gateway.ending.Err() != nil:
 		return fault.New(fault.Draining, "the entry ends before the body was sent whole")
-	case err != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.Wrap(fault.SlowCaller, err, "the body was not sent in time")
+	default:
 		return fault.Wrap(fault.CallerGone, err, "the body was not sent whole")
 	}
-	return nil
 }
 
 // waitForInitialSync delays a request to a starting entry until the store has been
