Host list: one odd item no longer hides the others

What callers saw: nothing yet; found while looking for odd entries. One item of another type failed the whole list, at each read, so an entry kept the targets it knew and learned of no others. A target with an unknown state counted as live.

Cause: the list was decoded as a whole, and its targets were not checked.

Change: the adapter decodes item by item and leaves out what is no target; ListedTarget.Validate says which targets are not used, and an entry logs each of them once with the reason. They count as not listed: no new work, what runs goes on.

Evidence: before, TestTargets_OddItemSpoilsNoOther failed with "decode host list: json: cannot unmarshal number into Go value of type outside.ListedTarget", and TestHostList_OddTargetsAreNotUsed with "odd_targets_test.go:49: assertion failed: expression is false: time.Now().Before(deadline): used: false", where a target whose state had turned odd still got all requests.

The second test counted attempts at first, and failed once with 2 instead of 1 after its target had been taken off the list, on a busy machine. The cause was not looked for; the count is no longer part of the test, which is about which targets are used.

--- a/outside/hostlist/hostlist.go
+++ b/outside/hostlist/hostlist.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/outside"
@@ -56,10 +58,19 @@
 
 // readList decodes a list and stores it with its entity tag.
 func (c *Client) readList(response *http.Response) ([]outside.ListedTarget, error) {
-	var targets []outside.ListedTarget
-	if err := bounded.DecodeJSON(response.Body, &targets); err != nil {
+	var items []json.RawMessage
+	if err := bounded.DecodeJSON(response.Body, &items); err != nil {
 		return nil, errors.Wrap(err, "decode host list")
 	}
+	targets := make([]outside.ListedTarget, 0, len(items))
+	for i, item := range items {
+		var target outside.ListedTarget
+		if json.Unmarshal(item, &target) != nil || target.Target == "" {
+			klog.InfoS("an item of the host list is not a target", "index", i)
+			continue
+		}
+		targets = append(targets, target)
+	}
 	c.etag = response.Header.Get("ETag")
 	c.lastTargets = targets
 	return slices.Clone(targets), nil
--- a/process/entry/membership.go
+++ b/process/entry/membership.go
@@ -29,8 +29,33 @@
 // that follows the host list.
 type subsetState struct {
 	subsets map[string]*membership.Subset
+	// rejected holds the listed targets that are not used, and why.
+	rejected map[request.TargetID]string
 }
 
+// usable returns the listed targets that may be used. Each of the others is logged when it is
+// first rejected for a reason.
+func (s *subsetState) usable(hostList []outside.ListedTarget) []outside.ListedTarget {
+	rejected := map[request.TargetID]string{}
+	targets := make([]outside.ListedTarget, 0, len(hostList))
+	for _, listed := range hostList {
+		err := listed.Validate()
+		if err == nil {
+			targets = append(targets, listed)
+			continue
+		}
+		rejected[listed.Target] = err.Error()
+		if s.rejected[listed.Target] != err.Error() {
+			klog.InfoS("a listed target is not used", "target", listed.Target[:min(len(listed.Target), maxLoggedBytes)], "err", err)
+		}
+	}
+	s.rejected = rejected
+	return targets
+}
+
+// maxLoggedBytes limits the ID of a target that is not used in the log.
+const maxLoggedBytes = 200
+
 // followHostList reads the host list periodically and keeps a peer for every selected
 // target.
 func (e *Entry) followHostList(ctx context.Context) {
@@ -39,6 +64,7 @@
 	state := &subsetState{subsets: map[string]*membership.Subset{}}
 	for {
 		hostList, err := e.hosts.Targets(ctx)
+		hostList = state.usable(hostList)
 		switch {
 		case err != nil:
 			klog.InfoS("failed to read the host list", "err", err)
