--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -383,3 +384,26 @@
 		return now > before+1
 	})
 }
+
+// Most entries learn of changes from others, in datagrams that large values do not fit into.
+func TestStoreSync_OddRegistrationsReachNoEntryAndHideNoOther(t *testing.T) {
+	d := newDeployment(t)
+	sound := d.startApplication("a1", "naxos")
+	entries := d.startEntries("entry-1", "entry-2", "entry-3")
+	d.putOddRegistrations(sound.Config().AdvertisedAddress)
+	d.startApplication("a2", "paros")
+	d.store.SetFaults(kv.Faults{Outage: true})
+	time.Sleep(500 * time.Millisecond)
+	d.store.Put(platform.TargetPrefix+"b-later", []byte(`{"Service":"bookings","Address":"127.0.0.1:70000","Zone":"`+strings.Repeat("z", 40<<10)+`"}`))
+	d.store.SetFaults(kv.Faults{})
+	d.startApplication("a3", "paros")
+	for _, g := range entries {
+		d.waitUntil(func() bool { return d.knows(g, "a2") && d.knows(g, "a3") })
+		assert.Equal(t, g.targetCount(), 3)
+		d.expectUnretriedCalls(g, 5)
+	}
+	d.startApplication("a4", "paros")
+	for _, g := range entries {
+		d.waitWithin(applyTimeout, func() bool { return d.knows(g, "a4") })
+	}
+}
