Soak: storms of versions move and drop the route of /status/ itself

The platform's store accepts valid configurations alone. The versions with it were never in force.

Change: the route of /status/ moves to a service without targets, gets another attempt, or is dropped. The last version of a storm has it as before.

--- a/bench/soak/connectionfaults.go
+++ b/bench/soak/connectionfaults.go
@@ -120,7 +120,7 @@
 		p.idleChange(),
 		func() { d.change(func() { d.extraLimit = extra - d.extraLimit }) },
 		func() { d.change(func() { d.statusDropped = !d.statusDropped }) },
-		func() { d.change(func() { d.statusSplit = !d.statusSplit }) },
+		func() { d.change(func() { d.statusRetried = !d.statusRetried }) },
 		func() { d.change(func() { d.statusMoved = !d.statusMoved }) },
 		func() { first.signal(syscall.SIGHUP) },
 		func() { second.signal(syscall.SIGHUP) },
@@ -133,7 +133,7 @@
 	if p.random.IntN(3) == 0 {
 		p.after(delay/2, func() { first.signal(syscall.SIGTERM) })
 	}
-	p.after(delay, func() { d.change(func() { d.statusDropped, d.statusSplit, d.statusMoved = false, false, false }) })
+	p.after(delay, func() { d.change(func() { d.statusDropped, d.statusRetried, d.statusMoved = false, false, false }) })
 	return nil
 }
 
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -80,9 +80,9 @@
 	addedRoutes int
 	// idleLimits lists the idle limits of callers, each with when it came into force.
 	idleLimits []idleLimit
-	// statusDropped is set if no route leads to /status/. statusSplit is set if a second one
-	// does, statusMoved if this is of a service that has no targets.
-	statusDropped, statusSplit, statusMoved bool
+	// statusMoved is set if the route of /status/ is of a service that has no targets,
+	// statusRetried if it has another attempt, statusDropped if there is none otherwise.
+	statusMoved, statusRetried, statusDropped bool
 	// extraLimit is added to the limits of callers and to the timeouts of routes.
 	extraLimit int
 	// failures describes each exit of a process with an error that the soak did not cause,
@@ -145,14 +145,13 @@
 		route("/report/", "streaming", "writer", streamAttempts),
 		route("/book/", "non_idempotent", "bookings", 1),
 	}
-	if !d.statusDropped {
-		routes = append(routes, route("/status/", "idempotent", "bookings", 2))
-	}
 	switch {
 	case d.statusMoved:
-		routes = append(routes, route("/status/7", "idempotent", "archive", 2))
-	case d.statusSplit:
-		routes = append(routes, route("/status/7", "idempotent", "bookings", 3))
+		routes = append(routes, route("/status/", "idempotent", "archive", 2))
+	case d.statusRetried:
+		routes = append(routes, route("/status/", "idempotent", "bookings", 3))
+	case !d.statusDropped:
+		routes = append(routes, route("/status/", "idempotent", "bookings", 2))
 	}
 	for i := range d.addedRoutes {
 		routes = append(routes, route(fmt.Sprintf("/added%d/", i), "idempotent", "bookings", 2))
