An attempt that was not sent to a silent target is placed again at once

What callers saw: streams broke off at their time limit when most engines fell silent at once.

Cause: since the suspicions, an attempt whose connection was still being opened waited for the dial timeout of 300 ms, though its target had been found silent after 150 ms. It lost that time for nothing: of an unsent attempt nothing can be lost.

Change: it is cancelled when its target is suspected, as before the suspicions.

Evidence: TestSilence_AttemptThatWasNotSentIsNotKept on the code before: "the condition did not become true within 6 s".

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -54,6 +54,8 @@
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
+	// sent is set when the request is about to be sent.
+	sent atomic.Bool
 	// mayHaveRun is set once the request has been sent, unless the target refused it.
 	mayHaveRun bool
 	// sentBefore is set if the request was sent to the target before.
@@ -270,6 +272,7 @@
 	}
 	a.conn = conn
 	a.stopClose = context.AfterFunc(a.ctx, conn.Close)
+	a.sent.Store(true)
 	response, err := a.sendRequest()
 	if errors.Is(err, target.ErrNotSent) {
 		a.connectFailed(err)
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -158,7 +158,12 @@
 	heard := m.lastSeen.Load() >= int64(probedAt.Sub(c.startedAt))
 	m.suspectedAt = c.sinceStart()
 	for a := range m.attempts {
-		if !heard || m.suspectedAt-a.lastSeen.Load() > int64(prefillSilenceBounds.Max) {
+		switch {
+		case heard && m.suspectedAt-a.lastSeen.Load() <= int64(prefillSilenceBounds.Max):
+		case !a.sent.Load():
+			// Nothing of it can be lost.
+			a.handleTargetDown()
+		default:
 			a.setSuspected(true)
 		}
 	}
--- a/process/gateway/silence_history_test.go
+++ b/process/gateway/silence_history_test.go
@@ -138,6 +138,7 @@
 }
 
 func TestSilence_RandomHistoriesLeaveNoRequestWithoutResponse(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -89,6 +89,7 @@
 }
 
 func TestSilence_StreamAtTheOnlyTargetIsComplete(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	link := d.startBehindLink(replica.Config{
 		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
@@ -103,6 +104,7 @@
 }
 
 func TestSilence_CallsAtTheOnlyTargetAreServed(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	link := d.startBehindLink(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 300 * time.Millisecond, Slots: 6})
 	g := d.startReadyEntry("entry-1")
@@ -145,6 +147,7 @@
 }
 
 func TestSilence_StreamWithoutRetriesIsNotBrokenOff(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	config := replica.Config{
 		Service: "writer", Engine: true, EventCount: testEvents,
@@ -165,6 +168,7 @@
 
 // All targets fall silent for longer than the route's attempts take to be given up.
 func TestSilence_StreamAtItsLastAttemptIsNotBrokenOff(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.configure(func(config map[string]any) {
 		config["Routes"].([]any)[0].(map[string]any)["MaxAttempts"] = 2
@@ -187,6 +191,7 @@
 }
 
 func TestSilence_CallAtItsLastAttemptIsServed(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.configure(func(config map[string]any) {
 		config["Routes"].([]any)[2].(map[string]any)["MaxAttempts"] = 1
@@ -226,6 +231,7 @@
 }
 
 func TestSilence_OfNewConnectionsMovesNoRunningStream(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	link := d.startBehindLink(replica.Config{
 		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: 60,
@@ -245,6 +251,7 @@
 
 // An engine answers one request and is mute for another and for probes.
 func TestSilence_OfOneRequestMovesItAlone(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	const muteBody = "mute"
 	arrived := make(chan struct{})
@@ -292,6 +299,7 @@
 // A silent engine restarts, and its connections are not reset. Its successor under the same name
 // answers probes.
 func TestSilence_EndsStreamOfAnEarlierIncarnation(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	engine := d.startRawTarget("e1", "writer", func(e rawExchange) {
 		last := deliveredBefore
@@ -312,3 +320,34 @@
 	d.registerRaw(engine)
 	r.expectRest(t, req.AttemptID, deliveredBefore)
 }
+
+// A stream whose connection to a silent target is still being opened is placed again at once.
+func TestSilence_AttemptThatWasNotSentIsNotKept(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	link := d.startBehindLink(replica.Config{
+		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
+		PrefillTime: 60 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+	})
+	g := d.startReadyEntry("entry-1")
+	release := link.holdNewConnections(t)
+	g.pool.CloseIdle(link.Addr().String())
+	response := make(chan callerResponse, 1)
+	go func() { response <- d.send(g, streamRequest()) }()
+	cancelled := false
+	d.waitUntil(func() bool {
+		g.control.do(func() {
+			m := g.control.monitors["e1"]
+			if m == nil || len(m.attempts) != 1 {
+				return
+			}
+			g.control.recordProbe("e1", probeResult{startedAt: time.Now()})
+			for a := range m.attempts {
+				cancelled = a.ctx.Err() != nil
+			}
+		})
+		return cancelled
+	})
+	release()
+	assert.Equal(t, (<-response).status, http.StatusOK)
+}
