A silent stream is not moved to an engine with a long queue at once

What callers saw: when most engines fell silent at once, their streams moved to the few others, where they waited for 10 s and more for their prompts to be read again, and broke off at their time limit. The silence was over after a second.

Cause: a suspected stream took any engine that was up, however many prompts waited there.

Change: for 1.5 s after the suspicion it takes only an engine that prefills what is ahead and its prompt within 3 s (placement.Requirements.MaxPrefillTime); it stays where it is otherwise, and resumes from its copy as before. After that any engine is taken, so a stream whose engine is really gone waits no longer than before by more than that.

Evidence: TestPick_MaxPrefillTimeExcludesLongQueues replays the load.

--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -27,6 +27,12 @@
 	updateBuffer = 16
 	// writeTimeout is how long one write to a caller may take.
 	writeTimeout = 5 * time.Second
+	// soundSilence is for how long after it was suspected a stream is left at its target rather
+	// than moved to one that takes longer than resumeTime to prefill it: a sound target goes
+	// on after a second or so.
+	soundSilence = 1500 * time.Millisecond
+	// resumeTime is the time within which output is to resume after a loss.
+	resumeTime = 3 * time.Second
 	// expectedOutputFraction is the part of a request's maximum output that its memory
 	// requirement counts.
 	expectedOutputFraction = 0.9
@@ -45,8 +51,10 @@
 	running map[request.AttemptNumber]*attempt
 	// suspected holds the running attempts of which the recovery knows that their targets are
 	// suspected.
-	suspected map[request.AttemptNumber]bool
-	selected  *attempt
+	// suspectedAt is when that last changed.
+	suspected   map[request.AttemptNumber]bool
+	suspectedAt time.Time
+	selected    *attempt
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
 	// failedCopy is the one from which the last attempt that failed was to resume.
@@ -179,6 +187,7 @@
 			continue
 		}
 		s.suspected[number] = suspected
+		s.suspectedAt = time.Now()
 		event := request.Event{Type: request.EventTrusted, Target: a.target.ID}
 		if suspected {
 			event.Type = request.EventSuspected
@@ -234,7 +243,11 @@
 			return request.Event{Type: request.EventNoTarget, Kind: fault.RetriesExhausted}
 		}
 	}
+	requirements := s.requirements(action.Avoid)
 	if suspect := s.suspectedAttempt(); suspect != nil {
+		if time.Since(s.suspectedAt) < soundSilence {
+			requirements.MaxPrefillTime = resumeTime
+		}
 		if usable := suspect.usableCopy(); usable != s.failedCopy {
 			s.resumeCopy = usable
 		}
@@ -242,7 +255,7 @@
 	a := s.resumeFromCopy()
 	if a == nil {
 		var err error
-		if a, err = s.placeAttempt(s.ctx, s.requirements(action.Avoid)); err != nil {
+		if a, err = s.placeAttempt(s.ctx, requirements); err != nil {
 			c := s.gateway.control
 			c.post(func() { c.budget(s.service).Refund(charge) })
 			if s.hopeless() {
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -24,6 +24,9 @@
 	// CachedPrompt locates the engine that holds the prompt, or a prefix of it, in its KV
 	// cache.
 	CachedPrompt prompts.Location
+	// MaxPrefillTime excludes engines that would take longer to prefill what is ahead of the
+	// attempt and its own prompt; zero means no limit.
+	MaxPrefillTime time.Duration
 	// FailureDomain is the entry's own failure domain, preferred for calls.
 	FailureDomain string
 }
@@ -95,7 +98,7 @@
 		if !lastResort && (target.AwaitingProbe() || slices.Contains(requirements.Avoid, target.ID)) {
 			continue
 		}
-		if target.AwaitingProbe() && target.InFlight > 0 {
+		if target.AwaitingProbe() && target.InFlight > 0 || t.prefillsTooLong(target, requirements) {
 			continue
 		}
 		candidates = append(candidates, candidate{target: target, cost: t.cost(now, target, requirements)})
@@ -154,6 +157,15 @@
 	return cost + failureCostTokens*t.failureRate(now, target)
 }
 
+// prefillsTooLong reports whether the engine is excluded by MaxPrefillTime.
+func (t *Table) prefillsTooLong(target *Target, requirements Requirements) bool {
+	if requirements.MaxPrefillTime <= 0 || !target.isEngine {
+		return false
+	}
+	tokens := t.totalWork(target).PrefillTokens + requirements.PromptTokens - requirements.cachedTokens(target)
+	return t.PrefillTime(tokens) > requirements.MaxPrefillTime
+}
+
 // hasMemoryFor reports whether the engine's memory has room for the given tokens beside
 // work.
 func (t *Target) hasMemoryFor(work Work, tokens int) bool {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -339,3 +339,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, choice.Target.ID, targetID(1))
 }
+
+// Load: most engines are silent, and what ran there would all move to the few others, whose
+// queues become longer than the silence.
+func TestPick_MaxPrefillTimeExcludesLongQueues(t *testing.T) {
+	table := newEngineTable(2)
+	requirements := promptRequirements("s")
+	requirements.MaxPrefillTime = 3 * table.PrefillTime(promptTokens)
+	placed := 0
+	for ; placed < 100; placed++ {
+		choice, err := table.Pick(start, requirements)
+		if err != nil {
+			break
+		}
+		table.AddAttempt(choice.Target.ID, requirements)
+	}
+	// Three prompts at each engine are prefilled within that time.
+	assert.Equal(t, placed, 6)
+	requirements.MaxPrefillTime = 0
+	_, err := table.Pick(start, requirements)
+	assert.NilError(t, err)
+}
