Idle timeouts too short to announce close connections with their response

Callers that go by Keep-Alive saw their connection close under a request, without a response, if the idle timeout was under 1.25 s: four fifths of it are no whole second, so nothing was announced, and the entry closed the connection when its time was over.

Change: responses under such a timeout carry Connection: close.

Ruled out: to announce one second and keep connections for longer than the operators' limit.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -181,7 +181,7 @@
 }
 
 // Announce tells a caller in the header of a response for how long it may use its connection
-// again, unless the connection is going to be closed. It is called before the header is written.
+// again, or that it is going to be closed. It is called before the header is written.
 func Announce(r *http.Request, header http.Header) {
 	const field = "Keep-Alive"
 	tracked, _ := r.Context().Value(contextKey{}).(*conn)
@@ -196,9 +196,12 @@
 	}
 	l := tracked.listener
 	l.mu.Lock()
-	seconds := tracked.state.Announce(l.limits)
+	seconds, reusable := tracked.state.Announce(l.limits)
 	l.mu.Unlock()
-	if seconds > 0 {
+	switch {
+	case !reusable:
+		header.Set("Connection", "close")
+	case seconds > 0:
 		header.Set(field, "timeout="+strconv.Itoa(seconds))
 	}
 }
--- a/connection/keepalive/keepalive.go
+++ b/connection/keepalive/keepalive.go
@@ -100,13 +100,19 @@
 func (c *Connection) HeadRead() { c.phase = InUse }
 
 // Announce returns the number of whole seconds after the end of the response in progress for
-// which its caller may use the connection again, 0 if it is told nothing.
-func (c *Connection) Announce(limits Limits) int {
-	seconds := int(announcedFraction * limits.IdleTimeout.Seconds())
-	if seconds > 0 {
-		c.announced = limits.IdleTimeout
+// which its caller may use the connection again, 0 if it is told nothing. reusable is false if
+// the idle timeout is too short to be told in seconds: the connection is closed then, since a
+// request that its caller sent would cross the close.
+func (c *Connection) Announce(limits Limits) (seconds int, reusable bool) {
+	if limits.IdleTimeout <= 0 {
+		return 0, true
 	}
-	return max(0, seconds)
+	seconds = int(announcedFraction * limits.IdleTimeout.Seconds())
+	if seconds == 0 {
+		return 0, false
+	}
+	c.announced = limits.IdleTimeout
+	return seconds, true
 }
 
 // ResponseSent records that a response has been sent completely.
