Streams: a suspicion outlasts events that were received before it

A stream whose target fell silent for good while an event was written to a slow caller waited for that target until its time was over, although another one could have gone on with it.

Cause: the recovery trusts an attempt as soon as it accepts its tokens, also those that were received before the suspicion, or before a second one during a slow write. The stream had already passed the suspicion on and did not do so again.

Change: a suspicion that still holds after tokens were handled is passed on again. So that it holds only while nothing comes, what an attempt receives ends its suspicion at once, not with the next check.

Ruled out: that the recovery keeps the suspicion beside accepted tokens; an attempt that has gone on would be replaced.

--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -55,6 +55,7 @@
 	c := a.exchange.gateway.control
 	a.monitor.recordSeen(c)
 	a.lastSeen.Store(c.sinceStart())
+	a.setSuspected(false)
 }
 
 // addAttempt adds an attempt to the monitor of its target.
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -395,6 +395,10 @@
 	s.handleEvent(request.Event{
 		Type: request.EventTokens, Attempt: update.number, Position: first - s.inbound.Position - 1, Tokens: tokens,
 	})
+	if s.suspected[update.number] && update.attempt.suspected.Load() {
+		// The recovery trusts an attempt whose tokens it accepts, also late ones.
+		s.handleEvent(request.Event{Type: request.EventSuspected, Target: update.attempt.target.ID})
+	}
 }
 
 // deliver writes the last count events to the caller.
