Tests of odd registrations and configurations run side by side

The tests of process/gateway took 276 to 287 s of their 300 s beside load. The cases of two tests that mostly wait have deployments of their own and run in parallel; what they check is unchanged.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -140,6 +140,7 @@
 		"state": `{"Service":"writer","Address":"127.0.0.1:1","Zone":"naxos","Slots":64,"State":"asleep"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := newDeployment(t)
 			engines := map[string]*replica.Replica{}
 			for _, id := range []string{"e1", "e2"} {
@@ -262,6 +263,7 @@
 		"memory":           engine("KvCapacityTokens", int64(1<<63-1)),
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := newDeployment(t)
 			d.startApplication("a1", "naxos")
 			d.startApplication("a2", "paros")
