KV copies: an attempt that was not sent does not replace the copy of the running one

After a target was suspected and went on, other entries were told of a KV copy that was never made. If a planned stop or a loss of the entry then broke the stream off, its whole prompt would be prefilled again.

Cause: the copy of an attempt was recorded as that of the stream when the attempt was started. The attempt beside a suspected one is cancelled unsent if the suspected one goes on, and the record stayed.

Change: the copy of such an attempt is recorded when it is sent, which ends the other one.

Evidence: on the code before, twice of two, with -race: TestKVCopy_OfRunningAttemptStaysKnownIfItIsNotReplaced: replaced_copy_test.go:61: {request-1 e3 1003} (recorded peers.KVCopy) != {request-1 e4 1004} (copied peers.KVCopy)

Result: five of five with -race. The other tests of silence (without the random histories), planned stops, KV copies and streams of the package passed once with -race.

Open: a copy of an unsent attempt whose target goes down at that moment is still recorded when it is moved.

--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -313,15 +313,26 @@
 	a.spec.Position = s.inbound.Position + s.recovery.Output().Len()
 	a.endSeen = a.spec.Position > 0 && a.spec.Position == s.emptyEndAt
 	a.eventBegun = a.spec.Position > 0 && a.spec.Position == s.eventBegunAt
-	s.gateway.control.post(func() { s.gateway.control.recordCopy(a) })
+	if !a.replaces {
+		s.recordCopy(a)
+	}
 	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
 }
 
+// recordCopy records the copy of an attempt that is sent as the one of the stream.
+func (s *stream) recordCopy(a *attempt) {
+	c := s.gateway.control
+	c.post(func() { c.recordCopy(a) })
+}
+
 // handleUpdate passes an update of an attempt to the recovery.
 func (s *stream) handleUpdate(update attemptUpdate) {
 	switch {
 	case update.sending != nil:
 		s.handleEvent(request.Event{Type: request.EventSending, Attempt: update.number})
+		if a := s.running[update.number]; a != nil {
+			s.recordCopy(a)
+		}
 		close(update.sending)
 	case s.running[update.number] == nil:
 		// It was cancelled.
