--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -181,19 +181,7 @@
 		config["Routes"], config["Services"] = config["Routes"].([]any)[1:], config["Services"].([]any)[1:]
 	})
 	d.waitUntil(func() bool { return d.gateway.table.Load().Service("writer") == nil })
-	copyTarget, _ := d.copyTargets()
-	d.gateway.control.post(func() { d.gateway.control.markDown(request.TargetID(copyTarget), "test") })
-	d.waitUntil(func() bool {
-		moved := false
-		d.gateway.control.do(func() {
-			for _, m := range d.gateway.control.monitors {
-				for running := range m.attempts {
-					moved = running.kvCopy.Handle != ""
-				}
-			}
-		})
-		return moved
-	})
+	d.waitForMovedCopy()
 	d.source.Crash()
 	d.reader.skipTo(t, 60)
 	executions := d.fleet.ExecutionLog.Executions(d.req.AttemptID)
