Tests of process/gateway that mostly wait run side by side

Tests with deployments of their own that mostly wait, and hold no tight bound, are parallel now; what they check is unchanged.

--- a/process/gateway/cached_prompts_test.go
+++ b/process/gateway/cached_prompts_test.go
@@ -13,6 +13,7 @@
 // All entries crash at once, and their callers reconnect to new ones that have no
 // state.
 func TestCachedPrompts_NewEntryUsesEnginesThatCacheThem(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startEngine("e1", "naxos")
 	first := d.startReadyEntry("entry-1")
--- a/process/gateway/idle_test.go
+++ b/process/gateway/idle_test.go
@@ -27,6 +27,7 @@
 // The entry closed an open connection by the idle timeout under which it was accepted, although
 // its caller could count on the one in force.
 func TestIdleTimeout_GrownLimitAppliesToOpenConnections(t *testing.T) {
+	t.Parallel()
 	const before, after = 2 * time.Second, time.Minute
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
@@ -110,6 +111,7 @@
 
 // A storm of limits kept the server of each.
 func TestLimits_ChangesEndNothing(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startReplica(replica.Config{
 		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: testEvents,
--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -75,6 +75,7 @@
 // Under load, with hedges and retries, a target that announced in a response or a refusal
 // that it is leaving gets no request any more.
 func TestLeaving_TargetGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	for name, faults := range map[string]struct{ leaving, other replica.Faults }{
 		"kept connections":  {},
 		"new connections":   {leaving: replica.Faults{CloseConnections: true}, other: replica.Faults{CloseConnections: true}},
@@ -111,6 +112,7 @@
 // Neither an outage of the store nor a registration that is read later changes what a
 // response said.
 func TestLeaving_OutlastsLaterRegistrationAndStoreOutage(t *testing.T) {
+	t.Parallel()
 	d, g, leaving, _ := newLeavingTest(t, replica.Faults{})
 	known := time.Now()
 	d.register(leaving, "ready")
@@ -249,6 +251,7 @@
 
 // Other entries learn of it before the registration says so.
 func TestLeaving_IsReportedToOtherEntries(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	leaving := d.startApplication("a1", "naxos")
 	d.startApplication("a2", "paros")
@@ -350,6 +353,7 @@
 
 // An entry learns it from each call that it makes on its own behalf.
 func TestLeaving_IsLearnedFromOwnCalls(t *testing.T) {
+	t.Parallel()
 	for name, call := range map[string]func(g *Gateway, address string){
 		"report":          func(g *Gateway, address string) { _ = g.probeAddress(address, true) },
 		"identification":  func(g *Gateway, address string) { _, _, _ = g.identifyTarget(address, "writer", 0) },
--- a/process/gateway/log_test.go
+++ b/process/gateway/log_test.go
@@ -82,6 +82,7 @@
 // The log and the metrics tell whether a request was accepted late, refused, or cut off at the
 // end of the grace period.
 func TestLog_TellsHowAPlannedStopEndedRequests(t *testing.T) {
+	t.Parallel()
 	var out strings.Builder
 	d := newDeployment(t)
 	d.log = eventlog.New(&out)
--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -295,6 +295,7 @@
 
 // Other writers may leave anything among the registrations of entries.
 func TestStoreWatch_OddEntriesAreNoPeers(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
 	odd := map[string]string{
@@ -325,6 +326,7 @@
 
 // Another writer overwrites the registration of an entry.
 func TestStoreWatch_EntryWhoseRegistrationTurnsOddStaysAPeer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
 	entries := d.startEntries("entry-1", "entry-2")
@@ -389,6 +391,7 @@
 
 // Most entries learn of changes from others, in datagrams that large values do not fit into.
 func TestStoreSync_OddRegistrationsReachNoEntryAndHideNoOther(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	sound := d.startApplication("a1", "naxos")
 	entries := d.startEntries("entry-1", "entry-2", "entry-3")
--- a/process/gateway/quarantine_release_test.go
+++ b/process/gateway/quarantine_release_test.go
@@ -14,6 +14,7 @@
 // Fault: a part is released while the store is away. Its record must not stay: entries that
 // start later would refuse the requests with it.
 func TestStoreOutage_ReleasedPartIsRemovedAfterwards(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	g := d.startReadyEntry("entry-1")
 	now := time.Now()
--- a/process/gateway/quarantine_start_test.go
+++ b/process/gateway/quarantine_start_test.go
@@ -14,6 +14,7 @@
 // Fault: all entries end before the quarantine of a sound part that has been released has left
 // the store. No request with it would be admitted that could show that it is sound.
 func TestStart_StoredQuarantineOfASoundPartDoesNotLast(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startEngine("e1", "naxos")
 	d.startEngine("e2", "paros")
@@ -35,6 +36,7 @@
 // All entries start anew while a part that engines crash on is in quarantine: one of them sends
 // one request with it.
 func TestStart_StoredQuarantineIsTriedOnce(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	engines := d.startDeadlyEngines()
 	first := d.startReadyEntry("entry-1")
@@ -96,6 +98,7 @@
 
 // Load: one entry knows the quarantine long before the others and gets no requests with the part.
 func TestStart_TrialIsLeftToAnEntryThatHasRequests(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startEngine("e1", "naxos")
 	idle := d.startReadyEntry("entry-1")
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -267,6 +267,7 @@
 
 // All entries end after a part was quarantined.
 func TestStart_QuarantineOutlivesAllEntries(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startDeadlyEngines()
 	g := d.startReadyEntry("entry-1")
@@ -288,6 +289,7 @@
 
 // The store is away while a part is quarantined, and holds the quarantine afterwards.
 func TestStoreOutage_QuarantineIsStoredAfterwards(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startDeadlyEngines()
 	g := d.startReadyEntry("entry-1")
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -21,6 +21,7 @@
 // Callers opened connections before the stop and send on them shortly before the end of the
 // grace period, until which a stream keeps the process running.
 func TestStop_CallsOnKeptConnectionsAreNotCutOff(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startReplica(replica.Config{
 		ID: "e1", Service: "writer", FailureDomain: "naxos", Engine: true, EventCount: 400,
@@ -70,6 +71,7 @@
 
 // A call that lasts longer than the grace period gets a response before its end.
 func TestStop_CallBeyondGracePeriodGetsResponse(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: time.Minute, Slots: 6})
 	g := d.startReadyEntry("entry-1")
@@ -147,6 +149,7 @@
 // The first request on a connection that was accepted before the entry closed the idle ones
 // arrives afterwards, as it does on a busy host.
 func TestStop_FirstRequestReadAfterIdleConnectionsClosedGetsResponse(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	startLongStreams(d)
 	d.startApplication("a1", "naxos")
@@ -165,6 +168,7 @@
 
 // The entry closes idle connections while it reads the head of a request.
 func TestStop_RequestBeingReadGetsResponse(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	startLongStreams(d)
 	d.startApplication("a1", "naxos")
@@ -265,6 +269,7 @@
 
 // A caller sends its body slowly, beyond the end of the grace period.
 func TestStop_BodyNotWholeAtTheEndGetsRefusal(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
 	g := d.startReadyEntry("entry-1")
@@ -345,6 +350,7 @@
 // Streams longer than the grace period arrive while the balancer still sends connections. A
 // caller that is turned away returns to the same entry.
 func TestStop_StreamLongerThanGracePeriodIsHandedOver(t *testing.T) {
+	t.Parallel()
 	d := newCopyTestWith(t, replica.Config{EventCount: 60, PrefillTime: 50 * time.Millisecond, EventInterval: 70 * time.Millisecond})
 	second := d.startReadyEntry("entry-2")
 	d.reader.skipTo(t, 60)
@@ -368,6 +374,7 @@
 // a body that was begun before; their target is silent for a second. One that reached a target
 // is not cut off by the stop: it gets its response, or 504 when its own time is over.
 func TestStop_NonRepeatableCallsThatReachedATargetGetResponses(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	startLongStreams(d)
 	a1 := d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 200 * time.Millisecond, Slots: 256})
