--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -29,8 +29,8 @@
 	writeTimeout = 5 * time.Second
 	writeBytes   = 64 << 10
 	// soundSilence is for how long after it was suspected a stream is left at its target rather
-	// than moved to one that takes longer than resumeTime to prefill it: a sound target goes
-	// on after a second or so.
+	// than moved to one that takes longer than resumeTime to prefill it: the target may go on
+	// before the other one has.
 	soundSilence = 1500 * time.Millisecond
 	// resumeTime is the time within which output is to resume after a loss.
 	resumeTime = 3 * time.Second
