--- a/review/stand/client_test.go
+++ b/review/stand/client_test.go
@@ -23,12 +23,14 @@
 
 // answer is what a client got.
 type answer struct {
-	status   int
-	signed   bool
-	events   []event
-	body     string
-	complete bool
-	err      error
+	status int
+	signed bool
+	// retryAfter is the Retry-After of a refusal.
+	retryAfter time.Duration
+	events     []event
+	body       string
+	complete   bool
+	err        error
 }
 
 // event is one event of a stream.
@@ -43,7 +45,8 @@
 		c.timeLimit = 25 * time.Second
 	}
 	defer func() {
-		d.record("client: attempt %s ends: status %d, %d events, %d bytes, complete %v, error %v", c.attempt, a.status, len(a.events), len(a.body), a.complete, a.err)
+		d.record("client: attempt %s ends: status %d, %d events, %d bytes, complete %v, Retry-After %s, error %v", c.attempt, a.status, len(a.events), len(a.body),
+			a.complete, a.retryAfter, a.err)
 	}()
 	d.record("client: attempt %s sent to %s: %s %s, Prompt-Prefix %q, Last-Event-Id %d", c.attempt, g.name, c.method, c.path, c.prefix, c.position)
 	conn, err := net.DialTimeout("tcp", g.address, time.Second)
@@ -70,6 +73,8 @@
 		return answer{err: err}
 	}
 	a.status, a.signed = response.StatusCode, response.Header.Get("Response-Signature") != ""
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	a.retryAfter = time.Duration(seconds * float64(time.Second))
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		body, err := io.ReadAll(response.Body)
 		a.body, a.complete, a.err = string(body), err == nil, err
--- a/review/stand/crossed_handle_test.go
+++ b/review/stand/crossed_handle_test.go
@@ -122,7 +122,7 @@
 		r.breakOff = c.breakOff
 		d.register(r.replicaConfig)
 	}
-	d.configure([]any{route("/lohu930/", "streaming", "huvo11a", 5)}, []any{engineService("huvo11a", true)})
+	d.configure([]any{route("/lohu930/", "streaming", "huvo11a", 5)}, []any{engineService(true)})
 	g := d.startGateway("edge-naxos-1", "naxos")
 	d.awaitReady(g)
 
--- a/review/stand/deployment_test.go
+++ b/review/stand/deployment_test.go
@@ -3,6 +3,7 @@
 package stand
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -131,7 +132,7 @@
 // gateway is a gateway process.
 type gateway struct {
 	*process
-	name, address, ready string
+	name, address, ready, settings string
 }
 
 // startGateway starts a gateway with the settings that deploy/gateway.json.tmpl gives it.
@@ -147,13 +148,26 @@
 	}
 	data, err := json.Marshal(settings)
 	must(err)
-	path := filepath.Join(d.folder, name+".json")
-	must(os.WriteFile(path, data, 0o600))
-	g.process = d.start(name, "target/mlgateway", "--settings", path)
-	d.record("%s started at %s", name, g.address)
+	g.settings = filepath.Join(d.folder, name+".json")
+	must(os.WriteFile(g.settings, data, 0o600))
+	d.run(g)
 	return g
 }
 
+// run starts the process of a gateway.
+func (d *deployment) run(g *gateway) {
+	g.process = d.start(fmt.Sprintf("%s-%d", g.name, time.Now().UnixMilli()), "target/mlgateway", "--settings", g.settings)
+	d.record("%s started at %s", g.name, g.address)
+}
+
+// runAgain starts the process of a gateway after its end, when the whole system has started before.
+func (d *deployment) runAgain(g *gateway) {
+	data, err := os.ReadFile(g.settings)
+	must(err)
+	must(os.WriteFile(g.settings, bytes.Replace(data, []byte(`"firstStart":true`), []byte(`"firstStart":false`), 1), 0o600))
+	d.run(g)
+}
+
 // awaitReady waits until the gateway reports that it is ready, and some time longer, in which
 // the gateways find each other.
 func (d *deployment) awaitReady(gateways ...*gateway) {
@@ -201,9 +215,10 @@
 	return r
 }
 
-func engineService(name string, backups bool) map[string]any {
+// engineService is the service of the model replicas.
+func engineService(backups bool) map[string]any {
 	return map[string]any{
-		"Name": name, "HealthPath": healthPath, "MaxConnections": 610, "Protocol": "h1", "Tls": false,
+		"Name": "huvo11a", "HealthPath": healthPath, "MaxConnections": 610, "Protocol": "h1", "Tls": false,
 		"Engine": map[string]any{
 			"Slots": 128, "KvCapacityTokens": 88000, "KvTokenBytes": 131072, "LinkMbps": 130000.0, "Moves": true, "Backups": backups,
 			"Stride": 5, "most": 12, "PinMs": 4000.0, "HoldMs": 2000.0, "HandleS": copyTTL.Seconds(),
--- a/review/stand/replica_test.go
+++ b/review/stand/replica_test.go
@@ -37,6 +37,8 @@
 	Interval time.Duration
 	// Unframed answers have no length and end with their channel.
 	Unframed bool
+	// HeadFirst engines send the head of a stream before they read the prompt.
+	HeadFirst bool
 }
 
 // run is one run of a request, or the copy of its memory.
@@ -74,9 +76,8 @@
 	fleet  *fleet
 	server *http.Server
 	active map[string]*run
-	// begun counts the requests that began to run and the other calls, lost the answers that were
-	// not given whole.
-	begun, lost int
+	// begun counts the requests that began to run.
+	begun int
 	// breakOff, if set, ends the stream of an attempt after an event by closing its channel.
 	breakOff func(attempt string, sent int) bool
 }
@@ -258,6 +259,9 @@
 }
 
 func (r *replica) stream(w http.ResponseWriter, request *http.Request, current *run, reads bool) {
+	if r.HeadFirst {
+		_ = http.NewResponseController(w).Flush()
+	}
 	if reads && !sleep(request.Context(), promptTime(request)) {
 		return
 	}
@@ -319,7 +323,7 @@
 }
 
 // moveCall is the body of a kv-move.
-type moveCall struct{ Id, Target string }
+type moveCall struct{ Id, Target string } //nolint:revive // the platform's spelling
 
 // copyRun copies the memory of a run to another replica and returns the answer to the call.
 func (r *replica) copyRun(body io.Reader) (call moveCall, status int, answer []byte) {
--- a/review/stand/session_memory_test.go
+++ b/review/stand/session_memory_test.go
@@ -81,7 +81,7 @@
 	for _, report := range reports {
 		routes = append(routes, route("/"+report+"/", "streaming", "huvo11a", 5))
 	}
-	d.configure(routes, []any{engineService("huvo11a", true)})
+	d.configure(routes, []any{engineService(true)})
 	first, second := d.startGateway("edge-naxos-1", "naxos"), d.startGateway("edge-paros-1", "paros")
 	d.awaitReady(first, second)
 
--- a/review/stand/unframed_test.go
+++ b/review/stand/unframed_test.go
@@ -36,7 +36,7 @@
 // runUnframedStream kills the process of one engine while streams run there.
 func runUnframedStream(d *deployment) bool {
 	processes := d.startUnframed(unframedReplicas, true, "huvo11a", 40*time.Millisecond)
-	d.configure([]any{route("/lohu930/", "streaming", "huvo11a", 5)}, []any{engineService("huvo11a", false)})
+	d.configure([]any{route("/lohu930/", "streaming", "huvo11a", 5)}, []any{engineService(false)})
 	g := d.startGateway("edge-naxos-1", "naxos")
 	d.awaitReady(g)
 	var group sync.WaitGroup
