--- a/bench/soak/caller.go
+++ b/bench/soak/caller.go
@@ -30,6 +30,47 @@
 	http       *http.Client
 	// crashing is set if all requests have the prompt part that crashes engines.
 	crashing bool
+	// crew names the callers whose streams share the last part of their prompts, "" for none.
+	crew string
+	// streams counts the streams that were begun.
+	streams int
+}
+
+// generation is what a caller sends again if its stream breaks off.
+type generation struct {
+	body, promptID string
+	// name identifies the generation among all; calls have none.
+	name string
+}
+
+const (
+	// crewCount is the number of crews.
+	crewCount = 4
+	// equalStreamInterval is after how many streams a member of a crew sends a request that
+	// others of its crew send as well.
+	equalStreamInterval = 5
+)
+
+// newCall returns the body of the next call.
+func (c *client) newCall() generation {
+	return generation{body: strings.Repeat("b", c.random.IntN(2000))}
+}
+
+// newGeneration returns the next request for a generation. Half of those of a crew have the last
+// part of their prompts in common.
+func (c *client) newGeneration() generation {
+	c.streams++
+	g := c.newCall()
+	g.name = fmt.Sprintf("g%d", lastRequestNumber.Add(1))
+	switch {
+	case c.crew == "" || c.streams%2 == 0:
+		g.promptID = g.name
+	case c.streams%equalStreamInterval == 0:
+		g.promptID, g.body = c.crew, "the notes of the crew"
+	default:
+		g.promptID, g.body = c.crew, g.name+g.body
+	}
+	return g
 }
 
 // crashingInterval is the longest delay between the requests of a caller whose prompts crash
@@ -59,22 +100,22 @@
 func (c *client) runCrashing(ctx context.Context) {
 	c.crashing = true
 	for ctx.Err() == nil {
-		c.readStream(ctx, 0)
+		c.readStream(ctx, c.newGeneration(), 0)
 		time.Sleep(time.Duration(c.random.Int64N(int64(crashingInterval))))
 	}
 	c.http.CloseIdleConnections()
 }
 
-func (c *client) request(ctx context.Context, method, path string, position int) (*http.Request, *requestRecord) {
-	return c.requestTo(ctx, c.randomEntry(), method, path, position)
+func (c *client) request(ctx context.Context, method, path string, g generation, position int) (*http.Request, *requestRecord) {
+	return c.requestTo(ctx, c.randomEntry(), method, path, g, position)
 }
 
 func (c *client) randomEntry() *process {
 	return c.deployment.entries[c.random.IntN(len(c.deployment.entries))]
 }
 
-func (c *client) requestTo(ctx context.Context, entry *process, method, path string, position int) (*http.Request, *requestRecord) {
-	record := &requestRecord{id: fmt.Sprintf("r%d", lastRequestNumber.Add(1)), method: method, key: c.deployment.newestKey(), sentAt: time.Now(), entry: entry.callerAddress, crashing: c.crashing}
+func (c *client) requestTo(ctx context.Context, entry *process, method, path string, g generation, position int) (*http.Request, *requestRecord) {
+	record := &requestRecord{id: fmt.Sprintf("r%d", lastRequestNumber.Add(1)), generation: g.name, method: method, key: c.deployment.newestKey(), sentAt: time.Now(), entry: entry.callerAddress, crashing: c.crashing}
 	c.log.add(record)
 	var sharedParts []string
 	if c.crashing {
@@ -88,7 +129,7 @@
 	r, err := caller.Request{
 		SharedParts: sharedParts,
 		Method:      method, Path: path, Host: routeHost, AttemptID: record.id, APIKey: record.key, DeadlineRemaining: requestTimeout,
-		Position: position, Body: strings.Repeat("b", c.random.IntN(2000)),
+		Position: position, Body: g.body, PromptID: g.promptID,
 	}.NewHTTPRequest(ctx, entry.callerAddress)
 	if err != nil {
 		panic(err)
@@ -100,7 +141,7 @@
 func (c *client) send(ctx context.Context, method, path string) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
 	defer cancel()
-	r, record := c.request(ctx, method, path, 0)
+	r, record := c.request(ctx, method, path, c.newCall(), 0)
 	response, err := c.http.Do(r)
 	if err != nil {
 		c.log.finish(record, 0, "")
@@ -145,9 +186,10 @@
 // it resumes the stream once, at an entry chosen at random.
 func (c *client) stream(ctx context.Context) {
 	position := 0
+	g := c.newGeneration()
 	for range 2 {
 		var complete bool
-		if position, complete = c.readStream(ctx, position); complete || position == 0 {
+		if position, complete = c.readStream(ctx, g, position); complete || position == 0 {
 			return
 		}
 	}
@@ -155,10 +197,10 @@
 
 // readStream requests the events after position. It returns the last event received
 // and whether the response is complete.
-func (c *client) readStream(ctx context.Context, position int) (int, bool) {
+func (c *client) readStream(ctx context.Context, g generation, position int) (int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
 	defer cancel()
-	r, record := c.request(ctx, http.MethodPost, "/report/x", position)
+	r, record := c.request(ctx, http.MethodPost, "/report/x", g, position)
 	if c.random.IntN(12) == 0 {
 		c.log.markAbandoned(record)
 		time.AfterFunc(time.Duration(c.random.IntN(900))*time.Millisecond, cancel)
--- a/bench/soak/keeping.go
+++ b/bench/soak/keeping.go
@@ -121,7 +121,7 @@
 	if k.random.IntN(2) == 0 {
 		method, path = http.MethodPost, "/book/visit"
 	}
-	r, record := k.requestTo(ctx, k.entry, method, path, 0)
+	r, record := k.requestTo(ctx, k.entry, method, path, k.newCall(), 0)
 	if k.served {
 		connection := *k.kept
 		record.connection = &connection
--- a/bench/soak/requestlog.go
+++ b/bench/soak/requestlog.go
@@ -13,6 +13,8 @@
 // requestRecord is one request of a caller and its result.
 type requestRecord struct {
 	id, method, key string
+	// generation names what the request is an attempt at, "" for calls.
+	generation string
 	// entry is the address of the entry that the request was sent to.
 	entry  string
 	sentAt time.Time
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -87,7 +88,11 @@
 	var callers sync.WaitGroup
 	for i := range options.Callers {
 		random := rand.New(rand.NewPCG(options.Seed, uint64(i)+1))
-		callers.Go(func() { newClient(d, log, random).run(trafficCtx) })
+		callers.Go(func() {
+			c := newClient(d, log, random)
+			c.crew = fmt.Sprintf("crew%d", i%crewCount)
+			c.run(trafficCtx)
+		})
 	}
 	for i := range options.Callers / 2 {
 		random := rand.New(rand.NewPCG(options.Seed, keepingStream+uint64(i)<<32))
--- a/bench/soak/targetchecks.go
+++ b/bench/soak/targetchecks.go
@@ -38,6 +38,8 @@
 	arrivalsOf       map[string]int
 	// covered counts the cases that the checks have looked at.
 	covered map[string]int
+	// resumptions are the executions that resumed from a KV copy.
+	resumptions []replica.Execution
 }
 
 func newTargetView(d *deployment, l *requestLog) *targetView {
@@ -48,6 +50,11 @@
 	for _, r := range l.records {
 		v.requests[r.id] = r
 	}
+	for _, execution := range d.fleet.ExecutionLog.Executions("") {
+		if execution.FromKVCopy {
+			v.resumptions = append(v.resumptions, execution)
+		}
+	}
 	for _, p := range d.entries {
 		v.entries[p.callerAddress] = &p.disruptions
 	}
@@ -80,6 +87,23 @@
 	if violation := v.checkPromptCrashes(); violation != "" {
 		violations = append(violations, violation)
 	}
+	return append(violations, v.checkResumptions()...)
+}
+
+// checkResumptions returns the requests that went on from the memory of another one.
+func (v *targetView) checkResumptions() []string {
+	var violations []string
+	for _, execution := range v.resumptions {
+		r, source := v.requests[execution.Request], v.requests[execution.KVCopyOf]
+		switch {
+		case r == nil || source == nil || r.generation != source.generation:
+			violations = append(violations, fmt.Sprintf("%s resumed from the KV copy of %s, which is another request", execution.Request, execution.KVCopyOf))
+		case r == source:
+			v.covered["streams resumed from a copy"]++
+		default:
+			v.covered["callers who came back and resumed from a copy"]++
+		}
+	}
 	return violations
 }
 
--- a/bench/soak/targetchecks_test.go
+++ b/bench/soak/targetchecks_test.go
@@ -248,3 +248,16 @@
 		})
 	}
 }
+
+// A stream that goes on from the memory of another request of its session.
+func TestCheckResumptions(t *testing.T) {
+	b := newViewBuilder()
+	for id, generation := range map[string]string{"r1": "g1", "r2": "g1", "r3": "g2"} {
+		b.view.requests[id] = &requestRecord{id: id, generation: generation}
+	}
+	b.view.resumptions = []replica.Execution{{Request: "r1", KVCopyOf: "r1"}, {Request: "r2", KVCopyOf: "r1"}}
+	b.check(t, "")
+	assert.Equal(t, b.view.covered["callers who came back and resumed from a copy"], 1)
+	b.view.resumptions = []replica.Execution{{Request: "r2", KVCopyOf: "r3"}}
+	b.check(t, "r2 resumed from the KV copy of r3")
+}
--- a/command/explain.go
+++ b/command/explain.go
@@ -44,6 +44,7 @@
 	"retried":                 "it was sent to another target",
 	"replaced":                "its target was silent, and another one was at hand",
 	"resumed_from_copy":       "the stream went on from a copy of its memory",
+	"caller_returned":         "the caller came back for the rest of a stream",
 	"copy_gone":               "the copy was lost with its target",
 	"copy_moved":              "a new copy was asked for",
 	"copy_failed":             "the new copy could not be made",
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/admission"
-	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
@@ -41,7 +41,7 @@
 	requirements placement.Requirements
 	spec         request.Attempt
 	// resumeFrom is the KV copy from which it resumes, if any.
-	resumeFrom peers.KVCopy
+	resumeFrom kvcopies.Copy
 	ctx        context.Context
 	cancel     context.CancelFunc
 	monitor    *targetMonitor
@@ -103,7 +103,7 @@
 	// kvCopy is where the KV memory is copied to, if anywhere. A copy that was
 	// requested while the attempt ran exists once it has a handle. copyRefusedBy lists
 	// targets that refused it.
-	kvCopy         peers.KVCopy
+	kvCopy         kvcopies.Copy
 	copyRequested  bool
 	copyRefusedBy  []request.TargetID
 	streaming      bool
@@ -178,7 +178,7 @@
 	c.table.AddAttempt(t.ID, a.requirements)
 	if a.requirements.MemoryTokens > 0 {
 		if copyTarget := c.table.PickKVCopyTarget(a.startedAt, t, a.requirements); copyTarget != nil && a.exchange.usesKVCopies() {
-			a.kvCopy = peers.KVCopy{RequestID: a.exchange.inbound.ID, Target: copyTarget.ID, Incarnation: copyTarget.Incarnation}
+			a.kvCopy = kvcopies.Copy{RequestID: a.exchange.inbound.ID, Target: copyTarget.ID, Incarnation: copyTarget.Incarnation}
 			a.spec.KVCopyTo = copyTarget.Address
 			c.table.AddKVCopyTokens(copyTarget.ID, a.requirements.MemoryTokens)
 		}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/detector"
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
@@ -85,11 +86,8 @@
 	// of other entries to when their last full or delta update was received.
 	peers        map[string]peer
 	peerLastSeen map[string]time.Time
-	// sessionCopies maps the sessions of this entry's streams to their KV copies.
-	sessionCopies map[string]sessionCopy
-	// endedCopies maps sessions to the KV copies of streams of entries that have ended and
-	// started again.
-	endedCopies map[string]sessionCopy
+	// kvCopies knows the runs of streams, here and at other entries, and their KV copies.
+	kvCopies *kvcopies.Index
 	// peerUpdates holds the merged updates of each other entry.
 	peerUpdates map[string]peers.Update
 	// recentlyDown maps targets that this entry marked down to the time when it did so.
@@ -162,8 +160,7 @@
 		lastCheck:         now,
 		peers:             map[string]peer{},
 		peerLastSeen:      map[string]time.Time{},
-		sessionCopies:     map[string]sessionCopy{},
-		endedCopies:       map[string]sessionCopy{},
+		kvCopies:          kvcopies.New(),
 		peerUpdates:       map[string]peers.Update{},
 		recentlyDown:      map[request.TargetID]time.Time{},
 		recentlyReplaced:  map[request.TargetID]time.Time{},
@@ -282,6 +279,7 @@
 		if now.Sub(seen) > c.peerTimeout() {
 			delete(c.peerLastSeen, name)
 			delete(c.peerUpdates, name)
+			c.kvCopies.Lost(now, name, 0, now)
 			c.table.RemovePeer(name)
 		}
 	}
@@ -296,7 +294,7 @@
 		c.updatePending = true
 	}
 	c.promptIndex.RemoveExpired(now)
-	c.forgetEndedCopies(now)
+	c.kvCopies.RemoveExpired(now)
 	c.evaluateCrashes(now)
 	c.forgetEndedQuarantines(now)
 	c.gateway.pool.CloseExpired()
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
@@ -67,6 +68,8 @@
 	// trial is the part with which the request may be sent once in spite of it, if any; the
 	// control goroutine owns it.
 	trial quarantine.Part
+	// run numbers the run of a stream whose engines send KV copies, 0 for other requests.
+	run kvcopies.Number
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 	// suspicionChanged receives when the target of a running attempt is suspected, or no longer.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -64,6 +64,8 @@
 	ending         context.Context
 	endRequests    context.CancelFunc
 	activeRequests activeRequests
+	// runs is the number of the last run of a stream.
+	runs atomic.Uint64
 
 	// background is cancelled when the process has stopped serving.
 	background context.Context
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -10,7 +10,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -30,56 +30,45 @@
 	copyRenewFraction = 0.55
 )
 
-// sessionCopy is a KV copy from which a caller that reconnects can be served.
-type sessionCopy struct {
-	peers.KVCopy
-	// expires is when the copy of an interrupted stream becomes useless; zero while the
-	// stream runs.
-	expires time.Time
+// intermediaryHeaders are added by proxies and tracing, and differ between the attempts of a
+// caller at one request.
+var intermediaryHeaders = []string{
+	"Forwarded", "Via", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Port", "X-Forwarded-Proto",
+	"X-Real-Ip", "X-Request-Id", "Traceparent", "Tracestate", "Baggage",
 }
 
-// copiesForUpdate returns the copies that are sent to other entries and deletes expired
-// ones.
-func (c *control) copiesForUpdate(now time.Time) map[string]peers.KVCopy {
-	copies := make(map[string]peers.KVCopy, len(c.sessionCopies))
-	for session, kvCopy := range c.sessionCopies {
-		if !kvCopy.expires.IsZero() && now.After(kvCopy.expires) {
-			delete(c.sessionCopies, session)
-			continue
+// repeatedHeader returns the fields of a header that a caller sends again with each attempt.
+func repeatedHeader(header map[string][]string) map[string][]string {
+	repeated := maps.Clone(header)
+	for _, names := range [][]string{platform.AttemptHeaders, intermediaryHeaders} {
+		for _, name := range names {
+			delete(repeated, name)
 		}
-		copies[session] = kvCopy.KVCopy
 	}
-	return copies
+	return repeated
 }
 
-// findCopy returns a KV copy made by an earlier attempt of the session, at this or
-// another entry.
-func (c *control) findCopy(session string) (peers.KVCopy, bool) {
-	if local, ok := c.sessionCopies[session]; ok {
-		return local.KVCopy, true
-	}
-	for _, update := range c.peerUpdates {
-		if kvCopy, ok := update.KVCopies[session]; ok {
-			return kvCopy, true
-		}
+// startRun records the run of a stream whose engines send KV copies. If the caller comes back,
+// the first attempt resumes from the copy that was made for its request, if that can be told.
+func (s *stream) startRun() {
+	if !s.usesKVCopies() {
+		return
 	}
-	ended, ok := c.endedCopies[session]
-	return ended.KVCopy, ok
-}
-
-// retainCopies retains the copies of an entry that has ended and started again, for as long as
-// they are known if it does not: the callers of its streams may still come.
-func (c *control) retainCopies(now time.Time, ended peers.Update) {
-	for session, kvCopy := range ended.KVCopies {
-		c.endedCopies[session] = sessionCopy{KVCopy: kvCopy, expires: now.Add(c.peerTimeout())}
+	g := s.gateway
+	identity := s.inbound.Identity(s.workspaceName(), repeatedHeader(s.inbound.Header))
+	s.run = kvcopies.Number(g.runs.Add(1))
+	result := kvcopies.NotReturning
+	g.control.do(func() {
+		c := g.control
+		s.resumeCopy, result = c.kvCopies.Start(time.Now(), s.run, s.inbound.ID, identity, s.inbound.Position > 0)
+	})
+	if result != kvcopies.NotReturning {
+		g.metrics.countReturn(result.String())
+		g.log.Event("caller_returned", "request", s.inbound.ID, "position", s.inbound.Position,
+			"copy", result.String(), "run", s.resumeCopy.RequestID)
 	}
 }
 
-// forgetEndedCopies deletes the retained copies that have expired.
-func (c *control) forgetEndedCopies(now time.Time) {
-	maps.DeleteFunc(c.endedCopies, func(_ string, retained sessionCopy) bool { return now.After(retained.expires) })
-}
-
 // copyTTL returns how long the copy of the stream stays usable if the stream is interrupted.
 func (s *stream) copyTTL() time.Duration {
 	if s.engine == nil {
@@ -91,8 +80,8 @@
 // usableCopy returns the copy from which another attempt can resume, or the zero value.
 // A copy that the engine was told to send with the attempt exists once it has streamed
 // for firstCopyDelay; a copy that was requested later exists once it has a handle.
-func (a *attempt) usableCopy() peers.KVCopy {
-	var kvCopy peers.KVCopy
+func (a *attempt) usableCopy() kvcopies.Copy {
+	var kvCopy kvcopies.Copy
 	a.exchange.gateway.control.do(func() {
 		sentByEngine := !a.copyRequested && a.streaming && time.Since(a.streamingSince) > firstCopyDelay
 		if sentByEngine || a.kvCopy.Handle != "" {
@@ -102,18 +91,10 @@
 	return kvCopy
 }
 
-// recordCopy records where the KV memory of a running attempt is copied to, so that
-// other entries learn of it.
+// recordCopy records where the KV memory of a running attempt is copied to, unless its stream
+// has ended, so that other entries learn of it.
 func (c *control) recordCopy(a *attempt) {
-	if session := a.exchange.inbound.Session(); session != "" && a.kvCopy.Target != "" {
-		c.sessionCopies[session] = sessionCopy{KVCopy: a.kvCopy}
-	}
-}
-
-// updateRecordedCopy records a changed copy, unless its stream has ended.
-func (c *control) updateRecordedCopy(a *attempt) {
-	if recorded, ok := c.sessionCopies[a.exchange.inbound.Session()]; ok && recorded.expires.IsZero() {
-		c.recordCopy(a)
+	if a.kvCopy.Target != "" && c.kvCopies.RecordCopy(a.exchange.run, a.kvCopy) {
 		c.updatePending = true
 	}
 }
@@ -159,14 +140,14 @@
 // longer to the previous target.
 func (c *control) setCopyTarget(a *attempt, next *placement.Target) {
 	c.table.AddKVCopyTokens(a.kvCopy.Target, -a.requirements.MemoryTokens)
-	a.kvCopy = peers.KVCopy{}
+	a.kvCopy = kvcopies.Copy{}
 	if next == nil {
 		return
 	}
 	c.table.AddKVCopyTokens(next.ID, a.requirements.MemoryTokens)
-	a.kvCopy = peers.KVCopy{RequestID: a.exchange.inbound.ID, Target: next.ID, Incarnation: next.Incarnation}
+	a.kvCopy = kvcopies.Copy{RequestID: a.exchange.inbound.ID, Target: next.ID, Incarnation: next.Incarnation}
 	a.copyRequested = true
-	c.updateRecordedCopy(a)
+	c.recordCopy(a)
 	a.exchange.gateway.log.Event("copy_moved", "request", a.exchange.inbound.ID, "target", next.ID, "runs", a.target.ID)
 	kvCopy := a.kvCopy
 	go c.gateway.protect("KV copy", func() { a.maintainCopy(kvCopy, next.Address) })
@@ -174,7 +155,7 @@
 
 // maintainCopy requests a copy of a running attempt's KV memory and renews it until the
 // attempt ends or the copy is moved. It frees the copy of an attempt that completed.
-func (a *attempt) maintainCopy(kvCopy peers.KVCopy, address string) {
+func (a *attempt) maintainCopy(kvCopy kvcopies.Copy, address string) {
 	g := a.exchange.gateway
 	c := g.control
 	ttl := a.exchange.engine.KVCopyTTL
@@ -199,7 +180,7 @@
 			case current && err == nil && a.kvCopy.Handle != handle:
 				// Another entry can resume from it only by its handle.
 				a.kvCopy.Handle, a.kvCopy.Source = handle, a.target.Address
-				c.updateRecordedCopy(a)
+				c.recordCopy(a)
 			case current && failures >= maxCopyFailures && a.ctx.Err() == nil:
 				current = !c.moveRefusedCopy(a)
 			}
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -31,6 +31,7 @@
 	partsQuarantined  metric.Int64Counter
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
+	returns           metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -56,6 +57,7 @@
 		panics:            b.Counter("mulberrylane.panics", "Panics that ended one request or task"),
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
+		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -143,6 +145,11 @@
 		attribute.Bool("late_request", lateRequest), attribute.Bool("stopping", stopping)))
 }
 
+// countReturn counts a stream whose caller came back, by what was found of its KV copy.
+func (m *instruments) countReturn(result string) {
+	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
+}
+
 func (m *instruments) countAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -50,13 +50,14 @@
 	c.lastUpdateSent = now
 	update := peers.Update{
 		Entry: c.gateway.settings.Name, Incarnation: c.incarnation, Sequence: c.sequence,
-		Work: map[request.TargetID][3]int{}, KVCopies: c.copiesForUpdate(now), Usage: map[string][2]int{},
+		Work: map[request.TargetID][3]int{}, Runs: c.kvCopies.Own(now), Usage: map[string][2]int{},
 		Ready: c.gateway.ready(), LinkMbps: c.gateway.settings.LinkMbps,
 	}
 	for service, budget := range c.budgets {
 		usage := budget.Usage(now)
 		update.Usage[service] = [2]int{usage.Requests, usage.Retries}
 	}
+	update.AmbiguousRuns = c.kvCopies.Conflicts()
 	update.Down = recent(now, c.recentlyDown)
 	update.Replaced = recent(now, c.recentlyReplaced)
 	update.Draining = recent(now, c.recentlyDraining)
@@ -182,10 +183,18 @@
 		c.updatePending = true
 	}
 	if before.Incarnation != update.Incarnation {
-		c.retainCopies(now, before)
+		// The callers of its streams may still come.
+		c.kvCopies.Lost(now, update.Entry, update.Incarnation, now.Add(c.peerTimeout()))
 	}
 	c.peerLastSeen[update.Entry] = now
 	c.mergePeerUpdate(now, update)
+	c.kvCopies.Update(now, update.Entry, update.Incarnation, c.peerUpdates[update.Entry].Runs)
+	for _, ref := range update.AmbiguousRuns {
+		if ref.Entry == c.gateway.settings.Name && ref.Incarnation == c.incarnation {
+			c.kvCopies.MarkAmbiguous(ref.Number)
+			c.updatePending = true
+		}
+	}
 	for _, id := range update.Down {
 		c.handlePeerDown(now, id)
 	}
--- a/process/gateway/replaced_copy_test.go
+++ b/process/gateway/replaced_copy_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -28,7 +28,7 @@
 	reader := d.openStream(context.Background(), g, streamRequest())
 	reader.skipTo(t, 5)
 	var running *attempt
-	var copied peers.KVCopy
+	var copied kvcopies.Copy
 	c.do(func() {
 		for _, m := range c.monitors {
 			for a := range m.attempts {
@@ -56,8 +56,8 @@
 		return attempts() == 2
 	})
 	d.waitUntil(func() bool { return attempts() == 1 })
-	recorded := peers.KVCopy{}
-	c.do(func() { recorded = c.sessionCopies[running.exchange.inbound.Session()].KVCopy })
+	recorded := kvcopies.Copy{}
+	c.do(func() { recorded = c.kvCopies.Own(time.Now())[running.exchange.run].Copy })
 	assert.Equal(t, recorded, copied)
 	reader.skipTo(t, 30)
 }
--- /dev/null
+++ b/process/gateway/returned_stream_test.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
+	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+)
+
+const otherTestKey = "key-of-other-crew"
+
+// returnTest is a deployment with entries whose callers come back to other entries.
+type returnTest struct {
+	*deployment
+	entries []*Gateway
+}
+
+func newReturnTest(t *testing.T, entries ...string) *returnTest {
+	t.Parallel()
+	d := &returnTest{deployment: newDeployment(t)}
+	d.configure(func(config map[string]any) {
+		config["Tenants"] = []any{
+			map[string]any{"Name": "crew", "ApiKeys": []string{testKey}},
+			map[string]any{"Name": "other", "ApiKeys": []string{otherTestKey}},
+		}
+	})
+	for id, failureDomain := range map[string]string{"e1": "naxos", "e2": "paros", "e3": "syros", "e4": "milos"} {
+		d.startReplica(replica.Config{
+			ID: id, Service: "writer", FailureDomain: failureDomain, Engine: true, EventCount: 60,
+			PrefillTime: 20 * time.Millisecond, EventInterval: 25 * time.Millisecond, Slots: 128,
+		})
+	}
+	for _, name := range entries {
+		d.entries = append(d.entries, d.startReadyEntry(name))
+	}
+	return d
+}
+
+// kill ends an entry without a word to the others.
+func (d *returnTest) kill(g *Gateway) {
+	d.waitUntilKnown(g)
+	_ = g.peers.Close()
+	g.ingress.callerListener.StopAccepting()
+	g.ingress.close()
+	g.cancel()
+}
+
+// waitUntilKnown waits until the other entries know all runs of an entry and their copies.
+func (d *returnTest) waitUntilKnown(g *Gateway) {
+	var runs map[kvcopies.Number]kvcopies.Run
+	g.control.do(func() { runs = g.control.kvCopies.Own(time.Now()) })
+	for _, other := range d.entries {
+		if other == g || other.background.Err() != nil {
+			continue
+		}
+		d.waitUntil(func() bool {
+			known := true
+			other.control.do(func() {
+				for number, run := range runs {
+					known = known && other.control.peerUpdates[g.settings.Name].Runs[number] == run
+				}
+			})
+			return known
+		})
+	}
+}
+
+// read opens a stream and reads it up to an event.
+func (d *returnTest) read(g *Gateway, req *callerRequest, until int) context.CancelFunc {
+	ctx, disconnect := context.WithCancel(context.Background())
+	d.t.Cleanup(disconnect)
+	d.openStream(ctx, g, req).skipTo(d.t, until)
+	return disconnect
+}
+
+// again returns the request as its caller sends it again after it has received events.
+func (req *callerRequest) again(position int) *callerRequest {
+	again := *req
+	again.AttemptID += ".again"
+	again.Position = position
+	if again.PromptID == "" {
+		again.PromptID = req.AttemptID
+	}
+	return &again
+}
+
+// expectCopyOf checks whose copy the first attempt at a request resumed from, "" for none.
+func (d *returnTest) expectCopyOf(req *callerRequest, want string) {
+	d.t.Helper()
+	executions := d.fleet.ExecutionLog.Executions(req.AttemptID)
+	assert.Equal(d.t, len(executions), 1)
+	assert.Equal(d.t, executions[0].KVCopyOf, want)
+	assert.Equal(d.t, d.fleet.ExecutionLog.Arrivals(req.AttemptID), 1)
+}
+
+// sessionRequest returns a request of a session that others share.
+func sessionRequest() *callerRequest {
+	req := streamRequest()
+	req.PromptID = "session"
+	return req
+}
+
+// Streams of one session lose their entry. One went on from the memory of another one.
+func TestReturn_ResumesFromCopyOfItsOwnRequest(t *testing.T) {
+	for name, change := range map[string]func(req *callerRequest){
+		"body":         func(req *callerRequest) { req.Body = "another prompt" },
+		"path":         func(req *callerRequest) { req.Path = "/report/z?y=1" },
+		"query":        func(req *callerRequest) { req.Path = "/report/x?y=2" },
+		"method":       func(req *callerRequest) { req.Method = http.MethodPut },
+		"workspace":    func(req *callerRequest) { req.APIKey = otherTestKey },
+		"first part":   func(req *callerRequest) { req.SharedParts = []string{"bb"} },
+		"parts":        func(req *callerRequest) { req.SharedParts = []string{"aa", "bb"} },
+		"model":        func(req *callerRequest) { req.Header = http.Header{"Model": {"n"}} },
+		"token counts": func(req *callerRequest) { req.Header = http.Header{"Token-Counts": {"6200,90"}} },
+		"part length":  func(req *callerRequest) { req.Header = http.Header{"Prompt-Prefix": {"aa:200,session:5999"}} },
+		"other field":  func(req *callerRequest) { req.Header = http.Header{"Content-Language": {"el"}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReturnTest(t, "entry-1", "entry-2")
+			first, second := sessionRequest(), sessionRequest()
+			change(second)
+			d.read(d.entries[0], first, 15)
+			d.read(d.entries[0], second, 15)
+			d.kill(d.entries[0])
+			for _, req := range []*callerRequest{first, second} {
+				again := req.again(15)
+				d.read(d.entries[1], again, 60)
+				d.expectCopyOf(again, req.AttemptID)
+			}
+		})
+	}
+}
+
+// Two requests are the same in all that their callers send. A caller was served from the memory of
+// the other one's run.
+func TestReturn_EqualRequestsReadThePromptAgain(t *testing.T) {
+	for name, second := range map[string]int{"one entry": 0, "two entries": 2} {
+		t.Run(name, func(t *testing.T) {
+			d := newReturnTest(t, "entry-1", "entry-2", "entry-3")
+			requests := []*callerRequest{sessionRequest(), sessionRequest()}
+			d.read(d.entries[0], requests[0], 15)
+			d.read(d.entries[second], requests[1], 15)
+			d.kill(d.entries[0])
+			for _, req := range requests {
+				again := req.again(15)
+				d.read(d.entries[1], again, 60)
+				d.expectCopyOf(again, "")
+			}
+		})
+	}
+}
+
+// The end of one stream of a session deleted the copy of another one.
+func TestReturn_CopySurvivesTheEndOfAnotherStreamOfItsSession(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	first, second := sessionRequest(), sessionRequest()
+	second.Body, second.Position = "another prompt", 55
+	disconnect := d.read(d.entries[0], first, 15)
+	d.openStream(context.Background(), d.entries[0], second).skipTo(t, 60)
+	disconnect()
+	d.waitUntilKnown(d.entries[0])
+	again := first.again(15)
+	d.read(d.entries[1], again, 60)
+	d.expectCopyOf(again, first.AttemptID)
+}
+
+// A caller left, sent its request anew and came back for that run. It was served from the memory of
+// the earlier one.
+func TestReturn_CopyOfAnEarlierRunIsNotUsed(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	first, anew := sessionRequest(), sessionRequest()
+	d.read(d.entries[0], first, 20)()
+	d.waitUntilKnown(d.entries[0])
+	d.read(d.entries[1], anew, 2)()
+	d.waitUntilKnown(d.entries[1])
+	again := anew.again(2)
+	d.read(d.entries[0], again, 60)
+	d.expectCopyOf(again, "")
+}
+
+// A caller whose second entry fails as well is served from the run there, not from the first.
+func TestReturn_SecondTimeResumesFromLatestRun(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2", "entry-3")
+	first := sessionRequest()
+	d.read(d.entries[0], first, 15)
+	d.kill(d.entries[0])
+	second := first.again(15)
+	d.read(d.entries[1], second, 40)
+	d.expectCopyOf(second, first.AttemptID)
+	d.kill(d.entries[1])
+	third := second.again(40)
+	d.read(d.entries[2], third, 60)
+	d.expectCopyOf(third, second.AttemptID)
+}
+
+// An entry of an earlier build knows copies by session alone. They were used for any request of the
+// session during a rolling change.
+func TestReturn_SessionCopiesOfEarlierBuildAreNotUsed(t *testing.T) {
+	d := newReturnTest(t, "entry-1")
+	req := sessionRequest()
+	c := d.entries[0].control
+	c.do(func() {
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Sequence: 1, Full: true, SessionCopies: map[string]kvcopies.Copy{
+			"session": {RequestID: "request-of-session", Target: "e1", Incarnation: request.Incarnation(1001)},
+		}})
+	})
+	again := req.again(15)
+	d.read(d.entries[0], again, 60)
+	d.expectCopyOf(again, "")
+}
+
+// A caller that comes back is known by what it sends again, not by what is new in each attempt.
+func TestRepeatedHeader(t *testing.T) {
+	header, want := map[string][]string{}, map[string][]string{}
+	for _, name := range []string{"Attempt-Id", "Last-Event-Id", "Deadline-Remaining", "Forwarded", "Traceparent", "X-Forwarded-For"} {
+		header[name] = []string{"x"}
+	}
+	for _, name := range []string{"Model", "Token-Counts", "Prompt-Prefix", "Length-Hint", "Content-Type", "Another"} {
+		header[name], want[name] = []string{"x"}, []string{"x"}
+	}
+	assert.DeepEqual(t, repeatedHeader(header), want)
+	assert.Equal(t, len(header), 12)
+}
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
@@ -450,15 +451,17 @@
 	d := newDeployment(t)
 	g := d.startReadyEntry("entry-1")
 	c := g.control
-	kvCopy := peers.KVCopy{RequestID: "request-a", Target: "e1", Incarnation: 1}
+	kvCopy := kvcopies.Copy{RequestID: "request-a", Target: "e1", Incarnation: 1}
+	identity := request.Identity{1}
+	runs := map[kvcopies.Number]kvcopies.Run{1: {ID: "request-a", Identity: identity, Copy: kvCopy}}
 	c.do(func() {
-		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true, KVCopies: map[string]peers.KVCopy{"session-a": kvCopy}})
+		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 1, Full: true, Runs: runs})
 		c.handlePeerUpdate(peers.Update{Entry: "entry-2", Incarnation: 2, Full: true})
-		found, ok := c.findCopy("session-a")
-		assert.Check(t, ok)
+		found, result := c.kvCopies.Start(time.Now(), 1, "request-b", identity, true)
+		assert.Check(t, result == kvcopies.Found)
 		assert.Check(t, found == kvCopy)
-		c.forgetEndedCopies(time.Now().Add(c.peerTimeout() + time.Second))
-		_, ok = c.findCopy("session-a")
-		assert.Check(t, !ok)
+		c.kvCopies.Remove(1)
+		_, result = c.kvCopies.Start(time.Now().Add(c.peerTimeout()+time.Second), 1, "request-b", identity, true)
+		assert.Check(t, result == kvcopies.NoCopy)
 	})
 }
--- a/process/gateway/store_watch_test.go
+++ b/process/gateway/store_watch_test.go
@@ -262,7 +262,13 @@
 	disconnect()
 	copyCount := func() int {
 		n := 0
-		g.control.do(func() { n = len(g.control.sessionCopies) })
+		g.control.do(func() {
+			for _, run := range g.control.kvCopies.Own(time.Now()) {
+				if run.Copy.Target != "" {
+					n++
+				}
+			}
+		})
 		return n
 	}
 	d.waitUntil(func() bool { return copyCount() == 1 })
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/admission"
-	"github.com/mulberrylane/mulberrylane/process/peers"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -59,7 +59,7 @@
 	// resumeCopy is the KV copy from which the next attempt can resume. retriedCopy is
 	// the copy from which a second attempt was to resume after the first got no response.
 	// failedCopy is the one from which the last attempt that failed was to resume.
-	resumeCopy, retriedCopy, failedCopy peers.KVCopy
+	resumeCopy, retriedCopy, failedCopy kvcopies.Copy
 	// head is the head of the latest response with events; the caller gets that of the
 	// first events that are delivered.
 	head        *http.Response
@@ -106,9 +106,7 @@
 	}
 	defer s.timer.Stop()
 	defer close(s.stopped)
-	if e.inbound.Position > 0 {
-		s.findSessionCopy()
-	}
+	s.startRun()
 	s.handleEvent(request.Event{Type: request.EventStart})
 	for !s.done {
 		select {
@@ -129,17 +127,6 @@
 	s.finish()
 }
 
-// findSessionCopy looks for a KV copy that an earlier attempt of the same session made,
-// here or at another entry.
-func (s *stream) findSessionCopy() {
-	c := s.gateway.control
-	c.do(func() {
-		if kvCopy, ok := c.findCopy(s.inbound.Session()); ok {
-			s.resumeCopy = kvCopy
-		}
-	})
-}
-
 // handleEvent passes an event to the recovery and executes the actions that it returns.
 func (s *stream) handleEvent(event request.Event) {
 	queue := []request.Event{event}
@@ -241,7 +228,7 @@
 // resumeFromCopy returns an attempt at the target that holds the KV copy, or nil.
 func (s *stream) resumeFromCopy() *attempt {
 	kvCopy := s.resumeCopy
-	s.resumeCopy = peers.KVCopy{}
+	s.resumeCopy = kvcopies.Copy{}
 	if kvCopy.Target == "" {
 		return nil
 	}
@@ -406,12 +393,11 @@
 	s.lastWrite = now
 }
 
-// retainOrDropCopy drops the KV copy of a complete stream. That of an interrupted one
-// is retained for a while: its caller may reconnect for the rest, here or at another
-// entry.
-func (s *stream) retainOrDropCopy() {
-	session := s.inbound.Session()
-	if session == "" {
+// endRun removes the run of a stream whose caller does not come back for the rest: it has
+// everything, or nothing of this run. Otherwise the run is retained, with its KV copy if there is
+// one: the caller may come back here or to another entry.
+func (s *stream) endRun() {
+	if s.run == 0 {
 		return
 	}
 	kvCopy := s.resumeCopy
@@ -421,12 +407,15 @@
 		}
 	}
 	c := s.gateway.control
-	expires := time.Now().Add(s.copyTTL())
-	retain := s.endKind != fault.None && kvCopy.Target != ""
+	now := time.Now()
+	expires := now.Add(s.copyTTL())
+	streamed := s.recovery.Output().Len() > 0 || s.inbound.Position > 0 && s.recovery.WasRun() != request.RunNo
+	retain := s.endKind != fault.None && streamed
 	c.post(func() {
-		delete(c.sessionCopies, session)
 		if retain {
-			c.sessionCopies[session] = sessionCopy{KVCopy: kvCopy, expires: expires}
+			c.kvCopies.End(now, s.run, kvCopy, expires)
+		} else {
+			c.kvCopies.Remove(s.run)
 		}
 		c.updatePending = true
 	})
@@ -457,7 +446,7 @@
 
 // finish ends the response to the caller.
 func (s *stream) finish() {
-	s.retainOrDropCopy()
+	s.endRun()
 	for _, a := range s.running {
 		a.cancel()
 	}
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -115,9 +115,12 @@
 	}
 	r.skipTo(t, 30)
 	g.control.do(func() {
-		kvCopy, ok := g.control.copiesForUpdate(time.Now())[req.PromptID]
-		assert.Assert(t, ok)
-		assert.Assert(t, string(kvCopy.Target) != copyTarget)
+		runs := g.control.kvCopies.Own(time.Now())
+		assert.Equal(t, len(runs), 1)
+		for _, run := range runs {
+			assert.Assert(t, run.Copy.Target != "")
+			assert.Assert(t, string(run.Copy.Target) != copyTarget)
+		}
 	})
 	source.Crash()
 	r.skipTo(t, 60)
@@ -301,7 +304,13 @@
 	retry.Position, retry.PromptID = 13, req.AttemptID
 	d.waitUntil(func() bool {
 		found := false
-		second.control.do(func() { _, found = second.control.findCopy(req.AttemptID) })
+		second.control.do(func() {
+			for _, update := range second.control.peerUpdates {
+				for _, run := range update.Runs {
+					found = found || run.ID == request.ID(req.AttemptID) && run.Copy.Target != ""
+				}
+			}
+		})
 		return found
 	})
 	d.openStream(context.Background(), second, retry).expectRest(t, retry.AttemptID, 13)
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
@@ -29,7 +30,7 @@
 
 // Update is a message with the work of one entry at the targets.
 type Update struct {
-	// Full reports whether Work and KVCopies hold the whole state, and not only changes.
+	// Full reports whether Work and Runs hold the whole state, and not only changes.
 	Full bool `cbor:"13,keyasint,omitempty"`
 	// Partial reports whether the update holds only some keys of Work. Everything else is
 	// then unchanged since the sender's previous update.
@@ -62,8 +63,14 @@
 	FailureRates map[request.TargetID]int `cbor:"12,keyasint,omitempty"`
 	// Ready reports whether the sender accepts requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
-	// KVCopies maps sessions to the KV copies of their running streams.
-	KVCopies map[string]KVCopy `cbor:"6,keyasint,omitempty"`
+	// SessionCopies holds the KV copies of a build that knew them by the session of their
+	// streams. A session does not identify a request, so they are neither sent nor used.
+	SessionCopies map[string]kvcopies.Copy `cbor:"6,keyasint,omitempty"`
+	// Runs holds the sender's streams whose callers can be served from a KV copy if they come
+	// back.
+	Runs map[kvcopies.Number]kvcopies.Run `cbor:"22,keyasint,omitempty"`
+	// AmbiguousRuns lists runs of other entries that the sender cannot tell from others.
+	AmbiguousRuns []kvcopies.RunRef `cbor:"23,keyasint,omitempty"`
 	// Crashes lists engines that crashed lately, Survivals requests with suspected parts that
 	// an engine survived, and Quarantined the parts that are not sent to engines.
 	Crashes     []Crash           `cbor:"18,keyasint,omitempty"`
@@ -120,29 +127,6 @@
 	Location prompts.Location `cbor:"2,keyasint"`
 }
 
-// KVCopy locates a copy of the KV memory of a running stream, from which the stream can be
-// resumed.
-type KVCopy struct {
-	// RequestID is the request that the copy was made for.
-	RequestID request.ID `cbor:"1,keyasint"`
-	// Target holds the copy; later incarnations of the target do not.
-	Target      request.TargetID    `cbor:"2,keyasint"`
-	Incarnation request.Incarnation `cbor:"3,keyasint"`
-	// Handle and Source are set for a copy that was requested while the stream was running:
-	// the name of the copy, and the address of the target that the stream ran on.
-	Handle string `cbor:"4,keyasint,omitempty"`
-	Source string `cbor:"5,keyasint,omitempty"`
-}
-
-// ResumeSource returns the source address and the name of the copy, which the target that
-// holds it, at the given address, needs to resume from it.
-func (c KVCopy) ResumeSource(address string) (source, name string) {
-	if c.Handle != "" {
-		return c.Source, c.Handle
-	}
-	return address, string(c.RequestID)
-}
-
 // percent is the factor by which updates scale rates.
 const percent = 100
 
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/storesync"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -45,13 +46,13 @@
 	from, to := listen(t), listen(t)
 	want := Update{
 		Entry: "entry-1", Incarnation: 1, Sequence: 1, Down: []request.TargetID{"writer-1"},
-		Usage: map[string][2]int{"writer": {3, 1}}, KVCopies: map[string]KVCopy{"session-1": {RequestID: "r1", Handle: "copy-1"}},
+		Usage: map[string][2]int{"writer": {3, 1}}, Runs: map[kvcopies.Number]kvcopies.Run{1: {ID: "r1", Copy: kvcopies.Copy{RequestID: "r1", Handle: "copy-1"}}},
 		Answer: &SyncAnswer{Answer: storesync.Answer{Changes: []storesync.Change{{Key: "key", Value: []byte("value")}}}},
 	}
 	received := exchange(t, from, to, want)
 	exchange(t, from, to, Update{
 		Entry: "entry-2", Incarnation: 9, Sequence: 9, Down: []request.TargetID{"xxxxxxxx"},
-		Usage: map[string][2]int{"xxxxxx": {9, 9}}, KVCopies: map[string]KVCopy{"xxxxxxxxx": {RequestID: "xx", Handle: "xxxxxx"}},
+		Usage: map[string][2]int{"xxxxxx": {9, 9}}, Runs: map[kvcopies.Number]kvcopies.Run{2: {ID: "xx", Copy: kvcopies.Copy{RequestID: "xx", Handle: "xxxxxx"}}},
 		Answer: &SyncAnswer{Answer: storesync.Answer{Changes: []storesync.Change{{Key: "xxx", Value: []byte("xxxxx")}}}},
 	})
 	assert.DeepEqual(t, received, want)
--- a/process/peers/simulation_test.go
+++ b/process/peers/simulation_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -146,12 +147,14 @@
 	e.updatePending = true
 	s.schedule(max(simulatedBatchDelay, e.scheduler.Delay(s.now)), func() {
 		e.updatePending = false
-		update := Update{Entry: e.name, Incarnation: 1, LinkMbps: simulatedLinkMbps, Work: map[request.TargetID][3]int{}, KVCopies: map[string]KVCopy{}}
+		update := Update{Entry: e.name, Incarnation: 1, LinkMbps: simulatedLinkMbps, Work: map[request.TargetID][3]int{}, Runs: map[kvcopies.Number]kvcopies.Run{}}
 		for id, work := range e.table.LocalWork() {
 			update.SetWork(id, work)
 			// Each running attempt has a KV copy, which is included in the update.
-			session := string("session-" + id)
-			update.KVCopies[session] = KVCopy{RequestID: request.ID(session), Target: id, Incarnation: 1_700_000_000_000}
+			run := request.ID("request-" + id)
+			update.Runs[kvcopies.Number(len(update.Runs)+1)] = kvcopies.Run{
+				ID: run, Identity: request.Identity{1}, Copy: kvcopies.Copy{RequestID: run, Target: id, Incarnation: 1_700_000_000_000},
+			}
 		}
 		s.broadcast(e, e.scheduler.Compose(s.now, update))
 	})
--- a/process/peers/update_scheduler.go
+++ b/process/peers/update_scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -37,8 +38,8 @@
 // It is designed for the failure of a failure domain: all entries then have changes to send
 // to all others at the same time, some of them over links that such a burst would fill.
 type UpdateScheduler struct {
-	work   map[request.TargetID]change[[3]int]
-	copies map[string]change[KVCopy]
+	work map[request.TargetID]change[[3]int]
+	runs map[kvcopies.Number]change[kvcopies.Run]
 	// lastFull is when the last full update was composed.
 	lastFull time.Time
 	// updatePacer paces full updates and deltas, partialPacer paces partial updates.
@@ -70,7 +71,7 @@
 // NewUpdateScheduler returns a scheduler whose first update is full.
 func NewUpdateScheduler() *UpdateScheduler {
 	return &UpdateScheduler{
-		work: map[request.TargetID]change[[3]int]{}, copies: map[string]change[KVCopy]{},
+		work: map[request.TargetID]change[[3]int]{}, runs: map[kvcopies.Number]change[kvcopies.Run]{},
 		updatePacer: pacer{share: updateLinkShare}, partialPacer: pacer{share: partialLinkShare},
 	}
 }
@@ -99,13 +100,13 @@
 // Compose returns the update to send, given one that holds the whole state.
 func (s *UpdateScheduler) Compose(now time.Time, update Update) Update {
 	work := recordChanges(now, s.work, update.Work)
-	copies := recordChanges(now, s.copies, update.KVCopies)
+	runs := recordChanges(now, s.runs, update.Runs)
 	update.Full = now.Sub(s.lastFull) >= fullUpdateInterval
 	if update.Full {
 		s.lastFull = now
 		return update
 	}
-	update.Work, update.KVCopies = work, copies
+	update.Work, update.Runs = work, runs
 	return update
 }
 
@@ -160,7 +161,7 @@
 		before = Update{}
 	}
 	update.Work = applyChanges(before.Work, update.Work)
-	update.KVCopies = applyChanges(before.KVCopies, update.KVCopies)
+	update.Runs = applyChanges(before.Runs, update.Runs)
 	return update
 }
 
--- a/process/peers/update_scheduler_test.go
+++ b/process/peers/update_scheduler_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -23,7 +24,7 @@
 
 func newTestEntry(seed uint64, streams int) *testEntry {
 	e := &testEntry{random: rand.New(rand.NewPCG(seed, 1)), Update: Update{
-		Entry: "entry", Incarnation: 1, Work: map[request.TargetID][3]int{}, KVCopies: map[string]KVCopy{},
+		Entry: "entry", Incarnation: 1, Work: map[request.TargetID][3]int{}, Runs: map[kvcopies.Number]kvcopies.Run{},
 	}}
 	for range streams {
 		e.change()
@@ -34,19 +35,22 @@
 // change starts or ends a stream at a random target.
 func (e *testEntry) change() {
 	id := request.TargetID(fmt.Sprintf("i-%08x", e.random.IntN(94)))
-	session := fmt.Sprintf("%08x", e.random.IntN(40))
+	run := e.random.IntN(40)
 	if e.random.IntN(2) == 0 {
 		delete(e.Work, id)
-		delete(e.KVCopies, session)
+		delete(e.Runs, kvcopies.Number(run))
 		return
 	}
 	e.Work[id] = [3]int{e.random.IntN(8000), 1 + e.random.IntN(3), 8000}
-	e.KVCopies[session] = KVCopy{RequestID: request.ID(session), Target: id, Incarnation: 7}
+	requestID := request.ID(fmt.Sprintf("%08x", run))
+	e.Runs[kvcopies.Number(run)] = kvcopies.Run{
+		ID: requestID, Identity: request.Identity{byte(run)}, Copy: kvcopies.Copy{RequestID: requestID, Target: id, Incarnation: 7},
+	}
 }
 
 func (e *testEntry) update() Update {
 	update := e.Update
-	update.Work, update.KVCopies = maps.Clone(e.Work), maps.Clone(e.KVCopies)
+	update.Work, update.Runs = maps.Clone(e.Work), maps.Clone(e.Runs)
 	return update
 }
 
@@ -70,7 +74,7 @@
 			deliver(false)
 		}
 		assert.DeepEqual(t, received.Work, e.Work)
-		assert.DeepEqual(t, received.KVCopies, e.KVCopies)
+		assert.DeepEqual(t, received.Runs, e.Runs)
 	}
 }
 
@@ -107,8 +111,8 @@
 func TestMerge_PartialUpdateChangesOnlyNamedWork(t *testing.T) {
 	before := Update{
 		Entry: "entry", Incarnation: 1, Sequence: 3, Ready: true, LinkMbps: 10, Usage: map[string][2]int{"writer": {5, 1}},
-		Work:     map[request.TargetID][3]int{"e1": {0, 1, 8000}, "e2": {0, 2, 9000}},
-		KVCopies: map[string]KVCopy{"s": {RequestID: "r", Target: "e3"}},
+		Work: map[request.TargetID][3]int{"e1": {0, 1, 8000}, "e2": {0, 2, 9000}},
+		Runs: map[kvcopies.Number]kvcopies.Run{1: {ID: "r", Copy: kvcopies.Copy{RequestID: "r", Target: "e3"}}},
 	}
 	after := Merge(before, Update{
 		Entry: "entry", Incarnation: 1, Sequence: 4, Partial: true, Work: map[request.TargetID][3]int{"e2": {7000, 2, 16000}},
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -32,7 +32,7 @@
 	// SharedParts lists the IDs of the parts of the prompt before the last; if it is empty,
 	// there is one that all requests share.
 	SharedParts []string
-	// Header holds additional header fields.
+	// Header holds additional header fields, and replaces others of the same names.
 	Header http.Header
 }
 
@@ -53,15 +53,12 @@
 	out.Host = r.Host
 	// With GetBody set, net/http would retry the request on its own.
 	out.GetBody = nil
-	for name, values := range r.Header {
-		out.Header[name] = values
-	}
 	promptID := r.PromptID
 	if promptID == "" {
 		promptID = r.AttemptID
 	}
 	out.Header.Set("Attempt-Id", r.AttemptID)
-	out.Header.Set(replica.EntryHeader, address)
+	replica.SetEntry(out.Header, address)
 	out.Header.Set("Deadline-Remaining", strconv.FormatInt(r.DeadlineRemaining.Milliseconds(), 10))
 	out.Header.Set("Key", r.APIKey)
 	out.Header.Set("Model", "m")
@@ -78,6 +75,9 @@
 	if r.Position > 0 {
 		out.Header.Set("Last-Event-Id", strconv.Itoa(r.Position))
 	}
+	for name, values := range r.Header {
+		out.Header[name] = values
+	}
 	return out, nil
 }
 
--- a/standin/replica/arrivals.go
+++ b/standin/replica/arrivals.go
@@ -3,12 +3,19 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
-// EntryHeader is the header field in which the stand-in of the callers names the address of
-// the entry that a request is sent to. Entries forward it.
-const EntryHeader = "Sent-To-Entry"
+// entryHeader is the header field in which the stand-in of the callers names the address of
+// the entry that a request is sent to, as a proxy does. Entries forward it.
+const entryHeader = "Forwarded"
+
+// SetEntry names the address of the entry that a request is sent to.
+func SetEntry(header http.Header, address string) { header.Set(entryHeader, "by="+address) }
+
+// entryOf returns the address of the entry that forwarded a request, or "" if unknown.
+func entryOf(header http.Header) string { return strings.TrimPrefix(header.Get(entryHeader), "by=") }
 
 // Arrival is one request or call that reached a target, executed or not.
 type Arrival struct {
@@ -44,7 +51,7 @@
 		retryAfter = faults.RetryAfter
 	}
 	l.arrivals = append(l.arrivals, Arrival{
-		Request: id, Entry: req.Header.Get(EntryHeader), Connection: req.RemoteAddr,
+		Request: id, Entry: entryOf(req.Header), Connection: req.RemoteAddr,
 		Target: r.config.ID, Incarnation: r.config.Incarnation, Path: req.URL.Path,
 		FromKVCopy: req.Header.Get("Kv-From") != "", PromptParts: req.Header.Get("Prompt-Prefix"),
 		Shed: shedding, RetryAfter: retryAfter, Leaving: faults.Leaving,
--- a/standin/replica/executions.go
+++ b/standin/replica/executions.go
@@ -28,7 +28,9 @@
 	Position int
 	// FromKVCopy is set when the execution resumed from a KV copy.
 	FromKVCopy bool
-	At         time.Time
+	// KVCopyOf is the request whose KV copy the execution resumed from, or "".
+	KVCopyOf string
+	At       time.Time
 }
 
 // NewExecutionLog returns an empty log.
--- a/standin/replica/kv_copies.go
+++ b/standin/replica/kv_copies.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -44,6 +45,14 @@
 	return held
 }
 
+// requestedCopyPrefix begins the names of copies that were requested while a request ran.
+const requestedCopyPrefix = "h-"
+
+// copiedRequest returns the request that a copy was made for, given its handle.
+func copiedRequest(handle string) string {
+	return strings.TrimPrefix(handle[strings.LastIndex(handle, "/")+1:], requestedCopyPrefix)
+}
+
 // recordKVCopy records that the target at an address holds a KV copy of the request, if
 // both targets allow it.
 func (r *Replica) recordKVCopy(address, id string) {
@@ -71,7 +80,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	handle := "h-" + body.Id
+	handle := requestedCopyPrefix + body.Id
 	r.fleet.kvCopies.add(body.Target, r.config.AdvertisedAddress+"/"+handle)
 	_ = json.NewEncoder(w).Encode(map[string]any{"Handle": handle, "CreateRevision": 1})
 }
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -132,7 +132,7 @@
 	r.fleet.ExecutionLog.addExecution(Execution{
 		Request: id, Target: r.config.ID, Path: req.RequestURI, Body: string(body[:n]),
 		Workspace: req.Header.Get("Tenant"), APIKey: req.Header.Get("Key"), DeadlineRemaining: req.Header.Get("Deadline-Remaining"), Priority: req.Header.Get("Request-Priority"),
-		Position: position, FromKVCopy: req.Header.Get("Kv-From") != "", At: time.Now(),
+		Position: position, FromKVCopy: req.Header.Get("Kv-From") != "", KVCopyOf: copiedRequest(req.Header.Get("Kv-From")), At: time.Now(),
 	})
 }
 
