Calls to targets: the head of a response is bounded, as in the gateway

Callers saw: nothing yet. A failing engine or application could have agents keep heads of up to 10 MB for each of the calls to it, the default of net/http, until they ran out of memory.

Cause: the transports of outside/application and of the agents' engine client set no limit. Change: bounded.MaxHeadBytes, 64 KiB, as the gateway has it. Replies of all calls together are not bounded there.

--- a/connection/bounded/bounded.go
+++ b/connection/bounded/bounded.go
@@ -14,6 +14,10 @@
 // whose values have up to a megabyte each.
 const MaxResponseBytes = 16 << 20
 
+// MaxHeadBytes limits the head of a response. The default of net/http is 10 MB, for each of the calls
+// to a failing process.
+const MaxHeadBytes = 64 << 10
+
 // ErrTooLong means that a message exceeds its limit.
 var ErrTooLong = errors.New("message exceeds the size limit")
 
--- a/outside/application/target.go
+++ b/outside/application/target.go
@@ -33,9 +33,13 @@
 // NewTarget returns the adapter to the target at the base URL.
 func NewTarget(base string) *Target {
 	return &Target{
-		baseURL:   strings.TrimSuffix(base, "/"),
-		singleUse: newClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
-		pooled:    newClient(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}),
+		baseURL: strings.TrimSuffix(base, "/"),
+		singleUse: newClient(&http.Transport{
+			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+		}),
+		pooled: newClient(&http.Transport{
+			MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+		}),
 	}
 }
 
--- a/outside/application/target_test.go
+++ b/outside/application/target_test.go
@@ -4,11 +4,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/outside"
 	"github.com/mulberrylane/mulberrylane/outside/application"
@@ -76,3 +78,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Status, http.StatusFound)
 }
+
+// A failing application sends heads without end to many calls at once. Each was kept up to 10 MB.
+func TestCall_LongHeadIsGivenUp(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X", strings.Repeat("a", 2*bounded.MaxHeadBytes))
+	}))
+	defer server.Close()
+	target := application.NewTarget(server.URL)
+	for _, idempotent := range []bool{false, true} {
+		call := bookingCall()
+		call.Idempotent = idempotent
+		_, err := target.Call(t.Context(), call)
+		assert.Equal(t, fault.KindOf(err), fault.TargetLost)
+	}
+}
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/connection/bounded"
 	"github.com/mulberrylane/mulberrylane/connection/keys"
 	"github.com/mulberrylane/mulberrylane/connection/link"
 	"github.com/mulberrylane/mulberrylane/outside"
@@ -73,7 +74,9 @@
 // name no request, so one that a failing engine sends once more on a connection in use again
 // could not be told from that to the next call. The engine is on the agent's host.
 func newEngineClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+	}}
 }
 
 // Start starts to accept links, to serve operators and to probe the target.
