Bodies: their memory counts until they have been sent, and the largest yields

Cause: a response counted while it was received and no longer, though it stays in memory until its caller has read it. Bodies of requests did not count at all. What counted were bytes, not the buffers that hold them, which had room for two sizes as they grew.

They count from when they are received until the exchange has ended, in the pieces that hold them, from 16 KiB on. If memory is used up, the largest one being received yields: a request is refused at once, a response is given up and its target counts as failing, as after 16 MiB. Before, whichever body came last failed, also a sound one.

Ruled out: a limit for each body (sound ones may have 16 MiB). The check of TestCall_EndlessBodyEndsWithinBounds is stricter: no overshoot is allowed any more. Why it works: used memory never exceeds the budget; a body waits until the one that yields has gone. Requests' bodies were not measured again.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -390,13 +390,20 @@
 	}
 }
 
-// readBody reads the rest of a response and releases its connection.
-func (a *attempt) readBody(response *http.Response) ([]byte, error) {
-	body, err := a.exchange.gateway.responseMemory.readAll(response.Body, maxResponseBytes)
+// readBody reads the rest of a response and releases its connection. The body is held until the
+// exchange ends.
+func (a *attempt) readBody(response *http.Response) (*heldBody, error) {
+	body, err := a.exchange.gateway.bodyMemory.read(response.Body, maxResponseBytes, a.conn.Close)
 	if err != nil {
 		a.conn.Close()
+		if errors.Is(err, errBodyTooLong) || errors.Is(err, errBodyYielded) {
+			// Its target most likely sends bytes without end.
+			c := a.exchange.gateway.control
+			c.post(func() { c.table.RecordFailure(time.Now(), a.target.ID) })
+		}
 		return nil, errors.Wrap(err, "body")
 	}
+	a.exchange.bodies.add(body)
 	a.releaseConnection(response)
 	return body, nil
 }
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -18,7 +18,7 @@
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
 	head *http.Response
-	body []byte
+	body *heldBody
 }
 
 // hedgeDelayFraction is the part of a route's latency objective after which an
@@ -247,7 +247,7 @@
 // respond ends a call with the last response, or with an error if there is none.
 func (c *call) respond(kind fault.Kind) {
 	if c.lastResponse != nil {
-		err := c.writeResponse(c.lastResponse.head, c.lastResponse.body)
+		err := c.writeResponse(c.lastResponse)
 		recordDuration(c.gateway.metrics.callLatency, time.Since(c.arrived))
 		c.finish(fault.None, c.attempts, "status", c.lastResponse.head.StatusCode, "sent", err == nil)
 		return
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -72,6 +70,8 @@
 	run kvcopies.Number
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
+	// bodies holds the bodies of the request and its responses.
+	bodies heldBodies
 	// suspicionChanged receives when the target of a running attempt is suspected, or no longer.
 	suspicionChanged chan struct{}
 }
@@ -83,6 +83,7 @@
 		gateway: g, writer: w, httpRequest: r, arrived: time.Now(), endsWithConnection: !r.ProtoAtLeast(1, 1),
 		suspicionChanged: make(chan struct{}, 1),
 	}
+	defer e.bodies.release()
 	var err error
 	e.inbound, err = platform.DecodeRequest(r)
 	g.activeRequests.add(e)
@@ -161,17 +162,21 @@
 // readBody reads the body of the request, which may have up to limit bytes, but no longer than
 // until a planned stop ends the requests in progress.
 func (e *exchange) readBody(limit int64) error {
-	stop := context.AfterFunc(e.gateway.ending, func() {
+	interrupt := func() {
 		// It fails if the connection is closed.
 		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now())
-	})
+	}
+	stop := context.AfterFunc(e.gateway.ending, interrupt)
 	defer stop()
-	var err error
-	e.inbound.Body, err = io.ReadAll(http.MaxBytesReader(e.writer, e.httpRequest.Body, limit))
+	body, err := e.gateway.bodyMemory.read(http.MaxBytesReader(e.writer, e.httpRequest.Body, limit), limit, interrupt)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		e.bodies.add(body)
+		e.inbound.Body = body.join()
 		return nil
+	case errors.Is(err, errBodyYielded):
+		return fault.Wrap(fault.Overloaded, err, "no memory is left for the body")
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.TooLarge, "the body is over %d bytes", limit)
 	case e.gateway.ending.Err() != nil:
@@ -315,17 +320,17 @@
 }
 
 // writeResponse forwards a target's response to the caller.
-func (e *exchange) writeResponse(head *http.Response, body []byte) error {
+func (e *exchange) writeResponse(response *bufferedResponse) error {
 	header := e.writer.Header()
-	for name, values := range platform.ForwardedResponseHeader(head.Header) {
+	for name, values := range platform.ForwardedResponseHeader(response.head.Header) {
 		header[name] = values
 	}
-	if len(body) > 0 {
+	if response.body.length > 0 {
 		// Without it the end of the connection would end the response to HTTP/1.0.
-		header.Set("Content-Length", strconv.Itoa(len(body)))
+		header.Set("Content-Length", strconv.Itoa(response.body.length))
 	}
-	e.writeHead(head.StatusCode)
-	for part := range slices.Chunk(body, writeBytes) {
+	e.writeHead(response.head.StatusCode)
+	for _, part := range response.body.chunks {
 		if err := e.extendWriteDeadline(); err != nil {
 			return err
 		}
--- a/process/gateway/faulty_input_test.go
+++ b/process/gateway/faulty_input_test.go
@@ -59,7 +59,7 @@
 	d := newDeployment(t)
 	d.startEndlessTarget("a1")
 	g := d.startReadyEntry("entry-1")
-	g.responseMemory = newResponseMemory(40)
+	g.bodyMemory = newBodyMemory(40)
 	statuses := make(chan int)
 	const calls = 8
 	start := time.Now()
@@ -76,10 +76,10 @@
 	}
 	for range calls {
 		assert.Equal(t, <-statuses, http.StatusBadGateway)
-		assert.Assert(t, g.responseMemory.used.Load() <= g.responseMemory.limit+calls*(1<<16))
+		assert.Assert(t, g.bodyMemory.used() <= 8<<20)
 	}
 	assert.Assert(t, time.Since(start) < 5*time.Second)
-	assert.Equal(t, g.responseMemory.used.Load(), int64(0))
+	assert.Equal(t, g.bodyMemory.used(), int64(0))
 	d.startApplication("a2", "naxos")
 	d.store.Delete(platform.TargetPrefix + "a1")
 	d.waitWithin(applyTimeout, func() bool { return d.send(g, bookingRequest()).status == http.StatusOK })
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -43,9 +43,9 @@
 	pool     *target.Pool
 	store    *platform.Store
 	peers    *peers.Conn
-	// responseMemory limits the memory of targets' responses.
-	responseMemory *responseMemory
-	ingress        *ingress
+	// bodyMemory limits the memory of the bodies of requests and responses.
+	bodyMemory *bodyMemory
+	ingress    *ingress
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
@@ -97,7 +97,7 @@
 	}
 	g.ending, g.endRequests = context.WithCancel(background)
 	g.control = newControl(g)
-	g.responseMemory = newResponseMemory(s.MemoryMB)
+	g.bodyMemory = newBodyMemory(s.MemoryMB)
 	g.ingress = newIngress(g)
 	return g
 }
--- /dev/null
+++ b/process/gateway/process_memory_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/standin/network"
+)
+
+// processMemoryMB is the memory of the process in these tests, in MiB.
+const processMemoryMB = 134
+
+// gatewayProcess is a gateway in a process of its own, whose memory can be measured.
+type gatewayProcess struct {
+	t       *testing.T
+	address string
+	pid     int
+}
+
+// startProcess builds mlgateway, starts it and waits until it serves calls.
+func (d *deployment) startProcess() *gatewayProcess {
+	d.t.Helper()
+	directory := d.t.TempDir()
+	program := filepath.Join(directory, "mlgateway")
+	out, err := exec.Command("go", "build", "-o", program, "../../cmd/mlgateway").CombinedOutput()
+	assert.NilError(d.t, err, string(out))
+	var addresses [4]string
+	for i := range addresses {
+		addresses[i], err = network.FreeAddress(network.ProcessHost() + ":0")
+		assert.NilError(d.t, err)
+	}
+	settings, err := json.Marshal(map[string]any{
+		"name": "entry-1", "failureDomain": "naxos", "callers": addresses[0], "health": addresses[1], "metrics": addresses[2],
+		"peers": addresses[3], "store": d.address, "memoryMB": processMemoryMB,
+		"bounds": map[string]any{"revokeWithin": "3s", "grace": "4s", "retryRatio": 0.8, "retrySlack": 150, "retryWindow": "10s"},
+	})
+	assert.NilError(d.t, err)
+	path := filepath.Join(directory, "settings.json")
+	assert.NilError(d.t, os.WriteFile(path, settings, 0o600))
+	command := exec.Command(program, "--settings", path)
+	assert.NilError(d.t, command.Start())
+	d.t.Cleanup(func() { _ = command.Process.Kill(); _ = command.Wait() })
+	p := &gatewayProcess{t: d.t, address: addresses[0], pid: command.Process.Pid}
+	d.waitUntil(func() bool {
+		response, err := http.Get("http://" + addresses[1] + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+// peakMemory returns the largest resident size of the process so far, in MiB.
+func (p *gatewayProcess) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
+	assert.NilError(p.t, err, "the process has ended")
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.Atoi(strings.Fields(value)[0])
+			assert.NilError(p.t, err)
+			return kib >> 10
+		}
+	}
+	p.t.Fatal("no peak size")
+	return 0
+}
+
+// startLarge registers a target that responds to each request with a large body.
+func (d *deployment) startLarge(id, service, contentType string, write func(w io.Writer)) {
+	d.t.Helper()
+	listener, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(d.t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platform.ReportPath {
+			_, _ = io.WriteString(w, `{"Stage":"unified","Models":[],"Waiting":0,"Running":1,"KvUsed":0,"KvTotal":88000,"born":5000}`)
+			return
+		}
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Signature", "s")
+		w.Header().Set("Content-Type", contentType)
+		write(w)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	d.t.Cleanup(func() { _ = server.Close() })
+	value, err := json.Marshal(map[string]any{
+		"Service": service, "Address": listener.Addr().String(), "Zone": "naxos", "Slots": 128, "State": "ready", "Sequence": 1, "born": 5000,
+	})
+	assert.NilError(d.t, err)
+	d.store.Put(platform.TargetPrefix+id, value)
+}
+
+// sendSlowly sends requests whose callers read next to nothing of the responses.
+func (p *gatewayProcess) sendSlowly(requests ...*callerRequest) {
+	const receiveBufferBytes = 4 << 10
+	for _, req := range requests {
+		conn, err := net.Dial("tcp", p.address)
+		assert.NilError(p.t, err)
+		assert.NilError(p.t, conn.(*net.TCPConn).SetReadBuffer(receiveBufferBytes))
+		p.t.Cleanup(func() { _ = conn.Close() })
+		r, err := req.NewHTTPRequest(context.Background(), p.address)
+		assert.NilError(p.t, err)
+		assert.NilError(p.t, r.Write(conn))
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+}
+
+// Callers read large responses slowly. They were all kept in memory.
+func TestMemory_LargeResponsesToSlowCallers(t *testing.T) {
+	d := newDeployment(t)
+	body := strings.Repeat("a", 8<<20)
+	d.startLarge("a1", "bookings", "text/plain", func(w io.Writer) { _, _ = io.WriteString(w, body) })
+	p := d.startProcess()
+	var requests []*callerRequest
+	for range 40 {
+		requests = append(requests, newCallerRequest(http.MethodGet, "/status/7", ""))
+	}
+	p.sendSlowly(requests...)
+	assert.Assert(t, p.peakMemory() < processMemoryMB, "%d MB", p.peakMemory())
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -24,10 +24,9 @@
 	maxEmptyAttempts = 5
 	// updateBuffer is how many updates of an attempt may queue for a slow caller.
 	updateBuffer = 16
-	// writeTimeout is how long one write to a caller may take, writeBytes how much of a
-	// response that is not a stream one write holds.
+	// writeTimeout is how long one write to a caller may take: some events, or a chunk of
+	// another body.
 	writeTimeout = 5 * time.Second
-	writeBytes   = 64 << 10
 	// soundSilence is for how long after it was suspected a stream is left at its target rather
 	// than moved to one that takes longer than resumeTime to prefill it: the target may go on
 	// before the other one has.
@@ -467,7 +466,7 @@
 			"firstAfter", s.firstEventDelay, "longestPause", s.longestPause)
 		abort()
 	case s.failureResponse != nil && s.endKind != fault.CallerGone:
-		err := s.writeResponse(s.failureResponse.head, s.failureResponse.body)
+		err := s.writeResponse(s.failureResponse)
 		s.exchange.finish(s.endKind, attempts, "status", s.failureResponse.head.StatusCode, "sent", err == nil)
 	default:
 		kind := s.endKind
