Streams: the events that wait for a slow caller are bounded in bytes

Cause: up to 16 updates may wait for a caller, each with an event of up to 256 KiB. Change: events of 64 KiB may wait, or one larger update; then the engine is not read. An attempt whose stream has ended is told by a context, which the semaphore of golang.org/x/sync takes.

--- a/process/gateway/process_memory_test.go
+++ b/process/gateway/process_memory_test.go
@@ -134,3 +134,23 @@
 	p.sendSlowly(requests...)
 	assert.Assert(t, p.peakMemory() < processMemoryMB, "%d MB", p.peakMemory())
 }
+
+// An engine sends large events without a pause, and callers read them slowly.
+func TestMemory_LargeEventsToSlowCallers(t *testing.T) {
+	d := newDeployment(t)
+	event := "\ndata: " + strings.Repeat(strings.Repeat("a", 4000)+"\ndata: ", 60) + "\n\n"
+	d.startLarge("e1", "writer", "text/event-stream", func(w io.Writer) {
+		for id := 1; ; id++ {
+			if _, err := fmt.Fprintf(w, "id: %d%s", id, event); err != nil {
+				return
+			}
+		}
+	})
+	p := d.startProcess()
+	var requests []*callerRequest
+	for range 60 {
+		requests = append(requests, streamRequest())
+	}
+	p.sendSlowly(requests...)
+	assert.Assert(t, p.peakMemory() < processMemoryMB, "%d MB", p.peakMemory())
+}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -24,6 +25,9 @@
 	maxEmptyAttempts = 5
 	// updateBuffer is how many updates of an attempt may queue for a slow caller.
 	updateBuffer = 16
+	// maxQueuedEventBytes is how many bytes of events may wait for a slow caller. A larger
+	// update waits alone.
+	maxQueuedEventBytes = 64 << 10
 	// writeTimeout is how long one write to a caller may take: some events, or a chunk of
 	// another body.
 	writeTimeout = 5 * time.Second
@@ -46,8 +50,10 @@
 	ctx      context.Context
 	recovery *request.Recovery
 	updates  chan attemptUpdate
-	// stopped is closed when updates are no longer received.
-	stopped chan struct{}
+	// queued limits the bytes of the events in updates that have not been handled.
+	queued *semaphore.Weighted
+	// stopped is cancelled when updates are no longer received.
+	stopped context.Context
 	running map[request.AttemptNumber]*attempt
 	// suspected holds the running attempts of which the recovery knows that their targets are
 	// suspected.
@@ -92,6 +98,8 @@
 	if !e.route.Resumable {
 		limit = 1
 	}
+	stopped, stop := context.WithCancel(context.Background())
+	defer stop()
 	s := &stream{
 		exchange: e,
 		ctx:      ctx,
@@ -99,18 +107,19 @@
 			Deadline: e.deadline, ResumeTimeout: resumeTimeout, MaxAttempts: limit, ReplaceSuspected: true,
 		}, request.NewOutput(e.inbound.MaxTokens)),
 		updates: make(chan attemptUpdate, updateBuffer),
-		stopped: make(chan struct{}),
+		queued:  semaphore.NewWeighted(maxQueuedEventBytes),
+		stopped: stopped,
 		running: map[request.AttemptNumber]*attempt{}, suspected: map[request.AttemptNumber]bool{},
 		timer: time.NewTimer(time.Until(e.deadline)),
 	}
 	defer s.timer.Stop()
-	defer close(s.stopped)
 	s.startRun()
 	s.handleEvent(request.Event{Type: request.EventStart})
 	for !s.done {
 		select {
 		case update := <-s.updates:
 			s.handleUpdate(update)
+			s.queued.Release(update.queuedBytes())
 		case <-s.suspicionChanged:
 			s.handleSuspicions()
 		case <-s.timer.C:
@@ -266,7 +275,7 @@
 	if !a.replaces {
 		s.recordCopy(a)
 	}
-	go a.runStreamAttempt(s.updates, s.stopped, action.Attempt)
+	go a.runStreamAttempt(s, action.Attempt)
 }
 
 // recordCopy records the copy of an attempt that is sent as the one of the stream.
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -33,24 +33,37 @@
 	sending chan struct{}
 }
 
+// queuedBytes returns how much of maxQueuedEventBytes the update takes.
+func (u attemptUpdate) queuedBytes() int64 {
+	total := 0
+	for _, event := range u.events {
+		total += len(event.Raw)
+	}
+	return int64(min(total, maxQueuedEventBytes))
+}
+
 // runStreamAttempt runs one attempt of a stream and sends its updates.
-func (a *attempt) runStreamAttempt(updates chan<- attemptUpdate, stopped <-chan struct{}, number request.AttemptNumber) {
+func (a *attempt) runStreamAttempt(s *stream, number request.AttemptNumber) {
 	defer a.release()
-	if !a.exchange.gateway.protect("attempt", func() { a.exchangeStream(updates, stopped, number) }) {
+	if !a.exchange.gateway.protect("attempt", func() { a.exchangeStream(s, number) }) {
 		a.cancel()
 		select {
-		case updates <- attemptUpdate{attempt: a, number: number, kind: fault.TargetLost}:
-		case <-stopped:
+		case s.updates <- attemptUpdate{attempt: a, number: number, kind: fault.TargetLost}:
+		case <-s.stopped.Done():
 		}
 	}
 }
 
 // exchangeStream sends the request and the updates.
-func (a *attempt) exchangeStream(updates chan<- attemptUpdate, stopped <-chan struct{}, number request.AttemptNumber) {
+func (a *attempt) exchangeStream(s *stream, number request.AttemptNumber) {
+	stopped := s.stopped.Done()
 	send := func(update attemptUpdate) bool {
 		update.attempt, update.number = a, number
+		if bytes := update.queuedBytes(); bytes > 0 && s.queued.Acquire(s.stopped, bytes) != nil {
+			return false
+		}
 		select {
-		case updates <- update:
+		case s.updates <- update:
 			return true
 		case <-stopped:
 			return false
