Failures that are not forwarded: their bodies are neither kept nor waited for

Callers saw: a call whose replica answered 503 with a body that did not end waited until its deadline.

Cause: the body of each failure was read whole, up to 16 MiB, before the failure was looked at. That of a status which promises that nothing ran is never forwarded without the replica's own word. Change: it is discarded beside the retry, and its connection kept if it ends within 64 KiB and 0.1 s. Ruled out: limiting the bodies of all failures; those that are forwarded must be whole.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -29,6 +29,10 @@
 	maxIdleTime = 800 * time.Millisecond
 	// maxResponseBytes limits the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// maxDiscardedBytes and discardTimeout limit the body of a response that is discarded to
+	// keep its connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
 	// resumePrefillTokens is how many tokens an engine prefills when an attempt resumes
 	// from a KV copy: the copy lags by some hundred milliseconds.
 	resumePrefillTokens = 400
@@ -408,14 +412,36 @@
 	return body, nil
 }
 
+// discardBody releases the connection of a response whose body nobody needs, once the rest of a
+// short one has been read. Its end may never come.
+func (a *attempt) discardBody(response *http.Response) {
+	if response.ContentLength > maxDiscardedBytes || !a.stopClose() {
+		a.conn.Close()
+		return
+	}
+	go a.exchange.gateway.protect("discard", func() {
+		timer := time.AfterFunc(discardTimeout, a.conn.Close)
+		_, err := io.CopyN(io.Discard, response.Body, maxDiscardedBytes+1)
+		if !timer.Stop() || !errors.Is(err, io.EOF) {
+			a.conn.Close()
+			return
+		}
+		a.keepConnection(response)
+	})
+}
+
 // releaseConnection returns the connection to the pool after the whole body has been
 // read. From then on the end of the attempt must not close it, since another request
 // may use it. A response that names no request may arrive once more and could not be told
 // from that to the next request, so its connection is closed.
 func (a *attempt) releaseConnection(response *http.Response) {
-	if !a.stopClose() {
-		return
+	if a.stopClose() {
+		a.keepConnection(response)
 	}
+}
+
+// keepConnection returns a connection to the pool whose response has been read.
+func (a *attempt) keepConnection(response *http.Response) {
 	if !a.reply.MatchesRequest {
 		a.conn.Close()
 		return
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -219,24 +219,20 @@
 	switch {
 	case response == nil:
 		return nil, outcome
-	case outcome == request.AttemptBroken, outcome == request.AttemptRefused && response.ContentLength < 0:
-		// The body does not matter, and its end may never come.
+	case outcome == request.AttemptBroken:
 		a.conn.Close()
 		return nil, outcome
+	case outcome == request.AttemptRefused, request.GuaranteesNotRun(reply.Status):
+		// If the target does not guarantee that it has not run the request, neither may the
+		// entry, and the target's signature holds for its own status only.
+		a.discardBody(response)
+		return nil, outcome
 	}
 	body, err := a.readBody(response)
-	switch {
-	case outcome == request.AttemptRefused:
-		return nil, outcome
-	case err != nil:
+	if err != nil {
 		a.responseFailed(err)
 		return nil, request.AttemptBroken
 	}
-	if request.GuaranteesNotRun(reply.Status) {
-		// The target does not guarantee that it has not run the request, so neither may
-		// the entry, and the target's signature holds for its own status only.
-		return nil, outcome
-	}
 	if reply.Status < http.StatusMultipleChoices {
 		a.responseStartedAt = time.Now()
 		a.recordSurvival()
--- a/process/gateway/faulty_input_test.go
+++ b/process/gateway/faulty_input_test.go
@@ -85,6 +85,43 @@
 	d.waitWithin(applyTimeout, func() bool { return d.send(g, bookingRequest()).status == http.StatusOK })
 }
 
+// startTrickling registers a target that responds with a status and a body that goes on for ever,
+// a byte at a time.
+func (d *deployment) startTrickling(id, service string, status int) {
+	d.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.WriteHeader(status)
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, "d"); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}))
+	d.t.Cleanup(server.CloseClientConnections)
+	value, err := json.Marshal(map[string]any{
+		"Service": service, "Address": strings.TrimPrefix(server.URL, "http://"), "Zone": "naxos", "Slots": 64, "State": "ready", "Sequence": 1,
+	})
+	assert.NilError(d.t, err)
+	d.store.Put(platform.TargetPrefix+id, value)
+}
+
+// The body of a failure that is not forwarded never ends. Requests waited for it until their
+// deadlines.
+func TestFailureBody_ThatIsNotForwardedIsNotWaitedFor(t *testing.T) {
+	d := newDeployment(t)
+	d.startTrickling("a1", "bookings", http.StatusServiceUnavailable)
+	d.startTrickling("e1", "writer", http.StatusServiceUnavailable)
+	g := d.startReadyEntry("entry-1")
+	for _, req := range []*callerRequest{bookingRequest(), streamRequest()} {
+		start := time.Now()
+		response := d.send(g, req)
+		assert.Equal(t, response.status, http.StatusBadGateway, req.Path)
+		assert.Assert(t, time.Since(start) < time.Second, "%s took %s", req.Path, time.Since(start))
+	}
+}
+
 func TestPanic_EndsOneTaskOnly(t *testing.T) {
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -126,7 +126,9 @@
 		update.kind = fault.Overloaded
 		a.conn.Close()
 	case request.AttemptFailed:
-		if body, err := a.readBody(response); err == nil && !request.GuaranteesNotRun(reply.Status) {
+		if request.GuaranteesNotRun(reply.Status) {
+			a.discardBody(response)
+		} else if body, err := a.readBody(response); err == nil {
 			update.failureResponse = &bufferedResponse{head: response, body: body}
 		}
 	default:
