Streams: an attempt that another one replaces ends only if that one will be sent

Callers saw: a stream broke off at its deadline, or got a 504, though all targets were sound and had been silent for 1 to 1.5 s at most, beside changes of the configuration. The retry budget allowed no further attempt, and none was running.

Cause: an attempt that is about to be sent ends the one that it replaces, and an attempt that has not been sent is cancelled when its target does not answer a probe. Two goroutines decide that; in the some hundred microseconds between the two decisions both held, and the stream lost both attempts. Targets that fall silent together are probed together, so it happens more often than that.

Change: an attempt is either about to be sent or withdrawn. The stream decides the former before it ends the other one; an attempt that was withdrawn leaves that alone.

Ruled out: the changes of the configuration themselves (the trace of one stream); silences of the stand-in that last longer than they should (it happens without those as well). Three seeds of the histories have weights and limits now.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -58,8 +58,8 @@
 	startedAt time.Time
 	// charge is what the retry budget was charged for the attempt, if anything.
 	charge admission.Charge
-	// sent is set when the request is about to be sent.
-	sent atomic.Bool
+	// stage is what has been decided about sending the request.
+	stage atomic.Int32
 	// mayHaveRun is set once the request has been sent, unless the target refused it.
 	mayHaveRun bool
 	// sentBefore is set if the request was sent to the target before.
@@ -121,6 +121,30 @@
 	reserved bool
 }
 
+// Stages of an attempt. Only one of the other two follows stagePlaced: the attempt that another one
+// replaces ends when that one is about to be sent.
+const (
+	stagePlaced int32 = iota
+	stageSending
+	stageWithdrawn
+)
+
+// beginSending records that the request is about to be sent, and reports whether it may be: the
+// attempt may have been withdrawn.
+func (a *attempt) beginSending() bool {
+	return a.stage.CompareAndSwap(stagePlaced, stageSending) || a.stage.Load() == stageSending
+}
+
+// withdraw cancels the attempt because its target does not answer probes, and reports whether it
+// could: nothing of it can be lost until it is about to be sent.
+func (a *attempt) withdraw() bool {
+	if a.keepWhenDown || !a.stage.CompareAndSwap(stagePlaced, stageWithdrawn) {
+		return false
+	}
+	a.handleTargetDown()
+	return true
+}
+
 // handleTargetDown cancels the attempt because its target was marked down.
 func (a *attempt) handleTargetDown() {
 	if !a.keepWhenDown {
@@ -257,7 +281,11 @@
 		conn.Close()
 		return nil
 	}
-	if a.confirmSending != nil && !a.confirmSending() {
+	begin := a.beginSending
+	if a.confirmSending != nil {
+		begin = a.confirmSending
+	}
+	if !begin() {
 		a.refundCharge()
 		conn.Close()
 		return nil
@@ -275,7 +303,6 @@
 	}
 	a.conn = conn
 	a.stopClose = context.AfterFunc(a.ctx, conn.Close)
-	a.sent.Store(true)
 	response, err := a.sendRequest()
 	if errors.Is(err, target.ErrNotSent) {
 		a.connectFailed(err)
--- a/process/gateway/liveness.go
+++ b/process/gateway/liveness.go
@@ -161,9 +161,7 @@
 	for a := range m.attempts {
 		switch {
 		case heard && m.suspectedAt-a.lastSeen.Load() <= int64(prefillSilenceBounds.Max):
-		case !a.sent.Load():
-			// Nothing of it can be lost.
-			a.handleTargetDown()
+		case a.withdraw():
 		default:
 			a.setSuspected(true)
 		}
--- a/process/gateway/silence_history_test.go
+++ b/process/gateway/silence_history_test.go
@@ -35,8 +35,17 @@
 	random  *rand.Rand
 	links   []*pausingLink
 	targets []*replica.Replica
+	// changes is how many kinds of changes are made.
+	changes int
 }
 
+const (
+	// basicChanges are routes, services, timeouts, keys, reloads and registrations; allChanges
+	// are these, weights and limits.
+	basicChanges = 6
+	allChanges   = 8
+)
+
 func newSilenceHistory(t *testing.T, seed uint64) *silenceHistory {
 	h := &silenceHistory{deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0))}
 	for i, failureDomain := range []string{"naxos", "paros", "syros"} {
@@ -82,7 +91,7 @@
 func (h *silenceHistory) change(random *rand.Rand) {
 	routes := h.configuration["Routes"].([]any)
 	status := routes[2].(map[string]any)
-	switch random.IntN(6) {
+	switch random.IntN(h.changes) {
 	case 0:
 		// A route is added or removed.
 		if len(routes) > 4 {
@@ -96,6 +105,7 @@
 		})
 	case 1:
 		// A route is moved, and the service that it leaves is removed or comes back.
+		delete(status, "WeightedBackends")
 		h.configure(func(config map[string]any) {
 			service := []string{"bookings", "other"}[random.IntN(2)]
 			status["Service"], routes[3].(map[string]any)["Service"] = service, service
@@ -119,6 +129,21 @@
 	case 5:
 		target := h.targets[random.IntN(len(h.targets))]
 		h.store.Put(platform.TargetPrefix+target.Config().ID, target.RegistrationValue("ready"))
+	case 6:
+		// A part of a route's requests is moved.
+		h.configure(func(config map[string]any) {
+			status["WeightedBackends"] = []any{
+				map[string]any{"Service": "bookings", "Weight": 1 + random.IntN(9)}, map[string]any{"Service": "other", "Weight": random.IntN(9)},
+			}
+			config["Services"] = append(config["Services"].([]any)[:2], map[string]any{"Name": "other", "MaxConnections": 100, "HealthPath": replica.HealthPath})
+		})
+	case 7:
+		h.configure(func(config map[string]any) {
+			config["Limits"] = map[string]any{
+				"MaxHeaderBytes": 8192 + random.IntN(8192), "MaxBodyBytes": 1024 + random.IntN(8192),
+				"HeaderTimeoutMs": 1000 + random.IntN(2000), "IdleTimeoutMs": 1500 + random.IntN(15000),
+			}
+		})
 	}
 }
 
@@ -141,10 +166,14 @@
 
 func TestSilence_RandomHistoriesLeaveNoRequestWithoutResponse(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(3) {
+	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			h := newSilenceHistory(t, seed)
+			h.changes = basicChanges
+			if seed >= 3 {
+				h.changes = allChanges
+			}
 			end := time.Now().Add(historyTime)
 			var callers sync.WaitGroup
 			for i := range historyCallers {
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -288,9 +288,12 @@
 func (s *stream) handleUpdate(update attemptUpdate) {
 	switch {
 	case update.sending != nil:
-		s.handleEvent(request.Event{Type: request.EventSending, Attempt: update.number})
-		if a := s.running[update.number]; a != nil {
-			s.recordCopy(a)
+		// From then on its target cannot withdraw it, and the attempt that it replaces may end.
+		if update.attempt.beginSending() {
+			s.handleEvent(request.Event{Type: request.EventSending, Attempt: update.number})
+			if a := s.running[update.number]; a != nil {
+				s.recordCopy(a)
+			}
 		}
 		close(update.sending)
 	case s.running[update.number] == nil:
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -77,7 +77,7 @@
 			}
 			select {
 			case <-sending:
-				return a.ctx.Err() == nil
+				return a.ctx.Err() == nil && a.beginSending()
 			case <-stopped:
 				return false
 			}
