--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -24,6 +24,7 @@
 var RegressionSeeds = []RegressionSeed{
 	{202, earlyDisconnectCause}, {215, earlyDisconnectCause + "; " + staleQuarantineCause}, {303, earlyDisconnectCause}, {311, earlyDisconnectCause}, {315, earlyDisconnectCause},
 	{1004, staleQuarantineCause}, {2001, endlessPauseCause}, {2003, staleQuarantineCause}, {3300, earlyQuarantineCause}, {4009, staleQuarantineCause},
+	{34007, earlyQuarantineCause},
 }
 
 // idleLimitCause is the cause of failures in which entries closed idle connections that callers
