--- a/process/gateway/returned_stream_test.go
+++ b/process/gateway/returned_stream_test.go
@@ -54,14 +54,15 @@
 
 // waitUntilKnown waits until the other entries know all runs of an entry and their copies.
 func (d *returnTest) waitUntilKnown(g *Gateway) {
-	var runs map[kvcopies.Number]kvcopies.Run
-	g.control.do(func() { runs = g.control.kvCopies.Own(time.Now()) })
 	for _, other := range d.entries {
 		if other == g || other.background.Err() != nil {
 			continue
 		}
 		d.waitUntil(func() bool {
 			known := true
+			// A copy expires meanwhile, and a run may turn out to be ambiguous.
+			var runs map[kvcopies.Number]kvcopies.Run
+			g.control.do(func() { runs = g.control.kvCopies.Own(time.Now()) })
 			other.control.do(func() {
 				for number, run := range runs {
 					known = known && other.control.peerUpdates[g.settings.Name].Runs[number] == run
