Soak test: SIGHUP is delivered to the processes of a test under nohup

Cause: under nohup the test process ignores SIGHUP, and the processes that it starts inherit that. TestKeepRunning_HangupIsAFailureOnceTheProgramRuns then waits for processes that no signal ends.

Change: the test handles SIGHUP, which resets the disposition in the processes that it starts.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -153,6 +154,10 @@
 
 // A SIGHUP ends a process whose program does not run yet, whatever that program does.
 func TestKeepRunning_HangupIsAFailureOnceTheProgramRuns(t *testing.T) {
+	// Processes inherit an ignored SIGHUP, as under nohup, but not a handled one.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	for name, test := range map[string]struct {
 		script   string
 		failures int
