--- a/scripts/score.sh
+++ b/scripts/score.sh
@@ -24,4 +24,9 @@
 8 grown/lakkos-mulberry-grown.toml
 8 grown/vasilescu-inscrieri-grown.toml
 8 large/lakkos-mulberry-large.toml
+40 further/pelita-festoon.toml
+8 further-grown/pelita-festoon-grown.toml
+8 shifted/lakkos-mulberry-now-grown.toml
+8 demands/kitaboshi-catalogue-grown.toml
+8 demands/sabarmati-lic-grown.toml
 SITES
