Load reports of targets may have a fourth figure

Some targets append to Server-Load how long work takes on their host now, in percent. decodeLoad expected three figures and dropped these reports whole, so that entries placed calls by their own work alone.

--- a/request/inbound.go
+++ b/request/inbound.go
@@ -122,6 +122,9 @@
 // Load counts the requests at a target.
 type Load struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the target's host now, where 100 is as usual; zero
+	// if the target did not say so.
+	WorkPercent int
 }
 
 // BelongsToRequest reports whether the reply can only be that to the request. Failing
