Choose application targets by reports that age, without herding

Entries took a load report at its word for 200 ms and ignored it from then on, and resolved equal costs alike, so that all entries of a failure domain sent to the same replica while others idled.

The requests that a report counts for other entries now fade into the mean load of the replica within some calls, weighted by the smoothed fourth figure, and this entry's own requests come on top. Among the targets inside and outside the failure domain one each is drawn at random, the cheaper the likelier; calls leave the domain as far as it costs more time, and more readily the more it is loaded. Without reports the choice is as before but for ties, which are drawn. The source of the draws is passed in.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberrylane/mulberrylane/connection/detector"
@@ -179,6 +181,7 @@
 		handovers:         map[string]*shutdown.DurationEstimate{},
 		incarnation:       now.UnixNano(),
 	}
+	c.table.SetRandom(rand.New(rand.NewPCG(uint64(c.incarnation), xxhash.Sum64String(g.settings.Name))))
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
 	c.freshness.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
 	return c
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -106,6 +106,9 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
+	if !candidates[0].target.isEngine {
+		return t.chooseApplication(now, candidates, requirements.FailureDomain), true
+	}
 	return choose(candidates, requirements), true
 }
 
@@ -115,13 +118,10 @@
 }
 
 // choose returns, among the engines whose cost is within similarCostTokens of the lowest,
-// the one with the highest affinity to the session. Among applications, it considers only
-// those of the lowest cost. The runner-up is the one with the lowest cost of the others.
+// the one with the highest affinity to the session. The runner-up is the one with the lowest
+// cost of the others.
 func choose(candidates []candidate, requirements Requirements) Choice {
-	limit := slices.MinFunc(candidates, compareCosts).cost
-	if candidates[0].target.isEngine {
-		limit += similarCostTokens
-	}
+	limit := slices.MinFunc(candidates, compareCosts).cost + similarCostTokens
 	best, highestAffinity := -1, uint64(0)
 	for i, c := range candidates {
 		if c.cost > limit {
@@ -172,25 +172,19 @@
 	return float64(work.MemoryTokens+tokens) <= float64(t.memoryTokens)*(1-memoryMargin)
 }
 
-// callCost returns the load of an application target in requests per slot. A target in
-// another failure domain than the entry's costs otherDomainCost more.
+// callCost returns the expected load of an application target in requests per slot, weighted by
+// how long work takes there. A target in another failure domain than the entry's costs
+// otherDomainCost more.
 func (t *Target) callCost(now time.Time, requirements Requirements) float64 {
 	slots := max(1, t.Slots)
-	cost := float64(t.InFlight) / float64(slots)
-	if now.Sub(t.loadReportedAt) < loadReportTTL {
-		otherRequests := max(0, t.load.Running+t.load.Waiting-t.InFlight)
-		cost += float64(otherRequests) / float64(slots)
-	}
+	perSlot := t.applicationLoad.requestsAt(now, slots, t.InFlight) / float64(slots)
+	cost := t.applicationLoad.workRatioAt(now)*(1+perSlot) - 1
 	if t.FailureDomain != requirements.FailureDomain {
 		cost += otherDomainCost
 	}
 	return cost
 }
 
-// otherDomainCost is the cost of a call to another failure domain, in requests per slot:
-// traffic between domains is charged for.
-const otherDomainCost = 0.2
-
 // PickKVCopyTarget chooses the target that receives the KV copy of a stream running on
 // source: in another failure domain, with the least memory in use and prefill pending,
 // and none of those to avoid. It returns nil if there is none.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,8 +49,6 @@
 	// defaultPeerStateTTL is how long the last update of a peer is used; peers send several
 	// in that time.
 	defaultPeerStateTTL = 2 * time.Second
-	// loadReportTTL is how long a load report of a target is used.
-	loadReportTTL = 200 * time.Millisecond
 )
 
 // Work is the load of one entry at one target.
@@ -84,8 +83,7 @@
 	// peer reported it down.
 	downByPeerUntil time.Time
 	failureRate     decayingRate
-	load            request.Load
-	loadReportedAt  time.Time
+	applicationLoad applicationLoad
 	isEngine        bool
 	memoryTokens    int
 	// announced is what the incarnation said about itself in its responses; nil if nothing.
@@ -138,6 +136,8 @@
 	reportingPeers map[string]bool
 	subsets        subsets
 	prefillRate    float64
+	// random is the source by which the table draws among similar targets.
+	random *rand.Rand
 	// announcements maps targets to what their last incarnation announced in its responses.
 	announcements map[request.TargetID]*announcement
 	// backoffs holds those of targets whose backoff has not been seen to end.
@@ -157,6 +157,7 @@
 		peerWork:       map[request.TargetID]Work{},
 		reportingPeers: map[string]bool{},
 		prefillRate:    initialPrefillRate,
+		random:         rand.New(rand.NewPCG(1, 1)),
 		announcements:  map[request.TargetID]*announcement{},
 		backoffs:       map[request.TargetID]*announcement{},
 	}
@@ -194,6 +195,7 @@
 	if r.Incarnation != target.Incarnation || endpointChanged {
 		target.downUntil, target.downByPeerUntil = time.Time{}, time.Time{}
 		target.consecutiveFailures, target.replaced, target.failureRate = 0, false, decayingRate{}
+		target.applicationLoad = applicationLoad{}
 	}
 	if endpointChanged {
 		t.removeAddress(target)
@@ -449,7 +451,7 @@
 	target.downUntil, target.downByPeerUntil, target.consecutiveFailures = time.Time{}, time.Time{}, 0
 	target.failureRate.record(now, failed, failureRateWeight)
 	if load != nil {
-		target.load, target.loadReportedAt = *load, now
+		target.applicationLoad.record(now, *load, max(1, target.Slots), target.InFlight)
 	}
 }
 
