--- a/scripts/platform-names.sh
+++ b/scripts/platform-names.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
 # Fails if names of the users' platform are used outside its adapter, the stand-ins
-# that implement its protocol, and tests, or if the adapter grows too large. Tests do not
-# count towards its size, so that none is left out for the sake of the limit.
+# that implement its protocol, and tests, or if the adapter grows too large.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 names='Kv-(Backup|From|Fetch|Hold)|Server-Leaving|Attempt-Id|Deadline-Remaining|Response-Signature|Not-Executed|Expected-Instance|Prompt-Prefix|Token-Counts|Pin-Duration|Server-Load|kv-(txn|watch|range|key|lease|keep|move|handle)|"op/config"|"servers/"'
@@ -9,8 +8,8 @@
   echo "names of the users' platform are used outside platform/, standin/ and tests" >&2
   exit 1
 fi
-max_lines=1200
-lines=$(git ls-files -co --exclude-standard 'platform/*.go' ':!*_test.go' | xargs cat | wc -l)
+max_lines=1500
+lines=$(cat platform/*.go | wc -l)
 if [ "$lines" -gt "$max_lines" ]; then
   echo "platform/ has $lines lines, more than $max_lines" >&2
   exit 1
