Add the core of version roll-outs

Operators order a service to be moved to a version. process/rollout follows the order, the record and the status in the store, assigns attempts to versions, compares their responses over all entries by stratified tests, and decides on the next transaction.

--- /dev/null
+++ b/process/rollout/evidence.go
@@ -0,0 +1,420 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// bucketCount buckets of durations grow by bucketFactor from firstBucket on, up to 13 s.
+	bucketCount  = 21
+	bucketFactor = 1.5
+	firstBucket  = 4 * time.Millisecond
+	// sliceTime is the length of the slices of time within which the versions are compared, so
+	// that a storm weighs on both alike. It is about the interval of peer updates.
+	sliceTime = 500 * time.Millisecond
+	// maxSlices is how many slices are kept for the evidence windows.
+	maxSlices = 128
+	// maxRoutes limits the routes that are told apart.
+	maxRoutes = 16
+	// maxBroken limits the targets whose broken connections are remembered.
+	maxBroken = 256
+)
+
+// A version is rejected, or suspected, if in one of the windows its bad responses exceed those of
+// the old one by enough standard deviations and a large enough part of its responses, in enough
+// slices. The rules are checked some ten thousand times in a long roll-out.
+var (
+	// failureRule rejects a version for its failures. One that fails a fifth of its responses
+	// exceeds the part; the slices keep the crash of one replica from deciding.
+	failureRule = rule{bad: 6, part: 0.07, deviations: 5, slices: 3}
+	// slowRule rejects a version for slow responses. Single hosts are slow for seconds at a time,
+	// and the canary has few replicas.
+	slowRule = rule{bad: 10, part: 0.13, deviations: 5, slices: 6}
+	// alarmRule makes a version suspected.
+	alarmRule = rule{bad: 3, part: 0.05, deviations: 4, slices: 1}
+	// historicRule replaces them all for slices in which the old version had next to no requests,
+	// so that a storm cannot be told from a bad version but by its size.
+	historicRule = rule{bad: 30, part: 0.25, deviations: 7, slices: 4}
+)
+
+// windows are the numbers of slices over which the evidence is summed. A version that turns bad
+// shows in a short one, slight faults and services with few requests need a long one.
+var windows = [...]int{2, 4, 8, 16, 32, 64, maxSlices}
+
+// rule says how much evidence is enough.
+type rule struct {
+	bad, part, deviations float64
+	slices                float64
+}
+
+// Response is the response to an attempt, or what is known of it.
+type Response struct {
+	// Failed is set if the target answered with a server error.
+	Failed bool
+	// Broken names the target and its incarnation if the connection broke instead of a response.
+	// Only the first such attempt of an incarnation counts: a crash breaks many at once.
+	Broken string
+	// Duration is the time until the response or its first event, zero if it is not to be
+	// compared. It may be a lower bound if the attempt was given up.
+	Duration time.Duration
+}
+
+// Counts are the responses of one version on one route.
+type Counts struct {
+	Responses int   `cbor:"1,keyasint,omitempty"`
+	Failures  int   `cbor:"2,keyasint,omitempty"`
+	Durations []int `cbor:"3,keyasint,omitempty"`
+}
+
+// minus returns what was counted since before.
+func (c Counts) minus(before Counts) Counts {
+	c.Responses -= before.Responses
+	c.Failures -= before.Failures
+	c.Durations = slices.Clone(c.Durations)
+	for i := range min(len(c.Durations), len(before.Durations)) {
+		c.Durations[i] -= before.Durations[i]
+	}
+	return c
+}
+
+// plus returns the sum of both.
+func (c Counts) plus(other Counts) Counts {
+	c.Responses += other.Responses
+	c.Failures += other.Failures
+	if len(other.Durations) > 0 {
+		sum := make([]int, max(len(c.Durations), len(other.Durations)))
+		copy(sum, c.Durations)
+		for i, n := range other.Durations {
+			sum[i] += n
+		}
+		c.Durations = sum
+	}
+	return c
+}
+
+// valid reports whether another entry may have counted this.
+func (c Counts) valid() bool {
+	const limit = 1 << 40
+	negative := func(n int) bool { return n < 0 || n > limit }
+	return !negative(c.Responses) && c.Failures >= 0 && c.Failures <= c.Responses &&
+		len(c.Durations) <= bucketCount && !slices.ContainsFunc(c.Durations, negative)
+}
+
+// above returns how many durations are in the buckets from the given one on, and how many there
+// are.
+func (c Counts) above(bucket int) (int, int) {
+	above, total := 0, 0
+	for i, n := range c.Durations {
+		total += n
+		if i >= bucket {
+			above += n
+		}
+	}
+	return above, total
+}
+
+// side is one of the versions that are compared.
+type side int
+
+const (
+	oldSide side = iota
+	newSide
+)
+
+// Pair holds the counts of the old versions and of the new one on one route.
+type Pair [2]Counts
+
+func (p Pair) plus(other Pair) Pair {
+	return Pair{p[oldSide].plus(other[oldSide]), p[newSide].plus(other[newSide])}
+}
+
+func (p Pair) minus(before Pair) Pair {
+	return Pair{p[oldSide].minus(before[oldSide]), p[newSide].minus(before[newSide])}
+}
+
+// evidence is what is known of the responses of both versions.
+type evidence struct {
+	// own holds this entry's counts by route.
+	own    map[string]Pair
+	broken map[string]struct{}
+	// summed holds the counts of all entries up to the end of the last slice; sliceEnds is when
+	// the present one ends.
+	summed    map[string]Pair
+	sliceEnds time.Time
+	// routes holds the tests of each route.
+	routes map[string]*routeTests
+}
+
+// reset forgets all counts.
+func (e *evidence) reset() { *e = evidence{} }
+
+// bucketOf returns the bucket of a duration.
+func bucketOf(d time.Duration) int {
+	if d <= firstBucket {
+		return 0
+	}
+	return min(bucketCount-1, 1+int(math.Log(float64(d)/float64(firstBucket))/math.Log(bucketFactor)))
+}
+
+// count counts a response of one version.
+func (e *evidence) count(route string, s side, response Response) {
+	if e.own == nil {
+		e.own, e.broken = map[string]Pair{}, map[string]struct{}{}
+	}
+	pair, ok := e.own[route]
+	if !ok && len(e.own) >= maxRoutes {
+		return
+	}
+	if response.Broken != "" {
+		if _, counted := e.broken[response.Broken]; counted || len(e.broken) >= maxBroken {
+			return
+		}
+		e.broken[response.Broken] = struct{}{}
+		response.Failed = true
+	}
+	counts := &pair[s]
+	counts.Responses++
+	switch {
+	case response.Failed:
+		counts.Failures++
+	case response.Duration > 0:
+		if counts.Durations == nil {
+			counts.Durations = make([]int, bucketCount)
+		}
+		counts.Durations[bucketOf(response.Duration)]++
+	}
+	e.own[route] = pair
+}
+
+// copyOwn returns a copy of this entry's counts.
+func (e *evidence) copyOwn() map[string]Pair {
+	own := make(map[string]Pair, len(e.own))
+	for route, pair := range e.own {
+		for s := range pair {
+			pair[s].Durations = slices.Clone(pair[s].Durations)
+		}
+		own[route] = pair
+	}
+	return own
+}
+
+// endSlice compares the versions over the time since the last slice, given the counts of all
+// entries up to now.
+func (e *evidence) endSlice(total map[string]Pair) {
+	if e.routes == nil {
+		e.routes = map[string]*routeTests{}
+	}
+	for route, pair := range total {
+		tests, ok := e.routes[route]
+		if !ok {
+			tests = &routeTests{}
+			e.routes[route] = tests
+		}
+		tests.add(pair, pair.minus(e.summed[route]))
+	}
+	e.summed = total
+}
+
+// judge returns why the version is bad, or "", and whether it is suspected.
+func (e *evidence) judge() (string, bool) {
+	suspected := false
+	for route, tests := range e.routes {
+		reason, alarm := tests.judge()
+		if reason != "" {
+			return reason + " on " + route, true
+		}
+		suspected = suspected || alarm
+	}
+	return "", suspected
+}
+
+// testCount is the number of comparisons on one route: failures, and durations above each bucket
+// but the first, whose bad responses the one before has for the old version.
+const testCount = bucketCount
+
+// routeTests holds the comparisons on one route.
+type routeTests struct {
+	// sums holds the running sums up to the end of each slice, the newest last.
+	sums [][testCount]sums
+}
+
+// sums are the sums of a stratified comparison (Cochran, Mantel and Haenszel) over slices.
+type sums struct {
+	// bad and total count the responses of the new version in slices in which both versions were
+	// seen, oldBad and oldTotal those of the old one. slices counts these slices, badSlices those
+	// of them with more bad responses than expected, and historic those in which the old version
+	// is compared by what it did before.
+	bad, total, oldBad, oldTotal float64
+	slices, badSlices, historic  float64
+	// excess is by how many the bad responses of the new version exceed the expected ones, weight
+	// what the difference of both rates is multiplied by in it, and variance its variance if both
+	// rates are equal.
+	excess, weight, variance float64
+	// The others serve to see how much more the slices differ than independent responses would.
+	excessSquares, crossProducts, weightSquares, newParts, oldParts float64
+}
+
+// add adds the sums o, multiplied by sign.
+func (s *sums) add(o *sums, sign float64) {
+	s.bad += sign * o.bad
+	s.total += sign * o.total
+	s.oldBad += sign * o.oldBad
+	s.oldTotal += sign * o.oldTotal
+	s.slices += sign * o.slices
+	s.badSlices += sign * o.badSlices
+	s.historic += sign * o.historic
+	s.excess += sign * o.excess
+	s.weight += sign * o.weight
+	s.variance += sign * o.variance
+	s.excessSquares += sign * o.excessSquares
+	s.crossProducts += sign * o.crossProducts
+	s.weightSquares += sign * o.weightSquares
+	s.newParts += sign * o.newParts
+	s.oldParts += sign * o.oldParts
+}
+
+// minComparedPart is the part of the new version's responses that the old one must have had in a
+// slice to be compared over that time. Below, its responses so far stand in if the new one had
+// minHistoricResponses: with less, the old one may have had none by chance.
+const (
+	minComparedPart      = 0.05
+	minHistoricResponses = 10
+	// historicPart is the part of the slices of a window from which on historicRule applies.
+	historicPart = 0.25
+)
+
+// compare returns the terms of one slice in which bad of total responses of the new version were
+// bad and oldBad of oldTotal of the old one. So far the old one has had allBad of allTotal.
+func compare(bad, total, oldBad, oldTotal, allBad, allTotal int) sums {
+	a, n, b, m := float64(bad), float64(total), float64(oldBad), float64(oldTotal)
+	if total == 0 {
+		return sums{}
+	}
+	s := sums{bad: a, total: n, slices: 1}
+	if m < minComparedPart*n && n >= minHistoricResponses || oldTotal == 0 {
+		if allTotal == 0 || n < minHistoricResponses {
+			return sums{}
+		}
+		s.historic = 1
+		m = n
+		b = m * float64(allBad) / float64(allTotal)
+	}
+	s.oldBad, s.oldTotal = b, m
+	all := n + m
+	s.excess = a - n*(a+b)/all
+	s.weight = n * m / all
+	if all > 1 {
+		s.variance = n * m * (a + b) * (all - a - b) / (all * all * (all - 1))
+	}
+	if s.excess > 0 {
+		s.badSlices = 1
+	}
+	s.excessSquares = s.excess * s.excess
+	s.crossProducts = s.excess * s.weight
+	s.weightSquares = s.weight * s.weight
+	s.newParts, s.oldParts = s.weightSquares/n, s.weightSquares/m
+	return s
+}
+
+// add adds the slice in which the counts grew by recent to all.
+func (t *routeTests) add(all, recent Pair) {
+	var next [testCount]sums
+	if len(t.sums) > 0 {
+		next = t.sums[len(t.sums)-1]
+	}
+	newest, old, oldAll := recent[newSide], recent[oldSide], all[oldSide]
+	terms := compare(newest.Failures, newest.Responses, old.Failures, old.Responses, oldAll.Failures, oldAll.Responses)
+	next[0].add(&terms, 1)
+	for i := 1; i < testCount; i++ {
+		// A response of the new version is slow from bucket i on, one of the old version from the
+		// bucket before: up to that much a version may be slower.
+		bad, total := newest.above(i)
+		oldBad, oldTotal := old.above(i - 1)
+		allBad, allTotal := oldAll.above(i - 1)
+		terms := compare(bad, total, oldBad, oldTotal, allBad, allTotal)
+		next[i].add(&terms, 1)
+	}
+	if len(t.sums) > maxSlices {
+		t.sums = slices.Delete(t.sums, 0, 1)
+	}
+	t.sums = append(t.sums, next)
+}
+
+// judge returns why the version is bad on the route, or "", and whether it is suspected.
+func (t *routeTests) judge() (string, bool) {
+	suspected := false
+	last := len(t.sums) - 1
+	if last < 0 {
+		return "", false
+	}
+	for _, window := range windows {
+		for i := range testCount {
+			s := t.sums[last][i]
+			if last-window >= 0 {
+				s.add(&t.sums[last-window][i], -1)
+			}
+			conclusive, reason := &failureRule, "failures"
+			if i > 0 {
+				conclusive, reason = &slowRule, "slow responses"
+			}
+			if s.meets(conclusive) {
+				return reason, true
+			}
+			suspected = suspected || s.meets(&alarmRule)
+		}
+		if last-window < 0 {
+			break
+		}
+	}
+	return "", suspected
+}
+
+// meets reports whether the sums are enough evidence by the rule.
+func (s *sums) meets(r *rule) bool {
+	if s.historic > historicPart*s.slices {
+		r = &historicRule
+	}
+	if s.bad < r.bad || s.badSlices < r.slices || s.weight <= 0 || s.variance <= 0 {
+		return false
+	}
+	return s.excess >= r.part*s.weight && s.deviations() >= r.deviations
+}
+
+// deviations returns by how many standard deviations the excess differs from zero. It is the
+// signed root of the deviance, which holds for small counts too, where most old responses are good.
+func (s *sums) deviations() float64 {
+	expected := (s.bad - s.excess) / s.total
+	if expected <= 0 || expected >= 1 {
+		return 0
+	}
+	count := s.variance / (expected * (1 - expected))
+	seen := min(1, expected+s.excess/count)
+	deviance := 2 * count * (term(seen, expected) + term(1-seen, 1-expected))
+	return math.Sqrt(max(0, deviance) / s.dispersion())
+}
+
+// term returns p log(p/q).
+func term(p, q float64) float64 {
+	if p <= 0 {
+		return 0
+	}
+	return p * math.Log(p/q)
+}
+
+// dispersion returns by how much the slices differ more than independent responses would, 1 at
+// least: responses of one time, host or prompt are alike.
+func (s *sums) dispersion() float64 {
+	if s.slices <= 1 {
+		return 1
+	}
+	part := s.excess / s.weight
+	residual := s.excessSquares - 2*part*s.crossProducts + part*part*s.weightSquares
+	rate, oldRate := s.bad/s.total, s.oldBad/s.oldTotal
+	independent := s.newParts*rate*(1-rate) + s.oldParts*oldRate*(1-oldRate)
+	if independent <= 0 {
+		return 1
+	}
+	return max(1, residual/independent*s.slices/(s.slices-1))
+}
--- /dev/null
+++ b/process/rollout/progress.go
@@ -0,0 +1,417 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ageUncertainty is how long after its writing an order may be seen first: entries read the
+	// store about once a second.
+	ageUncertainty = time.Second
+	// leadTime is the time that is left for all entries to learn of a record, and once more for
+	// the last transaction. Records travel in peer updates within a few hundred milliseconds.
+	leadTime = time.Second
+	// minDrainTime is the least time that is left for what runs on old versions to end.
+	minDrainTime = 300 * time.Millisecond
+	// minStepTime and maxStepTime limit the length of a step of the ramp: evidence needs some
+	// slices of time, and each step costs a part of what a bad version may get.
+	minStepTime = 800 * time.Millisecond
+	maxStepTime = 2 * time.Second
+	// canaryTime is the least time of the canary.
+	canaryTime = 2 * time.Second
+	// shortPart is the part of a roll-out's duration that each of these times may have at most,
+	// so that they fit into short ones; stepPart is that of a step.
+	shortPart = 0.1
+	stepPart  = 0.05
+	// closeDelay is how long after it learned of the move an entry may promise to send nothing to
+	// old versions: attempts that were placed before are counted by then.
+	closeDelay = 100 * time.Millisecond
+	// peerWait is how long an entry that starts waits for peers that know the age of an order.
+	peerWait = 1500 * time.Millisecond
+	// takeoverDelay is how long an entry waits for each one that is preferred to it.
+	takeoverDelay = time.Second
+	// maxTakeovers limits how many it waits for.
+	maxTakeovers = 6
+	// conflictDelay is how long a change whose condition did not hold is not tried again: changes
+	// of the store are known within two seconds.
+	conflictDelay = 2500 * time.Millisecond
+	// minWriteDelay is how long after a failure a change is tried again. It doubles up to
+	// maxWriteDelay.
+	minWriteDelay = 500 * time.Millisecond
+	maxWriteDelay = 4 * time.Second
+)
+
+// View is what an entry knows about the other entries and the targets.
+type View struct {
+	// Entries lists the entries that were heard lately, this one included, Registered all that are
+	// registered in the store.
+	Entries, Registered []string
+	// StoreUnavailable is set during an outage of the store.
+	StoreUnavailable bool
+	// Services describes the services with roll-outs.
+	Services map[string]ServiceView
+}
+
+// ServiceView is what an entry knows about the targets of a service.
+type ServiceView struct {
+	// Replicas counts the usable replicas, Running what runs at this entry, by version.
+	Replicas, Running map[string]int
+	// Longest is the longest time for which a request of the service has run here.
+	Longest time.Duration
+}
+
+// Change is a transaction: the record, and the status if set, are written if the keys of the order,
+// the record and the status were last changed at these revisions; zero means that there is no
+// such key.
+type Change struct {
+	Service                                       string
+	OrderRevision, RecordRevision, StatusRevision int64
+	Record                                        Record
+	Status                                        *Status
+	Reason                                        string
+}
+
+// write is what an entry does about the next change.
+type write struct {
+	inFlight bool
+	// wanted is the record that is due since wantedSince.
+	wanted      Record
+	wantedSince time.Time
+	// retryAt is when the change may be tried again after failures in a row.
+	retryAt  time.Time
+	failures int
+}
+
+// settle forgets failures, because the store has changed.
+func (w *write) settle() { w.retryAt, w.failures = time.Time{}, 0 }
+
+// Services returns the services whose targets Step has to know.
+func (t *Tracker) Services() []string {
+	var names []string
+	for service, r := range t.services {
+		if r.order.Version != "" || r.running() {
+			names = append(names, service)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Step compares the versions and returns the transactions that this entry should try now. Each is
+// in progress until Committed or Failed is called.
+func (t *Tracker) Step(now, wallClock time.Time, view View) []Change {
+	if !t.Active() {
+		return nil
+	}
+	var changes []Change
+	for _, service := range t.Services() {
+		r := t.services[service]
+		r.observe(view.Services[service])
+		r.learnAge(now, wallClock)
+		r.compareVersions(now)
+		r.updatePromise(now, t.share(r))
+		if change, ok := t.due(now, wallClock, r, view); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// observe takes over what is known of the targets.
+func (r *rollout) observe(view ServiceView) {
+	version, baseline := r.record.Version, r.record.Baseline
+	if !r.recorded() && r.order.Version != "" {
+		version, baseline = r.order.Version, r.registered
+	}
+	r.newReplicas, r.oldReplicas, r.runningOld = view.Replicas[version], 0, 0
+	for other, count := range view.Replicas {
+		if other != version {
+			r.oldReplicas += count
+		}
+	}
+	for _, old := range baseline {
+		if old != version {
+			r.runningOld += view.Running[old]
+		}
+	}
+	r.longest = max(r.longest, view.Longest)
+	if r.order.Listed && !r.recorded() || len(r.registered) == 0 {
+		for other := range view.Replicas {
+			r.registered = with(r.registered, other)
+		}
+		slices.Sort(r.registered)
+	}
+}
+
+// learnAge learns the age of an order that was there when this entry started: from peers that saw
+// it before, or if there are none, from the start time in the record. The clock of the entry that
+// wrote it may differ; a wrong age changes when the ramp starts, and no bound.
+func (r *rollout) learnAge(now, wallClock time.Time) {
+	if r.ageKnown || now.Sub(r.learnedAt) < peerWait {
+		return
+	}
+	r.ageKnown = true
+	if !r.recorded() {
+		return
+	}
+	if age := wallClock.Sub(time.UnixMilli(r.record.StartedAt)); age > 0 && age <= maxAge {
+		r.seenAt = now.Add(-age)
+	}
+}
+
+// compareVersions ends a slice of time and judges the new version by it.
+func (r *rollout) compareVersions(now time.Time) {
+	if !r.running() || !r.recorded() || r.rejected != "" || now.Before(r.evidence.sliceEnds) {
+		return
+	}
+	r.evidence.sliceEnds = now.Add(sliceTime)
+	r.evidence.endSlice(r.total())
+	r.rejected, r.suspected = r.evidence.judge()
+}
+
+// updatePromise promises the other entries to send nothing to old versions any more, or takes that
+// back if the new one turns out to be bad.
+func (r *rollout) updatePromise(now time.Time, share float64) {
+	r.closed = r.recorded() && r.record.Stage == Moved && share >= 1 && r.runningOld == 0 &&
+		(r.closed || now.Sub(r.followedSince) >= closeDelay)
+}
+
+// due returns the change that this entry should try now.
+func (t *Tracker) due(now, wallClock time.Time, r *rollout, view View) (Change, bool) {
+	change, ok := t.next(now, wallClock, r, view)
+	w := &r.write
+	if !ok {
+		w.wantedSince = time.Time{}
+		return Change{}, false
+	}
+	next := change.Record
+	if same := w.wanted.Order == next.Order && w.wanted.Stage == next.Stage && w.wanted.Step == next.Step; !same || w.wantedSince.IsZero() {
+		w.wanted, w.wantedSince = next, now
+	}
+	if w.inFlight || view.StoreUnavailable || now.Before(w.retryAt) ||
+		now.Sub(w.wantedSince) < time.Duration(t.rank(r.service, view.Entries))*takeoverDelay {
+		return Change{}, false
+	}
+	w.inFlight = true
+	change.Service = r.service
+	change.OrderRevision, change.RecordRevision, change.StatusRevision = r.orderRevision, r.recordRevision, r.statusRevision
+	return change, true
+}
+
+// rank returns how many entries are preferred to this one for the service.
+func (t *Tracker) rank(service string, entries []string) int {
+	hash := func(entry string) uint64 { return xxhash.Sum64String(entry + "/" + service) }
+	own, rank := hash(t.self), 0
+	for _, entry := range entries {
+		if other := hash(entry); entry != t.self && cmp.Compare(other, own) < 0 {
+			rank++
+		}
+	}
+	return min(rank, maxTakeovers)
+}
+
+// next returns the next change in the course of the roll-out, if it is time for one.
+func (t *Tracker) next(now, wallClock time.Time, r *rollout, view View) (Change, bool) {
+	switch {
+	case r.order.Version == "":
+		if !r.running() {
+			return Change{}, false
+		}
+		return r.end(RolledBack, "the order was removed"), true
+	case !r.recorded():
+		return t.first(now, wallClock, r)
+	case r.record.Stage.terminal():
+		return Change{}, false
+	case r.rejected != "":
+		return r.end(RolledBack, r.rejected), true
+	case !r.ageKnown:
+		return Change{}, false
+	}
+	times := r.plan()
+	if reason := r.hopeless(now, times); reason != "" {
+		return r.end(RolledBack, reason), true
+	}
+	if r.suspected || r.newReplicas == 0 {
+		return Change{}, false
+	}
+	return t.advance(now, times, r, view)
+}
+
+// hopeless returns why the roll-out cannot be completed any more, or "".
+func (r *rollout) hopeless(now time.Time, times plan) string {
+	switch {
+	case now.Before(times.limit):
+		return ""
+	case r.newReplicas == 0 && r.oldReplicas > 0:
+		return "no replica of the version at the time limit"
+	case r.suspected:
+		return "suspected at the time limit"
+	default:
+		return ""
+	}
+}
+
+// advance returns the next step forward, if it is time for it.
+func (t *Tracker) advance(now time.Time, times plan, r *rollout, view View) (Change, bool) {
+	next, inStage := r.record, now.Sub(r.followedSince)
+	switch r.record.Stage {
+	case Canary:
+		if now.Before(times.ramp) || now.Sub(r.canarySince) < times.canary {
+			return Change{}, false
+		}
+		next.Stage, next.Step = Ramping, 0
+	case Ramping:
+		if inStage < times.step {
+			return Change{}, false
+		}
+		if next.Step++; next.Step >= len(rampShares) {
+			next.Stage, next.Step = Moved, 0
+		}
+	default:
+		if !t.allClosed(now, times, r, view) {
+			return Change{}, false
+		}
+		return r.end(Completed, ""), true
+	}
+	return Change{Record: next}, true
+}
+
+// end returns the change that ends the roll-out.
+func (r *rollout) end(stage Stage, reason string) Change {
+	next := r.record
+	next.Stage, next.Step = stage, 0
+	status := Status{State: StateRolledBack, Target: next.Version}
+	if stage == Completed {
+		status.State = StateCompleted
+	}
+	return Change{Record: next, Status: &status, Reason: reason}
+}
+
+// allClosed reports whether all entries have promised to send nothing to old versions. Those that
+// are registered but silent hold that back until the time limit is near.
+func (t *Tracker) allClosed(now time.Time, times plan, r *rollout, view View) bool {
+	if !r.closed {
+		return false
+	}
+	closed := func(entry string) bool {
+		peer := r.peers[entry]
+		return entry == t.self || peer.Closed && peer.Order == r.order.Revision && peer.Revision >= r.recordRevision
+	}
+	for _, entry := range view.Entries {
+		if !closed(entry) {
+			return false
+		}
+	}
+	if !now.Before(times.last) {
+		return true
+	}
+	for _, entry := range view.Registered {
+		if !closed(entry) {
+			return false
+		}
+	}
+	return true
+}
+
+// plan holds the times of a roll-out.
+type plan struct {
+	// ramp is when the ramp starts, last when silent entries are waited for no longer, limit the
+	// time limit.
+	ramp, last, limit time.Time
+	// canary is the least time of the canary, step the time of a step of the ramp.
+	canary, step time.Duration
+}
+
+// plan returns the times of the roll-out. The ramp starts as late as the time limit allows: what
+// the new version gets beyond the canary is not within the bound on bad versions any more.
+func (r *rollout) plan() plan {
+	duration := r.order.Duration
+	short := func(d time.Duration, part float64) time.Duration {
+		return min(d, time.Duration(part*float64(duration)))
+	}
+	uncertainty, lead := short(ageUncertainty, 1.25*shortPart), short(leadTime, shortPart)
+	p := plan{
+		limit: r.seenAt.Add(duration - uncertainty), canary: short(canaryTime, 2*shortPart),
+		step: min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(duration)))),
+	}
+	p.last = p.limit.Add(-lead / 2)
+	drain := min(max(r.longest, minDrainTime), duration/2)
+	p.ramp = p.limit.Add(-2*lead - drain - time.Duration(len(rampShares))*(p.step+lead/4))
+	return p
+}
+
+// first returns the change that starts the roll-out.
+func (t *Tracker) first(now, wallClock time.Time, r *rollout) (Change, bool) {
+	decided := r.statusRevision > r.order.Revision && r.status.State != Running
+	if r.record.Order > r.order.Revision || decided || !r.ageKnown {
+		return Change{}, false
+	}
+	record := r.firstRecord()
+	record.StartedAt = wallClock.Add(-r.age(now)).UnixMilli()
+	change := Change{Record: record}
+	if r.statusRevision < r.order.Revision {
+		change.Status = &Status{State: Running, Target: record.Version}
+	}
+	return change, true
+}
+
+// firstRecord returns the first record of the order, given that of the order before it, if any.
+func (r *rollout) firstRecord() Record {
+	target, before := r.order.Version, r.record
+	next := Record{Order: r.order.Revision, Version: target, Stage: Canary}
+	back := r.running() && slices.Contains(before.Baseline, target)
+	excluded := slices.Clone(before.Excluded)
+	switch {
+	case r.recordRevision == 0 || back:
+	case before.Stage == Completed:
+		for _, version := range before.Baseline {
+			excluded = with(excluded, version)
+		}
+	case before.Version != target:
+		// It was rolled back, or superseded before it was known to be good.
+		excluded = with(excluded, before.Version)
+	}
+	excluded = slices.DeleteFunc(excluded, func(version string) bool { return version == target })
+	next.Excluded = excluded[max(0, len(excluded)-maxRecordVersions):]
+	for _, version := range r.registered {
+		if version != target && !slices.Contains(next.Excluded, version) && len(next.Baseline) < maxRecordVersions {
+			next.Baseline = append(next.Baseline, version)
+		}
+	}
+	if back || len(next.Baseline) == 0 {
+		// The service runs on the version already.
+		next.Stage = Moved
+	}
+	return next
+}
+
+// Committed learns that a change was applied at the given revision.
+func (t *Tracker) Committed(now time.Time, change Change, revision int64) {
+	r := t.ensure(change.Service)
+	r.write.inFlight = false
+	r.write.settle()
+	t.ApplyRecord(now, change.Service, change.Record, revision)
+	if change.Status != nil {
+		t.ApplyStatus(change.Service, *change.Status, revision)
+	}
+}
+
+// Failed learns that a change was not applied because its conditions did not hold (conflict), or
+// that it is unknown whether it was. It may then be applied later, if they still hold.
+func (t *Tracker) Failed(now time.Time, change Change, conflict bool) {
+	r := t.ensure(change.Service)
+	w := &r.write
+	w.inFlight = false
+	delay := conflictDelay
+	if !conflict {
+		delay = min(maxWriteDelay, minWriteDelay<<min(w.failures, 4))
+		w.failures++
+	}
+	if change.RecordRevision == r.recordRevision && change.OrderRevision == r.orderRevision {
+		w.retryAt = now.Add(delay)
+	}
+}
--- /dev/null
+++ b/process/rollout/rollout.go
@@ -0,0 +1,336 @@
+// Package rollout moves the traffic of a service from the versions that run to a new one, on an
+// operator's order, and back if the new version turns out to be bad.
+//
+// Each entry has a Tracker. It follows the order, the record of progress and the status in the
+// platform's store, assigns each attempt to a version, counts the responses of the versions, and
+// exchanges the counts with the other entries. Any entry may write the next record; the conditions
+// of the transaction alone make that safe.
+//
+// The package does no I/O and reads no clock. It is designed for these load patterns: many entries
+// that each see too few responses to judge a version, storms that hit both versions alike, and
+// versions that fail only at times, under load, or on one route.
+package rollout
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Limits are the operators' bounds on roll-outs.
+type Limits struct {
+	// CanaryShare of the requests of a service, plus CanarySlack requests, is the most that a bad
+	// version may get. Roll-outs are not served if the share is zero.
+	CanaryShare float64
+	CanarySlack int
+	// RollbackWithin is how soon after its 50th bad response a version must get no more requests.
+	RollbackWithin time.Duration
+}
+
+// Enabled reports whether roll-outs are served.
+func (l Limits) Enabled() bool { return l.CanaryShare > 0 }
+
+// Order is an operator's order to move a service to a version.
+type Order struct {
+	Service, Version string
+	// Duration is the time limit, counted from the writing of the order.
+	Duration time.Duration
+	// Revision is the store revision at which the order was written.
+	Revision int64
+	// Listed is set if the order was there when this entry started, so that its age is unknown.
+	Listed bool
+}
+
+// Stage is how far a roll-out is.
+type Stage uint8
+
+// The stages of a roll-out.
+const (
+	// Canary means that a small share goes to the new version.
+	Canary Stage = iota + 1
+	// Ramping means that the share grows with each step.
+	Ramping
+	// Moved means that all new requests go to the new version, and what runs on the old ones ends.
+	Moved
+	// Completed means that the old versions get nothing any more.
+	Completed
+	// RolledBack means that the new version gets nothing any more.
+	RolledBack
+)
+
+var stageNames = [...]string{Canary: "canary", Ramping: "ramping", Moved: "moved", Completed: "completed", RolledBack: "rolled_back"}
+
+// String returns the name of s for logs and records.
+func (s Stage) String() string {
+	if s < Canary || s > RolledBack {
+		return "none"
+	}
+	return stageNames[s]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Stage) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Stage) UnmarshalText(text []byte) error {
+	at := slices.Index(stageNames[:], string(text))
+	if at < int(Canary) {
+		return errors.New("unknown stage")
+	}
+	*s = Stage(at)
+	return nil
+}
+
+// terminal reports whether the roll-out has ended.
+func (s Stage) terminal() bool { return s >= Completed }
+
+// Record is the progress of a roll-out, as the store holds it.
+type Record struct {
+	// Order is the revision of the order.
+	Order   int64  `json:"order" cbor:"1,keyasint"`
+	Version string `json:"version" cbor:"2,keyasint"`
+	// Baseline lists the versions from which traffic is moved.
+	Baseline []string `json:"baseline" cbor:"3,keyasint"`
+	// Excluded lists versions that get nothing because of earlier orders: those that were rolled
+	// back, superseded before they were known to be good, or replaced.
+	Excluded []string `json:"excluded,omitempty" cbor:"4,keyasint,omitempty"`
+	Stage    Stage    `json:"stage" cbor:"5,keyasint"`
+	Step     int      `json:"step,omitempty" cbor:"6,keyasint,omitempty"`
+	// StartedAt is when the order was first seen, in Unix milliseconds of the clock of the entry
+	// that wrote the first record.
+	StartedAt int64 `json:"startedAt" cbor:"7,keyasint"`
+}
+
+// maxRecordVersions limits the versions that a record names; a service has few at a time.
+const maxRecordVersions = 16
+
+// DecodeRecord decodes the value of a record. Other writers may leave anything there.
+func DecodeRecord(value []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return Record{}, errors.New("the value is not a record")
+	}
+	return record, record.check()
+}
+
+func (r Record) check() error {
+	switch {
+	case r.Order <= 0 || r.Version == "":
+		return errors.New("the record names no order or version")
+	case r.Stage < Canary || r.Stage > RolledBack || r.Step < 0 || r.Step >= len(rampShares):
+		return errors.New("unknown stage or step")
+	case len(r.Baseline) > maxRecordVersions || len(r.Excluded) > maxRecordVersions:
+		return errors.Errorf("more than %d versions", maxRecordVersions)
+	case slices.Contains(r.Baseline, r.Version) || slices.Contains(r.Excluded, r.Version):
+		return errors.New("the version is to be replaced by itself")
+	}
+	return nil
+}
+
+// Encode returns the value of a record.
+func (r Record) Encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	return value, errors.WithStack(err)
+}
+
+// follows reports whether the record is later in the course of the same order than other.
+func (r Record) follows(other Record) bool {
+	return r.Stage > other.Stage || r.Stage == other.Stage && r.Step > other.Step
+}
+
+// State is the state of a roll-out as its status names it.
+type State uint8
+
+// The states of a roll-out.
+const (
+	Running State = iota + 1
+	StateCompleted
+	StateRolledBack
+)
+
+// Status is what operators are told about a roll-out.
+type Status struct {
+	State  State
+	Target string
+}
+
+// rollout is what an entry knows about the roll-out of one service.
+type rollout struct {
+	service string
+	// order is the order that holds; its version is "" if there is none. orderRevision is the
+	// revision of its key, also if that holds no order any more, and 0 if it is removed.
+	order         Order
+	orderRevision int64
+	// seenAt is when the order was first seen by any entry, as far as is known. ageKnown is set
+	// once that does not rest on this entry's own start alone; learnedAt is when this entry first
+	// saw the order.
+	seenAt, learnedAt time.Time
+	ageKnown          bool
+	// registered lists the versions that were registered when the order was seen.
+	registered []string
+
+	record         Record
+	recordRevision int64
+	// followedSince is when this entry learned of the present record.
+	followedSince  time.Time
+	canarySince    time.Time
+	status         Status
+	statusRevision int64
+
+	traffic  traffic
+	evidence evidence
+	peers    map[string]peerReport
+	// rejected is why the version gets nothing any more, as this entry or a peer found from the
+	// evidence; "" if it has not been found bad.
+	rejected string
+	// heldBack is the version of a superseded record that was found to be bad.
+	heldBack string
+	// suspected is set while the recent evidence is against the version, but not conclusive.
+	suspected bool
+	// runningOld counts what runs here on old versions, longest is the longest time for which a
+	// request of the service has run, at any entry.
+	runningOld int
+	longest    time.Duration
+	// closed is the promise to the other entries to start nothing on old versions any more.
+	closed bool
+	// oldReplicas and newReplicas count the usable replicas of the versions.
+	oldReplicas, newReplicas int
+
+	write write
+}
+
+// Tracker is what an entry knows about the roll-outs of all services.
+type Tracker struct {
+	limits   Limits
+	self     string
+	services map[string]*rollout
+	// entries is the number of entries that share the slack.
+	entries int
+}
+
+// New returns a tracker of an entry without roll-outs.
+func New(limits Limits, self string) *Tracker {
+	return &Tracker{limits: limits, self: self, services: map[string]*rollout{}, entries: 1}
+}
+
+// SetLimits changes the bounds. Without a share nothing is restricted any more.
+func (t *Tracker) SetLimits(limits Limits) { t.limits = limits }
+
+// Active reports whether there is anything to do for roll-outs.
+func (t *Tracker) Active() bool { return len(t.services) > 0 && t.limits.Enabled() }
+
+// Known reports whether the service has or had a roll-out.
+func (t *Tracker) Known(service string) bool { return t.services[service] != nil && t.limits.Enabled() }
+
+func (t *Tracker) ensure(service string) *rollout {
+	r, ok := t.services[service]
+	if !ok {
+		r = &rollout{service: service, peers: map[string]peerReport{}}
+		t.services[service] = r
+	}
+	return r
+}
+
+// get returns the roll-out of a service, or nil if it has none or roll-outs are not served.
+func (t *Tracker) get(service string) *rollout {
+	if !t.limits.Enabled() {
+		return nil
+	}
+	return t.services[service]
+}
+
+// ApplyOrder learns of an order. registered lists the versions of the registered targets of the
+// service.
+func (t *Tracker) ApplyOrder(now time.Time, order Order, registered []string) {
+	r := t.ensure(order.Service)
+	if order.Revision <= r.orderRevision {
+		return
+	}
+	r.order, r.orderRevision = order, order.Revision
+	r.seenAt, r.learnedAt, r.ageKnown = now, now, !order.Listed
+	r.registered = slices.Clone(registered)
+	if r.heldBack = ""; r.rejected != "" {
+		r.heldBack = r.record.Version
+	}
+	r.reset()
+	hash := xxhash.Sum64String(t.self + "/" + order.Service)
+	r.traffic.start(hash^uint64(order.Revision)*0x9e3779b97f4a7c15, t.slackPart())
+}
+
+// reset forgets what was counted for an earlier order.
+func (r *rollout) reset() {
+	r.traffic, r.evidence, r.peers = traffic{}, evidence{}, map[string]peerReport{}
+	r.rejected, r.suspected, r.closed, r.longest, r.write = "", false, false, 0, write{}
+	r.canarySince = time.Time{}
+}
+
+// RemoveOrder learns that the key of a service's order was removed, or holds no order any more at
+// the given revision, which is 0 if it was removed. A roll-out that runs is rolled back.
+func (t *Tracker) RemoveOrder(now time.Time, service string, revision int64) {
+	r, ok := t.services[service]
+	if !ok || revision > 0 && revision <= r.orderRevision {
+		return
+	}
+	r.order, r.orderRevision = Order{Service: service}, revision
+	r.learnedAt, r.write = now, write{}
+}
+
+// ApplyRecord learns of a record at the given revision.
+func (t *Tracker) ApplyRecord(now time.Time, service string, record Record, revision int64) {
+	if record.check() != nil {
+		return
+	}
+	r := t.ensure(service)
+	if revision <= r.recordRevision {
+		return
+	}
+	before := r.record
+	r.record, r.recordRevision, r.followedSince = record, revision, now
+	r.write.settle()
+	if record.Order != before.Order {
+		r.canarySince = now
+		r.evidence.reset()
+		r.rejected, r.suspected, r.heldBack = "", false, ""
+	}
+	if record.Stage != Moved {
+		r.closed = false
+	}
+}
+
+// RemoveRecord learns that the record was removed. The roll-out starts again if its order holds.
+func (t *Tracker) RemoveRecord(service string) {
+	if r, ok := t.services[service]; ok {
+		r.record, r.recordRevision = Record{}, 0
+		r.write.settle()
+	}
+}
+
+// ApplyStatus learns of the status at the given revision.
+func (t *Tracker) ApplyStatus(service string, status Status, revision int64) {
+	r := t.ensure(service)
+	if revision > r.statusRevision {
+		r.status, r.statusRevision = status, revision
+		r.write.settle()
+	}
+}
+
+// RemoveStatus learns that the status was removed.
+func (t *Tracker) RemoveStatus(service string) {
+	if r, ok := t.services[service]; ok {
+		r.status, r.statusRevision = Status{}, 0
+	}
+}
+
+// recorded reports whether the record is that of the order that holds.
+func (r *rollout) recorded() bool {
+	return r.recordRevision > 0 && r.order.Version != "" && r.record.Order == r.order.Revision
+}
+
+// running reports whether a roll-out has been recorded and has not ended.
+func (r *rollout) running() bool { return r.recordRevision > 0 && !r.record.Stage.terminal() }
+
+// age returns how long ago the order was first seen.
+func (r *rollout) age(now time.Time) time.Duration { return max(0, now.Sub(r.seenAt)) }
--- /dev/null
+++ b/process/rollout/rollout_test.go
@@ -0,0 +1,91 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+)
+
+// catalogue is the load of calls at the catalogue deployment, licences that at the other one, with
+// its noise, and streams that of a service of long responses.
+func catalogue() simConfig {
+	return simConfig{entries: 32, rate: 233, limit: 30 * time.Second, work: 60 * time.Millisecond, replicas: 6, peerLoss: 0.05, baseErrors: 0.02}
+}
+
+func licences() simConfig {
+	c := catalogue()
+	c.entries, c.rate, c.replicas = 21, 283, 7
+	c.noise, c.noiseFactor, c.noisePeriod = 0.15, 2.5, 600*time.Millisecond
+	return c
+}
+
+func streams() simConfig {
+	return simConfig{
+		entries: 32, rate: 27, limit: 40 * time.Second, work: time.Second, stream: 7 * time.Second, replicas: 116,
+		peerLoss: 0.05, noise: 0.15, noiseFactor: 2.5, noisePeriod: 600 * time.Millisecond,
+	}
+}
+
+func loads() map[string]simConfig {
+	return map[string]simConfig{"catalogue": catalogue(), "licences": licences(), "streams": streams()}
+}
+
+const seeds = 6
+
+// TestGoodVersion guards against roll-backs of good versions and late completions.
+func TestGoodVersion_CompletesWithinTimeLimit(t *testing.T) {
+	for name, config := range loads() {
+		limits := []time.Duration{8 * time.Second, 12 * time.Second, 30 * time.Second, 3 * time.Minute}
+		if config.stream > 0 {
+			limits = []time.Duration{20 * time.Second, 30 * time.Second, 3 * time.Minute}
+		}
+		for _, limit := range limits {
+			t.Run(name+" "+limit.String(), func(t *testing.T) {
+				for seed := range uint64(seeds) {
+					config := config
+					config.limit = limit
+					play(t, seed, config).checkGood(name)
+				}
+			})
+		}
+	}
+}
+
+// TestBadVersion guards against too many requests to a bad version.
+func TestBadVersion_IsRolledBackWithinBounds(t *testing.T) {
+	failing := func(part float64) func(s *simulation, r *simReplica, route string) (bool, float64) {
+		return func(s *simulation, _ *simReplica, _ string) (bool, float64) { return s.random.Float64() < part, 1 }
+	}
+	faults := map[string]func(s *simulation, r *simReplica, route string) (bool, float64){
+		"fails a fifth": failing(0.2),
+		"fails a half":  failing(0.5),
+		"slow 3":        func(*simulation, *simReplica, string) (bool, float64) { return false, 3 },
+		"slow 8":        func(*simulation, *simReplica, string) (bool, float64) { return false, 8 },
+		"slow half": func(s *simulation, _ *simReplica, _ string) (bool, float64) {
+			if s.random.IntN(2) == 0 {
+				return false, 4
+			}
+			return false, 1
+		},
+		"one route": func(s *simulation, _ *simReplica, route string) (bool, float64) {
+			return route == "/book/" && s.random.Float64() < 0.4, 1
+		},
+		"later": func(s *simulation, _ *simReplica, _ string) (bool, float64) {
+			return s.now.Sub(s.orderAt) > s.duration*3/10 && s.random.Float64() < 0.3, 1
+		},
+		"under load": func(s *simulation, r *simReplica, _ string) (bool, float64) {
+			full := s.config.rate / float64(s.config.replicas)
+			return r.rate > 0.7*full && s.random.Float64() < 0.4, 1
+		},
+	}
+	for name, config := range loads() {
+		for fault, bad := range faults {
+			t.Run(name+" "+fault, func(t *testing.T) {
+				for seed := range uint64(seeds) {
+					config := config
+					config.bad = bad
+					play(t, seed, config).checkBad(name + " " + fault)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/process/rollout/traffic.go
@@ -0,0 +1,274 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// canaryPart is the part of CanaryShare that the canary gets. The rest is for the steps of the
+	// ramp, in which a version may still turn out to be bad.
+	canaryPart = 0.5
+	// startPart is the part of CanarySlack that the canary may use at once, so that services with
+	// few requests give evidence; capPart is the part that all requests until the move may use.
+	// What is left covers requests that entries have sent when they learn that a version is bad.
+	startPart = 0.3
+	capPart   = 0.6
+	// maxCredit is how many requests to the new version an entry may catch up on at once, after
+	// a time without a usable replica of it.
+	maxCredit = 2
+)
+
+// rampShares are the shares of the steps of a ramp, at least. In each step, as many of the new
+// replicas get requests as will have that share, so that each carries the load that it will have
+// after the move, and faults under load show.
+var rampShares = [...]float64{0.1, 0.5}
+
+// VersionFilter restricts the targets of an attempt.
+type VersionFilter struct {
+	// Version is the only version allowed if Only is set.
+	Version string
+	Only    bool
+	// Excluded lists versions that are not allowed.
+	Excluded []string
+	// Subset is the part of the targets of Version that may be used, from 0 to 1; zero means all.
+	Subset float64
+}
+
+// Pin is the version that a request must stay with, if Set.
+type Pin struct {
+	Version string
+	Set     bool
+}
+
+// traffic counts what an entry has sent since it learned of an order.
+type traffic struct {
+	sent, toTarget int
+	// credit is how many requests may go to the new version; each request adds the share.
+	credit, slack float64
+}
+
+// start begins to count for an order. The random part of the first credit keeps many entries with
+// few requests from rounding in the same direction.
+func (c *traffic) start(hash uint64, slack float64) {
+	const fraction = 1.0 / (1 << 53)
+	c.credit, c.slack = float64(hash>>11)*fraction+startPart*slack, slack
+}
+
+// allows reports whether the next request may go to the new version at the pace of the share.
+func (c *traffic) allows(share float64) bool { return c.credit+share >= 1 }
+
+// belowCap reports whether one more request to the new version stays within the bound on what a
+// bad version may get, counted over this entry's requests so far.
+func (c *traffic) belowCap(limits Limits) bool {
+	return float64(c.toTarget+1) <= limits.CanaryShare*float64(c.sent+1)+capPart*c.slack
+}
+
+// count counts a request.
+func (c *traffic) count(share float64, toTarget bool) {
+	c.sent++
+	c.credit = min(c.credit+share, max(maxCredit, c.credit))
+	if toTarget {
+		c.toTarget++
+		c.credit = max(-maxCredit, c.credit-1)
+	}
+}
+
+// uncount takes back a request that was not sent.
+func (c *traffic) uncount(toTarget bool) {
+	c.sent = max(0, c.sent-1)
+	if toTarget && c.toTarget > 0 {
+		c.toTarget--
+		c.credit++
+	}
+}
+
+// SetEntries sets the number of entries that share the slack, this one included.
+func (t *Tracker) SetEntries(entries int) {
+	t.entries = max(1, entries)
+	for _, r := range t.services {
+		r.traffic.slack = t.slackPart()
+	}
+}
+
+// slackPart returns this entry's part of the slack.
+func (t *Tracker) slackPart() float64 {
+	return float64(t.limits.CanarySlack) / float64(max(1, t.entries))
+}
+
+// canaryShare returns the share of the canary.
+func (t *Tracker) canaryShare() float64 { return canaryPart * t.limits.CanaryShare }
+
+// stageShare returns the share of the new version at the stage of the record.
+func (t *Tracker) stageShare(r *rollout) float64 {
+	switch r.record.Stage {
+	case Canary:
+		return t.canaryShare()
+	case Ramping:
+		if r.newReplicas == 0 {
+			return t.canaryShare()
+		}
+		return math.Ceil(rampShares[r.record.Step]*float64(r.newReplicas)) / float64(r.newReplicas)
+	case Moved, Completed:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// share returns the share of the new version now: that of the stage, or less if the evidence is
+// against it.
+func (t *Tracker) share(r *rollout) float64 {
+	switch {
+	case r.rejected != "" || r.recordRevision == 0 || r.heldBack == r.record.Version:
+		return 0
+	case !r.recorded() && r.record.Stage < Moved:
+		// The order was removed or superseded.
+		return 0
+	case r.suspected:
+		return min(t.canaryShare(), t.stageShare(r))
+	default:
+		return t.stageShare(r)
+	}
+}
+
+// Assign returns which targets an attempt may be sent to, the most preferred first; the next filter
+// applies if no target passes the one before. None means no restriction. A pinned request stays
+// with its version, and retry is set for attempts after the first.
+func (t *Tracker) Assign(service string, pin Pin, retry bool) []VersionFilter {
+	r := t.get(service)
+	if r == nil {
+		return nil
+	}
+	if pin.Set {
+		return []VersionFilter{{Version: pin.Version, Only: true}}
+	}
+	if r.recordRevision == 0 {
+		return t.assignUnrecorded(r)
+	}
+	excluded := r.excluded()
+	switch share := t.share(r); {
+	case r.record.Stage == Completed, share >= 1:
+		return r.assignMoved(excluded)
+	case share == 0:
+		return []VersionFilter{{Excluded: with(excluded, r.record.Version)}}
+	default:
+		return t.assignSplit(r, share, excluded, retry)
+	}
+}
+
+// assignUnrecorded keeps requests from the version of an order until its first record, unless no
+// other is registered.
+func (t *Tracker) assignUnrecorded(r *rollout) []VersionFilter {
+	if r.order.Version == "" {
+		return nil
+	}
+	return []VersionFilter{{Excluded: []string{r.order.Version}}, {}}
+}
+
+// assignMoved sends requests to the new version, and to the old ones only if there is no other
+// and this entry has not promised to send nothing there.
+func (r *rollout) assignMoved(excluded []string) []VersionFilter {
+	replaced := excluded
+	for _, version := range r.record.Baseline {
+		replaced = with(replaced, version)
+	}
+	filters := []VersionFilter{{Excluded: replaced}}
+	if r.record.Stage == Moved && !r.closed {
+		filters = append(filters, VersionFilter{Excluded: with(excluded, r.record.Version)})
+	}
+	return filters
+}
+
+// assignSplit assigns a request to the old or the new version. A retry goes to the old one: the
+// request may have failed on the new one, or for a reason of its own.
+func (t *Tracker) assignSplit(r *rollout, share float64, excluded []string, retry bool) []VersionFilter {
+	oldVersions := VersionFilter{Excluded: with(excluded, r.record.Version)}
+	newVersion := VersionFilter{Version: r.record.Version, Only: true, Subset: r.subset(share)}
+	below := r.traffic.belowCap(t.limits)
+	switch {
+	case !retry && below && r.traffic.allows(share):
+		return []VersionFilter{newVersion, oldVersions}
+	case below:
+		// All old replicas may be down or full.
+		return []VersionFilter{oldVersions, newVersion}
+	default:
+		return []VersionFilter{oldVersions}
+	}
+}
+
+// subset returns the part of the new replicas that get requests: as many as will have the share,
+// rounded down, and one at least. Half of a replica is left out, so that rounding up gives them.
+func (r *rollout) subset(share float64) float64 {
+	if r.newReplicas == 0 {
+		return share
+	}
+	const tolerance, half = 1e-9, 0.5
+	replicas := max(1, math.Floor(share*float64(r.newReplicas)+tolerance))
+	return (replicas - half) / float64(r.newReplicas)
+}
+
+// excluded returns the versions that get nothing whatever the stage of the record.
+func (r *rollout) excluded() []string {
+	excluded := slices.Clone(r.record.Excluded)
+	unknown := r.order.Version != "" && !r.recorded() && r.order.Version != r.record.Version && !slices.Contains(r.record.Baseline, r.order.Version)
+	if unknown {
+		excluded = with(excluded, r.order.Version)
+	}
+	return excluded
+}
+
+// with returns versions and version, without a copy of it that is there already.
+func with(versions []string, version string) []string {
+	if slices.Contains(versions, version) {
+		return versions
+	}
+	return append(slices.Clone(versions), version)
+}
+
+// MayResume reports whether a caller that comes back may be served from a KV copy at a target of
+// the version.
+func (t *Tracker) MayResume(service, version string) bool {
+	r := t.get(service)
+	if r == nil || r.recordRevision == 0 || r.record.Stage < Moved || r.record.Stage == RolledBack {
+		return true
+	}
+	return !r.closed && r.record.Stage == Moved || !slices.Contains(r.record.Baseline, version)
+}
+
+// Sent counts an attempt that is about to be sent to a version.
+func (t *Tracker) Sent(service, version string) {
+	if r := t.get(service); r != nil {
+		r.traffic.count(t.share(r), r.isTarget(version))
+	}
+}
+
+// Unsent takes back an attempt that was counted but did not reach a target.
+func (t *Tracker) Unsent(service, version string) {
+	if r := t.get(service); r != nil {
+		r.traffic.uncount(r.isTarget(version))
+	}
+}
+
+// isTarget reports whether the version is the one that the service is to be moved to.
+func (r *rollout) isTarget(version string) bool {
+	if r.recordRevision > 0 {
+		return version == r.record.Version
+	}
+	return version == r.order.Version
+}
+
+// Responded counts the response to the first attempt of a request.
+func (t *Tracker) Responded(_ time.Time, service, version, route string, response Response) {
+	r := t.get(service)
+	if r == nil || !r.running() {
+		return
+	}
+	switch {
+	case version == r.record.Version:
+		r.evidence.count(route, newSide, response)
+	case slices.Contains(r.record.Baseline, version):
+		r.evidence.count(route, oldSide, response)
+	}
+}
