Platform adapter: what is no platform name moves to connection/

Change: server-sent events, Retry-After and the fields of a single connection are web standards and name nothing of the platform. Behaviour is unchanged.

--- a/platform/events.go
+++ b/connection/eventstream/eventstream.go
@@ -1,4 +1,6 @@
-package platform
+// Package eventstream reads the server-sent events of a response. Each event must have a number
+// from 1 as its id, which is its position within the stream.
+package eventstream
 
 import (
 	"bufio"
@@ -27,17 +29,17 @@
 // Begun reports whether a response broke off inside the event.
 func (e Event) Begun() bool { return e.begun }
 
-// EventReader reads events from the body of a response.
-type EventReader struct{ reader *bufio.Reader }
+// Reader reads events from the body of a response.
+type Reader struct{ reader *bufio.Reader }
 
-// NewEventReader returns a reader of the events in body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReader(body)}
+// NewReader returns a reader of the events in body.
+func NewReader(body io.Reader) *Reader {
+	return &Reader{reader: bufio.NewReader(body)}
 }
 
 // Next returns the next complete event. The error is io.EOF after the last event.
 // It is a different error if the stream breaks off, including within an event.
-func (e *EventReader) Next() (Event, error) {
+func (e *Reader) Next() (Event, error) {
 	event := Event{ID: -1}
 	for {
 		line, err := e.reader.ReadSlice('\n')
@@ -76,7 +78,7 @@
 }
 
 // Buffered reports whether a whole event is buffered, so that Next returns without waiting.
-func (e *EventReader) Buffered() bool {
+func (e *Reader) Buffered() bool {
 	data, err := e.reader.Peek(e.reader.Buffered())
 	return err == nil && (bytes.Contains(data, []byte("\n\n")) || bytes.Contains(data, []byte("\n\r\n")))
 }
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/mulberrylane/mulberrylane/connection/eventstream"
 	"github.com/mulberrylane/mulberrylane/fault"
-	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -14,7 +14,7 @@
 	number  request.AttemptNumber
 	// head is the head of the response, set with events and with complete.
 	head   *http.Response
-	events []platform.Event
+	events []eventstream.Event
 	// complete is set when the stream has ended normally. An update without events that
 	// is not complete reports that the attempt failed; kind is the reason.
 	complete bool
@@ -148,8 +148,8 @@
 // forwardEvents sends the events of a stream until it ends or breaks.
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
 	a.startResponse()
-	reader := platform.NewEventReader(response.Body)
-	var batch []platform.Event
+	reader := eventstream.NewReader(response.Body)
+	var batch []eventstream.Event
 	for {
 		event, err := reader.Next()
 		if err == nil {
@@ -183,7 +183,7 @@
 
 // endOfEvents returns the update for the end of a stream, as which the reader returned err.
 func (a *attempt) endOfEvents(response *http.Response, err error) attemptUpdate {
-	ended := platform.IsEndOfStream(err)
+	ended := eventstream.IsEndOfStream(err)
 	// The head is all of a response to HEAD.
 	framed := a.exchange.inbound.Method == http.MethodHead || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	end := request.StreamEnd{
@@ -191,7 +191,7 @@
 		Repeats:   a.eventCount > 0 && a.lastEvent <= a.spec.Position,
 		Confirmed: a.endSeen, EventBegun: a.eventBegun,
 		Framed:       framed,
-		OtherContent: !platform.MayHoldEvents(response.Header),
+		OtherContent: !eventstream.MayHoldEvents(response.Header),
 	}
 	if ended && end.DependsOnTarget() {
 		end.TargetRuns = a.targetRuns()
