--- a/process/placement/registration.go
+++ b/process/placement/registration.go
@@ -25,7 +25,9 @@
 	request.Endpoint
 	Service       string
 	FailureDomain string
-	Slots         int
+	// Version is the version that the target runs, or "" if it is unknown.
+	Version string
+	Slots   int
 	// Draining targets take no new work.
 	Draining bool
 	// Incarnation identifies one run of the target; a restart loses all its state.
--- a/scripts/platform-names.sh
+++ b/scripts/platform-names.sh
@@ -3,7 +3,7 @@
 # that implement its protocol, and tests, or if the adapter grows too large.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='Kv-(Backup|From|Fetch|Hold)|Server-Leaving|Attempt-Id|Deadline-Remaining|Response-Signature|Not-Executed|Expected-Instance|Prompt-Prefix|Token-Counts|Pin-Duration|Server-Load|kv-(txn|watch|range|key|lease|keep|move|handle)|"op/config"|"servers/"'
+names='Kv-(Backup|From|Fetch|Hold)|Server-Leaving|Attempt-Id|Deadline-Remaining|Response-Signature|Not-Executed|Expected-Instance|Prompt-Prefix|Token-Counts|Pin-Duration|Server-Load|kv-(txn|watch|range|key|lease|keep|move|handle)|"op/config"|"(op|status)/rollout/"?|"servers/"'
 if git grep -nE "$names" -- '*.go' ':!platform' ':!standin' ':!*_test.go'; then
   echo "names of the users' platform are used outside platform/, standin/ and tests" >&2
   exit 1
