Placement: targets can be restricted by their version

Cause: a roll-out sends each request to one version, its first part to a few targets of the new one, and streams must not go on from a KV copy of another version.

Change: Requirements.Version is a filter: these versions, or all but these, and a fraction of the targets that are left, rounded up, by the rank of their addresses. All entries that know the same registrations use the same ones; a larger fraction holds the smaller, and a restart keeps the rank. Pick uses it also as a last resort. PickKVCopyTarget takes only targets of the version of the source, whatever the filter, if both versions are known. Placement decides nothing about roll-outs.

--- a/process/placement/backoff.go
+++ b/process/placement/backoff.go
@@ -112,8 +112,13 @@
 // how long that lasts at least: zero if it is not known. It is false if one is merely down,
 // since it may be back sooner.
 func (t *Table) Unwilling(now time.Time, service string) (time.Duration, bool) {
+	return t.UnwillingAmong(now, service, VersionFilter{})
+}
+
+// UnwillingAmong is Unwilling for those targets of the service that a filter allows.
+func (t *Table) UnwillingAmong(now time.Time, service string, filter VersionFilter) (time.Duration, bool) {
 	wait, unwilling := time.Duration(0), false
-	for _, target := range t.services[service] {
+	for _, target := range t.allowed(service, &filter) {
 		switch {
 		case target.replaced:
 		case target.IsDraining():
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -29,6 +29,8 @@
 	MaxPrefillTime time.Duration
 	// FailureDomain is the entry's own failure domain, preferred for calls.
 	FailureDomain string
+	// Version restricts the targets by their version.
+	Version VersionFilter
 }
 
 // cachedTokens returns how many tokens of the prompt the target has cached.
@@ -66,14 +68,15 @@
 			return choice, nil
 		}
 	}
-	return Choice{}, t.noTargetError(now, requirements.Service)
+	return Choice{}, t.noTargetError(now, requirements.Service, requirements.Version)
 }
 
 // noTargetError returns the error of a request that no target can take, with the states of
 // the targets.
-func (t *Table) noTargetError(now time.Time, service string) error {
+func (t *Table) noTargetError(now time.Time, service string, filter VersionFilter) error {
 	draining, down, backingOff := 0, 0, 0
-	for _, target := range t.services[service] {
+	targets := t.allowed(service, &filter)
+	for _, target := range targets {
 		switch {
 		case target.IsDraining():
 			draining++
@@ -84,14 +87,15 @@
 		}
 	}
 	return fault.New(fault.NoTarget, "no target of %s can take the request: of %d targets, %d are leaving, %d down and %d backing off",
-		service, len(t.services[service]), draining, down, backingOff)
+		service, len(targets), draining, down, backingOff)
 }
 
 // pick chooses among the targets that are up. As a last resort it also considers targets
 // that await a probe, with at most one attempt in flight at each, and those to avoid.
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
-	candidates := make([]candidate, 0, len(t.services[requirements.Service]))
-	for _, target := range t.services[requirements.Service] {
+	targets := t.allowed(requirements.Service, &requirements.Version)
+	candidates := make([]candidate, 0, len(targets))
+	for _, target := range targets {
 		if target.IsDraining() || target.Down(now) || !target.acceptsAttempt(now) {
 			continue
 		}
@@ -192,14 +196,15 @@
 const otherDomainCost = 0.2
 
 // PickKVCopyTarget chooses the target that receives the KV copy of a stream running on
-// source: in another failure domain, with the least memory in use and prefill pending,
-// and none of those to avoid. It returns nil if there is none.
+// source: in another failure domain, of the same version, with the least memory in use and
+// prefill pending, and none of those to avoid. It returns nil if there is none. The filter of
+// versions does not matter: a stream stays with the version of its source.
 func (t *Table) PickKVCopyTarget(now time.Time, source *Target, requirements Requirements, avoid ...request.TargetID) *Target {
 	t.expirePeers(now)
 	var best *Target
 	leastCost := 0.0
 	for _, target := range t.services[requirements.Service] {
-		if target == source || target.FailureDomain == source.FailureDomain {
+		if target == source || target.FailureDomain == source.FailureDomain || !mayShareState(target, source) {
 			continue
 		}
 		if target.IsDraining() || target.Down(now) || target.BackingOff(now) || target.AwaitingProbe() || slices.Contains(avoid, target.ID) {
