Placement: the part of a version's targets that is used can move on

Cause: the core of roll-outs lets the canary's part of the new targets move on, so that a target that is at fault for its host alone, or the only one that is not, is not all that is seen.

Change: VersionFilter.Rotation moves the part on by its own size, over the targets by rank.

Result: TestPick_RotationUsesAllTargetsInTurns passed: 20 values with a tenth of 30 targets use each twice, and the same in tables that learned of the targets in another order.

--- a/process/placement/versions.go
+++ b/process/placement/versions.go
@@ -21,6 +21,8 @@
 	// of its targets, each would have less load than it will have later, and faults that show
 	// under load would stay hidden.
 	Fraction float64
+	// Rotation, from 0 on, moves the part on: successive values use all targets in turns.
+	Rotation int64
 }
 
 // IsZero reports whether the filter allows all targets.
@@ -58,7 +60,7 @@
 		}
 	}
 	if filter.Fraction > 0 && filter.Fraction < 1 {
-		return limitTargets(targets, filter.Fraction)
+		return limitTargets(targets, filter.Fraction, filter.Rotation)
 	}
 	return targets
 }
@@ -69,7 +71,7 @@
 // limitTargets limits targets to a fraction of them, by the rank of their addresses, which
 // outlast restarts. Those that take no new work by their registrations, or that were replaced,
 // are not counted and are kept.
-func limitTargets(targets []*Target, fraction float64) []*Target {
+func limitTargets(targets []*Target, fraction float64, rotation int64) []*Target {
 	counts := func(target *Target) bool { return !target.Draining && !target.replaced }
 	rank := func(target *Target) uint64 { return xxhash.Sum64String(target.Address) }
 	ranks := make([]uint64, 0, len(targets))
@@ -82,8 +84,12 @@
 		return targets
 	}
 	slices.Sort(ranks)
-	limit := ranks[max(1, int(math.Ceil(fraction*float64(len(ranks))-roundingError)))-1]
-	return slices.DeleteFunc(targets, func(target *Target) bool { return counts(target) && rank(target) > limit })
+	size := max(1, int(math.Ceil(fraction*float64(len(ranks))-roundingError)))
+	first := int(max(0, rotation) % int64(len(ranks)) * int64(size) % int64(len(ranks)))
+	return slices.DeleteFunc(targets, func(target *Target) bool {
+		at, _ := slices.BinarySearch(ranks, rank(target))
+		return counts(target) && (at-first+len(ranks))%len(ranks) >= size
+	})
 }
 
 // mayShareState reports whether a KV copy of one target may be used by the other: their versions
--- a/process/placement/versions_test.go
+++ b/process/placement/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -107,6 +108,26 @@
 	}
 }
 
+// A canary must come to all targets in turns: one that is at fault for its host may be any.
+func TestPick_RotationUsesAllTargetsInTurns(t *testing.T) {
+	table := newVersionTable(10, 30, 0)
+	uses := map[request.TargetID]int{}
+	for rotation := range int64(20) {
+		targets := idsOf(table.allowed(callService, &VersionFilter{Versions: []string{"v2"}, Fraction: 0.1, Rotation: rotation}))
+		assert.Equal(t, len(targets), 3)
+		assert.DeepEqual(t, targets, idsOf(newVersionTable(10, 30, 7).allowed(callService, &VersionFilter{Versions: []string{"v2"}, Fraction: 0.1, Rotation: rotation})))
+		for _, id := range targets {
+			uses[id]++
+		}
+	}
+	assert.Equal(t, len(uses), 30)
+	for id, count := range uses {
+		assert.Equal(t, count, 2, "target %s", id)
+	}
+	assert.Equal(t, len(table.allowed(callService, &VersionFilter{Fraction: 0.1, Rotation: math.MaxInt64})), 4)
+	assert.Equal(t, len(table.allowed(callService, &VersionFilter{Fraction: 0.1, Rotation: -1})), 4)
+}
+
 // A larger part must hold the smaller one, and a restart under another ID must not move it: else a
 // ramp would send to targets that have no warm caches.
 func TestPick_FractionGrowsAndOutlastsRestarts(t *testing.T) {
