Stand-ins: targets of a version with its faults, and late writes of the store

Cause: the tests of roll-outs need good and bad versions, and a store whose write is applied seconds after its connection broke.

Change: replicas have a version, in their registration, in their responses and in what they log. The store executes writes late, loses or delays only those of some keys, and lists the changes of keys.

--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -19,6 +21,12 @@
 	// lost; WriteLossRate that the write is lost before it takes effect.
 	ResponseLossRate float64 `json:"loseAnswer"`
 	WriteLossRate    float64 `json:"loseWrite"`
+	// LateWriteRate is the probability that the connection of a write breaks at once and the
+	// write is executed WriteLateness later, if its conditions hold then; PlatformHandler alone.
+	LateWriteRate float64       `json:"lateWrite,omitempty"`
+	WriteLateness time.Duration `json:"writeLateness,omitempty"`
+	// OnlyKeys limits losses and late writes to transactions that write a key with this prefix.
+	OnlyKeys string `json:"onlyKeys,omitempty"`
 	// Seed is the random seed for the losses.
 	Seed uint64 `json:"seed"`
 }
@@ -62,17 +70,23 @@
 	delay                     time.Duration
 	requestLost, responseLost bool
 	silent                    bool
+	// lateness is how much later a write is executed whose connection breaks at once.
+	lateness time.Duration
 }
 
-// drawFaults returns the faults of the next call. Writes are lost at random, at the
-// configured rates.
-func (s *Store) drawFaults(write bool) callFaults {
+// drawFaults returns the faults of the next call. Writes are lost or late at random, at the
+// configured rates, if they are among those that OnlyKeys names.
+func (s *Store) drawFaults(write bool, keys ...string) callFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := callFaults{delay: s.faults.Delay, requestLost: s.faults.Outage, silent: s.faults.Silent}
-	if write {
+	hasPrefix := func(key string) bool { return strings.HasPrefix(key, s.faults.OnlyKeys) }
+	if write && (s.faults.OnlyKeys == "" || slices.ContainsFunc(keys, hasPrefix)) {
 		f.requestLost = f.requestLost || s.random.Float64() < s.faults.WriteLossRate
 		f.responseLost = s.random.Float64() < s.faults.ResponseLossRate
+		if s.faults.LateWriteRate > 0 && s.random.Float64() < s.faults.LateWriteRate {
+			f.lateness = s.faults.WriteLateness
+		}
 	}
 	return f
 }
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -149,3 +149,25 @@
 	defer s.mu.Unlock()
 	s.put(key, value, 0)
 }
+
+// Change is one change of a key. Value is empty if the key was removed.
+type Change struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+}
+
+// Changes returns the changes of all keys that begin with prefix, except compacted ones, in
+// order.
+func (s *Store) Changes(prefix string) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []Change
+	for _, c := range s.history {
+		if strings.HasPrefix(c.key, prefix) {
+			changes = append(changes, Change{Key: c.key, Value: c.entry.value, Revision: c.entry.modRevision, Removed: c.deleted})
+		}
+	}
+	return changes
+}
--- a/standin/kv/platform.go
+++ b/standin/kv/platform.go
@@ -1,7 +1,9 @@
 package kv
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,16 +36,28 @@
 
 // platformCall executes serve under the lock, with the faults that are set.
 func (s *Store) platformCall(count *int64, write bool, serve func(*http.Request) (int, any)) http.HandlerFunc {
+	execute := func(r *http.Request) (int, any) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		*count++
+		s.removeExpiredLeases()
+		return serve(r)
+	}
 	return func(w http.ResponseWriter, r *http.Request) {
-		f := s.drawFaults(write)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			dropConnection()
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		f := s.drawFaults(write, writtenKeys(body)...)
 		if !f.deliver(r.Context()) {
 			return
 		}
-		s.mu.Lock()
-		*count++
-		s.removeExpiredLeases()
-		status, response := serve(r)
-		s.mu.Unlock()
+		if f.lateness > 0 {
+			time.AfterFunc(f.lateness, func() { execute(r) })
+			dropConnection()
+		}
+		status, response := execute(r)
 		if f.responseLost {
 			dropConnection()
 		}
@@ -51,6 +65,17 @@
 	}
 }
 
+// writtenKeys returns the keys that a transaction writes, given the body of its call.
+func writtenKeys(body []byte) []string {
+	var req struct{ Writes []struct{ Key string } }
+	_ = json.Unmarshal(body, &req)
+	keys := make([]string, len(req.Writes))
+	for i, write := range req.Writes {
+		keys[i] = write.Key
+	}
+	return keys
+}
+
 func writeJSON(w http.ResponseWriter, status int, response any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/standin/replica/arrivals.go
+++ b/standin/replica/arrivals.go
@@ -26,6 +26,7 @@
 	// Connection is the remote address of the connection.
 	Connection  string
 	Target      string
+	Version     string
 	Incarnation int64
 	Path        string
 	// FromKVCopy is set when the request asks to resume from a KV copy.
@@ -52,7 +53,7 @@
 	}
 	l.arrivals = append(l.arrivals, Arrival{
 		Request: id, Entry: entryOf(req.Header), Connection: req.RemoteAddr,
-		Target: r.config.ID, Incarnation: r.config.Incarnation, Path: req.URL.Path,
+		Target: r.config.ID, Version: r.config.Version, Incarnation: r.config.Incarnation, Path: req.URL.Path,
 		FromKVCopy: req.Header.Get("Kv-From") != "", PromptParts: req.Header.Get("Prompt-Prefix"),
 		Shed: shedding, RetryAfter: retryAfter, Leaving: faults.Leaving,
 		At: time.Now(),
--- a/standin/replica/executions.go
+++ b/standin/replica/executions.go
@@ -17,6 +17,7 @@
 type Execution struct {
 	Request           string
 	Target            string
+	Version           string
 	Path              string
 	Body              string
 	Workspace         string
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -35,6 +35,8 @@
 	EventInterval time.Duration
 	CallTime      time.Duration
 	Slots         int
+	// Version is the version that the target runs, or "" for a target that states none.
+	Version string
 	// Incarnation identifies the incarnation, in Unix milliseconds.
 	Incarnation int64
 }
@@ -43,11 +45,15 @@
 type Fleet struct {
 	ExecutionLog *ExecutionLog
 	kvCopies     kvCopies
+	versions     versionState
 }
 
 // NewFleet returns a fleet without targets.
 func NewFleet() *Fleet {
-	return &Fleet{ExecutionLog: NewExecutionLog(), kvCopies: kvCopies{held: map[string]bool{}, rejecting: map[string]bool{}}}
+	return &Fleet{
+		ExecutionLog: NewExecutionLog(), kvCopies: kvCopies{held: map[string]bool{}, rejecting: map[string]bool{}},
+		versions: versionState{faults: map[string]VersionFaults{}, setAt: map[string]time.Time{}},
+	}
 }
 
 // Replica is one incarnation of a target.
@@ -135,10 +141,14 @@
 
 // RegistrationValue returns the value that the target writes to the store.
 func (r *Replica) RegistrationValue(state string) []byte {
-	value, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"Service": r.config.Service, "Address": r.config.AdvertisedAddress, "Zone": r.config.FailureDomain,
 		"Slots": r.config.Slots, "State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": r.config.Incarnation,
-	})
+	}
+	if r.config.Version != "" {
+		fields["Version"] = r.config.Version
+	}
+	value, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
 	}
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -107,11 +107,12 @@
 	defer r.endRequest(req)
 	r.awaitOutput(req.Context())
 	r.setHeaders(w, id, faults)
+	fault := r.drawVersionFault(req, id)
 	if r.config.Engine {
-		r.stream(w, req, id)
+		r.stream(w, req, id, fault)
 		return
 	}
-	r.serveCall(w, req, id, faults)
+	r.serveCall(w, req, id, faults, fault)
 }
 
 func (r *Replica) beginRequest(req *http.Request, id string) {
@@ -130,7 +131,7 @@
 	r.cachePrompt(req.Header.Get("Prompt-Prefix"))
 	position, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r.fleet.ExecutionLog.addExecution(Execution{
-		Request: id, Target: r.config.ID, Path: req.RequestURI, Body: string(body[:n]),
+		Request: id, Target: r.config.ID, Version: r.config.Version, Path: req.RequestURI, Body: string(body[:n]),
 		Workspace: req.Header.Get("Tenant"), APIKey: req.Header.Get("Key"), DeadlineRemaining: req.Header.Get("Deadline-Remaining"), Priority: req.Header.Get("Request-Priority"),
 		Position: position, FromKVCopy: req.Header.Get("Kv-From") != "", KVCopyOf: copiedRequest(req.Header.Get("Kv-From")), At: time.Now(),
 	})
@@ -154,6 +155,9 @@
 	if !faults.OmitSignature {
 		header.Set("Response-Signature", Signature(id))
 	}
+	if r.config.Version != "" {
+		header.Set(versionHeader, r.config.Version)
+	}
 	if faults.SetContentEncoding {
 		header.Set("Content-Encoding", "gzip")
 	}
@@ -175,13 +179,14 @@
 	}
 }
 
-func (r *Replica) serveCall(w http.ResponseWriter, req *http.Request, id string, faults Faults) {
-	r.wait(req.Context(), r.config.CallTime)
+func (r *Replica) serveCall(w http.ResponseWriter, req *http.Request, id string, faults Faults, fault versionFault) {
+	r.wait(req.Context(), fault.slowed(r.config.CallTime))
+	r.logVersionFault(fault, id)
 	if faults.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
 	status := http.StatusOK
-	if faults.RespondWithError {
+	if faults.RespondWithError || fault.fails {
 		status = http.StatusInternalServerError
 	}
 	body := "answer to " + id
@@ -208,10 +213,15 @@
 	r.wait(context.Background(), 50*time.Millisecond)
 }
 
-func (r *Replica) stream(w http.ResponseWriter, req *http.Request, id string) {
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, id string, fault versionFault) {
 	position, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if req.Header.Get("Kv-From") == "" {
-		r.wait(req.Context(), r.config.PrefillTime)
+		r.wait(req.Context(), fault.slowed(r.config.PrefillTime))
+	}
+	r.logVersionFault(fault, id)
+	if fault.fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
@@ -231,6 +241,6 @@
 		}
 		_, _ = w.Write([]byte(text))
 		_ = controller.Flush()
-		r.wait(req.Context(), r.config.EventInterval)
+		r.wait(req.Context(), fault.slowed(r.config.EventInterval))
 	}
 }
