--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -17,8 +17,9 @@
 	leadTime = time.Second
 	// minDrainTime is the least time that is left for what runs on old versions to end.
 	minDrainTime = 300 * time.Millisecond
-	// minStepTime and maxStepTime limit the length of a step of the ramp: evidence needs some
-	// slices of time, and each step costs a part of what a bad version may get.
+	// minStepTime and maxStepTime limit the length of a step of the ramp, to which the usual time of
+	// a response is added: evidence needs some slices of time, and each step costs a part of what a
+	// bad version may get.
 	minStepTime = 800 * time.Millisecond
 	maxStepTime = 2 * time.Second
 	// canaryTime is the least time of the canary.
@@ -27,8 +28,8 @@
 	// so that they fit into short ones; stepPart is that of a step.
 	shortPart = 0.1
 	stepPart  = 0.05
-	// closeDelay is how long after it learned of the move an entry may promise to send nothing to
-	// old versions: attempts that were placed before are counted by then.
+	// closeDelay is how long nothing must have run on old versions before an entry promises to send
+	// nothing there: a stream that is between two attempts is counted by then.
 	closeDelay = 100 * time.Millisecond
 	// peerWait is how long an entry that starts waits for peers that know the age of an order.
 	peerWait = 1500 * time.Millisecond
@@ -36,6 +37,9 @@
 	takeoverDelay = time.Second
 	// maxTakeovers limits how many it waits for.
 	maxTakeovers = 6
+	// lastSuspicion is for how long a version must have been suspected at the time limit to be
+	// rolled back then.
+	lastSuspicion = 2 * time.Second
 	// conflictDelay is how long a change whose condition did not hold is not tried again: changes
 	// of the store are known within two seconds.
 	conflictDelay = 2500 * time.Millisecond
@@ -170,14 +174,23 @@
 	}
 	r.evidence.sliceEnds = now.Add(sliceTime)
 	r.evidence.endSlice(r.total())
-	r.rejected, r.suspected = r.evidence.judge()
+	before := r.suspected
+	if r.rejected, r.suspected = r.evidence.judge(); r.suspected && !before {
+		r.suspectedSince = now
+	}
 }
 
 // updatePromise promises the other entries to send nothing to old versions any more, or takes that
 // back if the new one turns out to be bad.
 func (r *rollout) updatePromise(now time.Time, share float64) {
-	r.closed = r.recorded() && r.record.Stage == Moved && share >= 1 && r.runningOld == 0 &&
-		(r.closed || now.Sub(r.followedSince) >= closeDelay)
+	if !r.recorded() || r.record.Stage != Moved || share < 1 || r.runningOld > 0 {
+		r.closed, r.idleSince = false, time.Time{}
+		return
+	}
+	if r.idleSince.IsZero() {
+		r.idleSince = now
+	}
+	r.closed = r.closed || now.Sub(r.idleSince) >= closeDelay
 }
 
 // due returns the change that this entry should try now.
@@ -248,7 +261,7 @@
 		return ""
 	case r.newReplicas == 0 && r.oldReplicas > 0:
 		return "no replica of the version at the time limit"
-	case r.suspected:
+	case r.suspected && now.Sub(r.suspectedSince) >= lastSuspicion:
 		return "suspected at the time limit"
 	default:
 		return ""
@@ -338,6 +351,7 @@
 		limit: r.seenAt.Add(duration - uncertainty), canary: short(canaryTime, 2*shortPart),
 		step: min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(duration)))),
 	}
+	p.step += r.evidence.latency(duration)
 	p.last = p.limit.Add(-lead / 2)
 	drain := min(max(r.longest, minDrainTime), duration/2)
 	p.ramp = p.limit.Add(-2*lead - drain - time.Duration(len(rampShares))*(p.step+lead/4))
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -188,14 +188,18 @@
 	rejected string
 	// heldBack is the version of a superseded record that was found to be bad.
 	heldBack string
-	// suspected is set while the recent evidence is against the version, but not conclusive.
-	suspected bool
+	// suspected is set while the recent evidence is against the version, but not conclusive; since
+	// suspectedSince.
+	suspected      bool
+	suspectedSince time.Time
 	// runningOld counts what runs here on old versions, longest is the longest time for which a
 	// request of the service has run, at any entry.
 	runningOld int
 	longest    time.Duration
 	// closed is the promise to the other entries to start nothing on old versions any more.
 	closed bool
+	// idleSince is since when all new requests go to the new version and nothing runs on old ones.
+	idleSince time.Time
 	// oldReplicas and newReplicas count the usable replicas of the versions.
 	oldReplicas, newReplicas int
 
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -50,6 +50,29 @@
 	}
 }
 
+// TestStorm guards against roll-backs because of what hits both versions alike.
+func TestStorm_RollsNothingBack(t *testing.T) {
+	storms := map[string]func(*simConfig){
+		"errors": func(c *simConfig) { c.baseErrors = 0.14 },
+		"storm of failures": func(c *simConfig) {
+			c.stormAt, c.storm = 8*time.Second, 0.6
+		},
+		"slow turns": func(c *simConfig) { c.turnFactor, c.turnTime = 3.5, 3*time.Second },
+	}
+	for name, config := range loads() {
+		for storm, change := range storms {
+			t.Run(name+" "+storm, func(t *testing.T) {
+				for seed := range uint64(seeds) {
+					config := config
+					config.limit = 40 * time.Second
+					change(&config)
+					play(t, seed, config).checkGood(name)
+				}
+			})
+		}
+	}
+}
+
 // TestBadVersion guards against too many requests to a bad version.
 func TestBadVersion_IsRolledBackWithinBounds(t *testing.T) {
 	failing := func(part float64) func(s *simulation, r *simReplica, route string) (bool, float64) {
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -4,20 +4,37 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mulberrylane/mulberrylane/process/placement"
 )
 
 const (
 	// canaryPart is the part of CanaryShare that the canary gets. The rest is for the steps of the
 	// ramp, in which a version may still turn out to be bad.
-	canaryPart = 0.5
+	canaryPart = 0.7
 	// startPart is the part of CanarySlack that the canary may use at once, so that services with
 	// few requests give evidence; capPart is the part that all requests until the move may use.
 	// What is left covers requests that entries have sent when they learn that a version is bad.
 	startPart = 0.3
 	capPart   = 0.6
-	// maxCredit is how many requests to the new version an entry may catch up on at once, after
-	// a time without a usable replica of it.
-	maxCredit = 2
+	// maxCredit is how many requests to the new version an entry may catch up on: those of the time
+	// between two pulses at an entry with some 50 requests a second.
+	maxCredit = 10
+	// pulseTime is the length of a pulse of the canary: some responses of each entry, two slices of
+	// evidence. Between pulses nothing goes to the new version.
+	pulseTime = time.Second
+	// turnTime is how long the same replicas get the requests of a pulse. rampTurnTime is that time
+	// in a step of the ramp: long enough that work builds up there as it will later.
+	turnTime     = pulseTime / 3
+	rampTurnTime = time.Second
+	// pulseOffset is the age of the order at which the first pulse begins. By then most entries
+	// know the record.
+	pulseOffset = time.Second
+	// rotationTime is how long the same replicas get the requests of a canary without pulses.
+	rotationTime = 2 * time.Second
+	// minPulseRatio is by how much the share of the least number of replicas exceeds that of the
+	// canary for the canary to have pulses.
+	minPulseRatio = 1.25
 )
 
 // rampShares are the shares of the steps of a ramp, at least. In each step, as many of the new
@@ -25,17 +42,6 @@
 // after the move, and faults under load show.
 var rampShares = [...]float64{0.1, 0.5}
 
-// VersionFilter restricts the targets of an attempt.
-type VersionFilter struct {
-	// Version is the only version allowed if Only is set.
-	Version string
-	Only    bool
-	// Excluded lists versions that are not allowed.
-	Excluded []string
-	// Subset is the part of the targets of Version that may be used, from 0 to 1; zero means all.
-	Subset float64
-}
-
 // Pin is the version that a request must stay with, if Set.
 type Pin struct {
 	Version string
@@ -47,6 +53,8 @@
 	sent, toTarget int
 	// credit is how many requests may go to the new version; each request adds the share.
 	credit, slack float64
+	// pace is the same within a pulse; each request of its time adds the share of the pulse.
+	pace float64
 }
 
 // start begins to count for an order. The random part of the first credit keeps many entries with
@@ -56,8 +64,11 @@
 	c.credit, c.slack = float64(hash>>11)*fraction+startPart*slack, slack
 }
 
-// allows reports whether the next request may go to the new version at the pace of the share.
-func (c *traffic) allows(share float64) bool { return c.credit+share >= 1 }
+// allows reports whether the next request may go to the new version at the given share, and at the
+// pace of the pulse, which is zero between pulses.
+func (c *traffic) allows(share, pulse float64) bool {
+	return c.credit+share >= 1 && (pulse >= 1 || pulse > 0 && c.pace+pulse >= 1)
+}
 
 // belowCap reports whether one more request to the new version stays within the bound on what a
 // bad version may get, counted over this entry's requests so far.
@@ -66,12 +77,14 @@
 }
 
 // count counts a request.
-func (c *traffic) count(share float64, toTarget bool) {
+func (c *traffic) count(share, pulse float64, toTarget bool) {
 	c.sent++
 	c.credit = min(c.credit+share, max(maxCredit, c.credit))
+	c.pace = min(c.pace+pulse, 1)
 	if toTarget {
 		c.toTarget++
 		c.credit = max(-maxCredit, c.credit-1)
+		c.pace = max(0, c.pace-1)
 	}
 }
 
@@ -136,13 +149,13 @@
 // Assign returns which targets an attempt may be sent to, the most preferred first; the next filter
 // applies if no target passes the one before. None means no restriction. A pinned request stays
 // with its version, and retry is set for attempts after the first.
-func (t *Tracker) Assign(service string, pin Pin, retry bool) []VersionFilter {
+func (t *Tracker) Assign(now time.Time, service string, pin Pin, retry bool) []placement.VersionFilter {
 	r := t.get(service)
 	if r == nil {
 		return nil
 	}
 	if pin.Set {
-		return []VersionFilter{{Version: pin.Version, Only: true}}
+		return []placement.VersionFilter{only(pin.Version)}
 	}
 	if r.recordRevision == 0 {
 		return t.assignUnrecorded(r)
@@ -152,61 +165,81 @@
 	case r.record.Stage == Completed, share >= 1:
 		return r.assignMoved(excluded)
 	case share == 0:
-		return []VersionFilter{{Excluded: with(excluded, r.record.Version)}}
+		return []placement.VersionFilter{except(with(excluded, r.record.Version))}
 	default:
-		return t.assignSplit(r, share, excluded, retry)
+		return t.assignSplit(now, r, share, excluded, retry)
 	}
 }
 
 // assignUnrecorded keeps requests from the version of an order until its first record, unless no
 // other is registered.
-func (t *Tracker) assignUnrecorded(r *rollout) []VersionFilter {
+func (t *Tracker) assignUnrecorded(r *rollout) []placement.VersionFilter {
 	if r.order.Version == "" {
 		return nil
 	}
-	return []VersionFilter{{Excluded: []string{r.order.Version}}, {}}
+	return []placement.VersionFilter{except([]string{r.order.Version}), {}}
 }
 
 // assignMoved sends requests to the new version, and to the old ones only if there is no other
 // and this entry has not promised to send nothing there.
-func (r *rollout) assignMoved(excluded []string) []VersionFilter {
+func (r *rollout) assignMoved(excluded []string) []placement.VersionFilter {
 	replaced := excluded
 	for _, version := range r.record.Baseline {
 		replaced = with(replaced, version)
 	}
-	filters := []VersionFilter{{Excluded: replaced}}
+	filters := []placement.VersionFilter{except(replaced)}
 	if r.record.Stage == Moved && !r.closed {
-		filters = append(filters, VersionFilter{Excluded: with(excluded, r.record.Version)})
+		filters = append(filters, except(with(excluded, r.record.Version)))
 	}
 	return filters
 }
 
 // assignSplit assigns a request to the old or the new version. A retry goes to the old one: the
 // request may have failed on the new one, or for a reason of its own.
-func (t *Tracker) assignSplit(r *rollout, share float64, excluded []string, retry bool) []VersionFilter {
-	oldVersions := VersionFilter{Excluded: with(excluded, r.record.Version)}
-	newVersion := VersionFilter{Version: r.record.Version, Only: true, Subset: r.subset(share)}
+func (t *Tracker) assignSplit(now time.Time, r *rollout, share float64, excluded []string, retry bool) []placement.VersionFilter {
+	oldVersions, newVersion := except(with(excluded, r.record.Version)), only(r.record.Version)
+	var pulse float64
+	newVersion.Fraction, newVersion.Rotation, pulse = t.pulse(now, r, share)
 	below := r.traffic.belowCap(t.limits)
 	switch {
-	case !retry && below && r.traffic.allows(share):
-		return []VersionFilter{newVersion, oldVersions}
+	case !retry && below && r.traffic.allows(share, pulse):
+		return []placement.VersionFilter{newVersion, oldVersions}
 	case below:
 		// All old replicas may be down or full.
-		return []VersionFilter{oldVersions, newVersion}
+		return []placement.VersionFilter{oldVersions, newVersion}
 	default:
-		return []VersionFilter{oldVersions}
+		return []placement.VersionFilter{oldVersions}
 	}
 }
 
-// subset returns the part of the new replicas that get requests: as many as will have the share,
-// rounded down, and one at least. Half of a replica is left out, so that rounding up gives them.
-func (r *rollout) subset(share float64) float64 {
+// pulse returns which replicas of the new version get requests now and at which pace.
+//
+// The replicas in use each get the load that they will have after the move, so that faults under
+// load show early. If that is more than the share of the canary, the canary has pulses in between
+// which the replicas get nothing; each third of a pulse goes to others, so that one slow host is not
+// taken for a slow version. Entries agree on the times by the age of the order.
+func (t *Tracker) pulse(now time.Time, r *rollout, share float64) (subset float64, rotation int64, pulse float64) {
+	const tolerance, half = 1e-9, 0.5
 	if r.newReplicas == 0 {
-		return share
+		return 0, 0, 1
 	}
-	const tolerance, half = 1e-9, 0.5
-	replicas := max(1, math.Floor(share*float64(r.newReplicas)+tolerance))
-	return (replicas - half) / float64(r.newReplicas)
+	all := float64(r.newReplicas)
+	replicas := max(1, math.Floor(share*all+tolerance))
+	// Half of a replica is left out, so that rounding up gives the rest.
+	subset = (replicas - half) / all
+	if r.record.Stage == Ramping && share > t.canaryShare() {
+		return subset, int64(r.age(now) / rampTurnTime), 1
+	}
+	pulse = replicas / all
+	if pulse < minPulseRatio*share {
+		return subset, int64(r.age(now) / rotationTime), 1
+	}
+	period := time.Duration(pulse / share * float64(pulseTime))
+	age := r.age(now) - pulseOffset + period
+	if age%period >= pulseTime {
+		pulse = 0
+	}
+	return subset, int64(age/period*(pulseTime/turnTime) + age%period/turnTime), pulse
 }
 
 // excluded returns the versions that get nothing whatever the stage of the record.
@@ -219,6 +252,15 @@
 	return excluded
 }
 
+// only allows one version, except all but the given ones.
+func only(version string) placement.VersionFilter {
+	return placement.VersionFilter{Versions: []string{version}}
+}
+
+func except(versions []string) placement.VersionFilter {
+	return placement.VersionFilter{Versions: versions, Except: true}
+}
+
 // with returns versions and version, without a copy of it that is there already.
 func with(versions []string, version string) []string {
 	if slices.Contains(versions, version) {
@@ -231,17 +273,29 @@
 // the version.
 func (t *Tracker) MayResume(service, version string) bool {
 	r := t.get(service)
-	if r == nil || r.recordRevision == 0 || r.record.Stage < Moved || r.record.Stage == RolledBack {
+	switch {
+	case r == nil || r.recordRevision == 0:
+		return true
+	case t.share(r) == 0:
+		return version != r.record.Version
+	case r.record.Stage == Completed || r.closed:
+		return !slices.Contains(r.record.Baseline, version)
+	default:
 		return true
 	}
-	return !r.closed && r.record.Stage == Moved || !slices.Contains(r.record.Baseline, version)
 }
 
 // Sent counts an attempt that is about to be sent to a version.
-func (t *Tracker) Sent(service, version string) {
-	if r := t.get(service); r != nil {
-		r.traffic.count(t.share(r), r.isTarget(version))
+func (t *Tracker) Sent(now time.Time, service, version string) {
+	r := t.get(service)
+	if r == nil {
+		return
+	}
+	share, pulse := t.share(r), 0.0
+	if share > 0 && share < 1 {
+		_, _, pulse = t.pulse(now, r, share)
 	}
+	r.traffic.count(share, pulse, r.isTarget(version))
 }
 
 // Unsent takes back an attempt that was counted but did not reach a target.
@@ -260,7 +314,7 @@
 }
 
 // Responded counts the response to the first attempt of a request.
-func (t *Tracker) Responded(_ time.Time, service, version, route string, response Response) {
+func (t *Tracker) Responded(service, version, route string, response Response) {
 	r := t.get(service)
 	if r == nil || !r.running() {
 		return
