Gateway: roll-outs of versions

The entry applies orders, records and statuses of the store, assigns each attempt to a version, counts responses, reports them to its peers under the new key 24 and writes the records and statuses. Bounds of the settings turn it on. go test ./process/gateway -run 'TestCall_|TestStream_' passes; no test of the roll-outs themselves yet.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -64,6 +64,12 @@
 	mayHaveRun bool
 	// sentBefore is set if the request was sent to the target before.
 	sentBefore bool
+	// first is set if it is the first attempt of its request that was placed. sent is set once the
+	// request has been sent, with the outcome; broken if the response broke off, though nobody had
+	// given up the attempt; answeredAt is when the whole response to a call had arrived.
+	first, sent, broken bool
+	outcome             request.AttemptOutcome
+	answeredAt          time.Time
 	// prefillUncontended is set if the target had no other prompt to prefill when the
 	// attempt was placed.
 	prefillUncontended bool
@@ -176,7 +182,7 @@
 			return
 		}
 		requirements.CachedPrompt = c.promptIndex.Find(a.startedAt, requirements.Session)
-		if choice, err = c.table.Pick(a.startedAt, requirements); err != nil {
+		if choice, err = c.pickTarget(a.startedAt, e, requirements); err != nil {
 			c.returnTrial(e.trial)
 			e.trial = quarantine.Part{}
 			return
@@ -204,6 +210,7 @@
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.spec.Target = t.Endpoint
 	c.table.AddAttempt(t.ID, a.requirements)
+	c.countPlaced(a)
 	if a.requirements.MemoryTokens > 0 {
 		if copyTarget := c.table.PickKVCopyTarget(a.startedAt, t, a.requirements); copyTarget != nil && a.exchange.usesKVCopies() {
 			a.kvCopy = kvcopies.Copy{RequestID: a.exchange.inbound.ID, Target: copyTarget.ID, Incarnation: copyTarget.Incarnation}
@@ -235,6 +242,7 @@
 			c.updatePending = true
 		}
 		c.removeAttempt(a)
+		c.countEnded(time.Now(), a)
 		if !a.mayHaveRun {
 			c.returnTrial(a.trial)
 		}
@@ -250,6 +258,7 @@
 			return
 		}
 		a.streaming, a.streamingSince = true, time.Now()
+		c.countFirstEvent(a.streamingSince, a)
 		c.promptIndex.Record(a.streamingSince, a.requirements.Session, prompts.Location{
 			Target: a.target.ID, Incarnation: a.target.Incarnation, Tokens: a.exchange.inbound.PromptTokens,
 		})
@@ -308,8 +317,9 @@
 		a.connectFailed(err)
 		return nil, request.Reply{}, request.AttemptUnsent
 	}
-	a.mayHaveRun = true
+	a.mayHaveRun, a.sent = true, true
 	if err != nil {
+		a.outcome = request.AttemptBroken
 		a.responseFailed(err)
 		return nil, request.Reply{}, request.AttemptBroken
 	}
@@ -317,6 +327,7 @@
 	a.reply = platform.DecodeReply(response, a.exchange.inbound.ID)
 	a.reply.ConnectionReused = conn.Reused
 	outcome := a.reply.Outcome()
+	a.outcome, a.broken = outcome, outcome == request.AttemptBroken
 	if !a.reply.WrongTarget && outcome != request.AttemptBroken {
 		a.monitor.recordIdentified(g.control)
 	}
@@ -408,6 +419,7 @@
 	g.log.Event("broken", "request", a.exchange.inbound.ID, "target", a.target.ID,
 		"givenUp", a.targetDown.Load(), "after", time.Since(a.startedAt), "error", err.Error(),
 		"responseStarted", a.responseStarted.Load(), "events", a.eventCount)
+	a.broken = true
 	if a.targetDown.Load() {
 		return
 	}
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -233,6 +233,7 @@
 		a.responseFailed(err)
 		return nil, request.AttemptBroken
 	}
+	a.answeredAt = time.Now()
 	if reply.Status < http.StatusMultipleChoices {
 		a.responseStartedAt = time.Now()
 		a.recordSurvival()
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -118,6 +118,8 @@
 	// trialsDue holds the parts whose quarantine is known from the store alone, and when this
 	// entry may claim the trial of each.
 	trialsDue map[quarantine.Part]time.Time
+	// rollouts moves services to other versions on orders of operators.
+	rollouts rollouts
 	// bootClockOffset is the difference between the clock that includes suspended time
 	// and the time since the start of the process, which excludes it; it grows when the
 	// host is suspended. lastResume is when the host or the process was last seen to
@@ -178,6 +180,7 @@
 		durations:         map[string]*shutdown.DurationEstimate{},
 		handovers:         map[string]*shutdown.DurationEstimate{},
 		incarnation:       now.UnixNano(),
+		rollouts:          newRollouts(g.settings.Bounds, g.settings.Name),
 	}
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
 	c.freshness.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
@@ -297,6 +300,7 @@
 	c.kvCopies.RemoveExpired(now)
 	c.evaluateCrashes(now)
 	c.forgetEndedQuarantines(now)
+	c.stepRollouts(now)
 	c.gateway.pool.CloseExpired()
 }
 
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
@@ -68,6 +69,10 @@
 	trial quarantine.Part
 	// run numbers the run of a stream whose engines send KV copies, 0 for other requests.
 	run kvcopies.Number
+	// pin is the version that produced the first events of a stream; the goroutine of the stream
+	// owns it. placed is set once an attempt was placed; the control goroutine owns it.
+	pin    rollout.Pin
+	placed bool
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 	// bodies holds the bodies of the request and its responses.
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -32,6 +32,7 @@
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
 	returns           metric.Int64Counter
+	rolloutsRejected  metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -58,6 +59,7 @@
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
+		rolloutsRejected:  b.Counter("mulberrylane.rollouts.rejected", "Versions that were found to be bad during a roll-out, by the evidence of this or another entry"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -107,6 +109,10 @@
 			Name: "mulberrylane.prompt.parts.in_quarantine", Description: "Prompt parts in quarantine now",
 			Read: fromControl(func(c *control, now time.Time) int64 { return int64(len(c.quarantine.Quarantined(now))) }),
 		},
+		{
+			Name: "mulberrylane.rollouts.running", Description: "Roll-outs of versions that have not ended",
+			Read: fromControl((*control).runningRollouts),
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -41,6 +41,7 @@
 		}
 	}
 	c.table.SetEntries(self, entries)
+	c.rollouts.SetEntries(len(entries))
 	c.table.SetPeerStateTTL(peerTimeoutPeriods * c.updatePeriod())
 }
 
@@ -65,6 +66,7 @@
 	update.CachedPrompts = recent(now, c.discoveredPrompts)
 	update.Successors = recent(now, c.recentSuccessors)
 	c.addQuarantine(now, &update)
+	c.reportRollouts(now, &update)
 	c.sequence++
 	for id, work := range c.table.LocalWork() {
 		update.SetWork(id, work)
@@ -206,6 +208,7 @@
 		c.promptIndex.Record(now, prompt.Session, prompt.Location)
 	}
 	c.handleQuarantine(now, update)
+	c.handlePeerRollouts(now, update)
 	if !c.registry.StoreUnavailable() {
 		return
 	}
--- a/process/gateway/reload.go
+++ b/process/gateway/reload.go
@@ -67,6 +67,7 @@
 func (c *control) setBounds(bounds Bounds) {
 	c.bounds = bounds
 	c.registry.SetAddressReuse(bounds.AddressReuse.Std())
+	c.rollouts.SetLimits(bounds.rolloutLimits())
 	for _, budget := range c.budgets {
 		budget.SetLimits(budgetFraction*bounds.RetryRatio, budgetFraction*bounds.RetrySlack, bounds.RetryWindow.Std())
 	}
--- /dev/null
+++ b/process/gateway/rollout_store.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
+)
+
+func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
+
+// applyRollout applies an item of a roll-out and reports whether it is one.
+func (w *storeWatcher) applyRollout(item platform.Item) bool {
+	apply := map[string]func(service string, item platform.Item){
+		platform.RolloutOrderPrefix: w.applyRolloutOrder, platform.RolloutStatusPrefix: w.applyRolloutStatus,
+		platform.RolloutRecordPrefix: w.applyRolloutRecord,
+	}
+	for prefix, f := range apply {
+		if service, ok := strings.CutPrefix(item.Key, prefix); ok {
+			f(service, item)
+			return true
+		}
+	}
+	return false
+}
+
+func (w *storeWatcher) applyRolloutOrder(service string, item platform.Item) {
+	g := w.gateway
+	var order platform.RolloutOrder
+	if !item.Removed {
+		var err error
+		if order, err = platform.DecodeRolloutOrder(item); err != nil {
+			g.log.Event("rollout_order_unreadable", "key", item.Key, "revision", item.Revision, "error", err.Error())
+			g.control.do(func() { g.control.rollouts.RemoveOrder(time.Now(), service, item.Revision) })
+			return
+		}
+	}
+	listed := !w.synced
+	g.control.do(func() {
+		c, now := g.control, time.Now()
+		if item.Removed {
+			c.rollouts.RemoveOrder(now, service, 0)
+			return
+		}
+		c.rollouts.ApplyOrder(now, rollout.Order{
+			Service: service, Version: order.Version, Duration: order.Duration, Revision: item.Revision, Listed: listed,
+		}, c.table.Versions(service))
+	})
+	if item.Removed {
+		g.log.Event("rollout_order_removed", "service", service, "revision", item.Revision)
+		return
+	}
+	g.log.Event("rollout_ordered", "service", service, "version", order.Version, "limit", order.Duration, "revision", item.Revision)
+}
+
+func (w *storeWatcher) applyRolloutStatus(service string, item platform.Item) {
+	g := w.gateway
+	status := rollout.Status{}
+	if !item.Removed {
+		wire, err := platform.DecodeRolloutStatus(item)
+		if err != nil {
+			// The revision is still the condition of the next transaction.
+			g.log.Event("rollout_status_unreadable", "key", item.Key, "error", err.Error())
+		}
+		for state, name := range rolloutStates {
+			if name == wire.State {
+				status = rollout.Status{State: state, Target: wire.Target}
+			}
+		}
+	}
+	g.control.do(func() {
+		if item.Removed {
+			g.control.rollouts.RemoveStatus(service)
+			return
+		}
+		g.control.rollouts.ApplyStatus(service, status, item.Revision)
+	})
+}
+
+func (w *storeWatcher) applyRolloutRecord(service string, item platform.Item) {
+	g := w.gateway
+	if item.Removed {
+		g.control.do(func() { g.control.rollouts.RemoveRecord(service, item.Revision, false) })
+		return
+	}
+	record, err := rollout.DecodeRecord(item.Value)
+	if err != nil {
+		g.log.Event("rollout_record_unreadable", "key", item.Key, "error", err.Error())
+		g.control.do(func() { g.control.rollouts.RemoveRecord(service, item.Revision, true) })
+		return
+	}
+	g.control.do(func() {
+		now := time.Now()
+		g.control.rollouts.ApplyRecord(now, service, record, item.Revision)
+		g.control.logRollouts(now)
+	})
+}
+
+// removeRollouts forgets what the store does not list any more at the given revision.
+func (c *control) removeRollouts(items []platform.Item, revision int64) {
+	listed := make(map[string]struct{}, len(items))
+	for _, item := range items {
+		listed[item.Key] = struct{}{}
+	}
+	missing := func(key string) bool { _, ok := listed[key]; return !ok }
+	for _, service := range c.rollouts.Names() {
+		if missing(platform.RolloutOrderPrefix + service) {
+			c.rollouts.RemoveOrder(time.Now(), service, 0)
+		}
+		if missing(platform.RolloutRecordPrefix + service) {
+			c.rollouts.RemoveRecord(service, revision, false)
+		}
+		if missing(platform.RolloutStatusPrefix + service) {
+			c.rollouts.RemoveStatus(service)
+		}
+	}
+}
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -54,6 +54,12 @@
 	RetryRatio  float64          `json:"retryRatio"`
 	RetrySlack  float64          `json:"retrySlack"`
 	RetryWindow version.Duration `json:"retryWindow"`
+	// CanaryShare of the requests of a service, plus CanarySlack requests, is the most that a bad
+	// version may get during a roll-out; roll-outs are not served if the share is zero or absent.
+	CanaryShare float64 `json:"canaryShare,omitempty"`
+	CanarySlack int     `json:"canarySlack,omitempty"`
+	// RollbackWithin is how soon after its 50th bad response a version must get no more requests.
+	RollbackWithin version.Duration `json:"rollbackWithin,omitempty"`
 }
 
 // Check returns all errors in the settings.
@@ -91,5 +97,11 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		c.Errorf("bounds.retryRatio", "must not be negative, and neither must bounds.retrySlack")
 	}
+	if s.Bounds.CanaryShare < 0 || s.Bounds.CanaryShare >= 1 || s.Bounds.CanarySlack < 0 {
+		c.Errorf("bounds.canaryShare", "must be from 0 to below 1, and bounds.canarySlack must not be negative")
+	}
+	if s.Bounds.RollbackWithin < 0 {
+		c.Errorf("bounds.rollbackWithin", "must not be negative")
+	}
 	return c.Err()
 }
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -179,7 +179,10 @@
 		clear(c.peers)
 	})
 	w.applyAll(items)
-	g.control.do(func() { g.control.recordChanges(items, revision, true) })
+	g.control.do(func() {
+		g.control.removeRollouts(items, revision)
+		g.control.recordChanges(items, revision, true)
+	})
 	w.confirmFreshness(sent)
 	w.revision = revision
 	if !w.synced && g.table.Load() != nil {
@@ -298,6 +301,7 @@
 // apply applies one item. Invalid items are skipped, so that the others still apply.
 func (w *storeWatcher) apply(item platform.Item) {
 	switch {
+	case w.applyRollout(item):
 	case item.Key == platform.ConfigurationKey:
 		if !item.Removed {
 			w.applyConfiguration(item)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -78,6 +79,8 @@
 	// unsentAttempts counts the attempts that did not reach their targets.
 	unsentAttempts int
 	interruptedAt  time.Time
+	// interrupted is set if an attempt failed after the first events.
+	interrupted bool
 	// firstEventDelay is how long the caller waited for the first event, longestPause
 	// the longest wait for a later one; lastWrite is when events were last written.
 	firstEventDelay, longestPause time.Duration
@@ -247,7 +250,7 @@
 	c.do(func() {
 		t := c.table.Get(kvCopy.Target)
 		if t != nil && t.Incarnation == kvCopy.Incarnation && !t.Down(a.startedAt) && !t.IsDraining() &&
-			c.checkQuarantine(s.exchange) == nil {
+			c.mayResumeAt(s.exchange, t) && c.checkQuarantine(s.exchange) == nil {
 			if found, a.reserved = t.TakeResume(a.startedAt); found {
 				c.reserve(a, t, s.ctx)
 			}
@@ -325,6 +328,7 @@
 // copy if it ran for long enough that some memory was copied.
 func (s *stream) attemptFailed(update attemptUpdate) {
 	delete(s.running, update.number)
+	s.recordInterruption()
 	s.failedCopy = update.attempt.resumeFrom
 	if s.interruptedAt.IsZero() {
 		s.interruptedAt = time.Now()
@@ -368,6 +372,9 @@
 	s.handleEvent(request.Event{
 		Type: request.EventTokens, Attempt: update.number, Position: first - s.inbound.Position - 1, Tokens: tokens,
 	})
+	if !s.pin.Set && s.recovery.Output().Len() > 0 {
+		s.pin = rollout.Pin{Version: update.attempt.target.Version, Set: true}
+	}
 	if s.suspected[update.number] && update.attempt.suspected.Load() {
 		// The recovery trusts an attempt whose tokens it accepts, also late ones.
 		s.handleEvent(request.Event{Type: request.EventSuspected, Target: update.attempt.target.ID})
@@ -458,6 +465,7 @@
 // finish ends the response to the caller.
 func (s *stream) finish() {
 	s.endRun()
+	s.endInterruption()
 	for _, a := range s.running {
 		a.cancel()
 	}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -22,6 +22,7 @@
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -76,6 +77,9 @@
 	Crashes     []Crash           `cbor:"18,keyasint,omitempty"`
 	Survivals   []Survival        `cbor:"19,keyasint,omitempty"`
 	Quarantined []QuarantinedPart `cbor:"20,keyasint,omitempty"`
+	// Rollouts holds what the sender reports about the roll-outs of services. It is in some updates
+	// only.
+	Rollouts map[string]rollout.Report `cbor:"24,keyasint,omitempty"`
 	// Question and Answer make the message one about the store, which reports nothing else
 	// and has no sequence number.
 	Question *SyncQuestion `cbor:"16,keyasint,omitempty"`
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -360,7 +360,7 @@
 
 // first returns the change that starts the roll-out.
 func (t *Tracker) first(now, wallClock time.Time, r *rollout) (Change, bool) {
-	decided := r.statusRevision > r.order.Revision && r.status.State != Running
+	decided := r.statusRevision > r.order.Revision && r.status.State > Running
 	if r.record.Order > r.order.Revision || decided || !r.ageKnown {
 		return Change{}, false
 	}
@@ -380,7 +380,7 @@
 	back := r.running() && slices.Contains(before.Baseline, target)
 	excluded := slices.Clone(before.Excluded)
 	switch {
-	case r.recordRevision == 0 || back:
+	case before.Order == 0 || back:
 	case before.Stage == Completed:
 		for _, version := range before.Baseline {
 			excluded = with(excluded, version)
--- a/process/rollout/report.go
+++ b/process/rollout/report.go
@@ -86,7 +86,7 @@
 		if !ok || !report.valid() {
 			continue
 		}
-		if report.Record != nil && report.Revision > r.recordRevision && report.Record.Order == r.order.Revision {
+		if report.Record != nil && report.Revision > r.recordSeen && report.Record.Order == r.order.Revision {
 			t.ApplyRecord(now, service, *report.Record, report.Revision)
 			urgent = true
 		}
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -172,8 +173,10 @@
 	// registered lists the versions that were registered when the order was seen.
 	registered []string
 
-	record         Record
-	recordRevision int64
+	// record is the present one, its order is 0 if there is none; recordRevision is the revision of
+	// its key. recordSeen is the last revision at which the key is known to have changed.
+	record                     Record
+	recordRevision, recordSeen int64
 	// followedSince is when this entry learned of the present record.
 	followedSince  time.Time
 	canarySince    time.Time
@@ -229,6 +232,9 @@
 // Known reports whether the service has or had a roll-out.
 func (t *Tracker) Known(service string) bool { return t.services[service] != nil && t.limits.Enabled() }
 
+// Names returns the services that have or had a roll-out.
+func (t *Tracker) Names() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 func (t *Tracker) ensure(service string) *rollout {
 	r, ok := t.services[service]
 	if !ok {
@@ -288,11 +294,11 @@
 		return
 	}
 	r := t.ensure(service)
-	if revision <= r.recordRevision {
+	if revision <= r.recordSeen {
 		return
 	}
 	before := r.record
-	r.record, r.recordRevision, r.followedSince = record, revision, now
+	r.record, r.recordRevision, r.recordSeen, r.followedSince = record, revision, revision, now
 	r.write.settle()
 	if record.Order != before.Order {
 		r.canarySince = now
@@ -304,10 +310,15 @@
 	}
 }
 
-// RemoveRecord learns that the record was removed. The roll-out starts again if its order holds.
-func (t *Tracker) RemoveRecord(service string) {
-	if r, ok := t.services[service]; ok {
-		r.record, r.recordRevision = Record{}, 0
+// RemoveRecord learns that the key of the record was removed, or since a change at the given
+// revision holds no record (unreadable). The roll-out starts again if its order holds.
+func (t *Tracker) RemoveRecord(service string, revision int64, unreadable bool) {
+	r, ok := t.services[service]
+	if ok && revision >= r.recordSeen {
+		r.record, r.recordRevision, r.recordSeen = Record{}, 0, revision
+		if unreadable {
+			r.recordRevision = revision
+		}
 		r.write.settle()
 	}
 }
@@ -330,11 +341,11 @@
 
 // recorded reports whether the record is that of the order that holds.
 func (r *rollout) recorded() bool {
-	return r.recordRevision > 0 && r.order.Version != "" && r.record.Order == r.order.Revision
+	return r.record.Order > 0 && r.order.Version != "" && r.record.Order == r.order.Revision
 }
 
 // running reports whether a roll-out has been recorded and has not ended.
-func (r *rollout) running() bool { return r.recordRevision > 0 && !r.record.Stage.terminal() }
+func (r *rollout) running() bool { return r.record.Order > 0 && !r.record.Stage.terminal() }
 
 // age returns how long ago the order was first seen.
 func (r *rollout) age(now time.Time) time.Duration { return max(0, now.Sub(r.seenAt)) }
--- a/process/rollout/summary.go
+++ b/process/rollout/summary.go
@@ -33,7 +33,7 @@
 func (t *Tracker) Summaries(now time.Time) []Summary {
 	var summaries []Summary
 	for service, r := range t.services {
-		if t.get(service) == nil || r.order.Version == "" && r.recordRevision == 0 {
+		if t.get(service) == nil || r.order.Version == "" && r.record.Order == 0 {
 			continue
 		}
 		s := Summary{
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -134,7 +134,7 @@
 // against it.
 func (t *Tracker) share(r *rollout) float64 {
 	switch {
-	case r.rejected != "" || r.recordRevision == 0 || r.heldBack == r.record.Version:
+	case r.rejected != "" || r.record.Order == 0 || r.heldBack == r.record.Version:
 		return 0
 	case !r.recorded() && r.record.Stage < Moved:
 		// The order was removed or superseded.
@@ -157,7 +157,7 @@
 	if pin.Set {
 		return []placement.VersionFilter{only(pin.Version)}
 	}
-	if r.recordRevision == 0 {
+	if r.record.Order == 0 {
 		return t.assignUnrecorded(r)
 	}
 	excluded := r.excluded()
@@ -274,7 +274,7 @@
 func (t *Tracker) MayResume(service, version string) bool {
 	r := t.get(service)
 	switch {
-	case r == nil || r.recordRevision == 0:
+	case r == nil || r.record.Order == 0:
 		return true
 	case t.share(r) == 0:
 		return version != r.record.Version
@@ -307,7 +307,7 @@
 
 // isTarget reports whether the version is the one that the service is to be moved to.
 func (r *rollout) isTarget(version string) bool {
-	if r.recordRevision > 0 {
+	if r.record.Order > 0 {
 		return version == r.record.Version
 	}
 	return version == r.order.Version
