Gateway: tests of roll-outs with good and bad versions

The record is the last write of its transaction, since a store may number each write: with the status last, all later conditions failed. go test ./process/gateway -run TestRollout passes.

--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -320,7 +320,7 @@
 	}
 	orderKey, recordKey, statusKey := platform.RolloutOrderPrefix+change.Service, platform.RolloutRecordPrefix+change.Service, platform.RolloutStatusPrefix+change.Service
 	conditions := []platform.Condition{{Key: orderKey, Revision: change.OrderRevision}, {Key: recordKey, Revision: change.RecordRevision}}
-	writes := []platform.Write{{Key: recordKey, Value: record}}
+	var writes []platform.Write
 	if change.Status != nil {
 		value, err := platform.EncodeRolloutStatus(platform.RolloutStatus{State: rolloutStates[change.Status.State], Target: change.Status.Target})
 		if err != nil {
@@ -329,6 +329,9 @@
 		conditions = append(conditions, platform.Condition{Key: statusKey, Revision: change.StatusRevision})
 		writes = append(writes, platform.Write{Key: statusKey, Value: value})
 	}
+	// The record is last: where each write of a transaction has a revision of its own, the one that
+	// the store returns is that of the last.
+	writes = append(writes, platform.Write{Key: recordKey, Value: record})
 	ctx, cancel := g.withTimeout(storeTimeout)
 	defer cancel()
 	revision, err := g.store.Commit(ctx, conditions, writes, nil)
--- /dev/null
+++ b/process/gateway/rollout_test.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/standin/network"
+	"github.com/mulberrylane/mulberrylane/standin/replica"
+	"github.com/mulberrylane/mulberrylane/version"
+)
+
+// startVersion starts application replicas of a version.
+func (d *deployment) startVersion(name string, count int) []*replica.Replica {
+	d.t.Helper()
+	var replicas []*replica.Replica
+	for i := range count {
+		replicas = append(replicas, d.startReplica(replica.Config{
+			ID: fmt.Sprintf("%s-%d", name, i), Service: "bookings", FailureDomain: "naxos", CallTime: 20 * time.Millisecond,
+			Slots: 6, Version: name, Address: network.ProcessAddress(),
+		}))
+	}
+	return replicas
+}
+
+// startRolloutEntries starts entries that serve roll-outs, and waits until they know each other.
+func (d *deployment) startRolloutEntries(count int) []*Gateway {
+	d.t.Helper()
+	var entries []*Gateway
+	for i := range count {
+		settings := d.entrySettings(fmt.Sprintf("entry-%d", i))
+		settings.Bounds.CanaryShare, settings.Bounds.CanarySlack = 0.1, 50
+		settings.Bounds.RollbackWithin = version.Duration(5 * time.Second)
+		entries = append(entries, d.startEntryWith(settings))
+	}
+	for _, g := range entries {
+		d.waitUntil(func() bool {
+			heard := 0
+			g.control.do(func() { heard = len(g.control.peerLastSeen) })
+			return g.ready() && heard == count-1 && g.targetCount() > 0
+		})
+	}
+	return entries
+}
+
+func (d *deployment) order(service, target string, duration time.Duration) {
+	d.t.Helper()
+	value, err := json.Marshal(map[string]any{"Service": service, "Target": target, "DurationS": duration.Seconds()})
+	assert.NilError(d.t, err)
+	d.store.Put(platform.RolloutOrderPrefix+service, value)
+}
+
+// rolloutState returns the state in the status of a service, or "".
+func (d *deployment) rolloutState(service string) string {
+	for _, value := range d.storeValues(platform.RolloutStatusPrefix + service) {
+		status, err := platform.DecodeRolloutStatus(platform.Item{Value: value})
+		assert.NilError(d.t, err)
+		return status.State
+	}
+	return ""
+}
+
+// awaitRolloutState waits until the status of a service has a state, for longer than the limit of
+// the order in the test.
+func (d *deployment) awaitRolloutState(service, state string, limit time.Duration) {
+	d.t.Helper()
+	deadline := time.Now().Add(limit)
+	for d.rolloutState(service) != state {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("the roll-out of %s is %q, not %q, after %s", service, d.rolloutState(service), state, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// executions returns how many requests targets of a version have run.
+func (d *deployment) executions(version string) int {
+	count := 0
+	for _, execution := range d.fleet.ExecutionLog.Executions("") {
+		if execution.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// callLoad sends calls to entries in turns until it is stopped.
+type callLoad struct {
+	stop           context.CancelFunc
+	done           sync.WaitGroup
+	sent, newSent  atomic.Int64
+	failed, others atomic.Int64
+}
+
+// startLoad sends the given number of calls a second.
+func (d *deployment) startLoad(entries []*Gateway, rate int) *callLoad {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &callLoad{stop: cancel}
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	l.done.Go(func() {
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			g := entries[i%len(entries)]
+			l.done.Go(func() {
+				req := statusRequest()
+				response, err := http.DefaultClient.Do(req.httpRequest(context.Background(), g))
+				if err != nil {
+					l.failed.Add(1)
+					return
+				}
+				defer func() { _ = response.Body.Close() }()
+				l.sent.Add(1)
+				if response.StatusCode != http.StatusOK {
+					l.others.Add(1)
+				}
+				if replica.ResponseVersion(response.Header) == "v2" {
+					l.newSent.Add(1)
+				}
+			})
+		}
+	})
+	d.t.Cleanup(l.end)
+	return l
+}
+
+func (l *callLoad) end() {
+	l.stop()
+	l.done.Wait()
+}
+
+// TestRollout_GoodVersionIsCompleted guards against a good version that is not completed in time,
+// calls that fail meanwhile, and old replicas that still get requests.
+func TestRollout_GoodVersionIsCompleted(t *testing.T) {
+	d := newDeployment(t)
+	d.startVersion("v1", 3)
+	entries := d.startRolloutEntries(3)
+	load := d.startLoad(entries, 100)
+	d.startVersion("v2", 3)
+	time.Sleep(time.Second)
+	const limit = 10 * time.Second
+	d.order("bookings", "v2", limit)
+	d.awaitRolloutState("bookings", platform.RolloutRunning, 3*time.Second)
+	d.awaitRolloutState("bookings", platform.RolloutCompleted, limit)
+	before := d.executions("v1")
+	time.Sleep(time.Second)
+	load.end()
+	assert.Equal(t, load.failed.Load()+load.others.Load(), int64(0))
+	assert.Equal(t, d.executions("v1"), before, "an old replica got a request after the end")
+}
+
+// TestRollout_BadVersionIsRolledBack guards against too many requests to a bad version and calls
+// that fail although the old version is well.
+func TestRollout_BadVersionIsRolledBack(t *testing.T) {
+	d := newDeployment(t)
+	d.startVersion("v1", 3)
+	entries := d.startRolloutEntries(3)
+	load := d.startLoad(entries, 100)
+	d.fleet.SetVersionFaults("v2", replica.VersionFaults{FailureShare: 0.5, Seed: 1})
+	const limit = 20 * time.Second
+	d.order("bookings", "v2", limit)
+	time.Sleep(2 * time.Second)
+	d.startVersion("v2", 3)
+	d.awaitRolloutState("bookings", platform.RolloutRolledBack, limit)
+	time.Sleep(time.Second)
+	load.end()
+	before := load.newSent.Load()
+	again := d.startLoad(entries, 100)
+	time.Sleep(time.Second)
+	again.end()
+	assert.Equal(t, again.newSent.Load(), int64(0), "a version that was rolled back got a request")
+	assert.Equal(t, load.others.Load(), int64(0), "a call of which a retry was possible failed")
+	assert.Assert(t, before <= 50+load.sent.Load()/10, "%d of %d", before, load.sent.Load())
+}
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -403,15 +403,13 @@
 	return next
 }
 
-// Committed learns that a change was applied at the given revision.
+// Committed learns that a change was applied, and the record has the given revision. That of the
+// status may differ and is learned from the store.
 func (t *Tracker) Committed(now time.Time, change Change, revision int64) {
 	r := t.ensure(change.Service)
 	r.write.inFlight = false
 	r.write.settle()
 	t.ApplyRecord(now, change.Service, change.Record, revision)
-	if change.Status != nil {
-		t.ApplyStatus(change.Service, *change.Status, revision)
-	}
 }
 
 // Failed learns that a change was not applied because its conditions did not hold (conflict), or
