--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -45,7 +45,7 @@
 	conflictDelay = 2500 * time.Millisecond
 	// minWriteDelay is how long after a failure a change is tried again. It doubles up to
 	// maxWriteDelay.
-	minWriteDelay = 500 * time.Millisecond
+	minWriteDelay = 250 * time.Millisecond
 	maxWriteDelay = 4 * time.Second
 )
 
