--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -25,6 +25,7 @@
 	key     string
 	entry   entry
 	deleted bool
+	at      time.Time
 }
 
 // lease is one lease that has not expired.
@@ -108,6 +109,7 @@
 }
 
 func (s *Store) appendChange(c change) {
+	c.at = time.Now()
 	s.history = append(s.history, c)
 	close(s.entriesChanged)
 	s.entriesChanged = make(chan struct{})
@@ -156,6 +158,7 @@
 	Value    []byte
 	Revision int64
 	Removed  bool
+	At       time.Time
 }
 
 // Changes returns the changes of all keys that begin with prefix, except compacted ones, in
@@ -166,7 +169,7 @@
 	var changes []Change
 	for _, c := range s.history {
 		if strings.HasPrefix(c.key, prefix) {
-			changes = append(changes, Change{Key: c.key, Value: c.entry.value, Revision: c.entry.modRevision, Removed: c.deleted})
+			changes = append(changes, Change{Key: c.key, Value: c.entry.value, Revision: c.entry.modRevision, Removed: c.deleted, At: c.at})
 		}
 	}
 	return changes
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -122,6 +122,13 @@
 // ConnectionCount returns how many connections were opened.
 func (r *Replica) ConnectionCount() int { return int(r.connections.Load()) }
 
+// RunningRequests returns how many requests are running.
+func (r *Replica) RunningRequests() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
 // AbandonedRequests returns how many requests were running when their caller
 // disconnected.
 func (r *Replica) AbandonedRequests() int {
