Gateway: roll-outs at the metrics address, tests of an outage and of streams

A ramp with a single new replica counted as moved, without the bound; TestAssign_RetryGoesToOldVersion found it. A record names why it was rolled back.

--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/connection/keepalive"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
@@ -71,6 +72,7 @@
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", i.gateway.metrics.handler())
+	metrics.HandleFunc("GET "+rollout.SummariesPath, i.gateway.serveRollouts)
 	i.serveAdmin(i.healthListener, health)
 	i.serveAdmin(i.metricsListener, metrics)
 	return nil
--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"encoding/json"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -287,6 +289,15 @@
 	return running
 }
 
+// serveRollouts shows operators the roll-outs as this entry follows them.
+func (g *Gateway) serveRollouts(w http.ResponseWriter, _ *http.Request) {
+	summaries := []rollout.Summary{}
+	g.control.do(func() { summaries = append(summaries, g.control.rollouts.Summaries(time.Now())...) })
+	w.Header().Set("Content-Type", "application/json")
+	// It fails if the connection is closed.
+	_ = json.NewEncoder(w).Encode(summaries)
+}
+
 // commitRollout tries a transaction. Its answer may be lost, and it may be applied later.
 func (g *Gateway) commitRollout(change rollout.Change) {
 	revision, err := g.tryCommitRollout(change)
--- a/process/gateway/rollout_test.go
+++ b/process/gateway/rollout_test.go
@@ -13,22 +13,21 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/platform"
-	"github.com/mulberrylane/mulberrylane/standin/network"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
-// startVersion starts application replicas of a version.
-func (d *deployment) startVersion(name string, count int) []*replica.Replica {
+// startVersion starts three application replicas of a version.
+func (d *deployment) startVersion(name string) {
 	d.t.Helper()
-	var replicas []*replica.Replica
-	for i := range count {
-		replicas = append(replicas, d.startReplica(replica.Config{
+	for i := range 3 {
+		d.startReplica(replica.Config{
 			ID: fmt.Sprintf("%s-%d", name, i), Service: "bookings", FailureDomain: "naxos", CallTime: 20 * time.Millisecond,
-			Slots: 6, Version: name, Address: network.ProcessAddress(),
-		}))
+			Slots: 6, Version: name,
+		})
 	}
-	return replicas
 }
 
 // startRolloutEntries starts entries that serve roll-outs, and waits until they know each other.
@@ -38,6 +37,8 @@
 	for i := range count {
 		settings := d.entrySettings(fmt.Sprintf("entry-%d", i))
 		settings.Bounds.CanaryShare, settings.Bounds.CanarySlack = 0.1, 50
+		// Requests with keys are served during an outage of the store.
+		settings.Bounds.RevokeWithin = version.Duration(time.Minute)
 		settings.Bounds.RollbackWithin = version.Duration(5 * time.Second)
 		entries = append(entries, d.startEntryWith(settings))
 	}
@@ -92,6 +93,17 @@
 	return count
 }
 
+// rolloutSummary returns what an entry knows of the only roll-out.
+func (g *Gateway) rolloutSummary() rollout.Summary {
+	summary := rollout.Summary{}
+	g.control.do(func() {
+		for _, s := range g.control.rollouts.Summaries(time.Now()) {
+			summary = s
+		}
+	})
+	return summary
+}
+
 // callLoad sends calls to entries in turns until it is stopped.
 type callLoad struct {
 	stop           context.CancelFunc
@@ -145,10 +157,10 @@
 // calls that fail meanwhile, and old replicas that still get requests.
 func TestRollout_GoodVersionIsCompleted(t *testing.T) {
 	d := newDeployment(t)
-	d.startVersion("v1", 3)
+	d.startVersion("v1")
 	entries := d.startRolloutEntries(3)
 	load := d.startLoad(entries, 100)
-	d.startVersion("v2", 3)
+	d.startVersion("v2")
 	time.Sleep(time.Second)
 	const limit = 10 * time.Second
 	d.order("bookings", "v2", limit)
@@ -165,14 +177,14 @@
 // that fail although the old version is well.
 func TestRollout_BadVersionIsRolledBack(t *testing.T) {
 	d := newDeployment(t)
-	d.startVersion("v1", 3)
+	d.startVersion("v1")
 	entries := d.startRolloutEntries(3)
 	load := d.startLoad(entries, 100)
 	d.fleet.SetVersionFaults("v2", replica.VersionFaults{FailureShare: 0.5, Seed: 1})
 	const limit = 20 * time.Second
 	d.order("bookings", "v2", limit)
 	time.Sleep(2 * time.Second)
-	d.startVersion("v2", 3)
+	d.startVersion("v2")
 	d.awaitRolloutState("bookings", platform.RolloutRolledBack, limit)
 	time.Sleep(time.Second)
 	load.end()
@@ -184,3 +196,88 @@
 	assert.Equal(t, load.others.Load(), int64(0), "a call of which a retry was possible failed")
 	assert.Assert(t, before <= 50+load.sent.Load()/10, "%d of %d", before, load.sent.Load())
 }
+
+// TestRollout_StoreOutage guards against requests to a bad version while no status can be written.
+func TestRollout_BadVersionGetsNothingDuringStoreOutage(t *testing.T) {
+	d := newDeployment(t)
+	d.startVersion("v1")
+	entries := d.startRolloutEntries(3)
+	load := d.startLoad(entries, 100)
+	d.startVersion("v2")
+	time.Sleep(time.Second)
+	const limit = 40 * time.Second
+	d.order("bookings", "v2", limit)
+	for _, g := range entries {
+		d.waitUntil(func() bool { return g.rolloutSummary().Stage == rollout.Canary })
+	}
+	d.store.SetFaults(kv.Faults{Outage: true})
+	d.fleet.SetVersionFaults("v2", replica.VersionFaults{FailureShare: 1, Seed: 1})
+	for _, g := range entries {
+		deadline := time.Now().Add(15 * time.Second)
+		for g.rolloutSummary().Rejected == "" {
+			assert.Assert(t, time.Now().Before(deadline), "the entry found nothing against the version")
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	before := d.executions("v2")
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, d.executions("v2"), before)
+	assert.Equal(t, d.rolloutState("bookings"), platform.RolloutRunning)
+	d.store.SetFaults(kv.Faults{})
+	d.awaitRolloutState("bookings", platform.RolloutRolledBack, 10*time.Second)
+	load.end()
+	assert.Equal(t, load.others.Load(), int64(0))
+}
+
+// TestRollout_StreamStaysWithItsVersion guards against a stream that resumes on another version, or
+// is cut off because its version is replaced.
+func TestRollout_StreamStaysWithItsVersion(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(func(config map[string]any) { config["Routes"].([]any)[0].(map[string]any)["TimeoutMs"] = 20000 })
+	engine := func(id, failureDomain, name string) *replica.Replica {
+		return d.startReplica(replica.Config{
+			ID: id, Service: "writer", FailureDomain: failureDomain, Engine: true, EventCount: testEvents, Version: name,
+			PrefillTime: 60 * time.Millisecond, EventInterval: 400 * time.Millisecond, Slots: 128,
+		})
+	}
+	first, second := engine("old-1", "naxos", "v1"), engine("old-2", "paros", "v1")
+	g := d.startRolloutEntries(1)[0]
+	engine("new-1", "naxos", "v2")
+	engine("new-2", "paros", "v2")
+	const limit = 12 * time.Second
+	d.order("writer", "v2", limit)
+	d.awaitRolloutState("writer", platform.RolloutRunning, 3*time.Second)
+	// Its 8 s begin before the move and end after it.
+	time.Sleep(2 * time.Second)
+	var req *callerRequest
+	var reader *streamReader
+	var source *replica.Replica
+	for source == nil {
+		// The canary gets some.
+		req = streamRequest()
+		req.DeadlineRemaining = 20 * time.Second
+		reader = d.openStream(context.Background(), g, req)
+		reader.skipTo(t, 2)
+		switch d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Target {
+		case "old-1":
+			source = first
+		case "old-2":
+			source = second
+		}
+	}
+	d.waitUntil(func() bool { return g.rolloutSummary().Stage >= rollout.Moved })
+	assert.Equal(t, d.rolloutState("writer"), platform.RolloutRunning, "completed with a running stream")
+	source.Crash()
+	reader.expectRest(t, req.AttemptID, 2)
+	executions := d.fleet.ExecutionLog.Executions(req.AttemptID)
+	assert.Equal(t, len(executions), 2)
+	for _, execution := range executions {
+		assert.Equal(t, execution.Version, "v1")
+	}
+	d.awaitRolloutState("writer", platform.RolloutCompleted, limit)
+	req = streamRequest()
+	reader = d.openStream(context.Background(), g, req)
+	reader.skipTo(t, 1)
+	assert.Equal(t, d.fleet.ExecutionLog.Executions(req.AttemptID)[0].Version, "v2")
+}
--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -264,7 +265,8 @@
 			if route == allRoutes {
 				route = "all routes"
 			}
-			return reason + " on " + route, true
+			reason += " on " + route
+			return strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], ""), true
 		}
 		suspected = suspected || alarm
 	}
--- a/process/rollout/faults_test.go
+++ b/process/rollout/faults_test.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -19,22 +18,7 @@
 	return s.random.IntN(2) == 0, 1
 }
 
-func (s *simulation) alive() []*simEntry {
-	return slices.DeleteFunc(slices.Clone(s.entries), func(e *simEntry) bool { return !e.alive })
-}
-
-// preferred returns the living entry that acts first.
-func (s *simulation) preferred() *simEntry {
-	view := s.view(s.entries[0])
-	for _, e := range s.alive() {
-		if e.tracker.rank(simService, view.Entries) == 0 {
-			return e
-		}
-	}
-	return nil
-}
-
-// TestStore guards against states that are written twice, and roll-outs that stop half-done,
+// TestStore_LostAnswersAndLateWrites guards against states that are written twice, and roll-outs that stop half-done,
 // when answers of the store are lost and its writes come late.
 func TestStore_LostAnswersAndLateWrites(t *testing.T) {
 	for seed := range *seeds * 3 {
@@ -53,7 +37,7 @@
 	}
 }
 
-// TestStore_Outage guards against requests to a bad version while no record can be written.
+// TestStore_OutageHalfway guards against requests to a bad version while no record can be written.
 func TestStore_OutageHalfway(t *testing.T) {
 	for seed := range *seeds {
 		config := small()
@@ -192,7 +176,7 @@
 	}
 }
 
-// TestOrder_SupersededBadVersion guards against more requests to a bad version after a second order
+// TestOrder_SupersededBadVersionGetsNothing guards against more requests to a bad version after a second order
 // to a third one.
 func TestOrder_SupersededBadVersionGetsNothing(t *testing.T) {
 	config := small()
@@ -213,7 +197,7 @@
 	assert.DeepEqual(t, s.statuses[len(s.statuses)-1], Status{State: StateCompleted, Target: "v3"})
 }
 
-// TestOrder_RemovedOrOdd guards against a roll-out that goes on without its order.
+// TestOrder_RemovedOrOddRollsBack guards against a roll-out that goes on without its order.
 func TestOrder_RemovedOrOddRollsBack(t *testing.T) {
 	for _, value := range []any{nil, struct{}{}} {
 		for _, at := range []time.Duration{2 * time.Second, 16 * time.Second} {
@@ -233,7 +217,7 @@
 	assert.Equal(t, len(s.statuses)+s.commits, 0)
 }
 
-// TestReplicas guards against refusals and lost time when a version has no replicas.
+// TestReplicas_MissingOrGone guards against refusals and lost time when a version has no replicas.
 func TestReplicas_MissingOrGone(t *testing.T) {
 	config := small()
 	// None ever registers.
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -296,7 +296,7 @@
 // end returns the change that ends the roll-out.
 func (r *rollout) end(stage Stage, reason string) Change {
 	next := r.record
-	next.Stage, next.Step = stage, 0
+	next.Stage, next.Step, next.Reason = stage, 0, reason
 	status := Status{State: StateRolledBack, Target: next.Version}
 	if stage == Completed {
 		status.State = StateCompleted
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -103,6 +103,8 @@
 	// StartedAt is when the order was first seen, in Unix milliseconds of the clock of the entry
 	// that wrote the first record.
 	StartedAt int64 `json:"startedAt" cbor:"7,keyasint"`
+	// Reason is why the roll-out was rolled back.
+	Reason string `json:"reason,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // maxRecordVersions limits the versions that a record names; a service has few at a time.
@@ -125,6 +127,8 @@
 		return errors.New("unknown stage or step")
 	case len(r.Baseline) > maxRecordVersions || len(r.Excluded) > maxRecordVersions:
 		return errors.Errorf("more than %d versions", maxRecordVersions)
+	case len(r.Reason) > maxReasonBytes:
+		return errors.Errorf("a reason of more than %d bytes", maxReasonBytes)
 	case slices.Contains(r.Baseline, r.Version) || slices.Contains(r.Excluded, r.Version):
 		return errors.New("the version is to be replaced by itself")
 	}
@@ -137,11 +141,6 @@
 	return value, errors.WithStack(err)
 }
 
-// follows reports whether the record is later in the course of the same order than other.
-func (r Record) follows(other Record) bool {
-	return r.Stage > other.Stage || r.Stage == other.Stage && r.Step > other.Step
-}
-
 // State is the state of a roll-out as its status names it.
 type State uint8
 
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -33,7 +33,7 @@
 // seeds is the number of plays of each case; more can be asked for.
 var seeds = flag.Uint64("seeds", 2, "plays of each simulated roll-out")
 
-// TestGoodVersion guards against roll-backs of good versions and late completions.
+// TestGoodVersion_CompletesWithinTimeLimit guards against roll-backs of good versions and late completions.
 func TestGoodVersion_CompletesWithinTimeLimit(t *testing.T) {
 	for name, config := range loads() {
 		limits := []time.Duration{8 * time.Second, 12 * time.Second, 30 * time.Second, 3 * time.Minute}
@@ -52,7 +52,7 @@
 	}
 }
 
-// TestStorm guards against roll-backs because of what hits both versions alike.
+// TestStorm_RollsNothingBack guards against roll-backs because of what hits both versions alike.
 func TestStorm_RollsNothingBack(t *testing.T) {
 	storms := map[string]func(*simConfig){
 		"errors": func(c *simConfig) { c.baseErrors = 0.14 },
@@ -75,7 +75,7 @@
 	}
 }
 
-// TestBadVersion guards against too many requests to a bad version.
+// TestBadVersion_IsRolledBackWithinBounds guards against too many requests to a bad version.
 func TestBadVersion_IsRolledBackWithinBounds(t *testing.T) {
 	failing := func(part float64) func(s *simulation, r *simReplica, route string) (bool, float64) {
 		return func(s *simulation, _ *simReplica, _ string) (bool, float64) { return s.random.Float64() < part, 1 }
--- a/process/rollout/simulation_test.go
+++ b/process/rollout/simulation_test.go
@@ -37,7 +37,6 @@
 	orderAt              time.Time
 	duration             time.Duration
 	requests, toNew, bad int
-	requestsBy           time.Time
 	badAt                time.Time
 	lastNew              time.Time
 	commits              int
@@ -107,9 +106,8 @@
 	index    int
 	inFlight int
 	// rate is a decaying mean of its requests in a second.
-	rate      float64
-	rateAt    time.Time
-	slowUntil time.Time
+	rate   float64
+	rateAt time.Time
 }
 
 type simItem struct {
--- a/process/rollout/summary.go
+++ b/process/rollout/summary.go
@@ -42,6 +42,9 @@
 			Suspected: r.suspected, Closed: r.closed, RunningOld: r.runningOld,
 		}
 		if r.recorded() || r.order.Version == "" {
+			if s.Rejected == "" {
+				s.Rejected = r.record.Reason
+			}
 			s.Version, s.Revision, s.Stage, s.Step = r.record.Version, r.recordRevision, r.record.Stage, r.record.Step
 		}
 		for _, pair := range r.evidence.summed {
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -162,7 +162,7 @@
 	}
 	excluded := r.excluded()
 	switch share := t.share(r); {
-	case r.record.Stage == Completed, share >= 1:
+	case r.record.Stage == Completed, r.record.Stage == Moved && share >= 1:
 		return r.assignMoved(excluded)
 	case share == 0:
 		return []placement.VersionFilter{except(with(excluded, r.record.Version))}
