Roll-outs: durations that the old version hardly has, faults under the whole load

A version of which a fifth to a third of the responses were slow was completed: a slice counted as slow only if a quarter of it was. Durations that are rare for the old version in the same time now count without that.

--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -31,14 +31,21 @@
 	// exceeds the part; the slices keep the crash of one replica from deciding.
 	failureRule = rule{bad: 6, part: 0.07, deviations: 5, slices: 3}
 	// slowRule rejects a version for slow responses. Single hosts are slow for seconds at a time,
-	// and the canary has few replicas.
-	slowRule = rule{bad: 10, part: 0.15, deviations: 5, slices: 6, sliceShare: 0.8}
-	// failureAlarm and slowAlarm make a version suspected.
+	// and the canary has few replicas, so it takes three pulses. slowestRule takes less if
+	// most of the responses are slow.
+	slowRule    = rule{bad: 10, part: 0.15, deviations: 5, slices: 9, sliceShare: 0.8}
+	slowestRule = rule{bad: 10, part: 0.65, deviations: 5, slices: 5, sliceShare: 0.8}
+	// unusualRule rejects a version for durations that the old one hardly has in the same time, so
+	// that they are due to no storm. It takes no large part of the responses.
+	unusualRule = rule{bad: 5, part: 0.08, deviations: 5, slices: 5, oldPart: 0.03}
+	// failureAlarm, slowAlarm and unusualAlarm make a version suspected.
 	failureAlarm = rule{bad: 3, part: 0.05, deviations: 4, slices: 1}
 	slowAlarm    = rule{bad: 5, part: 0.15, deviations: 4, slices: 2, sliceShare: 0.8}
-	// historicRule replaces them all for slices in which the old version had next to no requests,
-	// so that a storm cannot be told from a bad version but by its size.
-	historicRule = rule{bad: 30, part: 0.25, deviations: 7, slices: 4}
+	unusualAlarm = rule{bad: 3, part: 0.08, deviations: 4, slices: 2, oldPart: 0.03}
+	// historicRule and historicAlarm replace them for slices in which the old version had next to
+	// no requests, so that a storm cannot be told from a bad version but by its size.
+	historicRule  = rule{bad: 30, part: 0.25, deviations: 7, slices: 4}
+	historicAlarm = rule{bad: 15, part: 0.15, deviations: 6, slices: 1}
 )
 
 // windows are the numbers of slices over which the evidence is summed. A version that turns bad
@@ -51,6 +58,8 @@
 type rule struct {
 	bad, part, deviations float64
 	slices, sliceShare    float64
+	// oldPart is the largest part of the old version's responses that may be bad, if not zero.
+	oldPart float64
 }
 
 // Response is the response to an attempt, or what is known of it.
@@ -438,10 +447,10 @@
 			if i > 0 {
 				conclusive, alarm, reason = &slowRule, &slowAlarm, "slow responses"
 			}
-			if s.meets(conclusive) {
+			if s.meets(conclusive) || i > 0 && (s.meets(&slowestRule) || s.meets(&unusualRule)) {
 				return reason, true
 			}
-			suspected = suspected || s.meets(alarm)
+			suspected = suspected || s.meets(alarm) || s.meets(&historicAlarm) || i > 0 && s.meets(&unusualAlarm)
 		}
 		if last-window < 0 {
 			break
@@ -453,11 +462,18 @@
 // meets reports whether the sums are enough evidence by the rule.
 func (s *sums) meets(r *rule) bool {
 	if s.historic > historicPart*s.slices {
-		r = &historicRule
+		if r != &historicAlarm {
+			r = &historicRule
+		}
+	} else if r == &historicAlarm {
+		return false
 	}
 	if s.bad < r.bad || s.badSlices < max(r.slices, r.sliceShare*s.slices) || s.weight <= 0 || s.variance <= 0 {
 		return false
 	}
+	if r.oldPart > 0 && s.oldBad > r.oldPart*s.oldTotal {
+		return false
+	}
 	return s.excess >= r.part*s.weight && s.deviations() >= r.deviations
 }
 
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -22,6 +22,9 @@
 	// bad version may get.
 	minStepTime = 800 * time.Millisecond
 	maxStepTime = 2 * time.Second
+	// movedTime is the least time between the move and the end, in which a version that fails under
+	// the whole load is found; it runs while entries learn of the move.
+	movedTime = 1200 * time.Millisecond
 	// canaryTime is the least time of the canary.
 	canaryTime = 2 * time.Second
 	// shortPart is the part of a roll-out's duration that each of these times may have at most,
@@ -285,7 +288,7 @@
 			next.Stage, next.Step = Moved, 0
 		}
 	default:
-		if !t.allClosed(now, times, r, view) {
+		if inStage < times.moved || !t.allClosed(now, times, r, view) {
 			return Change{}, false
 		}
 		return r.end(Completed, ""), true
@@ -337,6 +340,8 @@
 	ramp, last, limit time.Time
 	// canary is the least time of the canary, step the time of a step of the ramp.
 	canary, step time.Duration
+	// moved is the least time between the move and the end.
+	moved time.Duration
 }
 
 // plan returns the times of the roll-out. The ramp starts as late as the time limit allows: what
@@ -348,7 +353,7 @@
 	}
 	uncertainty, lead := short(ageUncertainty, 1.25*shortPart), short(leadTime, shortPart)
 	p := plan{
-		limit: r.seenAt.Add(duration - uncertainty), canary: short(canaryTime, 2*shortPart),
+		limit: r.seenAt.Add(duration - uncertainty), canary: short(canaryTime, 2*shortPart), moved: short(movedTime, shortPart),
 		step: min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(duration)))),
 	}
 	p.step += r.evidence.latency(duration)
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -75,22 +75,24 @@
 	}
 }
 
-// TestBadVersion_IsRolledBackWithinBounds guards against too many requests to a bad version.
-func TestBadVersion_IsRolledBackWithinBounds(t *testing.T) {
-	failing := func(part float64) func(s *simulation, r *simReplica, route string) (bool, float64) {
+type fault = func(s *simulation, r *simReplica, route string) (bool, float64)
+
+// faults are what is wrong with bad versions.
+func faults() map[string]fault {
+	failing := func(part float64) fault {
 		return func(s *simulation, _ *simReplica, _ string) (bool, float64) { return s.random.Float64() < part, 1 }
 	}
-	faults := map[string]func(s *simulation, r *simReplica, route string) (bool, float64){
-		"fails a fifth": failing(0.2),
-		"fails a half":  failing(0.5),
-		"slow 3":        func(*simulation, *simReplica, string) (bool, float64) { return false, 3 },
-		"slow 8":        func(*simulation, *simReplica, string) (bool, float64) { return false, 8 },
-		"slow half": func(s *simulation, _ *simReplica, _ string) (bool, float64) {
-			if s.random.IntN(2) == 0 {
-				return false, 4
+	slow := func(part, factor float64) fault {
+		return func(s *simulation, _ *simReplica, _ string) (bool, float64) {
+			if s.random.Float64() < part {
+				return false, factor
 			}
 			return false, 1
-		},
+		}
+	}
+	return map[string]fault{
+		"fails a fifth": failing(0.2), "fails a half": failing(0.5),
+		"slow 3": slow(1, 3), "slow 8": slow(1, 8), "half slow 5": slow(0.5, 5),
 		"one route": func(s *simulation, _ *simReplica, route string) (bool, float64) {
 			return route == "/book/" && s.random.Float64() < 0.4, 1
 		},
@@ -102,8 +104,12 @@
 			return r.rate > 0.7*full && s.random.Float64() < 0.4, 1
 		},
 	}
+}
+
+// TestBadVersion_IsRolledBackWithinBounds guards against too many requests to a bad version.
+func TestBadVersion_IsRolledBackWithinBounds(t *testing.T) {
 	for name, config := range loads() {
-		for fault, bad := range faults {
+		for fault, bad := range faults() {
 			t.Run(name+" "+fault, func(t *testing.T) {
 				for seed := range *seeds {
 					config := config
@@ -114,3 +120,19 @@
 		}
 	}
 }
+
+// TestBadVersion_OtherTimeLimits guards against too many requests to a bad version in short and
+// long roll-outs, and where a seventh of the old version's responses on a route are failures.
+func TestBadVersion_OtherTimeLimits(t *testing.T) {
+	for fault, bad := range faults() {
+		for _, limit := range []time.Duration{12 * time.Second, 90 * time.Second} {
+			t.Run(fault+" "+limit.String(), func(t *testing.T) {
+				for seed := range *seeds {
+					config := licences()
+					config.limit, config.bad, config.baseErrors = limit, bad, 0.14
+					play(t, seed, config).checkBad(fault)
+				}
+			})
+		}
+	}
+}
