--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -25,6 +25,7 @@
 	key     string
 	entry   entry
 	deleted bool
+	at      time.Time
 }
 
 // lease is one lease that has not expired.
@@ -108,6 +109,7 @@
 }
 
 func (s *Store) appendChange(c change) {
+	c.at = time.Now()
 	s.history = append(s.history, c)
 	close(s.entriesChanged)
 	s.entriesChanged = make(chan struct{})
@@ -149,3 +151,26 @@
 	defer s.mu.Unlock()
 	s.put(key, value, 0)
 }
+
+// Change is one change of a key. Value is empty if the key was removed.
+type Change struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+	At       time.Time
+}
+
+// Changes returns the changes of all keys that begin with prefix, except compacted ones, in
+// order.
+func (s *Store) Changes(prefix string) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []Change
+	for _, c := range s.history {
+		if strings.HasPrefix(c.key, prefix) {
+			changes = append(changes, Change{Key: c.key, Value: c.entry.value, Revision: c.entry.modRevision, Removed: c.deleted, At: c.at})
+		}
+	}
+	return changes
+}
