Queue calls at the entry under a shared concurrency limit

An entry sent each call as soon as it arrived and learned that a replica was full only by a rejection, which the shared retry budget paid for.

process/admission orders a service by urgency beside fair shares: by rank and latest useful start, late requests last. Limit divides the targets' slots and a short queue among the entries by demand and lets an entry exceed its part while the fleet has free slots. Peer updates carry the calls under way (key 28). A target that rejected a call without Retry-After is held back until a slot is likely to be free.

The orders and limits are not yet compared.

--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -1,10 +1,11 @@
-// Package admission admits new requests: it shares capacity fairly between workspaces by
-// expected tokens, enforces their limits, and queues requests, refusing early those that
-// cannot be served in time. It does no I/O and reads no clock; the caller passes in how
-// many slots of the targets are free.
+// Package admission admits requests: it queues them while their targets have no free slots,
+// enforces the limits of workspaces, and refuses early those that cannot be served in time.
+// It does no I/O and reads no clock; the caller passes in how many slots of the targets are
+// free, which a Limit computes where many entries share the targets.
 //
-// Only the first attempt of a request goes through admission. Resumes bypass it and have
-// priority.
+// Generations are ordered so that workspaces share the capacity fairly by expected tokens;
+// only the first attempt goes through admission, since resumes have priority. Calls are
+// ordered by urgency, and retries wait like first attempts.
 package admission
 
 import (
@@ -19,8 +20,18 @@
 	// ID identifies the request; it is unique among the queued requests.
 	ID        uint64
 	Workspace string
-	// Share is the weight of the workspace.
+	// Share is the weight of the workspace. It counts in services whose requests share the
+	// capacity fairly.
 	Share int
+	// Kind, Rank and LatestStart count in services whose requests are ordered by urgency. Kind
+	// names what was requested. Rank is the priority, 0 first. LatestStart is the latest start
+	// with which the response is still on time; zero means that it is on time until Deadline.
+	Kind        string
+	Rank        int
+	LatestStart time.Time
+	// Duration is how long the request usually takes once it is admitted; zero means unknown.
+	// It counts in services whose requests are ordered by urgency.
+	Duration time.Duration
 	// Tokens is the maximum number of output tokens.
 	Tokens  int
 	Arrived time.Time
@@ -77,7 +88,7 @@
 
 // Controller holds the queues of all services of one process.
 type Controller struct {
-	queues     map[string]*queue
+	queues     map[string]queue
 	workspaces map[string]*workspaceUsage
 	// entryCount is how many entries share the limits.
 	entryCount int
@@ -85,7 +96,7 @@
 
 // NewController returns a controller with empty queues.
 func NewController() *Controller {
-	return &Controller{queues: map[string]*queue{}, workspaces: map[string]*workspaceUsage{}, entryCount: 1}
+	return &Controller{queues: map[string]queue{}, workspaces: map[string]*workspaceUsage{}, entryCount: 1}
 }
 
 // SetEntryCount sets the number of running entries, this one included. Each enforces its
@@ -95,15 +106,24 @@
 // Waiting returns the number of queued requests of a service.
 func (c *Controller) Waiting(service string) int {
 	if q, ok := c.queues[service]; ok {
-		return q.waiting
+		return q.length()
 	}
 	return 0
 }
 
-func (c *Controller) queue(service string) *queue {
+// OrderByUrgency orders the requests of a service by urgency instead of fair shares: by rank,
+// then by the latest start with which they are on time; those that can no longer be on time
+// come last. It has an effect only before the first request of the service.
+func (c *Controller) OrderByUrgency(service string) {
+	if _, ok := c.queues[service]; !ok {
+		c.queues[service] = newUrgencyQueue()
+	}
+}
+
+func (c *Controller) queue(service string) queue {
 	q, ok := c.queues[service]
 	if !ok {
-		q = newQueue()
+		q = newFairQueue()
 		c.queues[service] = q
 	}
 	return q
@@ -122,26 +142,26 @@
 }
 
 // Enqueue queues a request of a service or refuses it. If the queue is over its bound, it
-// refuses the latest request of the workspace that has most queued relative to its share,
-// which may be a different workspace.
+// refuses a request, which may be a different one: the latest of the workspace that has most
+// queued relative to its share, or the least urgent.
 func (c *Controller) Enqueue(now time.Time, service string, request Request) []Decision {
 	u := c.refilledUsage(now, request.Workspace, request.Limits)
 	if decision, exceeded := c.overLimit(u, request); exceeded {
 		return []Decision{decision}
 	}
 	q := c.queue(service)
-	if !request.Deadline.IsZero() && now.Add(q.throughput.minDuration(request.Tokens)).After(request.Deadline) {
+	if !request.Deadline.IsZero() && now.Add(q.minDuration(request)).After(request.Deadline) {
 		return []Decision{{ID: request.ID, Kind: fault.DeadlineTooNear, RetryAfter: minRetryAfter}}
 	}
 	u.inFlight++
-	q.push(request)
-	if request.MaxQueued <= 0 || q.waiting <= request.MaxQueued {
+	q.push(now, request)
+	if request.MaxQueued <= 0 || q.length() <= request.MaxQueued {
 		return nil
 	}
-	evicted := q.popLongest()
+	evicted := q.popExcess()
 	u = c.workspaces[evicted.Workspace]
 	u.inFlight--
-	return []Decision{q.refusal(evicted.ID)}
+	return []Decision{q.refusal(now, evicted)}
 }
 
 // overLimit reports whether the request exceeds the limits of its workspace at this entry,
@@ -161,14 +181,15 @@
 	return Decision{}, false
 }
 
-// Dispatch admits up to freeSlots queued requests of a service in fair-share order.
+// Dispatch admits up to freeSlots queued requests of a service in the order of its queue. A
+// queue that is ordered by urgency is ordered as of the last call of Enqueue or Prune.
 func (c *Controller) Dispatch(service string, freeSlots int) []Decision {
 	q, ok := c.queues[service]
 	if !ok {
 		return nil
 	}
 	var decisions []Decision
-	for ; freeSlots > 0 && q.waiting > 0; freeSlots-- {
+	for ; freeSlots > 0 && q.length() > 0; freeSlots-- {
 		request := q.popFirst()
 		rank := q.rank(request)
 		q.recordStart(request)
@@ -186,7 +207,7 @@
 	var decisions []Decision
 	for _, request := range q.prune(now) {
 		c.workspaces[request.Workspace].inFlight--
-		decisions = append(decisions, q.refusal(request.ID))
+		decisions = append(decisions, q.refusal(now, request))
 	}
 	return decisions
 }
@@ -224,6 +245,5 @@
 
 // RecordTokens records the tokens generated for a service since the last call.
 func (c *Controller) RecordTokens(now time.Time, service string, tokens int) {
-	q := c.queue(service)
-	q.throughput.recordTokens(now, tokens, q.running, q.waiting > 0)
+	c.queue(service).recordTokens(now, tokens)
 }
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -8,10 +8,35 @@
 	"github.com/mulberrylane/mulberrylane/fault"
 )
 
-// queue holds the queued requests of one service. It implements start-time fair queueing:
-// each request has a virtual start not before the virtual finish of the previous request of
-// its workspace, and the request with the lowest start goes first.
-type queue struct {
+// queue holds the queued requests of one service in the order in which they are admitted.
+type queue interface {
+	// length returns the number of queued requests.
+	length() int
+	push(now time.Time, request Request)
+	// popFirst removes the request that goes first; the queue must not be empty.
+	popFirst() Request
+	// popExcess removes the request that is refused first if the queue is too long; it must
+	// not be empty.
+	popExcess() Request
+	remove(id uint64) (Request, bool)
+	// prune removes the requests that have waited, or are certain to wait, for too long.
+	prune(now time.Time) []Request
+	// rank returns the rank, at its target, of a request that is about to be admitted.
+	rank(request Request) int
+	recordStart(request Request)
+	recordEnd(request Request, tokens int)
+	recordTokens(now time.Time, tokens int)
+	// minDuration returns the shortest time that the request takes once it is admitted, zero
+	// while unknown.
+	minDuration(request Request) time.Duration
+	// refusal returns the decision for a request that cannot be served in time.
+	refusal(now time.Time, request Request) Decision
+}
+
+// fairQueue implements start-time fair queueing: each request has a virtual start not before
+// the virtual finish of the previous request of its workspace, and the request with the lowest
+// start goes first.
+type fairQueue struct {
 	flows map[string]*flow
 	// names lists the names of the flows in sorted order.
 	names   []string
@@ -39,9 +64,19 @@
 	virtualStart float64
 }
 
-func newQueue() *queue { return &queue{flows: map[string]*flow{}} }
+func newFairQueue() *fairQueue { return &fairQueue{flows: map[string]*flow{}} }
 
-func (q *queue) flow(name string) *flow {
+func (q *fairQueue) length() int { return q.waiting }
+
+func (q *fairQueue) recordTokens(now time.Time, tokens int) {
+	q.throughput.recordTokens(now, tokens, q.running, q.waiting > 0)
+}
+
+func (q *fairQueue) minDuration(request Request) time.Duration {
+	return q.throughput.minDuration(request.Tokens)
+}
+
+func (q *fairQueue) flow(name string) *flow {
 	f, ok := q.flows[name]
 	if !ok {
 		f = &flow{}
@@ -52,7 +87,7 @@
 	return f
 }
 
-func (q *queue) push(request Request) {
+func (q *fairQueue) push(_ time.Time, request Request) {
 	f := q.flow(request.Workspace)
 	f.share = max(1, request.Share)
 	start := max(q.virtualTime, f.virtualFinish)
@@ -62,7 +97,7 @@
 }
 
 // popFirst removes the request with the lowest virtual start; the queue must not be empty.
-func (q *queue) popFirst() Request {
+func (q *fairQueue) popFirst() Request {
 	var first *flow
 	for _, name := range q.names {
 		f := q.flows[name]
@@ -77,9 +112,9 @@
 	return request.Request
 }
 
-// popLongest removes the latest request of the flow that has most queued relative to its
+// popExcess removes the latest request of the flow that has most queued relative to its
 // share.
-func (q *queue) popLongest() Request {
+func (q *fairQueue) popExcess() Request {
 	var longest *flow
 	longestQueued := -1.0
 	for _, name := range q.names {
@@ -100,7 +135,7 @@
 	return request.Request
 }
 
-func (q *queue) remove(id uint64) (Request, bool) {
+func (q *fairQueue) remove(id uint64) (Request, bool) {
 	for _, name := range q.names {
 		f := q.flows[name]
 		for index, request := range f.requests {
@@ -123,17 +158,17 @@
 )
 
 // rank returns the rank of a request that is about to be admitted.
-func (q *queue) rank(request Request) int {
+func (q *fairQueue) rank(request Request) int {
 	f := q.flow(request.Workspace)
 	return min(maxRank, bits.Len(uint(f.tokensInFlight/max(1, f.share)/rankUnitTokens)))
 }
 
-func (q *queue) recordStart(request Request) {
+func (q *fairQueue) recordStart(request Request) {
 	q.running++
 	q.flow(request.Workspace).tokensInFlight += request.Tokens
 }
 
-func (q *queue) recordEnd(request Request, tokens int) {
+func (q *fairQueue) recordEnd(request Request, tokens int) {
 	q.throughput.recordLength(request.Tokens, tokens)
 	q.running = max(0, q.running-1)
 	f := q.flow(request.Workspace)
@@ -141,7 +176,7 @@
 }
 
 // prune removes the requests that have waited, or are certain to wait, for too long.
-func (q *queue) prune(now time.Time) []Request {
+func (q *fairQueue) prune(now time.Time) []Request {
 	if q.waiting == 0 {
 		return nil
 	}
@@ -160,7 +195,7 @@
 }
 
 // ordered returns the queued requests in the order in which they would be admitted.
-func (q *queue) ordered() []Request {
+func (q *fairQueue) ordered() []Request {
 	queued := make([]queuedRequest, 0, q.waiting)
 	for _, name := range q.names {
 		queued = append(queued, q.flows[name].requests...)
@@ -182,7 +217,7 @@
 	return requests
 }
 
-func (q *queue) cannotStartInTime(now time.Time, request Request, expectedWait time.Duration) bool {
+func (q *fairQueue) cannotStartInTime(now time.Time, request Request, expectedWait time.Duration) bool {
 	waited := now.Sub(request.Arrived)
 	if request.FailFast {
 		return waited >= failFastTimeout || !q.underShare(request)
@@ -195,7 +230,7 @@
 
 // underShare reports whether the running requests of the request's workspace have no more
 // than its share of the tokens in flight.
-func (q *queue) underShare(request Request) bool {
+func (q *fairQueue) underShare(request Request) bool {
 	totalTokens, totalShares := 0, 0
 	for _, name := range q.names {
 		f := q.flows[name]
@@ -209,12 +244,12 @@
 }
 
 // refusal returns the decision for a request that cannot be served in time.
-func (q *queue) refusal(id uint64) Decision {
+func (q *fairQueue) refusal(_ time.Time, request Request) Decision {
 	queuedTokens := 0
 	for _, f := range q.flows {
-		for _, request := range f.requests {
-			queuedTokens += request.Tokens
+		for _, queued := range f.requests {
+			queuedTokens += queued.Tokens
 		}
 	}
-	return Decision{ID: id, Kind: fault.Overloaded, RetryAfter: max(minRetryAfter, q.throughput.queueDelay(queuedTokens))}
+	return Decision{ID: request.ID, Kind: fault.Overloaded, RetryAfter: max(minRetryAfter, q.throughput.queueDelay(queuedTokens))}
 }
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -66,7 +66,7 @@
 		// The buffer lets attempts finish whose results nobody reads.
 		results: make(chan callResult, maxAttempts),
 	}
-	if err := c.startAttempt(ctx, admission.Charge{}); err != nil {
+	if err := c.startQueued(ctx, admission.Charge{}); err != nil {
 		e.refuse(err, 0)
 		return
 	}
@@ -109,12 +109,28 @@
 // maxAttempts limits the attempts of one call, whatever their results.
 const maxAttempts = 16
 
-// startAttempt starts an attempt. charge is what the retry budget was charged for it,
-// zero for a first attempt and for a retry of an unsent one.
-func (c *call) startAttempt(ctx context.Context, charge admission.Charge) error {
+// startQueued starts an attempt once the call queue gives it a place. charge is what the retry
+// budget was charged for it, zero for a first attempt and for a retry of an unsent one.
+func (c *call) startQueued(ctx context.Context, charge admission.Charge) error {
+	for {
+		place, err := c.waitForPlace(ctx)
+		if err == nil {
+			err = c.startAttempt(ctx, charge, place)
+		}
+		if err == nil || fault.KindOf(err) != fault.NoTarget || !c.targetsFull() {
+			if err != nil {
+				c.refundRetry(charge)
+			}
+			return err
+		}
+	}
+}
+
+// startAttempt starts an attempt that has a place.
+func (c *call) startAttempt(ctx context.Context, charge admission.Charge, place *callPlace) error {
 	a, err := c.placeAttempt(ctx, c.requirements)
 	if err != nil {
-		c.gateway.control.post(func() { c.gateway.control.budget(c.service).Refund(charge) })
+		place.release()
 		return err
 	}
 	a.charge = charge
@@ -126,6 +142,7 @@
 		result := callResult{attempt: a, outcome: request.AttemptBroken}
 		c.gateway.protect("attempt", func() { result.response, result.outcome = c.runCallAttempt(a) })
 		c.gateway.metrics.countAttempt(result.outcome.String())
+		place.end(a, result.outcome)
 		c.results <- result
 	}()
 	return nil
@@ -137,11 +154,17 @@
 	if !c.retry.MayHedge(len(c.running)) || c.attempts >= maxAttempts || c.notRetried {
 		return true
 	}
+	place := c.takePlace(urgent)
+	if place == nil {
+		return false
+	}
 	charge, ok := c.gateway.takeRetry(c.inbound.ID, c.service, urgent)
 	if !ok {
+		place.release()
 		return false
 	}
-	if err := c.startAttempt(ctx, charge); err != nil {
+	if err := c.startAttempt(ctx, charge, place); err != nil {
+		c.refundRetry(charge)
 		return false
 	}
 	c.gateway.log.Event("hedged", "request", c.inbound.ID, "after", time.Since(c.arrived))
@@ -188,7 +211,7 @@
 		return true
 	}
 	c.gateway.log.Event("retried", "request", c.inbound.ID, "left", result.attempt.target.ID, "outcome", result.outcome.String())
-	if err := c.startAttempt(ctx, charge); err != nil {
+	if err := c.startQueued(ctx, charge); err != nil {
 		c.respond(fault.KindOf(err))
 		return true
 	}
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -71,6 +71,7 @@
 	registry  *registry.Registry
 	monitors  map[request.TargetID]*targetMonitor
 	budgets   map[string]*admission.RetryBudget
+	callQueue callQueue
 	bounds    Bounds
 	startedAt time.Time
 	lastCheck time.Time
@@ -155,6 +156,7 @@
 		registry:          registry.New(),
 		monitors:          map[request.TargetID]*targetMonitor{},
 		budgets:           map[string]*admission.RetryBudget{},
+		callQueue:         newCallQueue(),
 		bounds:            g.settings.Bounds,
 		startedAt:         now,
 		lastCheck:         now,
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/meter"
 )
 
@@ -32,6 +33,9 @@
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
 	returns           metric.Int64Counter
+	callWait          metric.Float64Histogram
+	callsRefused      metric.Int64Counter
+	callPlaces        metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -58,6 +62,9 @@
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
+		callWait:          b.LatencyHistogram("mulberrylane.calls.wait", "Time that attempts of calls waited for a place at a target"),
+		callsRefused:      b.Counter("mulberrylane.calls.refused", "Calls that the call queue refused, by reason"),
+		callPlaces:        b.Counter("mulberrylane.calls.places", "Places at targets that were believed free, by what the target said"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -107,6 +114,10 @@
 			Name: "mulberrylane.prompt.parts.in_quarantine", Description: "Prompt parts in quarantine now",
 			Read: fromControl(func(c *control, now time.Time) int64 { return int64(len(c.quarantine.Quarantined(now))) }),
 		},
+		{
+			Name: "mulberrylane.calls.waiting", Description: "Calls that wait for a place at a target",
+			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(c.callQueue.waiting()) }),
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
@@ -150,6 +161,25 @@
 	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
 }
 
+// recordCallWait records that the call queue admitted an attempt, or refused it for the given
+// reason, after it had waited.
+func (m *instruments) recordCallWait(waited time.Duration, refused fault.Kind) {
+	if refused == fault.None {
+		recordDuration(m.callWait, waited)
+		return
+	}
+	m.callsRefused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", refused.String())))
+}
+
+// countPlace counts an attempt at a target that was believed to have a free place.
+func (m *instruments) countPlace(full bool) {
+	found := "free"
+	if full {
+		found = "full"
+	}
+	m.callPlaces.Add(context.Background(), 1, metric.WithAttributes(attribute.String("found", found)))
+}
+
 func (m *instruments) countAttempt(outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -57,6 +57,7 @@
 		usage := budget.Usage(now)
 		update.Usage[service] = [2]int{usage.Requests, usage.Retries}
 	}
+	update.CallsInFlight = c.callQueue.inFlight()
 	update.AmbiguousRuns = c.kvCopies.Conflicts()
 	update.Down = recent(now, c.recentlyDown)
 	update.Replaced = recent(now, c.recentlyReplaced)
--- a/process/gateway/target_state.go
+++ b/process/gateway/target_state.go
@@ -67,6 +67,9 @@
 // retryAfter returns when a refused request is worth retrying: if all targets of its service
 // asked for no requests, after the earliest of them wants some again.
 func (e *exchange) retryAfter(kind fault.Kind) time.Duration {
+	if e.returnAfter > 0 {
+		return e.returnAfter
+	}
 	if kind == fault.NoTarget || kind == fault.Overloaded {
 		c := e.gateway.control
 		wait := time.Duration(0)
--- a/process/placement/backoff.go
+++ b/process/placement/backoff.go
@@ -29,6 +29,14 @@
 	reserved int
 	// nextAttempt is when an attempt may be sent after the end.
 	nextAttempt time.Time
+	// fullUntil is the end of the time for which the target gets no requests because it
+	// rejected one without asking for none.
+	fullUntil time.Time
+}
+
+// delays reports whether requests are held back because the target asked for none.
+func (b *backoff) delays(now time.Time) bool {
+	return now.Before(b.until) || now.Before(b.nextAttempt)
 }
 
 // RecordBackoff records that an incarnation of a target asked for no requests for d, and
@@ -55,7 +63,7 @@
 // time, and did not refuse it.
 func (t *Table) RecordAccepted(startedAt time.Time, id request.TargetID) {
 	if target, ok := t.targets[id]; ok && target.announced != nil && !startedAt.Before(target.announced.backoff.until) {
-		target.announced.backoff = backoff{}
+		target.announced.backoff = backoff{fullUntil: target.announced.backoff.fullUntil}
 	}
 }
 
@@ -64,10 +72,10 @@
 	return t.announced != nil && now.Before(t.announced.backoff.until)
 }
 
-// acceptsAttempt reports whether an attempt may be sent to the target, as far as its backoff
-// goes.
+// acceptsAttempt reports whether an attempt may be sent to the target, as far as its backoff and
+// its rejections go.
 func (t *Target) acceptsAttempt(now time.Time) bool {
-	return t.announced == nil || !t.BackingOff(now) && !now.Before(t.announced.backoff.nextAttempt)
+	return t.announced == nil || !t.announced.backoff.delays(now) && !now.Before(t.announced.backoff.fullUntil)
 }
 
 // recordAttempt records that an attempt is sent to the target.
