Keep places in target queues for calls that can be on time

An entry without calls that can be on time sent late ones, while other entries had calls that became late, and callers that return after a refusal counted as new. Late calls now take free slots only (FreeForLate), and FirstAttempts tells a returning caller by the time that it has left.

Tests with -race: process/admission, process/entry, process/placement, and in process/gateway those named Call, Backoff, Stop and Late pass.

--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -184,12 +184,21 @@
 // Dispatch admits up to freeSlots queued requests of a service in the order of its queue. A
 // queue that is ordered by urgency is ordered as of the last call of Enqueue or Prune.
 func (c *Controller) Dispatch(service string, freeSlots int) []Decision {
+	return c.DispatchLimited(service, freeSlots, freeSlots)
+}
+
+// DispatchLimited is like Dispatch, but admits requests that can no longer be on time only
+// as long as it has admitted fewer than freeForLate.
+func (c *Controller) DispatchLimited(service string, freeSlots, freeForLate int) []Decision {
 	q, ok := c.queues[service]
 	if !ok {
 		return nil
 	}
 	var decisions []Decision
-	for ; freeSlots > 0 && q.length() > 0; freeSlots-- {
+	for n := 0; n < freeSlots && q.length() > 0; n++ {
+		if n >= freeForLate && q.onlyLate() {
+			break
+		}
 		request := q.popFirst()
 		rank := q.rank(request)
 		q.recordStart(request)
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -27,6 +27,15 @@
 	// exceed its own part of the limit: a burst at one entry does not wait while others
 	// are idle.
 	borrowLoad = 1.0
+	// lateLoad is the load of the fleet, in requests per slot, up to which requests are sent
+	// that can no longer be on time.
+	lateLoad = 0.7
+	// startDeviations is how many mean deviations are added to the mean time that targets take
+	// for a request to say when it must start to be on time.
+	startDeviations = 1
+	// minWaitShare is the fraction of the latency objective for which a request counts as one
+	// that can be on time, however slow the targets are.
+	minWaitShare = 0.25
 	// noBorrowAfterRejection is how long after a rejection an entry stays within its own part:
 	// what it knows of the load is older than the rejection.
 	noBorrowAfterRejection = 200 * time.Millisecond
@@ -35,8 +44,10 @@
 	// durationWeight and usualWeight are the weights of one response in the means from which
 	// the expected and the usual duration are taken. The least of the latter counts, so it
 	// must vary little.
-	durationWeight  = 1.0 / 16
-	usualWeight     = 1.0 / 64
+	durationWeight = 1.0 / 16
+	usualWeight    = 1.0 / 64
+	// minUsualCount is how many responses a usual duration takes.
+	minUsualCount   = 32
 	deviationWeight = 1.0 / 16
 )
 
@@ -110,7 +121,9 @@
 func (l *Limit) RecordResponse(now time.Time, took time.Duration, limited bool) {
 	l.duration.add(took, durationWeight)
 	l.usualMean.add(took, usualWeight)
-	l.usual.add(now, time.Duration(l.usualMean.mean))
+	if l.usualMean.count >= minUsualCount {
+		l.usual.add(now, time.Duration(l.usualMean.mean))
+	}
 	ceiling := 1.0
 	if objective := l.objective.value(); limited && objective > 0 &&
 		l.duration.mean < float64(l.usual.value())+growDelayShare*float64(objective) {
@@ -121,10 +134,9 @@
 	}
 }
 
-// Expected returns how long a target takes for a request, with the given number of mean
-// deviations added; zero while unknown.
-func (l *Limit) Expected(deviations float64) time.Duration {
-	return time.Duration(l.duration.mean + deviations*l.duration.deviation)
+// expected returns how long targets take at most for most requests, zero while unknown.
+func (l *Limit) expected() time.Duration {
+	return time.Duration(l.duration.mean + startDeviations*l.duration.deviation)
 }
 
 // Usual returns the mean duration of requests while the targets are not overloaded; zero while
@@ -142,14 +154,15 @@
 	return slots * (1 + queueShare*float64(objective)/float64(usual))
 }
 
-// own returns the entry's part of the limit before it is scaled.
-func (l *Limit) own() float64 {
-	entries := max(1, l.fleet.Entries)
-	// One more request for each entry gives one without recent requests its part.
-	share := float64(l.fleet.Demand+1) / float64(l.fleet.Demand+l.fleet.PeerDemand+entries)
-	return share * l.Total()
+// share returns the entry's part of the recent demand. One more request for each entry gives
+// one without recent requests its part.
+func (l *Limit) share() float64 {
+	return float64(l.fleet.Demand+1) / float64(l.fleet.Demand+l.fleet.PeerDemand+max(1, l.fleet.Entries))
 }
 
+// own returns the entry's part of the limit before it is scaled.
+func (l *Limit) own() float64 { return l.share() * l.Total() }
+
 // Places returns how many requests of the entry may be under way at a time.
 func (l *Limit) Places(now time.Time) int {
 	places := max(1, int(math.Round(l.scale*l.own())))
@@ -163,6 +176,26 @@
 // Free returns how many more requests may be started now.
 func (l *Limit) Free(now time.Time) int { return max(0, l.Places(now)-l.inFlight) }
 
+// FreeForLate returns how many of them may be ones that can no longer be on time. They take
+// free slots, not places in the queues at the targets, which are for those of all entries that
+// can be on time.
+func (l *Limit) FreeForLate(now time.Time) int {
+	places := l.share() * lateLoad * float64(l.fleet.Slots)
+	if unused := lateLoad*float64(l.fleet.Slots) - float64(l.fleet.PeersInFlight); unused > places {
+		places = unused
+	}
+	return min(l.Free(now), max(0, int(places)-l.inFlight))
+}
+
+// LatestStart returns the latest start with which a response is on time by its objective. The
+// request was first sent at the given time.
+func (l *Limit) LatestStart(sent time.Time, objective time.Duration) time.Time {
+	if objective <= 0 {
+		return time.Time{}
+	}
+	return sent.Add(max(objective-l.expected(), time.Duration(minWaitShare*float64(objective))))
+}
+
 // smoothedDuration is a smoothed mean of durations and their smoothed mean deviation. The
 // first observations have equal weights.
 type smoothedDuration struct {
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -12,6 +12,8 @@
 type queue interface {
 	// length returns the number of queued requests.
 	length() int
+	// onlyLate reports whether no queued request can be on time any more.
+	onlyLate() bool
 	push(now time.Time, request Request)
 	// popFirst removes the request that goes first; the queue must not be empty.
 	popFirst() Request
@@ -68,6 +70,8 @@
 
 func (q *fairQueue) length() int { return q.waiting }
 
+func (q *fairQueue) onlyLate() bool { return false }
+
 func (q *fairQueue) recordTokens(now time.Time, tokens int) {
 	q.throughput.recordTokens(now, tokens, q.running, q.waiting > 0)
 }
--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -138,6 +138,10 @@
 
 func (q *urgencyQueue) length() int { return len(q.items) }
 
+func (q *urgencyQueue) onlyLate() bool {
+	return !slices.ContainsFunc(q.active, func(f *urgencyFlow) bool { return len(f.onTime) > 0 })
+}
+
 func (q *urgencyQueue) advance(now time.Time) {
 	if now.After(q.now) {
 		q.drain.advance(now, q.length() > 0)
@@ -229,33 +233,46 @@
 
 // first returns the place of the request that goes first.
 func (q *urgencyQueue) first() (f *urgencyFlow, late bool, i int) {
-	flows := q.active
-	if f = q.starved(); f != nil {
-		flows = []*urgencyFlow{f}
+	late = q.onlyLate()
+	if f = q.starved(late); f == nil {
+		f = q.mostUrgent(late)
+	}
+	if !late && q.prefersNewest() {
+		return f, late, len(f.onTime) - 1
+	}
+	return f, late, 0
+}
+
+// list returns the late requests of a flow, or the others.
+func (f *urgencyFlow) list(late bool) []Request {
+	if late {
+		return f.late
 	}
-	newest := q.prefersNewest()
+	return f.onTime
+}
+
+// mostUrgent returns the flow whose late requests, or others, go first.
+func (q *urgencyQueue) mostUrgent(late bool) *urgencyFlow {
+	newest := !late && q.prefersNewest()
 	var best *urgencyFlow
-	for _, f := range flows {
-		switch {
-		case len(f.onTime) == 0:
-		case best != nil && best.key.rank < f.key.rank:
-		case best == nil, newest && f.onTime[len(f.onTime)-1].LatestStart.After(best.onTime[len(best.onTime)-1].LatestStart),
-			!newest && f.onTime[0].LatestStart.Before(best.onTime[0].LatestStart):
-			best = f
+	var bestAt time.Time
+	for _, f := range q.active {
+		list := f.list(late)
+		if len(list) == 0 {
+			continue
 		}
-	}
-	if best != nil {
+		if best != nil && best.key.rank < f.key.rank {
+			break
+		}
+		at := orderedBy(list[0], late)
 		if newest {
-			return best, false, len(best.onTime) - 1
+			at = orderedBy(list[len(list)-1], late)
 		}
-		return best, false, 0
-	}
-	for _, f := range flows {
-		if len(f.late) > 0 && (best == nil || best.key.rank == f.key.rank && f.late[0].Deadline.Before(best.late[0].Deadline)) {
-			best = f
+		if best == nil || newest && at.After(bestAt) || !newest && at.Before(bestAt) {
+			best, bestAt = f, at
 		}
 	}
-	return best, true, 0
+	return best
 }
 
 // prefersNewest reports whether the newest of the requests that can be on time go first.
@@ -267,16 +284,16 @@
 }
 
 // starved returns the flow whose served share is lowest, if it is below minServedShare of that
-// of all requests; otherwise nil.
-func (q *urgencyQueue) starved() *urgencyFlow {
-	if len(q.active) < 2 && len(q.flows) < 2 {
+// of all requests; otherwise nil. Only flows with late requests, or with others, count.
+func (q *urgencyQueue) starved(late bool) *urgencyFlow {
+	if len(q.flows) < 2 {
 		return nil
 	}
 	var lowest *urgencyFlow
 	limit := minServedShare * q.served.at(q.now) / max(1, q.offered.at(q.now))
 	for _, f := range q.active {
 		offered := f.offered.at(q.now)
-		if offered < minFlowOffered {
+		if len(f.list(late)) == 0 || offered < minFlowOffered {
 			continue
 		}
 		if share := f.served.at(q.now) / offered; share < limit {
@@ -303,10 +320,7 @@
 	if !ok {
 		return Request{}, false
 	}
-	list := item.flow.onTime
-	if item.late {
-		list = item.flow.late
-	}
+	list := item.flow.list(item.late)
 	i, _ := slices.BinarySearchFunc(list, item.at, func(other Request, at time.Time) int {
 		return orderedBy(other, item.late).Compare(at)
 	})
--- a/process/gateway/call_queue.go
+++ b/process/gateway/call_queue.go
@@ -22,9 +22,6 @@
 	// callUpdateInterval is the interval at which peers get updates while calls are queued, so
 	// that the entries divide the limit by what each has under way now.
 	callUpdateInterval = 100 * time.Millisecond
-	// startDeviations is how many mean deviations are added to the mean time that targets take
-	// for a call, to say when it must start to be on time.
-	startDeviations = 1
 	// returnShare is the fraction of the time that a caller has left up to which it honours
 	// Retry-After.
 	returnShare = 1.0 / 3
@@ -46,10 +43,15 @@
 	limit *admission.Limit
 	// viewedAt is when the limit last learned of the fleet.
 	viewedAt time.Time
+	// firstAttempts holds what is known of the callers of each kind.
+	firstAttempts map[callerKind]*admission.FirstAttempts
 	// queueing is set while calls wait.
 	queueing bool
 }
 
+// callerKind identifies callers that are taken to be alike.
+type callerKind struct{ route, workspace string }
+
 func newCallQueue() callQueue {
 	return callQueue{controller: admission.NewController(), services: map[string]*callService{}, places: map[uint64]*callPlace{}}
 }
@@ -57,7 +59,7 @@
 func (q *callQueue) service(name string) *callService {
 	s, ok := q.services[name]
 	if !ok {
-		s = &callService{limit: admission.NewLimit()}
+		s = &callService{limit: admission.NewLimit(), firstAttempts: map[callerKind]*admission.FirstAttempts{}}
 		q.services[name] = s
 		q.controller.OrderByUrgency(name)
 	}
@@ -165,15 +167,27 @@
 	p.request = admission.Request{
 		ID: c.callQueue.lastID, Workspace: e.workspaceName(), Kind: e.route.Name, Rank: e.priority(), Arrived: e.arrived,
 		Deadline: e.deadline, Duration: s.limit.Usual(), MaxQueued: maxQueuedCalls,
-	}
-	if e.route.LatencyObjective > 0 {
-		p.request.LatestStart = e.arrived.Add(e.route.LatencyObjective - s.limit.Expected(startDeviations))
+		LatestStart: s.limit.LatestStart(c.firstSent(e, s), e.route.LatencyObjective),
 	}
 	c.callQueue.places[p.request.ID] = p
 	c.applyCallDecisions(now, c.callQueue.controller.Enqueue(now, e.service, p.request))
 	c.dispatchCalls(now, e.service)
 }
 
+// firstSent estimates when the caller first sent the request.
+func (c *control) firstSent(e *exchange, s *callService) time.Time {
+	if e.firstSent.IsZero() {
+		kind := callerKind{route: e.route.Name, workspace: e.workspaceName()}
+		attempts, ok := s.firstAttempts[kind]
+		if !ok {
+			attempts = admission.NewFirstAttempts()
+			s.firstAttempts[kind] = attempts
+		}
+		e.firstSent = e.arrived.Add(-attempts.Elapsed(e.inbound.TimeLeft))
+	}
+	return e.firstSent
+}
+
 // withdrawCall removes a call whose caller waits no longer.
 func (c *control) withdrawCall(now time.Time, p *callPlace) {
 	service := p.exchange.service
@@ -207,25 +221,27 @@
 	if waiting := controller.Waiting(service); waiting > 0 {
 		s := c.callQueue.service(service)
 		c.viewFleet(now, service, s)
-		free := c.freePlaces(now, service, s)
-		if free < waiting {
+		free, freeForLate := c.freePlaces(now, service, s)
+		if freeForLate < waiting {
 			c.applyCallDecisions(now, controller.Prune(now, service))
 		}
-		c.applyCallDecisions(now, controller.Dispatch(service, free))
+		c.applyCallDecisions(now, controller.DispatchLimited(service, free, freeForLate))
 	}
 	c.recordQueueing(now, service)
 }
 
-// freePlaces returns how many calls may be sent now. If no target is up, or none wants requests,
-// all may go on: they are refused as without a queue, since another entry may serve them sooner.
-func (c *control) freePlaces(now time.Time, service string, s *callService) int {
+// freePlaces returns how many calls may be sent now, and how many that are late. If no target is
+// up, or none wants requests, all may go on: they are refused as without a queue, since another
+// entry may serve them sooner.
+func (c *control) freePlaces(now time.Time, service string, s *callService) (free, freeForLate int) {
 	switch {
 	case c.table.UsableSlots(now, service) == 0 || c.table.Reluctant(now, service):
-		return c.callQueue.controller.Waiting(service)
+		waiting := c.callQueue.controller.Waiting(service)
+		return waiting, waiting
 	case c.table.FullFor(now, service) > 0:
-		return 0
+		return 0, 0
 	default:
-		return s.limit.Free(now)
+		return s.limit.Free(now), s.limit.FreeForLate(now)
 	}
 }
 
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -68,6 +68,8 @@
 	trial quarantine.Part
 	// run numbers the run of a stream whose engines send KV copies, 0 for other requests.
 	run kvcopies.Number
+	// firstSent estimates when the caller of a call first sent it; the control goroutine owns it.
+	firstSent time.Time
 	// returnAfter is when the caller is to return if the call queue refused it.
 	returnAfter time.Duration
 	// cutOff is set when a planned stop ended the request.
