Let a burst at one entry use the free slots of the fleet

Between its own part and 1.75 requests per slot of the fleet an entry may now exceed its part: at 1.0 per slot calls waited while a third of the targets was slow, though others had room. Late calls take slots up to 1.0, refusals come earlier (minLateShare), the scale of a limit falls again when responses slow down, and a time limit is taken for that of first attempts only if most requests have a common one.

--- a/process/admission/first_attempt.go
+++ b/process/admission/first_attempt.go
@@ -13,6 +13,9 @@
 	// be one of first attempts. Callers that return after a refusal have all sorts of times
 	// left.
 	commonLimits = 6
+	// minCommonShare is the fraction of the remembered requests that must have common limits.
+	// A caller returns once for each first attempt at most.
+	minCommonShare = 0.5
 )
 
 // FirstAttempts estimates for how long a caller has been waiting when its request arrives.
@@ -48,13 +51,16 @@
 	if f.counts[limit] >= commonLimits {
 		return 0
 	}
-	first := int64(0)
+	first, common, remembered := int64(0), 0, 0
 	for other, count := range f.counts {
-		if other > limit && count >= commonLimits && (first == 0 || other < first) {
+		if remembered += count; count < commonLimits {
+			continue
+		}
+		if common += count; other > limit && (first == 0 || other < first) {
 			first = other
 		}
 	}
-	if first == 0 {
+	if first == 0 || float64(common) < minCommonShare*float64(remembered) {
 		return 0
 	}
 	return time.Duration(first-limit) * limitUnit
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -13,11 +13,12 @@
 	// shrinkInterval, since one full target rejects several requests under way at once.
 	shrinkFactor   = 0.85
 	shrinkInterval = 50 * time.Millisecond
-	// minScale and maxScale limit the scale of an entry's limit. A rejection by one target of
-	// several says little about the others. Above one it makes up for targets that serve more
-	// at a time than they registered.
+	// minScale and maxScale limit the scale of an entry's limit. While peers are silent,
+	// rejections tell of the load of all entries, so that an entry on its own would end with
+	// a single place. Above one the scale makes up for targets that serve far more at a time
+	// than they registered.
 	minScale = 0.3
-	maxScale = 4
+	maxScale = 64
 	// growStep is how much of a place the limit grows with each response.
 	growStep = 0.1
 	// growDelayShare is the fraction of the latency objective by which responses may be slower
@@ -26,10 +27,10 @@
 	// borrowLoad is the load of the fleet, in requests per slot, up to which an entry may
 	// exceed its own part of the limit: a burst at one entry does not wait while others
 	// are idle.
-	borrowLoad = 1.0
+	borrowLoad = 1.75
 	// lateLoad is the load of the fleet, in requests per slot, up to which requests are sent
 	// that can no longer be on time.
-	lateLoad = 0.7
+	lateLoad = 1.0
 	// startDeviations is how many mean deviations are added to the mean time that targets take
 	// for a request to say when it must start to be on time.
 	startDeviations = 1
@@ -129,8 +130,12 @@
 		l.duration.mean < float64(l.usual.value())+growDelayShare*float64(objective) {
 		ceiling = maxScale
 	}
-	if l.scale < ceiling {
-		l.scale = min(ceiling, l.scale+growStep/max(1, l.own()))
+	step := growStep / max(1, l.own())
+	switch {
+	case l.scale < ceiling:
+		l.scale = min(ceiling, l.scale+step)
+	case limited && l.scale > ceiling:
+		l.scale = max(ceiling, l.scale-step)
 	}
 }
 
--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -31,7 +31,7 @@
 	minDrainObserved = 250 * time.Millisecond
 	// minLateShare is the fraction of the drain rate that is assumed for late requests at
 	// least. While an overload lasts none are served, but it may end at any time.
-	minLateShare = 0.1
+	minLateShare = 0.05
 	// returningShare is the fraction of the drain rate with which refused callers are asked to
 	// return; the rest is for new requests.
 	returningShare = 0.5
--- a/process/gateway/call_queue.go
+++ b/process/gateway/call_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/fault"
@@ -25,6 +26,11 @@
 	// returnShare is the fraction of the time that a caller has left up to which it honours
 	// Retry-After.
 	returnShare = 1.0 / 3
+	// returnJitter is the fraction of that time over which callers are spread that would have
+	// to return later.
+	returnJitter = 0.3
+	// minReturnAfter keeps a caller with little time left from returning at once.
+	minReturnAfter = 10 * time.Millisecond
 )
 
 // callQueue is the admission of calls, a part of the control goroutine's state.
@@ -122,7 +128,12 @@
 	if decision.Kind == fault.None {
 		return nil
 	}
-	c.returnAfter = min(decision.RetryAfter, time.Duration(returnShare*float64(c.timeLeft())))
+	c.returnAfter = decision.RetryAfter
+	if left := c.inbound.TimeLeft - time.Since(c.arrived); c.inbound.TimeLeft > 0 {
+		// Callers that would return later come back spread over the end of that time.
+		latest := time.Duration(returnShare * (1 - returnJitter*rand.Float64()) * float64(left))
+		c.returnAfter = max(minReturnAfter, min(c.returnAfter, latest))
+	}
 	return fault.New(decision.Kind, "the targets of %s cannot serve the call in time", c.service)
 }
 
