--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -29,6 +29,10 @@
 	// minDrainObserved is the time with queued requests below which no drain rate is known: a
 	// few times as long as a call takes.
 	minDrainObserved = 250 * time.Millisecond
+	// minLateObserved is that time below which no late request is refused by prediction: in a
+	// burst that ends within it, all those that arrive together become late before any late one
+	// is served.
+	minLateObserved = time.Second
 	// minLateShare is the fraction of the drain rate that is assumed for late requests at
 	// least. While an overload lasts none are served, but it may end at any time.
 	minLateShare = 0.05
@@ -433,7 +437,7 @@
 // unknown.
 func (d *drainRate) lateWait(position int) time.Duration {
 	rate := d.rate()
-	if rate <= 0 {
+	if rate <= 0 || d.observed < minLateObserved.Seconds() {
 		return 0
 	}
 	return seconds(float64(position) / max(d.lateStarts/d.observed, minLateShare*rate))
