Refuse queued calls before their deadline, not at it

The usual duration of a call was taken when it was queued, so the first burst after a start waited until its callers' time was over, and calls with less time than the latency objective were not refused by prediction. The queue now uses the current estimate and bounds the latest start by the deadline.

--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -29,9 +29,6 @@
 	Kind        string
 	Rank        int
 	LatestStart time.Time
-	// Duration is how long the request usually takes once it is admitted; zero means unknown.
-	// It counts in services whose requests are ordered by urgency.
-	Duration time.Duration
 	// Tokens is the maximum number of output tokens.
 	Tokens  int
 	Arrived time.Time
@@ -120,6 +117,14 @@
 	}
 }
 
+// SetUsualDuration sets how long the requests of a service that is ordered by urgency usually
+// take once they are admitted; zero means that it is not known.
+func (c *Controller) SetUsualDuration(service string, d time.Duration) {
+	if q, ok := c.queues[service].(*urgencyQueue); ok {
+		q.usualDuration = d
+	}
+}
+
 func (c *Controller) queue(service string) queue {
 	q, ok := c.queues[service]
 	if !ok {
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -144,9 +144,14 @@
 	return time.Duration(l.duration.mean + startDeviations*l.duration.deviation)
 }
 
-// Usual returns the mean duration of requests while the targets are not overloaded; zero while
-// unknown.
-func (l *Limit) Usual() time.Duration { return l.usual.value() }
+// Usual returns the mean duration of requests while the targets are not overloaded, as far as
+// is known; zero while unknown.
+func (l *Limit) Usual() time.Duration {
+	if usual := l.usual.value(); usual > 0 {
+		return usual
+	}
+	return time.Duration(l.duration.mean)
+}
 
 // Total returns the limit of the whole fleet.
 func (l *Limit) Total() float64 {
--- a/process/admission/simulation_test.go
+++ b/process/admission/simulation_test.go
@@ -412,10 +412,10 @@
 	s.lastID++
 	a.request = Request{
 		ID: s.lastID, Kind: x.call.kind.name, Rank: x.call.kind.rank, Arrived: x.arrived, Deadline: x.deadline,
-		LatestStart: e.limit.LatestStart(x.firstSent, simObjective), Duration: e.limit.Usual(),
+		LatestStart: e.limit.LatestStart(x.firstSent, simObjective),
 	}
 	if s.policy.fifo {
-		a.request.LatestStart = a.request.Deadline.Add(-a.request.Duration)
+		a.request.LatestStart = a.request.Deadline
 	}
 	e.places[a.request.ID] = a
 	e.decide(e.controller.Enqueue(s.now, simService, a.request))
@@ -528,6 +528,7 @@
 	e.table.RecordResponse(s.now, target.ID, false, nil)
 	if served {
 		e.limit.RecordResponse(s.now, s.now.Sub(sent), e.controller.Waiting(simService) > 0)
+		e.controller.SetUsualDuration(simService, e.limit.Usual())
 	} else {
 		e.limit.RecordRejection(s.now)
 		if !s.policy.atOnce {
--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -62,6 +62,8 @@
 	items  map[uint64]urgencyItem
 	// now is the time of the last call that passed it.
 	now time.Time
+	// usualDuration is how long a request usually takes once it is admitted.
+	usualDuration time.Duration
 	// becameLateAt is when a queued request last became late.
 	becameLateAt time.Time
 	// offered and served are the sums over all flows.
@@ -155,8 +157,9 @@
 
 func (q *urgencyQueue) push(now time.Time, request Request) {
 	q.advance(now)
-	if request.LatestStart.IsZero() {
-		request.LatestStart = request.Deadline
+	if latest := request.Deadline.Add(-q.usualDuration); !request.Deadline.IsZero() &&
+		(request.LatestStart.IsZero() || request.LatestStart.After(latest)) {
+		request.LatestStart = latest
 	}
 	f := q.flow(flowKey{rank: request.Rank, kind: request.Kind, workspace: request.Workspace})
 	if f.length() == 0 {
@@ -349,7 +352,7 @@
 		for i := 0; i < len(f.late); {
 			request := f.late[i]
 			wait := q.drain.lateWait(ahead + 1)
-			if !request.Deadline.IsZero() && q.now.Add(wait+request.Duration).After(request.Deadline) {
+			if !request.Deadline.IsZero() && q.now.Add(wait+q.usualDuration).After(request.Deadline) {
 				expired = append(expired, q.take(f, true, i))
 				continue
 			}
--- a/process/gateway/call_queue.go
+++ b/process/gateway/call_queue.go
@@ -177,7 +177,7 @@
 	p.queuedAt, p.queued = now, true
 	p.request = admission.Request{
 		ID: c.callQueue.lastID, Workspace: e.workspaceName(), Kind: e.route.Name, Rank: e.priority(), Arrived: e.arrived,
-		Deadline: e.deadline, Duration: s.limit.Usual(), MaxQueued: maxQueuedCalls,
+		Deadline: e.deadline, MaxQueued: maxQueuedCalls,
 		LatestStart: s.limit.LatestStart(c.firstSent(e, s), e.route.LatencyObjective),
 	}
 	c.callQueue.places[p.request.ID] = p
@@ -336,6 +336,7 @@
 		switch outcome {
 		case request.AttemptAnswered:
 			limit.RecordResponse(now, took, c.callQueue.controller.Waiting(service) > 0)
+			c.callQueue.controller.SetUsualDuration(service, limit.Usual())
 			c.gateway.metrics.countPlace(false)
 		case request.AttemptRefused:
 			if a.reply.WrongTarget {
