--- a/command/explain.go
+++ b/command/explain.go
@@ -48,6 +48,7 @@
 	"copy_gone":               "the copy was lost with its target",
 	"copy_moved":              "a new copy was asked for",
 	"copy_failed":             "the new copy could not be made",
+	"call_queued":             "the call waited for a place at a target",
 	"budget_denied":           "the retry budget allowed no further attempt",
 	"connection_closed":       "the entry had to end and closed the connection without a response",
 	"quarantined":             "engines crash on a part of its prompt",
--- a/process/admission/fleet_test.go
+++ b/process/admission/fleet_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// While the entries are upgraded, peers of the previous build report their demand alone.
+func TestFleet_PeersOfPreviousBuild(t *testing.T) {
+	for name, load := range map[string]simLoad{"calm": calmLoad(), "crowd": crowdLoad(), "half away": halfAwayLoad()} {
+		t.Run(name, func(t *testing.T) {
+			load.previousBuild = true
+			atOnce, queued := runSimulation(load, simPolicy{atOnce: true}), runSimulation(load, simPolicy{})
+			t.Logf("at once: %s", atOnce)
+			t.Logf("queued:  %s", queued)
+			assert.Assert(t, float64(queued.onTime) >= 0.99*float64(atOnce.onTime))
+		})
+	}
+}
+
 // In an overload no kind of call is served less than a quarter as often as all together, and
 // none more often than a more urgent one.
 func TestFleet_LessUrgentCallsAreNotStarved(t *testing.T) {
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -92,6 +92,9 @@
 // SetFleet sets what the entry knows of the fleet.
 func (l *Limit) SetFleet(fleet Fleet) { l.fleet = fleet }
 
+// Fleet returns what the entry knows of the fleet.
+func (l *Limit) Fleet() Fleet { return l.fleet }
+
 // InFlight returns how many places are taken.
 func (l *Limit) InFlight() int { return l.inFlight }
 
@@ -144,6 +147,12 @@
 	return time.Duration(l.duration.mean + startDeviations*l.duration.deviation)
 }
 
+// EstimateInFlight estimates how many requests a peer has under way that does not report them,
+// from the requests that it had in a window.
+func (l *Limit) EstimateInFlight(requests int, window time.Duration) int {
+	return int(math.Round(float64(requests) * l.duration.mean / float64(window)))
+}
+
 // Usual returns the mean duration of requests while the targets are not overloaded, as far as
 // is known; zero while unknown.
 func (l *Limit) Usual() time.Duration {
--- a/process/gateway/call_queue.go
+++ b/process/gateway/call_queue.go
@@ -23,6 +23,8 @@
 	// callUpdateInterval is the interval at which peers get updates while calls are queued, so
 	// that the entries divide the limit by what each has under way now.
 	callUpdateInterval = 100 * time.Millisecond
+	// queueLogInterval is the interval at which waiting calls are logged.
+	queueLogInterval = time.Second
 	// returnShare is the fraction of the time that a caller has left up to which it honours
 	// Retry-After.
 	returnShare = 1.0 / 3
@@ -51,8 +53,9 @@
 	viewedAt time.Time
 	// firstAttempts holds what is known of the callers of each kind.
 	firstAttempts map[callerKind]*admission.FirstAttempts
-	// queueing is set while calls wait.
+	// queueing is set while calls wait. loggedAt is when that was last logged.
 	queueing bool
+	loggedAt time.Time
 }
 
 // callerKind identifies callers that are taken to be alike.
@@ -72,13 +75,11 @@
 	return s
 }
 
-// inFlight returns the calls under way by service.
+// inFlight returns the calls under way by service, zero for services without any.
 func (q *callQueue) inFlight() map[string]int {
-	counts := map[string]int{}
+	counts := make(map[string]int, len(q.services))
 	for name, s := range q.services {
-		if n := s.limit.InFlight(); n > 0 {
-			counts[name] = n
-		}
+		counts[name] = s.limit.InFlight()
 	}
 	return counts
 }
@@ -267,6 +268,13 @@
 	if waiting == 0 {
 		return
 	}
+	if now.Sub(s.loggedAt) >= queueLogInterval {
+		s.loggedAt = now
+		fleet := s.limit.Fleet()
+		c.gateway.log.Event("calls_waiting", "service", service, "waiting", waiting, "inFlight", s.limit.InFlight(),
+			"places", s.limit.Places(now), "fleetPlaces", int(s.limit.Total()), "slots", fleet.Slots, "entries", fleet.Entries,
+			"othersInFlight", fleet.PeersInFlight)
+	}
 	if now.Sub(c.lastUpdateSent) >= callUpdateInterval {
 		c.updatePending = true
 	}
@@ -319,8 +327,13 @@
 		}
 		update := c.peerUpdates[name]
 		fleet.Entries++
-		fleet.PeerDemand += update.Usage[service][0]
-		fleet.PeersInFlight += update.CallsInFlight[service]
+		demand := update.Usage[service][0]
+		inFlight, reported := update.CallsInFlight[service]
+		if !reported {
+			inFlight = s.limit.EstimateInFlight(demand, c.bounds.RetryWindow.Std())
+		}
+		fleet.PeerDemand += demand
+		fleet.PeersInFlight += inFlight
 	}
 	s.limit.SetFleet(fleet)
 }
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -47,8 +47,8 @@
 	Work map[request.TargetID][3]int `cbor:"4,keyasint,omitempty"`
 	// Usage maps a service to the requests and retries in the window of the retry budget.
 	Usage map[string][2]int `cbor:"7,keyasint,omitempty"`
-	// CallsInFlight maps a service to the calls that the sender has under way at its targets;
-	// services without any are left out.
+	// CallsInFlight maps a service to the calls that the sender has under way at its targets.
+	// Entries of a build that does not report them leave it out.
 	CallsInFlight map[string]int `cbor:"28,keyasint,omitempty"`
 	// Down lists targets that the sender has just marked down.
 	Down []request.TargetID `cbor:"5,keyasint,omitempty"`
