Starve no calls that are late, and bound what peers report

Calls of callers that were taken to return although they do not were never served while others could be on time: the flow with too low a served share now goes first whether its calls are late or not (TestUrgency_StarvesNoLateCalls). Counts of malformed peer updates are bounded, the callers' time limits are remembered for 256 pairs of route and workspace, and updates are sent at most each 100 ms because of waiting calls.

--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -51,7 +51,7 @@
 // that cannot. The former are ordered by rank and latest start: the earliest first, so that
 // all are on time if that is possible, and the newest first while it is not. The latter are
 // ordered by rank and deadline. A flow whose requests are served far less often than those of
-// others goes first, so that ranks starve none.
+// others goes first, late or not, so that none is starved.
 //
 // It is designed for calls in an overload that lasts for seconds, as when demand triples or
 // half of the targets are lost: first come, first served makes all responses late then.
@@ -240,8 +240,10 @@
 
 // first returns the place of the request that goes first.
 func (q *urgencyQueue) first() (f *urgencyFlow, late bool, i int) {
-	late = q.onlyLate()
-	if f = q.starved(late); f == nil {
+	if f = q.starved(); f != nil {
+		late = len(f.onTime) == 0
+	} else {
+		late = q.onlyLate()
 		f = q.mostUrgent(late)
 	}
 	if !late && q.prefersNewest() {
@@ -291,8 +293,8 @@
 }
 
 // starved returns the flow whose served share is lowest, if it is below minServedShare of that
-// of all requests; otherwise nil. Only flows with late requests, or with others, count.
-func (q *urgencyQueue) starved(late bool) *urgencyFlow {
+// of all requests; otherwise nil.
+func (q *urgencyQueue) starved() *urgencyFlow {
 	if len(q.flows) < 2 {
 		return nil
 	}
@@ -300,7 +302,7 @@
 	limit := minServedShare * q.served.at(q.now) / max(1, q.offered.at(q.now))
 	for _, f := range q.active {
 		offered := f.offered.at(q.now)
-		if len(f.list(late)) == 0 || offered < minFlowOffered {
+		if offered < minFlowOffered {
 			continue
 		}
 		if share := f.served.at(q.now) / offered; share < limit {
--- a/process/admission/urgency_test.go
+++ b/process/admission/urgency_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// Calls that are all late, as those of callers that are taken to return although they do not,
+// are not starved either.
+func TestUrgency_StarvesNoLateCalls(t *testing.T) {
+	c := newCallController()
+	offered, served := map[string]int{}, map[string]int{}
+	now := start
+	for range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		for kind, onTime := range map[string]time.Duration{"new": 200 * time.Millisecond, "late": -time.Millisecond} {
+			request := newCall(now, 0, onTime)
+			request.Kind = kind
+			c.enqueueCall(now, request)
+			offered[kind]++
+		}
+		c.record(c.Prune(now, callService))
+		for _, id := range c.record(c.DispatchLimited(callService, 1, 0)) {
+			served[c.requests[id].Kind]++
+		}
+	}
+	total := float64(served["new"]+served["late"]) / float64(offered["new"]+offered["late"])
+	assert.Assert(t, float64(served["late"])/float64(offered["late"]) >= total/4, "%v", served)
+	assert.Assert(t, served["new"] > served["late"])
+}
+
 // For any sequence of operations, each call is decided exactly once or is still queued, and
 // none waits for longer than its caller.
 func TestUrgency_DecidesEachCallOnce(t *testing.T) {
--- a/process/gateway/call_queue.go
+++ b/process/gateway/call_queue.go
@@ -23,6 +23,9 @@
 	// callUpdateInterval is the interval at which peers get updates while calls are queued, so
 	// that the entries divide the limit by what each has under way now.
 	callUpdateInterval = 100 * time.Millisecond
+	// maxCallerKinds is for how many pairs of a route and a workspace the time limits of callers
+	// are remembered, some 4 KB each. The others of a route are taken to be alike.
+	maxCallerKinds = 256
 	// queueLogInterval is the interval at which waiting calls are logged.
 	queueLogInterval = time.Second
 	// returnShare is the fraction of the time that a caller has left up to which it honours
@@ -53,8 +56,7 @@
 	viewedAt time.Time
 	// firstAttempts holds what is known of the callers of each kind.
 	firstAttempts map[callerKind]*admission.FirstAttempts
-	// queueing is set while calls wait. loggedAt is when that was last logged.
-	queueing bool
+	// loggedAt is when waiting calls were last logged.
 	loggedAt time.Time
 }
 
@@ -191,6 +193,10 @@
 	if e.firstSent.IsZero() {
 		kind := callerKind{route: e.route.Name, workspace: e.workspaceName()}
 		attempts, ok := s.firstAttempts[kind]
+		if !ok && len(s.firstAttempts) >= maxCallerKinds {
+			kind.workspace = ""
+			attempts, ok = s.firstAttempts[kind]
+		}
 		if !ok {
 			attempts = admission.NewFirstAttempts()
 			s.firstAttempts[kind] = attempts
@@ -239,7 +245,7 @@
 		}
 		c.applyCallDecisions(now, controller.DispatchLimited(service, free, freeForLate))
 	}
-	c.recordQueueing(now, service)
+	c.watchQueue(now, service)
 }
 
 // freePlaces returns how many calls may be sent now, and how many that are late. If no target is
@@ -257,17 +263,14 @@
 	}
 }
 
-// recordQueueing logs when calls begin or cease to wait, and keeps looking at those that wait.
-func (c *control) recordQueueing(now time.Time, service string) {
+// watchQueue logs that calls wait, lets the peers know how many are under way, and keeps looking
+// at those that wait.
+func (c *control) watchQueue(now time.Time, service string) {
 	waiting := c.callQueue.controller.Waiting(service)
-	s := c.callQueue.service(service)
-	if s.queueing != (waiting > 0) {
-		s.queueing = waiting > 0
-		c.updatePending = true
-	}
 	if waiting == 0 {
 		return
 	}
+	s := c.callQueue.service(service)
 	if now.Sub(s.loggedAt) >= queueLogInterval {
 		s.loggedAt = now
 		fleet := s.limit.Fleet()
@@ -327,8 +330,9 @@
 		}
 		update := c.peerUpdates[name]
 		fleet.Entries++
-		demand := update.Usage[service][0]
+		demand := boundCount(update.Usage[service][0])
 		inFlight, reported := update.CallsInFlight[service]
+		inFlight = boundCount(inFlight)
 		if !reported {
 			inFlight = s.limit.EstimateInFlight(demand, c.bounds.RetryWindow.Std())
 		}
@@ -338,6 +342,12 @@
 	s.limit.SetFleet(fleet)
 }
 
+// maxPeerCount bounds the counts that a peer reports, so that a malformed one costs no more than
+// that peer's part.
+const maxPeerCount = 1 << 20
+
+func boundCount(count int) int { return min(maxPeerCount, max(0, count)) }
+
 // end frees the place of an attempt that was sent, or was not, and records its outcome.
 func (p *callPlace) end(a *attempt, outcome request.AttemptOutcome) {
 	took := time.Since(a.startedAt)
--- a/process/gateway/call_queue_test.go
+++ b/process/gateway/call_queue_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -286,6 +287,11 @@
 		second.control.viewFleet(time.Now(), "bookings", s)
 		// Forty calls of a second each within the window of ten.
 		assert.Equal(t, s.limit.Fleet().PeersInFlight, 4)
+		update.CallsInFlight = map[string]int{"bookings": math.MinInt}
+		second.control.peerUpdates["entry-1"] = update
+		s.viewedAt = time.Time{}
+		second.control.viewFleet(time.Now(), "bookings", s)
+		assert.Equal(t, s.limit.Fleet().PeersInFlight, 0, "a malformed update lifts the limit")
 	})
 }
 
