Roll-outs: the first step of the ramp finds faults under load

Two thirds of a second were too short for load to build up at a replica and for its failures to reach all entries, so a version that fails under load was completed within 12 s.

--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -33,8 +33,8 @@
 	// slowRule rejects a version for slow responses. Single hosts are slow for seconds at a time,
 	// and the canary has few replicas, so it takes three pulses. slowestRule takes less if
 	// most of the responses are slow.
-	slowRule    = rule{bad: 10, part: 0.15, deviations: 5, slices: 9, sliceShare: 0.8}
-	slowestRule = rule{bad: 10, part: 0.65, deviations: 5, slices: 5, sliceShare: 0.8}
+	slowRule    = rule{bad: 10, part: 0.2, deviations: 5, slices: 9, sliceShare: 0.85}
+	slowestRule = rule{bad: 10, part: 0.7, deviations: 5, slices: 6, sliceShare: 0.8}
 	// unusualRule rejects a version for durations that the old one hardly has in the same time, so
 	// that they are due to no storm. It takes no large part of the responses.
 	unusualRule = rule{bad: 5, part: 0.08, deviations: 5, slices: 5, oldPart: 0.03}
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -17,10 +17,8 @@
 	leadTime = time.Second
 	// minDrainTime is the least time that is left for what runs on old versions to end.
 	minDrainTime = 300 * time.Millisecond
-	// minStepTime and maxStepTime limit the length of a step of the ramp, to which the usual time of
-	// a response is added: evidence needs some slices of time, and each step costs a part of what a
-	// bad version may get.
-	minStepTime = 800 * time.Millisecond
+	// maxStepTime limits the length of a step of the ramp, to which the usual time of a response is
+	// added: each step costs a part of what a bad version may get.
 	maxStepTime = 2 * time.Second
 	// movedTime is the least time between the move and the end, in which a version that fails under
 	// the whole load is found; it runs while entries learn of the move.
@@ -52,6 +50,10 @@
 	maxWriteDelay = 4 * time.Second
 )
 
+// minStepTimes are the least lengths of the steps of the ramp. In the first one, replicas carry
+// their whole load for the first time; what shows there is known to all entries a second later.
+var minStepTimes = [len(rampShares)]time.Duration{1700 * time.Millisecond, 800 * time.Millisecond}
+
 // View is what an entry knows about the other entries and the targets.
 type View struct {
 	// Entries lists the entries that were heard lately, this one included, Registered all that are
@@ -281,7 +283,7 @@
 		}
 		next.Stage, next.Step = Ramping, 0
 	case Ramping:
-		if inStage < times.step {
+		if inStage < times.steps[r.record.Step] {
 			return Change{}, false
 		}
 		if next.Step++; next.Step >= len(rampShares) {
@@ -338,8 +340,10 @@
 	// ramp is when the ramp starts, last when silent entries are waited for no longer, limit the
 	// time limit.
 	ramp, last, limit time.Time
-	// canary is the least time of the canary, step the time of a step of the ramp.
-	canary, step time.Duration
+	// canary is the least time of the canary, steps the times of the steps of the
+	// ramp.
+	canary time.Duration
+	steps  [len(rampShares)]time.Duration
 	// moved is the least time between the move and the end.
 	moved time.Duration
 }
@@ -354,12 +358,15 @@
 	uncertainty, lead := short(ageUncertainty, 1.25*shortPart), short(leadTime, shortPart)
 	p := plan{
 		limit: r.seenAt.Add(duration - uncertainty), canary: short(canaryTime, 2*shortPart), moved: short(movedTime, shortPart),
-		step: min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(duration)))),
 	}
-	p.step += r.evidence.latency(duration)
+	ramp, latency := time.Duration(0), r.evidence.latency(duration)
+	for i, least := range minStepTimes {
+		p.steps[i] = min(maxStepTime, max(least, time.Duration(stepPart*float64(duration)))) + latency
+		ramp += p.steps[i] + lead/4
+	}
 	p.last = p.limit.Add(-lead / 2)
 	drain := min(max(r.longest, minDrainTime), duration/2)
-	p.ramp = p.limit.Add(-2*lead - drain - time.Duration(len(rampShares))*(p.step+lead/4))
+	p.ramp = p.limit.Add(-2*lead - drain - ramp)
 	return p
 }
 
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -24,9 +24,10 @@
 	// evidence. Between pulses nothing goes to the new version.
 	pulseTime = time.Second
 	// turnTime is how long the same replicas get the requests of a pulse. rampTurnTime is that time
-	// in a step of the ramp: long enough that work builds up there as it will later.
+	// in a step of the ramp: long enough that work builds up there as it will later, and less than
+	// the five slices in which one slow host could decide.
 	turnTime     = pulseTime / 3
-	rampTurnTime = time.Second
+	rampTurnTime = 1500 * time.Millisecond
 	// pulseOffset is the age of the order at which the first pulse begins. By then most entries
 	// know the record.
 	pulseOffset = time.Second
@@ -228,7 +229,7 @@
 	// Half of a replica is left out, so that rounding up gives the rest.
 	subset = (replicas - half) / all
 	if r.record.Stage == Ramping && share > t.canaryShare() {
-		return subset, int64(r.age(now) / rampTurnTime), 1
+		return subset, int64(now.Sub(r.followedSince) / rampTurnTime), 1
 	}
 	pulse = replicas / all
 	if pulse < minPulseRatio*share {
