Stand-in of the store: what becomes of writes, in turns

Cause: with random losses the tests of roll-outs had runs in which seven writes in a row were lost.

Change: instead of a rate of late writes, a list says which writes are sound, lost, late or lose their answer, in turns.

--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -21,16 +21,28 @@
 	// lost; WriteLossRate that the write is lost before it takes effect.
 	ResponseLossRate float64 `json:"loseAnswer"`
 	WriteLossRate    float64 `json:"loseWrite"`
-	// LateWriteRate is the probability that the connection of a write breaks at once and the
-	// write is executed WriteLateness later, if its conditions hold then; PlatformHandler alone.
-	LateWriteRate float64       `json:"lateWrite,omitempty"`
-	WriteLateness time.Duration `json:"writeLateness,omitempty"`
-	// OnlyKeys limits losses and late writes to transactions that write a key with this prefix.
+	// WriteTurns are what becomes of writes, in turns; PlatformHandler alone. A late write is
+	// executed WriteLateness after its connection broke, if its conditions hold then.
+	WriteTurns    []WriteFault  `json:"-"`
+	WriteLateness time.Duration `json:"-"`
+	// OnlyKeys limits losses and turns to transactions that write a key with this prefix.
 	OnlyKeys string `json:"onlyKeys,omitempty"`
 	// Seed is the random seed for the losses.
 	Seed uint64 `json:"seed"`
 }
 
+// WriteFault is what becomes of one write.
+type WriteFault int
+
+// The faults of writes. Of a write that is lost or late the connection breaks at once, of one whose
+// answer is lost once it was executed.
+const (
+	WriteSound WriteFault = iota
+	WriteLost
+	WriteLate
+	AnswerLost
+)
+
 // Calls counts calls by kind. Each watch counts once; Watching is the number of watches
 // that are open now.
 type Calls struct {
@@ -42,7 +54,7 @@
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = faults
+	s.faults, s.writeTurn = faults, 0
 	s.random = rand.New(rand.NewPCG(faults.Seed, 1))
 	if faults.Outage || faults.Silent {
 		close(s.watchesClosed)
@@ -74,8 +86,8 @@
 	lateness time.Duration
 }
 
-// drawFaults returns the faults of the next call. Writes are lost or late at random, at the
-// configured rates, if they are among those that OnlyKeys names.
+// drawFaults returns the faults of the next call. Writes are lost at random, at the
+// configured rates, and in turns, if they are among those that OnlyKeys names.
 func (s *Store) drawFaults(write bool, keys ...string) callFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,13 +96,28 @@
 	if write && (s.faults.OnlyKeys == "" || slices.ContainsFunc(keys, hasPrefix)) {
 		f.requestLost = f.requestLost || s.random.Float64() < s.faults.WriteLossRate
 		f.responseLost = s.random.Float64() < s.faults.ResponseLossRate
-		if s.faults.LateWriteRate > 0 && s.random.Float64() < s.faults.LateWriteRate {
-			f.lateness = s.faults.WriteLateness
-		}
+		f.takeTurn(s.faults, s.writeTurn)
+		s.writeTurn++
 	}
 	return f
 }
 
+// takeTurn adds the fault of a write with the given number.
+func (f *callFaults) takeTurn(faults Faults, turn int) {
+	if len(faults.WriteTurns) == 0 {
+		return
+	}
+	switch faults.WriteTurns[turn%len(faults.WriteTurns)] {
+	case WriteSound:
+	case WriteLost:
+		f.requestLost = true
+	case WriteLate:
+		f.lateness = faults.WriteLateness
+	case AnswerLost:
+		f.responseLost = true
+	}
+}
+
 // deliver applies the faults that precede the execution of a call. It waits for the
 // delay, then holds a silenced call until its caller gives up, or drops the connection of
 // a lost one. It reports whether the call is to be executed.
--- a/standin/kv/faults_test.go
+++ b/standin/kv/faults_test.go
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// A write that is late must be executed later, and only if its conditions hold then; writes of
-// other keys must not be affected.
-func TestLateWrites(t *testing.T) {
+// A write that is late must be executed later, and only if its conditions hold then; one whose answer
+// is lost must be executed, and writes of other keys must not be affected.
+func TestWriteTurns(t *testing.T) {
 	const lateness = 500 * time.Millisecond
 	s := New()
 	server := httptest.NewServer(s.PlatformHandler())
@@ -25,7 +25,7 @@
 		}
 		return err
 	}
-	s.SetFaults(Faults{LateWriteRate: 1, WriteLateness: lateness, OnlyKeys: "late/"})
+	s.SetFaults(Faults{WriteTurns: []WriteFault{WriteLate, WriteLate, WriteLost, AnswerLost, WriteSound}, WriteLateness: lateness, OnlyKeys: "late/"})
 	assert.NilError(t, commit("other"))
 	assert.Assert(t, commit("late/a") != nil)
 	assert.Assert(t, commit("late/b") != nil)
@@ -40,4 +40,9 @@
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, string(changes[0].Value), "b")
 	assert.Equal(t, len(s.Changes("other")), 1)
+	assert.Assert(t, commit("late/lost") != nil)
+	assert.Equal(t, len(s.Changes("late/lost")), 0)
+	assert.Assert(t, commit("late/applied") != nil)
+	assert.Equal(t, len(s.Changes("late/applied")), 1)
+	assert.NilError(t, commit("late/sound"))
 }
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -49,8 +49,10 @@
 	// watchesClosed is closed and replaced when running watches are closed.
 	watchesClosed chan struct{}
 	faults        Faults
-	random        *rand.Rand
-	calls         Calls
+	// writeTurn counts the writes that took a turn of the faults.
+	writeTurn int
+	random    *rand.Rand
+	calls     Calls
 }
 
 // New returns an empty store.
