--- a/bench/rollout/harness_test.go
+++ b/bench/rollout/harness_test.go
@@ -132,6 +132,7 @@
 	assert.NilError(t, err)
 	d.store.Put(platform.ConfigurationKey, value)
 	t.Cleanup(d.logFailure)
+	d.store.RecordChanges(platform.RolloutStatusPrefix, platform.RolloutRecordPrefix)
 	for i := range entryCount {
 		d.entries = append(d.entries, d.newEntry(i))
 	}
--- a/standin/kv/faults_test.go
+++ b/standin/kv/faults_test.go
@@ -15,6 +15,7 @@
 func TestWriteTurns(t *testing.T) {
 	const lateness = 500 * time.Millisecond
 	s := New()
+	s.RecordChanges("")
 	server := httptest.NewServer(s.PlatformHandler())
 	defer server.Close()
 	commit := func(key string) error {
@@ -45,4 +46,6 @@
 	assert.Assert(t, commit("late/applied") != nil)
 	assert.Equal(t, len(s.Changes("late/applied")), 1)
 	assert.NilError(t, commit("late/sound"))
+	s.Compact(s.Revision())
+	assert.Equal(t, len(s.Changes("")), 5, "%v", s.Changes(""))
 }
