Choose engines by their own speeds, and spread prompts over uneven ones

All engines counted as equally fast: cost was tokens, with one prefill rate for the table. Fast engines were idle sooner and got most prompts, slow ones got as many as others, and what one entry saw of a slow engine the others did not know.

Each engine has a relative time now, learned from prefill that no other prompt delays, from prefill that is overdue, and from the time of events while nothing is prefilled there. An entry tells its peers what is news to them (new CBOR key 26). Cost is time: the wait ahead, in which less urgent prompts that wait count less (key 27, sent only where prompts wait), the delay of running streams, and own prefill beyond a calm time. Where engines differ in speed, those with more recent work cost more, until prompts queue everywhere. Engines that the prompt would overfill come last. PeerWork is kept in the targets, and updates of peers change only what differs.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -64,9 +64,9 @@
 	mayHaveRun bool
 	// sentBefore is set if the request was sent to the target before.
 	sentBefore bool
-	// prefillUncontended is set if the target had no other prompt to prefill when the
-	// attempt was placed.
-	prefillUncontended bool
+	// prefillAlone is set if the target had no other prompt to prefill when the attempt was
+	// placed.
+	prefillAlone bool
 	// keepWhenDown attempts are not cancelled when their target is marked down: the
 	// request may have run, and no other target may be tried. targetDown is set on
 	// other attempts when they are cancelled for that reason.
@@ -112,6 +112,9 @@
 	copyRefusedBy  []request.TargetID
 	streaming      bool
 	streamingSince time.Time
+	// prefillMark identifies the prefill work at the target since the attempt was placed, or
+	// since the events were last timed.
+	prefillMark placement.PrefillMark
 	// brokenRecorded is set when the attempt was recorded as broken off.
 	brokenRecorded bool
 	// trial is the part in quarantine of which this attempt is the trial, if any.
@@ -181,7 +184,7 @@
 			e.trial = quarantine.Part{}
 			return
 		}
-		a.prefillUncontended = choice.Cost == 0
+		a.prefillAlone = choice.PrefillAlone
 		a.requirements = requirements.ForTarget(choice.Target)
 		c.reserve(a, choice.Target, ctx)
 		copyTarget = a.kvCopy.Target
@@ -191,6 +194,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if requirements.FailureDomain != "" {
+		e.gateway.metrics.countCallPlacement(a.target.FailureDomain == requirements.FailureDomain)
+	}
 	e.gateway.log.Event("placed", "request", e.inbound.ID, "target", a.target.ID, "failureDomain", a.target.FailureDomain,
 		"incarnation", a.target.Incarnation, "cost", choice.Cost, "runnerUp", choice.RunnerUp, "copy", copyTarget,
 		"toRead", a.requirements.PromptTokens)
@@ -204,6 +210,7 @@
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.spec.Target = t.Endpoint
 	c.table.AddAttempt(t.ID, a.requirements)
+	a.prefillMark = c.table.PrefillMark(t.ID)
 	if a.requirements.MemoryTokens > 0 {
 		if copyTarget := c.table.PickKVCopyTarget(a.startedAt, t, a.requirements); copyTarget != nil && a.exchange.usesKVCopies() {
 			a.kvCopy = kvcopies.Copy{RequestID: a.exchange.inbound.ID, Target: copyTarget.ID, Incarnation: copyTarget.Incarnation}
@@ -249,14 +256,16 @@
 		if a.streaming {
 			return
 		}
+		alone := a.prefillsAlone()
 		a.streaming, a.streamingSince = true, time.Now()
 		c.promptIndex.Record(a.streamingSince, a.requirements.Session, prompts.Location{
 			Target: a.target.ID, Incarnation: a.target.Incarnation, Tokens: a.exchange.inbound.PromptTokens,
 		})
-		c.table.PrefillDone(a.target.ID, a.requirements)
-		if a.prefillUncontended {
-			c.table.RecordPrefill(a.requirements.PromptTokens, elapsed)
+		if alone {
+			c.table.RecordPrefill(a.streamingSince, a.target.ID, a.requirements.PromptTokens, elapsed)
 		}
+		c.table.PrefillDone(a.target.ID, a.requirements)
+		a.prefillMark = c.table.PrefillMark(a.target.ID)
 		c.updatePending = true
 	})
 }
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -288,6 +288,7 @@
 	}
 	for _, m := range c.monitors {
 		c.checkSilence(now, m)
+		c.checkPrefill(now, m)
 	}
 	c.detectSuspension(now, delay > pauseThreshold)
 	c.logEndedBackoffs(now)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -32,6 +32,7 @@
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
 	returns           metric.Int64Counter
+	callPlacements    metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -58,6 +59,7 @@
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
+		callPlacements:    b.Counter("mulberrylane.calls.placed", "Attempts of calls placed, by whether the target is in the entry's failure domain"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -99,6 +101,14 @@
 			Name: "mulberrylane.targets.down", Description: "Targets that are left alone after a loss",
 			Read: fromControl(func(c *control, now time.Time) int64 { return int64(c.table.DownCount(now)) }),
 		},
+		{
+			Name: "mulberrylane.targets.slow", Description: "Targets whose work takes 1.5 times as long as usual",
+			Read: fromControl(func(c *control, now time.Time) int64 { return int64(c.table.SlowCount(now)) }),
+		},
+		{
+			Name: "mulberrylane.engines.imbalance", Description: "Recent work of the busiest engine, in percent of the mean of its service; the worst service",
+			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(100 * c.table.Imbalance()) }),
+		},
 		{
 			Name: "mulberrylane.entries.heard", Description: "Other entries that were heard lately",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(len(c.peerLastSeen)) }),
@@ -145,6 +155,11 @@
 		attribute.Bool("late_request", lateRequest), attribute.Bool("stopping", stopping)))
 }
 
+// countCallPlacement counts an attempt of a call that was placed.
+func (m *instruments) countCallPlacement(ownDomain bool) {
+	m.callPlacements.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("own_domain", ownDomain)))
+}
+
 // countReturn counts a stream whose caller came back, by what was found of its KV copy.
 func (m *instruments) countReturn(result string) {
 	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -62,12 +62,13 @@
 	update.Replaced = recent(now, c.recentlyReplaced)
 	update.Draining = recent(now, c.recentlyDraining)
 	update.SetFailureRates(c.table.FailureRates(now))
+	update.SetSpeeds(c.table.Speeds(now))
 	update.CachedPrompts = recent(now, c.discoveredPrompts)
 	update.Successors = recent(now, c.recentSuccessors)
 	c.addQuarantine(now, &update)
 	c.sequence++
-	for id, work := range c.table.LocalWork() {
-		update.SetWork(id, work)
+	for id := range c.table.LocalWork() {
+		update.SetWork(id, c.table.Get(id).ReportedWork())
 	}
 	if len(c.peers) > 1 {
 		c.send(now, c.updateScheduler.Compose(now, update), slices.Collect(maps.Keys(c.peers)))
@@ -89,7 +90,7 @@
 	owners := map[string]struct{}{}
 	for _, id := range placed {
 		if t := c.table.Get(id); t != nil {
-			update.SetWork(id, t.LocalWork())
+			update.SetWork(id, t.ReportedWork())
 			for _, name := range c.table.Owners(t) {
 				owners[name] = struct{}{}
 			}
@@ -202,6 +203,7 @@
 		c.table.MarkReplaced(id)
 	}
 	c.handlePeerDraining(update.Entry, update.Draining)
+	update.EachSpeed(func(id request.TargetID, relativeTime float64) { c.table.RecordPeerSpeed(now, id, relativeTime) })
 	for _, prompt := range update.CachedPrompts {
 		c.promptIndex.Record(now, prompt.Session, prompt.Location)
 	}
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -220,12 +220,21 @@
 func (s *stream) requirements(avoid []request.TargetID) placement.Requirements {
 	produced := s.recovery.Output().Len() + s.inbound.Position
 	return placement.Requirements{
-		Service: s.service, Avoid: avoid, Session: s.inbound.Session(),
+		Service: s.service, Avoid: avoid, Session: s.inbound.Session(), Rank: s.priority(), FirstEventWithin: s.firstEventWithin(),
 		PromptTokens: s.inbound.PromptTokens + produced*s.tokensPerEvent(),
 		MemoryTokens: s.inbound.PromptTokens + int(expectedOutputFraction*float64(s.inbound.MaxTokens)),
 	}
 }
 
+// firstEventWithin returns the time that is left until the first event is due, zero if the route has
+// no objective for it or the caller has had events.
+func (s *stream) firstEventWithin() time.Duration {
+	if s.route.LatencyObjective <= 0 || s.inbound.Position > 0 || s.recovery.Output().Len() > 0 {
+		return 0
+	}
+	return max(time.Millisecond, s.route.LatencyObjective-time.Since(s.arrived))
+}
+
 func (s *stream) tokensPerEvent() int {
 	if s.engine == nil {
 		return 1
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
@@ -149,6 +150,7 @@
 func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
 	a.startResponse()
 	reader := platform.NewEventReader(response.Body)
+	timer := eventTimer{attempt: a}
 	var batch []platform.Event
 	for {
 		event, err := reader.Next()
@@ -165,10 +167,12 @@
 		}
 		if len(batch) > 0 {
 			a.prefillDone()
+			receivedAt := time.Now()
 			if !send(attemptUpdate{head: response, events: batch}) {
 				a.conn.Close()
 				return
 			}
+			timer.record(len(batch), receivedAt, time.Now())
 			batch = nil
 		}
 		if err == nil {
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -10,6 +10,7 @@
 package peers
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -61,6 +62,12 @@
 	CachedPrompts []CachedPrompt `cbor:"11,keyasint,omitempty"`
 	// FailureRates maps targets to the failure rate that the sender saw, in percent.
 	FailureRates map[request.TargetID]int `cbor:"12,keyasint,omitempty"`
+	// Speeds maps engines to the relative time that the sender observed, in percent, if that is
+	// news to the others.
+	Speeds map[request.TargetID]int `cbor:"26,keyasint,omitempty"`
+	// Deferred maps targets in Work to the tokens to prefill of prompts that are less urgent
+	// than the first and the second rank, where prompts wait for each other.
+	Deferred map[request.TargetID][2]int `cbor:"27,keyasint,omitempty"`
 	// Ready reports whether the sender accepts requests.
 	Ready bool `cbor:"8,keyasint,omitempty"`
 	// SessionCopies holds the KV copies of a build that knew them by the session of their
@@ -138,9 +145,35 @@
 	}
 }
 
+// SetSpeeds sets the relative times of engines of the update.
+func (u *Update) SetSpeeds(speeds map[request.TargetID]float64) {
+	if len(speeds) == 0 {
+		return
+	}
+	u.Speeds = make(map[request.TargetID]int, len(speeds))
+	for id, speed := range speeds {
+		u.Speeds[id] = int(math.Round(percent * speed))
+	}
+}
+
+// EachSpeed calls f with each relative time of an engine in the update.
+func (u *Update) EachSpeed(f func(id request.TargetID, relativeTime float64)) {
+	for id, speed := range u.Speeds {
+		if speed > 0 {
+			f(id, float64(speed)/percent)
+		}
+	}
+}
+
 // SetWork sets the sender's work at a target.
 func (u *Update) SetWork(id request.TargetID, work placement.Work) {
 	u.Work[id] = [3]int{work.PrefillTokens, work.Decoding, work.MemoryTokens}
+	if work.Deferred != [2]int{} {
+		if u.Deferred == nil {
+			u.Deferred = map[request.TargetID][2]int{}
+		}
+		u.Deferred[id] = work.Deferred
+	}
 }
 
 // PeerState returns the part of the update that placement uses.
@@ -150,7 +183,7 @@
 		FailureRates: make(map[request.TargetID]float64, len(u.FailureRates)),
 	}
 	for id, w := range u.Work {
-		state.Work[id] = placement.Work{PrefillTokens: w[0], Decoding: w[1], MemoryTokens: w[2]}
+		state.Work[id] = placement.Work{PrefillTokens: w[0], Decoding: w[1], MemoryTokens: w[2], Deferred: u.Deferred[id]}
 	}
 	for id, rate := range u.FailureRates {
 		state.FailureRates[id] = float64(rate) / percent
--- a/process/peers/update_scheduler.go
+++ b/process/peers/update_scheduler.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
@@ -107,6 +108,11 @@
 		return update
 	}
 	update.Work, update.Runs = work, runs
+	update.Deferred = maps.Clone(update.Deferred)
+	maps.DeleteFunc(update.Deferred, func(id request.TargetID, _ [2]int) bool {
+		_, changed := work[id]
+		return !changed
+	})
 	return update
 }
 
@@ -154,17 +160,32 @@
 		return update
 	}
 	if update.Partial {
+		before.Deferred = mergeDeferred(before.Deferred, update)
 		before.Work = applyChanges(before.Work, update.Work)
 		return before
 	}
 	if before.Incarnation != update.Incarnation {
 		before = Update{}
 	}
+	update.Deferred = mergeDeferred(before.Deferred, update)
 	update.Work = applyChanges(before.Work, update.Work)
 	update.Runs = applyChanges(before.Runs, update.Runs)
 	return update
 }
 
+// mergeDeferred returns the deferred tokens of a sender after a delta or a partial update, which
+// states them for the targets in its work.
+func mergeDeferred(before map[request.TargetID][2]int, update Update) map[request.TargetID][2]int {
+	if len(before) == 0 && len(update.Deferred) == 0 {
+		return nil
+	}
+	changes := make(map[request.TargetID][2]int, len(update.Work))
+	for id := range update.Work {
+		changes[id] = update.Deferred[id]
+	}
+	return applyChanges(before, changes)
+}
+
 func applyChanges[K, V comparable](before, changes map[K]V) map[K]V {
 	after := make(map[K]V, len(before)+len(changes))
 	for key, value := range before {
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -29,6 +28,10 @@
 	MaxPrefillTime time.Duration
 	// FailureDomain is the entry's own failure domain, preferred for calls.
 	FailureDomain string
+	// Rank is the rank of the attempt at an engine, where 0 is served first, and
+	// FirstEventWithin the time within which its first event is due; zero if there is none.
+	Rank             int
+	FirstEventWithin time.Duration
 }
 
 // cachedTokens returns how many tokens of the prompt the target has cached.
@@ -49,17 +52,23 @@
 // Choice is a chosen target with its cost and the runner-up.
 type Choice struct {
 	Target *Target
-	// Cost is the work ahead of the attempt, in prompt tokens for engines and in requests
-	// per slot for applications.
+	// Cost is, for engines, the time ahead of the attempt, in prompt tokens that a usual engine
+	// prefills in it, and for applications requests per slot.
 	Cost float64
 	// RunnerUp is the next best target, or "".
 	RunnerUp request.TargetID
+	// PrefillAlone is set if the engine has no other prompt to prefill.
+	PrefillAlone bool
 }
 
 // Pick chooses a target. Targets that await a probe, or that the request is to avoid, are
 // chosen only when no other is available.
 func (t *Table) Pick(now time.Time, requirements Requirements) (Choice, error) {
 	t.expirePeers(now)
+	t.observeTime(now)
+	if targets := t.services[requirements.Service]; len(targets) > 0 && targets[0].isEngine {
+		t.observeEngines(targets)
+	}
 	for _, lastResort := range []bool{false, true} {
 		if choice, ok := t.pick(now, requirements, lastResort); ok {
 			choice.Target.recordAttempt(now)
@@ -90,7 +99,7 @@
 // pick chooses among the targets that are up. As a last resort it also considers targets
 // that await a probe, with at most one attempt in flight at each, and those to avoid.
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
-	candidates := make([]candidate, 0, len(t.services[requirements.Service]))
+	candidates := t.candidates[:0]
 	for _, target := range t.services[requirements.Service] {
 		if target.IsDraining() || target.Down(now) || !target.acceptsAttempt(now) {
 			continue
@@ -98,18 +107,19 @@
 		if !lastResort && (target.AwaitingProbe() || slices.Contains(requirements.Avoid, target.ID)) {
 			continue
 		}
-		if target.AwaitingProbe() && target.InFlight > 0 || t.prefillsTooLong(target, requirements) {
+		if target.AwaitingProbe() && target.InFlight > 0 || t.prefillsTooLong(now, target, requirements) {
 			continue
 		}
 		candidates = append(candidates, candidate{target: target, cost: t.cost(now, target, requirements)})
 	}
+	t.candidates = candidates
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	if !candidates[0].target.isEngine {
 		return t.chooseApplication(now, candidates, requirements.FailureDomain), true
 	}
-	return choose(candidates, requirements), true
+	return t.chooseEngine(candidates, &requirements), true
 }
 
 type candidate struct {
@@ -117,53 +127,21 @@
 	cost   float64
 }
 
-// choose returns, among the engines whose cost is within similarCostTokens of the lowest,
-// the one with the highest affinity to the session. The runner-up is the one with the lowest
-// cost of the others.
-func choose(candidates []candidate, requirements Requirements) Choice {
-	limit := slices.MinFunc(candidates, compareCosts).cost + similarCostTokens
-	best, highestAffinity := -1, uint64(0)
-	for i, c := range candidates {
-		if c.cost > limit {
-			continue
-		}
-		if rank := affinity(requirements.Session, c.target.ID); best < 0 || rank > highestAffinity {
-			best, highestAffinity = i, rank
-		}
-	}
-	choice := Choice{Target: candidates[best].target, Cost: candidates[best].cost}
-	if others := slices.Delete(candidates, best, best+1); len(others) > 0 {
-		choice.RunnerUp = slices.MinFunc(others, compareCosts).target.ID
-	}
-	return choice
-}
-
-func compareCosts(a, b candidate) int { return cmp.Compare(a.cost, b.cost) }
-
 func (t *Table) cost(now time.Time, target *Target, requirements Requirements) float64 {
 	if !target.isEngine {
 		failureRate := t.failureRate(now, target)
 		return target.callCost(now, requirements) + failureCost*failureRate*failureRate
 	}
-	work := t.totalWork(target)
-	cost := float64(work.PrefillTokens + work.Decoding*decodingCostTokens)
-	if !target.hasMemoryFor(work, requirements.MemoryTokens) {
-		cost += noMemoryCostTokens
-	}
-	if !t.subsets.owns(target.Address) {
-		cost += outsideSubsetCostTokens
-	}
-	cost -= float64(requirements.cachedTokens(target))
-	return cost + failureCostTokens*t.failureRate(now, target)
+	return t.engineCost(now, target, &requirements)
 }
 
 // prefillsTooLong reports whether the engine is excluded by MaxPrefillTime.
-func (t *Table) prefillsTooLong(target *Target, requirements Requirements) bool {
+func (t *Table) prefillsTooLong(now time.Time, target *Target, requirements Requirements) bool {
 	if requirements.MaxPrefillTime <= 0 || !target.isEngine {
 		return false
 	}
 	tokens := t.totalWork(target).PrefillTokens + requirements.PromptTokens - requirements.cachedTokens(target)
-	return t.PrefillTime(tokens) > requirements.MaxPrefillTime
+	return time.Duration(target.relativeTime.valueAt(now)*float64(t.PrefillTime(tokens))) > requirements.MaxPrefillTime
 }
 
 // hasMemoryFor reports whether the engine's memory has room for the given tokens beside
@@ -215,14 +193,19 @@
 func (t *Table) AddAttempt(id request.TargetID, requirements Requirements) {
 	if target, ok := t.targets[id]; ok {
 		target.InFlight++
-		target.localWork.add(Work{PrefillTokens: requirements.PromptTokens, MemoryTokens: requirements.MemoryTokens})
+		target.localWork.add(requirements.prefillWork())
+		target.localWork.MemoryTokens += requirements.MemoryTokens
+		target.prefillChanges++
+		t.addRecent(target, requirements.PromptTokens)
 	}
 }
 
 // PrefillDone records that an attempt has finished prefill.
 func (t *Table) PrefillDone(id request.TargetID, requirements Requirements) {
 	if target, ok := t.targets[id]; ok {
-		target.localWork.add(Work{PrefillTokens: -requirements.PromptTokens, Decoding: 1})
+		target.localWork.subtract(requirements.prefillWork())
+		target.localWork.Decoding++
+		target.prefillChanges++
 	}
 }
 
@@ -234,11 +217,13 @@
 		return
 	}
 	target.InFlight--
-	change := Work{PrefillTokens: -requirements.PromptTokens, MemoryTokens: -requirements.MemoryTokens}
+	target.localWork.MemoryTokens -= requirements.MemoryTokens
 	if decoding {
-		change = Work{Decoding: -1, MemoryTokens: -requirements.MemoryTokens}
+		target.localWork.Decoding--
+		return
 	}
-	target.localWork.add(change)
+	target.localWork.subtract(requirements.prefillWork())
+	target.prefillChanges++
 }
 
 // AddKVCopyTokens adds the tokens of KV copies to the memory in use at a target; tokens
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -59,20 +59,35 @@
 	Decoding int
 	// MemoryTokens counts the tokens in the target's memory, KV copies included.
 	MemoryTokens int
+	// Deferred counts, for each rank but the last, the PrefillTokens of less urgent ones.
+	Deferred [deferredRanks]int
 }
 
 func (w *Work) add(other Work) {
 	w.PrefillTokens += other.PrefillTokens
 	w.Decoding += other.Decoding
 	w.MemoryTokens += other.MemoryTokens
+	for i, tokens := range other.Deferred {
+		w.Deferred[i] += tokens
+	}
+}
+
+func (w *Work) subtract(other Work) {
+	w.PrefillTokens -= other.PrefillTokens
+	w.Decoding -= other.Decoding
+	w.MemoryTokens -= other.MemoryTokens
+	for i, tokens := range other.Deferred {
+		w.Deferred[i] -= tokens
+	}
 }
 
 // Target is the state of one incarnation of a target.
 type Target struct {
 	Registration
 	// InFlight counts this entry's attempts.
-	InFlight  int
-	localWork Work
+	InFlight int
+	// localWork is this entry's work, peerWork that of all its peers.
+	localWork, peerWork Work
 	// downUntil is set when the target is marked down. From then on until it responds the
 	// target awaits a probe.
 	downUntil           time.Time
@@ -84,8 +99,14 @@
 	downByPeerUntil time.Time
 	failureRate     decayingRate
 	applicationLoad applicationLoad
-	isEngine        bool
-	memoryTokens    int
+	// relativeTime is how long the engine takes for its work. recentTokens sums up the prompts
+	// that entries placed there, in the unit of Table.recentUnit.
+	relativeTime relativeTime
+	recentTokens float64
+	// prefillChanges counts the changes of the prefill work that all entries have there.
+	prefillChanges uint32
+	isEngine       bool
+	memoryTokens   int
 	// announced is what the incarnation said about itself in its responses; nil if nothing.
 	announced *announcement
 }
@@ -106,6 +127,8 @@
 	// Work is the peer's own work, FailureRates the failure rates that it saw.
 	Work         map[request.TargetID]Work
 	FailureRates map[request.TargetID]float64
+	// Speeds holds the relative times of engines that the peer observed and that are news.
+	Speeds map[request.TargetID]float64
 }
 
 // receivedPeerState is the last update of a peer.
@@ -135,7 +158,16 @@
 	// reportingPeers holds the peers that report failure rates.
 	reportingPeers map[string]bool
 	subsets        subsets
-	prefillRate    float64
+	// prefillRate is the usual prefill rate of an engine in tokens per millisecond, speeds holds
+	// what else is usual for the engines of each service.
+	prefillRate float64
+	speeds      map[string]*serviceSpeed
+	// recentSince and lastNow convert Target.recentTokens, see recentUnit.
+	recentSince, lastNow time.Time
+	// means are those of the last choice of an engine.
+	means engineMeans
+	// candidates is reused by each choice.
+	candidates []candidate
 	// random is the source by which the table draws among similar targets.
 	random *rand.Rand
 	// announcements maps targets to what their last incarnation announced in its responses.
@@ -157,6 +189,7 @@
 		peerWork:       map[request.TargetID]Work{},
 		reportingPeers: map[string]bool{},
 		prefillRate:    initialPrefillRate,
+		speeds:         map[string]*serviceSpeed{},
 		random:         rand.New(rand.NewPCG(1, 1)),
 		announcements:  map[request.TargetID]*announcement{},
 		backoffs:       map[request.TargetID]*announcement{},
@@ -179,7 +212,7 @@
 		ok = false
 	}
 	if !ok {
-		target = &Target{Registration: r}
+		target = &Target{Registration: r, peerWork: t.peerWork[r.ID]}
 		t.targets[r.ID] = target
 		list := t.services[r.Service]
 		at, _ := slices.BinarySearchFunc(list, r.ID, func(a *Target, id request.TargetID) int {
@@ -195,7 +228,7 @@
 	if r.Incarnation != target.Incarnation || endpointChanged {
 		target.downUntil, target.downByPeerUntil = time.Time{}, time.Time{}
 		target.consecutiveFailures, target.replaced, target.failureRate = 0, false, decayingRate{}
-		target.applicationLoad = applicationLoad{}
+		target.applicationLoad, target.relativeTime, target.recentTokens = applicationLoad{}, relativeTime{}, 0
 	}
 	if endpointChanged {
 		t.removeAddress(target)
@@ -346,9 +379,20 @@
 
 // UpdatePeer stores the state that a peer reports, as of now.
 func (t *Table) UpdatePeer(now time.Time, peer string, state PeerState) {
-	t.RemovePeer(peer)
+	t.observeTime(now)
+	old := t.peers[peer]
+	for id, work := range old.Work {
+		if _, ok := state.Work[id]; !ok {
+			t.addPeerWork(id, work, Work{})
+		}
+	}
+	for id, work := range state.Work {
+		if before := old.Work[id]; before != work {
+			t.addPeerWork(id, before, work)
+		}
+	}
 	t.peers[peer] = receivedPeerState{receivedAt: now, PeerState: state}
-	t.addPeerWork(state, 1)
+	delete(t.reportingPeers, peer)
 	if len(state.FailureRates) > 0 {
 		t.reportingPeers[peer] = true
 	}
@@ -357,22 +401,37 @@
 // RemovePeer removes the state of a peer.
 func (t *Table) RemovePeer(peer string) {
 	if old, ok := t.peers[peer]; ok {
-		t.addPeerWork(old.PeerState, -1)
+		for id, work := range old.Work {
+			t.addPeerWork(id, work, Work{})
+			if target, ok := t.targets[id]; ok {
+				// It is not known whether these prompts were ever read.
+				target.recentTokens = max(0, target.recentTokens-float64(work.PrefillTokens)*t.recentUnit())
+			}
+		}
 		delete(t.peers, peer)
 		delete(t.reportingPeers, peer)
 	}
 }
 
-func (t *Table) addPeerWork(state PeerState, sign int) {
-	for id, work := range state.Work {
-		total := t.peerWork[id]
-		total.add(Work{PrefillTokens: sign * work.PrefillTokens, Decoding: sign * work.Decoding, MemoryTokens: sign * work.MemoryTokens})
-		if total == (Work{}) {
-			delete(t.peerWork, id)
-			continue
-		}
+// addPeerWork replaces the work of a peer at a target.
+func (t *Table) addPeerWork(id request.TargetID, before, after Work) {
+	total := t.peerWork[id]
+	total.add(after)
+	total.subtract(before)
+	if total == (Work{}) {
+		delete(t.peerWork, id)
+	} else {
 		t.peerWork[id] = total
 	}
+	target, ok := t.targets[id]
+	if !ok {
+		return
+	}
+	target.peerWork = total
+	if after.PrefillTokens != before.PrefillTokens {
+		target.prefillChanges++
+		t.addRecent(target, after.PrefillTokens-before.PrefillTokens)
+	}
 }
 
 // expirePeers removes the state of peers that sent no update for too long.
@@ -455,24 +514,10 @@
 	}
 }
 
-// RecordPrefill records that prefill of the given tokens took elapsed on a target that had
-// no other prefill to do.
-func (t *Table) RecordPrefill(tokens int, elapsed time.Duration) {
-	if tokens <= 0 || elapsed <= 0 {
-		return
-	}
-	t.prefillRate += prefillRateWeight * (float64(tokens)/float64(elapsed.Milliseconds()+1) - t.prefillRate)
-}
-
-// PrefillTime estimates how long an engine takes to prefill the given tokens.
-func (t *Table) PrefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / t.prefillRate * float64(time.Millisecond))
-}
-
 // totalWork returns the work of all entries at a target.
 func (t *Table) totalWork(target *Target) Work {
 	total := target.localWork
-	total.add(t.peerWork[target.ID])
+	total.add(target.peerWork)
 	return total
 }
 
