Large failure domains have a relay for each 40 entries

One entry of 300 sent 620 kB a second beside a mean of 77: the relay of a failure domain sends each change of the store to all of its entries, and both grow with the fleet, so that its bytes grow with the square of it.

A domain has one relay for each 40 entries now; entries choose theirs by rendezvous hashing. Fleets of up to 40 entries in each domain are as before. Entries that are asked no longer compute who reads the store, unless their own last read failed.

TestView_OneReaderWhateverTheSize expected one relay for each domain of 200 entries; it expects one for each 40 now, and that each entry has one.

--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -57,6 +57,12 @@
 	return storesync.NewView(self.Name, self.FailureDomain, domains)
 }
 
+// readsStore reports whether this entry reads the store for the others.
+func (c *control) readsStore() bool {
+	view := c.syncView()
+	return view.ReadsStore()
+}
+
 // answerQuestion answers another entry's question about the store.
 func (c *control) answerQuestion(question peers.SyncQuestion, from netip.AddrPort) {
 	freshness := c.currentFreshness()
@@ -65,8 +71,7 @@
 	changes, complete := c.storeLog.Since(question.Revision)
 	answer.Changes, answer.Incomplete = changes, !complete
 	answer.Age = freshness.Age(bootClock())
-	view := c.syncView()
-	answer.Unavailable = c.registry.StoreUnavailable() || !freshness.HasConfiguration() || c.lastReadFailed && view.ReadsStore()
+	answer.Unavailable = c.registry.StoreUnavailable() || !freshness.HasConfiguration() || c.lastReadFailed && c.readsStore()
 	message := peers.Update{Entry: c.gateway.settings.Name, Partial: true, Answer: &answer}
 	if _, err := c.gateway.peers.Send(message, []string{from.String()}); err != nil {
 		answer.Changes, answer.Incomplete = nil, true
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -21,22 +21,42 @@
 	maxAsksAfterFailure = 4
 )
 
-// first returns the entry that rendezvous hashing ranks first: the loss of another entry does
-// not change the choice.
-func first(entries []string) string {
-	return slices.MinFunc(entries, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+// entriesPerRelay is how many entries of a failure domain have one relay. A relay sends each change
+// to all of its entries: with one for 100 entries, the return of a failure domain with 1,000
+// targets takes it several times what all peer updates do.
+const entriesPerRelay = 40
+
+func compareRanks(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
+// relaysOf returns the relays of a failure domain: the entries that rendezvous hashing ranks first.
+// The loss of another entry does not change the choice.
+func relaysOf(entries []string) []string {
+	count := (len(entries) + entriesPerRelay - 1) / entriesPerRelay
+	if count == 1 {
+		return []string{slices.MinFunc(entries, compareRanks)}
+	}
+	return slices.SortedFunc(slices.Values(entries), compareRanks)[:count]
+}
+
+// relayFor returns the relay that an entry asks. The loss of another relay does not change it.
+func relayFor(entry string, relays []string) string {
+	if len(relays) == 1 {
+		return relays[0]
+	}
+	return slices.MinFunc(relays, func(a, b string) int { return compareRanks(entry+"/"+a, entry+"/"+b) })
 }
 
-// View is what an entry knows of the entries that pass on changes. Each failure domain has one
-// such relay. One of the relays reads the store, and the others ask it.
+// View is what an entry knows of the entries that pass on changes. Each failure domain has a
+// relay for each entriesPerRelay entries. One of the relays reads the store, and the others ask
+// it.
 type View struct {
 	self string
 	// upstream is the entry to ask, or self for the entry that reads the store.
 	upstream string
-	// isRelay reports whether self is the relay of its failure domain. otherRelays lists those
-	// of the other failure domains.
+	// isRelay reports whether self is a relay. otherRelays lists those that are neither self
+	// nor the one that self asks because it is of its failure domain.
 	isRelay     bool
 	otherRelays []string
 	// downstream lists the entries that ask self.
@@ -46,18 +66,30 @@
 // NewView returns the view of the entry self. domains maps failure domains to their entries;
 // the one of self includes self.
 func NewView(self, domain string, domains map[string][]string) View {
-	relay := first(domains[domain])
-	v := View{self: self, upstream: relay, isRelay: relay == self}
+	own := relaysOf(domains[domain])
+	v := View{self: self, isRelay: slices.Contains(own, self)}
+	if !v.isRelay {
+		v.upstream = relayFor(self, own)
+	}
 	for _, other := range slices.Sorted(maps.Keys(domains)) {
 		if other != domain && len(domains[other]) > 0 {
-			v.otherRelays = append(v.otherRelays, first(domains[other]))
+			v.otherRelays = append(v.otherRelays, relaysOf(domains[other])...)
+		}
+	}
+	for _, relay := range own {
+		if relay != self && relay != v.upstream {
+			v.otherRelays = append(v.otherRelays, relay)
 		}
 	}
 	if !v.isRelay {
 		return v
 	}
-	v.downstream = slices.DeleteFunc(slices.Clone(domains[domain]), func(name string) bool { return name == self })
-	v.upstream = first(append([]string{self}, v.otherRelays...))
+	for _, entry := range domains[domain] {
+		if !slices.Contains(own, entry) && relayFor(entry, own) == self {
+			v.downstream = append(v.downstream, entry)
+		}
+	}
+	v.upstream = slices.MinFunc(append([]string{self}, v.otherRelays...), compareRanks)
 	if v.ReadsStore() {
 		v.downstream = append(v.downstream, v.otherRelays...)
 	}
@@ -83,8 +115,8 @@
 // Downstream returns the entries that are told of new changes.
 func (v *View) Downstream() []string { return v.downstream }
 
-// Schedule decides where an entry gets its next changes from. An entry asks the relay of its
-// failure domain, then that of another one, and reads the store itself when neither has usable
+// Schedule decides where an entry gets its next changes from. An entry asks its relay in the
+// failure domain, then another one, and reads the store itself when neither has usable
 // knowledge; a relay that gets no answer reads the store at once, since the other relays may
 // wait for the same entry. After a failed read of its own, any entry asks others before it reads
 // again: the store may turn away single hosts.
--- a/process/storesync/storesync_test.go
+++ b/process/storesync/storesync_test.go
@@ -55,6 +55,7 @@
 	for _, perDomain := range []int{1, 2, 20, 200} {
 		domains := fleet(5, perDomain)
 		readers, relays := 0, 0
+		asks, told := map[string]string{}, map[string]string{}
 		for domain, entries := range domains {
 			for _, self := range entries {
 				v := NewView(self, domain, domains)
@@ -63,17 +64,43 @@
 				}
 				if v.isRelay {
 					relays++
+				} else {
+					asks[self] = v.upstream
+				}
+				for _, entry := range v.Downstream() {
+					if slices.Contains(entries, entry) && !slices.Contains(relaysOf(entries), entry) {
+						told[entry] = self
+					}
 				}
 			}
 		}
 		assert.Equal(t, readers, 1)
-		assert.Equal(t, relays, len(domains))
+		assert.Equal(t, relays, len(domains)*((perDomain+entriesPerRelay-1)/entriesPerRelay))
+		assert.DeepEqual(t, asks, told)
+	}
+}
+
+// Guards against a relay that sends each change to all entries of a large failure domain: at 300
+// entries one of them sent nine times the mean.
+func TestView_EntriesOfARelayAreBounded(t *testing.T) {
+	for _, perDomain := range []int{10, 33, 100, 300, 1000} {
+		domains := fleet(3, perDomain)
+		most := 0
+		for domain, entries := range domains {
+			for _, self := range relaysOf(entries) {
+				v := NewView(self, domain, domains)
+				most = max(most, len(v.Downstream()))
+			}
+		}
+		t.Logf("%d entries: a relay has at most %d", 3*perDomain, most)
+		relays := 3 * ((perDomain + entriesPerRelay - 1) / entriesPerRelay)
+		assert.Assert(t, most <= 3*entriesPerRelay/2+relays)
 	}
 }
 
 func TestSchedule_FailedRelayIsReplacedByAnotherThenByTheStore(t *testing.T) {
 	domains := fleet(3, 4)
-	relay := first(domains["d0"])
+	relay := relaysOf(domains["d0"])[0]
 	self := domains["d0"][(slices.Index(domains["d0"], relay)+1)%4]
 	v := NewView(self, "d0", domains)
 	var s Schedule
@@ -90,7 +117,7 @@
 func TestSchedule_RelayWithoutAnswerReadsTheStoreAtOnce(t *testing.T) {
 	domains := fleet(3, 4)
 	for domain := range domains {
-		v := NewView(first(domains[domain]), domain, domains)
+		v := NewView(relaysOf(domains[domain])[0], domain, domains)
 		if v.ReadsStore() {
 			continue
 		}
@@ -104,7 +131,7 @@
 // The store turns one host away and serves all others.
 func TestSchedule_EntryTurnedAwayAsksRelays(t *testing.T) {
 	domains := fleet(3, 4)
-	relay := first(domains["d0"])
+	relay := relaysOf(domains["d0"])[0]
 	v := NewView(domains["d0"][(slices.Index(domains["d0"], relay)+1)%4], "d0", domains)
 	only := NewView(v.self, "d0", map[string][]string{"d0": domains["d0"]})
 	single := Schedule{}
