--- a/process/peers/update_scheduler_test.go
+++ b/process/peers/update_scheduler_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
+	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -139,3 +140,79 @@
 	assert.Assert(t, bits <= linkMbps*1e6*partialLinkShare*(1+2*maxPartialBacklog.Seconds()), "%d messages", sent)
 	assert.Assert(t, sent > 15)
 }
+
+// Guards against less urgent prompts that are remembered at a target after they have been read, and
+// against deltas that hold those of all targets.
+func TestMerge_DeferredTokensFollowTheWork(t *testing.T) {
+	scheduler, received, now := NewUpdateScheduler(), Update{}, start
+	state := func(work ...placement.Work) Update {
+		update := Update{Entry: "entry", Incarnation: 1, Work: map[request.TargetID][3]int{}}
+		for i, w := range work {
+			update.SetWork(request.TargetID(fmt.Sprint("e", i)), w)
+		}
+		return update
+	}
+	waiting := placement.Work{PrefillTokens: 8000, Deferred: [2]int{8000, 8000}}
+	begun := placement.Work{PrefillTokens: 8000}
+	for i, test := range []struct {
+		work []placement.Work
+		// sent is how many targets the update names with deferred tokens.
+		sent int
+	}{
+		{[]placement.Work{waiting, waiting}, 2}, {[]placement.Work{waiting, {Decoding: 1}}, 2}, {[]placement.Work{begun, waiting}, 1}, {nil, 0},
+	} {
+		now = now.Add(3 * fullUpdateInterval)
+		scheduler.lastFull = now
+		if i == 0 {
+			scheduler.lastFull = time.Time{}
+		}
+		update := scheduler.Compose(now, state(test.work...))
+		assert.Assert(t, len(update.Deferred) <= test.sent, "update %d", i)
+		received = Merge(received, update)
+		want := map[request.TargetID]placement.Work{}
+		for j, w := range test.work {
+			// Deferred tokens that change alone are told with the next full update.
+			if w != begun {
+				want[request.TargetID(fmt.Sprint("e", j))] = w
+			}
+		}
+		got := received.PeerState().Work
+		if len(test.work) > 0 && test.work[0] == begun {
+			delete(got, "e0")
+		}
+		assert.DeepEqual(t, got, want)
+	}
+	partial := Merge(received, Update{Entry: "entry", Incarnation: 1, Partial: true, Work: map[request.TargetID][3]int{"e5": {8000, 0, 0}}, Deferred: map[request.TargetID][2]int{"e5": {8000, 0}}})
+	assert.DeepEqual(t, partial.PeerState().Work["e5"], placement.Work{PrefillTokens: 8000, Deferred: [2]int{8000, 0}})
+}
+
+// previousUpdate is the part of Update that the previous build had.
+type previousUpdate struct {
+	Full  bool                        `cbor:"13,keyasint,omitempty"`
+	Entry string                      `cbor:"1,keyasint"`
+	Work  map[request.TargetID][3]int `cbor:"4,keyasint,omitempty"`
+}
+
+// Guards against updates that entries of the previous build cannot read during a change of builds,
+// and against bytes for engines that are not news.
+func TestUpdate_PreviousBuildReadsIt(t *testing.T) {
+	update := Update{Entry: "entry", Full: true, Work: map[request.TargetID][3]int{}}
+	update.SetWork("e1", placement.Work{PrefillTokens: 8000, Deferred: [2]int{8000, 0}})
+	before, err := cbor.Marshal(update)
+	assert.NilError(t, err)
+	update.SetSpeeds(map[request.TargetID]float64{})
+	same, err := cbor.Marshal(update)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, same, before)
+	update.SetSpeeds(map[request.TargetID]float64{"e1": 0.55, "e2": 3.449})
+	data, err := cbor.Marshal(update)
+	assert.NilError(t, err)
+	var previous previousUpdate
+	assert.NilError(t, cbor.Unmarshal(data, &previous))
+	assert.DeepEqual(t, previous, previousUpdate{Full: true, Entry: "entry", Work: map[request.TargetID][3]int{"e1": {8000, 0, 0}}})
+	var received Update
+	assert.NilError(t, cbor.Unmarshal(data, &received))
+	speeds := map[request.TargetID]float64{}
+	received.EachSpeed(func(id request.TargetID, relativeTime float64) { speeds[id] = relativeTime })
+	assert.DeepEqual(t, speeds, map[request.TargetID]float64{"e1": 0.55, "e2": 3.45})
+}
--- a/process/placement/engine.go
+++ b/process/placement/engine.go
@@ -205,11 +205,19 @@
 // slowFactor is the factor by which a target that counts as slow exceeds what is usual.
 const slowFactor = 1.5
 
+// RelativeTime returns how long the engine takes for its work, where 1 is the median of its service.
+func (t *Target) RelativeTime(now time.Time) float64 { return t.relativeTime.valueAt(now) }
+
+// IsSlow reports whether work takes clearly longer at the target than is usual.
+func (t *Target) IsSlow(now time.Time) bool {
+	return t.relativeTime.valueAt(now) > slowFactor*t.relativeTime.usualOr1() || t.applicationLoad.workRatioAt(now) > slowFactor
+}
+
 // SlowCount returns how many targets are slow.
 func (t *Table) SlowCount(now time.Time) int {
 	slow := 0
 	for _, target := range t.targets {
-		if target.relativeTime.valueAt(now) > slowFactor*target.relativeTime.usualOr1() || target.applicationLoad.workRatioAt(now) > slowFactor {
+		if target.IsSlow(now) {
 			slow++
 		}
 	}
--- a/process/placement/speed.go
+++ b/process/placement/speed.go
@@ -22,6 +22,9 @@
 	// overdueFactor is the factor by which a prefill must take longer than expected to show
 	// that its engine is slow before it has ended.
 	overdueFactor = 1.6
+	// overdueSlack is what it must take longer besides: the connection and busy processors delay
+	// the first event as well.
+	overdueSlack = 200 * time.Millisecond
 	// knownPeriod is how long an observation holds, spellPeriod the time in which it then fades
 	// into what is usual for the engine. An engine that was slow is avoided, so that it has to
 	// be tried again. While streams run there the entries that have them say so again.
@@ -185,7 +188,7 @@
 		return
 	}
 	usual := t.speedOf(target.Service).tokenTime.value * float64(tokens)
-	if r := &target.relativeTime; usual > 0 && milliseconds(elapsed) > overdueFactor*usual*r.valueAt(now) {
+	if r := &target.relativeTime; usual > 0 && milliseconds(elapsed-overdueSlack) > overdueFactor*usual*r.valueAt(now) {
 		r.observeOwn(now, milliseconds(elapsed)/usual)
 	}
 }
