--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -37,6 +37,7 @@
 	callWait          metric.Float64Histogram
 	callsRefused      metric.Int64Counter
 	callPlaces        metric.Int64Counter
+	callPlacements    metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -67,20 +68,21 @@
 		callWait:          b.LatencyHistogram("mulberrylane.calls.wait", "Time that attempts of calls waited for a place at a target"),
 		callsRefused:      b.Counter("mulberrylane.calls.refused", "Calls that the call queue refused, by reason"),
 		callPlaces:        b.Counter("mulberrylane.calls.places", "Places at targets that were believed free, by what the target said"),
+		callPlacements:    b.Counter("mulberrylane.calls.placed", "Attempts of calls placed, by whether the target is in the entry's failure domain"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
 
 // registerGauges registers the gauges of the entry's state.
 func (m *instruments) registerGauges(g *Gateway) error {
-	fromControl := func(read func(c *control, now time.Time) int64) func() int64 {
-		return func() int64 {
-			value := int64(0)
-			g.control.do(func() { value = read(g.control, time.Now()) })
-			return value
-		}
+	for _, gauge := range append(configurationGauges(g), controlGauges(g)...) {
+		m.builder.Gauge(gauge)
 	}
-	for _, gauge := range []meter.Gauge{
+	return m.builder.Err()
+}
+
+func configurationGauges(g *Gateway) []meter.Gauge {
+	return []meter.Gauge{
 		{
 			Name: "mulberrylane.configuration.version", Description: "Version of the configuration in force, 0 before the first",
 			Read: func() int64 {
@@ -100,6 +102,19 @@
 				return freshness.Age(bootClock()).Milliseconds()
 			},
 		},
+	}
+}
+
+// controlGauges are the gauges of what the control goroutine owns.
+func controlGauges(g *Gateway) []meter.Gauge {
+	fromControl := func(read func(c *control, now time.Time) int64) func() int64 {
+		return func() int64 {
+			value := int64(0)
+			g.control.do(func() { value = read(g.control, time.Now()) })
+			return value
+		}
+	}
+	return []meter.Gauge{
 		{
 			Name: "mulberrylane.targets.known", Description: "Targets that are believed to exist",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(c.table.Len()) }),
@@ -108,6 +123,14 @@
 			Name: "mulberrylane.targets.down", Description: "Targets that are left alone after a loss",
 			Read: fromControl(func(c *control, now time.Time) int64 { return int64(c.table.DownCount(now)) }),
 		},
+		{
+			Name: "mulberrylane.targets.slow", Description: "Targets whose work takes 1.5 times as long as usual",
+			Read: fromControl(func(c *control, now time.Time) int64 { return int64(c.table.SlowCount(now)) }),
+		},
+		{
+			Name: "mulberrylane.engines.imbalance", Description: "Recent work of the busiest engine, in percent of the mean of its service; the worst service",
+			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(100 * c.table.Imbalance()) }),
+		},
 		{
 			Name: "mulberrylane.entries.heard", Description: "Other entries that were heard lately",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(len(c.peerLastSeen)) }),
@@ -128,10 +151,7 @@
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
 		},
-	} {
-		m.builder.Gauge(gauge)
 	}
-	return m.builder.Err()
 }
 
 func (m *instruments) handler() http.Handler { return m.builder.Handler() }
@@ -162,6 +182,11 @@
 		attribute.Bool("late_request", lateRequest), attribute.Bool("stopping", stopping)))
 }
 
+// countCallPlacement counts an attempt of a call that was placed.
+func (m *instruments) countCallPlacement(ownDomain bool) {
+	m.callPlacements.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("own_domain", ownDomain)))
+}
+
 // countReturn counts a stream whose caller came back, by what was found of its KV copy.
 func (m *instruments) countReturn(result string) {
 	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
