Leave targets that want no requests out of the limit for calls

An entry sends nothing to a target that asked for a backoff, so its slots are no room for that entry.

process/placement -run 'Rejection|UsableSlots' passes, and bench/soak -run 'TestShortSoak|TestPlannedWork' in 37 s.

--- a/process/placement/rejections.go
+++ b/process/placement/rejections.go
@@ -30,12 +30,12 @@
 	t.announcementOf(now, target).backoff.fullUntil = now.Add(min(maxRejectionHold, hold))
 }
 
-// UsableSlots returns how many slots the targets of a service have that may get requests now
-// or as soon as they are less full.
+// UsableSlots returns how many slots the targets of a service have that are up and asked for no
+// backoff.
 func (t *Table) UsableSlots(now time.Time, service string) int {
 	slots := 0
 	for _, target := range t.services[service] {
-		if !target.IsDraining() && !target.Down(now) && !target.AwaitingProbe() {
+		if !target.IsDraining() && !target.Down(now) && !target.AwaitingProbe() && !target.BackingOff(now) {
 			slots += max(1, target.Slots)
 		}
 	}
--- a/process/placement/rejections_test.go
+++ b/process/placement/rejections_test.go
@@ -91,6 +91,8 @@
 	table.MarkDown(start, targetID(0))
 	table.MarkDraining(start, targetID(1), 1)
 	assert.Equal(t, table.UsableSlots(start, "bookings"), 12)
+	table.RecordBackoff(start, targetID(2), 1, time.Second)
+	assert.Equal(t, table.UsableSlots(start, "bookings"), 6)
 	// One that awaits its probe is a last resort.
 	assert.Equal(t, table.UsableSlots(start.Add(time.Minute), "bookings"), 12)
 	assert.Equal(t, table.UsableSlots(start, "writer"), 0)
