Prefer newest calls within one kind only

While the newest calls went first, those of a route with a longer objective or without one counted as the newest, and went before all of a route with a short one. Between kinds the earliest latest start decides now. Calls without deadline no longer hide others that become late, and calls that become late together are moved at once.

go test -race ./process/admission passes (50 s), process/gateway -run CallQueue passes.

--- a/process/admission/urgency.go
+++ b/process/admission/urgency.go
@@ -49,7 +49,7 @@
 
 // urgencyQueue orders requests by urgency. Requests that can still be on time go before those
 // that cannot. The former are ordered by rank and latest start: the earliest first, so that
-// all are on time if that is possible, and the newest first while it is not. The latter are
+// all are on time if that is possible, and the newest of each flow first while it is not. The latter are
 // ordered by rank and deadline. A flow whose requests are served far less often than those of
 // others goes first, late or not, so that none is starved.
 //
@@ -157,10 +157,7 @@
 
 func (q *urgencyQueue) push(now time.Time, request Request) {
 	q.advance(now)
-	if latest := request.Deadline.Add(-q.usualDuration); !request.Deadline.IsZero() &&
-		(request.LatestStart.IsZero() || request.LatestStart.After(latest)) {
-		request.LatestStart = latest
-	}
+	request.LatestStart = q.latestStart(request)
 	f := q.flow(flowKey{rank: request.Rank, kind: request.Kind, workspace: request.Workspace})
 	if f.length() == 0 {
 		at, _ := slices.BinarySearchFunc(q.active, f.key, func(other *urgencyFlow, key flowKey) int { return other.key.compare(key) })
@@ -168,7 +165,22 @@
 	}
 	f.offered.add(q.now)
 	q.offered.add(q.now)
-	q.insert(f, request, !request.LatestStart.IsZero() && request.LatestStart.Before(q.now))
+	q.insert(f, request, request.LatestStart.Before(q.now))
+}
+
+// never is the latest start of a request without an objective and a deadline.
+var never = time.Unix(1<<40, 0)
+
+// latestStart returns the latest start of a request, which is no later than its deadline allows.
+func (q *urgencyQueue) latestStart(request Request) time.Time {
+	latest := request.LatestStart
+	if latest.IsZero() {
+		latest = never
+	}
+	if end := request.Deadline.Add(-q.usualDuration); !request.Deadline.IsZero() && latest.After(end) {
+		latest = end
+	}
+	return latest
 }
 
 func (q *urgencyQueue) flow(key flowKey) *urgencyFlow {
@@ -260,7 +272,8 @@
 	return f.onTime
 }
 
-// mostUrgent returns the flow whose late requests, or others, go first.
+// mostUrgent returns the flow whose late requests, or others, go first: between flows the earliest
+// of those that would go next, since requests of another objective are not the newer ones.
 func (q *urgencyQueue) mostUrgent(late bool) *urgencyFlow {
 	newest := !late && q.prefersNewest()
 	var best *urgencyFlow
@@ -277,7 +290,7 @@
 		if newest {
 			at = orderedBy(list[len(list)-1], late)
 		}
-		if best == nil || newest && at.After(bestAt) || !newest && at.Before(bestAt) {
+		if best == nil || at.Before(bestAt) {
 			best, bestAt = f, at
 		}
 	}
@@ -345,12 +358,7 @@
 	var expired []Request
 	ahead := 0
 	for _, f := range slices.Clone(q.active) {
-		for len(f.onTime) > 0 && f.onTime[0].LatestStart.Before(q.now) && !f.onTime[0].LatestStart.IsZero() {
-			request := f.onTime[0]
-			f.onTime = slices.Delete(f.onTime, 0, 1)
-			q.insert(f, request, true)
-			q.becameLateAt = q.now
-		}
+		q.moveLate(f)
 		for i := 0; i < len(f.late); {
 			request := f.late[i]
 			wait := q.drain.lateWait(ahead + 1)
@@ -365,6 +373,21 @@
 	return expired
 }
 
+// moveLate moves the requests of a flow that have become late.
+func (q *urgencyQueue) moveLate(f *urgencyFlow) {
+	n, _ := slices.BinarySearchFunc(f.onTime, q.now, func(request Request, now time.Time) int {
+		return request.LatestStart.Compare(now)
+	})
+	if n == 0 {
+		return
+	}
+	for _, request := range f.onTime[:n] {
+		q.insert(f, request, true)
+	}
+	f.onTime = slices.Delete(f.onTime, 0, n)
+	q.becameLateAt = q.now
+}
+
 func (q *urgencyQueue) rank(request Request) int { return request.Rank }
 
 func (q *urgencyQueue) recordStart(Request) {}
--- a/process/admission/urgency_test.go
+++ b/process/admission/urgency_test.go
@@ -62,6 +62,18 @@
 	assert.DeepEqual(t, c.admitAll(now), []uint64{onTime, late, lateOnArrival})
 }
 
+// Requests without objective or deadline wait for as long as it takes, and hide no others.
+func TestUrgency_WithoutDeadlineNeverLate(t *testing.T) {
+	c := newCallController()
+	endless := c.enqueueCall(start, admission.Request{Kind: "endless"})
+	late := c.enqueueCall(start, newCall(start, 0, 100*time.Millisecond))
+	late2 := c.enqueueCall(start, admission.Request{Kind: "route", Deadline: start.Add(time.Hour), LatestStart: start.Add(time.Second)})
+	now := start.Add(10 * time.Second)
+	onTime := c.enqueueCall(now, newCall(now, 0, 100*time.Millisecond))
+	assert.DeepEqual(t, c.admitAll(now), []uint64{onTime, endless, late2})
+	assert.Equal(t, c.outcomes[late], fault.DeadlineTooNear)
+}
+
 // Late calls are admitted only within their own limit, others go on.
 func TestUrgency_LateCallsHaveTheirOwnLimit(t *testing.T) {
 	c := newCallController()
@@ -155,6 +167,19 @@
 	assert.Assert(t, served["new"] > served["late"])
 }
 
+// While the newest calls go first, one of a route with a longer objective is not the newer one.
+func TestUrgency_NewestFirstComparesCallsOfOneKind(t *testing.T) {
+	c := newCallController()
+	c.enqueueCall(start, newCall(start, 0, 100*time.Millisecond))
+	now := start.Add(150 * time.Millisecond)
+	patient := newCall(now, 0, time.Second)
+	patient.Kind = "patient"
+	patientID := c.enqueueCall(now, patient)
+	older := c.enqueueCall(now, newCall(now, 0, 100*time.Millisecond))
+	newer := c.enqueueCall(now, newCall(now, 0, 200*time.Millisecond))
+	assert.DeepEqual(t, c.admitAll(now)[:3], []uint64{newer, older, patientID})
+}
+
 // For any sequence of operations, each call is decided exactly once or is still queued, and
 // none waits for longer than its caller.
 func TestUrgency_DecidesEachCallOnce(t *testing.T) {
