Roll-outs: no work for other items of the store, shorter tests

Registrations are applied about once a second for each target, so items of roll-outs are told by their prefixes after all others, without an allocation. The version of a KV copy matters only where a roll-out is known. Changed limits keep what was counted (TestSetLimits_KeepsWhatWasCounted).

--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -139,6 +139,9 @@
 // mayResumeAt reports whether a request may resume from a KV copy at a target: the version that
 // produced the copy is that of the target.
 func (c *control) mayResumeAt(e *exchange, t *placement.Target) bool {
+	if !c.rollouts.Known(e.service) {
+		return true
+	}
 	if e.pin.Set {
 		return e.pin.Version == t.Version
 	}
--- a/process/gateway/rollout_store.go
+++ b/process/gateway/rollout_store.go
@@ -12,19 +12,15 @@
 
 func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
 
-// applyRollout applies an item of a roll-out and reports whether it is one.
-func (w *storeWatcher) applyRollout(item platform.Item) bool {
-	apply := map[string]func(service string, item platform.Item){
-		platform.RolloutOrderPrefix: w.applyRolloutOrder, platform.RolloutStatusPrefix: w.applyRolloutStatus,
-		platform.RolloutRecordPrefix: w.applyRolloutRecord,
+// applyRollout applies an item of a roll-out; others are ignored.
+func (w *storeWatcher) applyRollout(item platform.Item) {
+	if service, ok := strings.CutPrefix(item.Key, platform.RolloutOrderPrefix); ok {
+		w.applyRolloutOrder(service, item)
+	} else if service, ok := strings.CutPrefix(item.Key, platform.RolloutStatusPrefix); ok {
+		w.applyRolloutStatus(service, item)
+	} else if service, ok := strings.CutPrefix(item.Key, platform.RolloutRecordPrefix); ok {
+		w.applyRolloutRecord(service, item)
 	}
-	for prefix, f := range apply {
-		if service, ok := strings.CutPrefix(item.Key, prefix); ok {
-			f(service, item)
-			return true
-		}
-	}
-	return false
 }
 
 func (w *storeWatcher) applyRolloutOrder(service string, item platform.Item) {
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -301,7 +301,6 @@
 // apply applies one item. Invalid items are skipped, so that the others still apply.
 func (w *storeWatcher) apply(item platform.Item) {
 	switch {
-	case w.applyRollout(item):
 	case item.Key == platform.ConfigurationKey:
 		if !item.Removed {
 			w.applyConfiguration(item)
@@ -314,6 +313,8 @@
 		if !item.Removed {
 			w.applyQuarantine(item)
 		}
+	default:
+		w.applyRollout(item)
 	}
 }
 
--- a/process/rollout/faults_test.go
+++ b/process/rollout/faults_test.go
@@ -21,6 +21,7 @@
 // TestStore_LostAnswersAndLateWrites guards against states that are written twice, and roll-outs that stop half-done,
 // when answers of the store are lost and its writes come late.
 func TestStore_LostAnswersAndLateWrites(t *testing.T) {
+	t.Parallel()
 	for seed := range *seeds * 3 {
 		config := small()
 		config.answerLoss = 0.4
@@ -39,6 +40,7 @@
 
 // TestStore_OutageHalfway guards against requests to a bad version while no record can be written.
 func TestStore_OutageHalfway(t *testing.T) {
+	t.Parallel()
 	for seed := range *seeds {
 		config := small()
 		config.outageFrom, config.outageUntil = 2*time.Second, 10*time.Second
@@ -58,6 +60,7 @@
 // TestEntry_DeathAtEachStep guards against a roll-out that stops because the entry that acts dies,
 // before or after its transaction is applied.
 func TestEntry_DeathAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, stage := range []Stage{Canary, Ramping, Moved, Completed, RolledBack} {
 		for seed := range *seeds {
 			config := small()
@@ -85,6 +88,7 @@
 // TestEntry_StartsInTheMiddle guards against entries that start without the age of the order, alone
 // or all together, also when their clocks have jumped.
 func TestEntry_StartsInTheMiddle(t *testing.T) {
+	t.Parallel()
 	restart := func(s *simulation, entries []*simEntry, skew time.Duration) {
 		for _, e := range entries {
 			s.crash(e)
@@ -128,6 +132,7 @@
 // TestEntry_SilentHoldsBackTheEnd guards against old replicas that are stopped while an entry that
 // nobody hears still uses them.
 func TestEntry_SilentHoldsBackTheEnd(t *testing.T) {
+	t.Parallel()
 	config := small()
 	config.happens = map[time.Duration]func(*simulation){0: func(s *simulation) { s.entries[7].silent = true }}
 	s := play(t, 1, config)
@@ -137,6 +142,7 @@
 
 // TestOrder_SecondWhileOneRuns guards against a mix of two orders.
 func TestOrder_SecondWhileOneRuns(t *testing.T) {
+	t.Parallel()
 	second := func(version string, after func(s *simulation)) func(s *simulation) {
 		return func(s *simulation) {
 			if len(s.replicas[version]) == 0 {
@@ -179,6 +185,7 @@
 // TestOrder_SupersededBadVersionGetsNothing guards against more requests to a bad version after a second order
 // to a third one.
 func TestOrder_SupersededBadVersionGetsNothing(t *testing.T) {
+	t.Parallel()
 	config := small()
 	config.bad = failingHalf
 	config.outageFrom, config.outageUntil = 3*time.Second, 9*time.Second
@@ -199,6 +206,7 @@
 
 // TestOrder_RemovedOrOddRollsBack guards against a roll-out that goes on without its order.
 func TestOrder_RemovedOrOddRollsBack(t *testing.T) {
+	t.Parallel()
 	for _, value := range []any{nil, struct{}{}} {
 		for _, at := range []time.Duration{2 * time.Second, 16 * time.Second} {
 			config := small()
@@ -219,6 +227,7 @@
 
 // TestReplicas_MissingOrGone guards against refusals and lost time when a version has no replicas.
 func TestReplicas_MissingOrGone(t *testing.T) {
+	t.Parallel()
 	config := small()
 	// None ever registers.
 	s := newSimulation(t, 1, config)
@@ -250,6 +259,7 @@
 // TestService_WithoutTraffic guards against roll-outs that wait for evidence which never comes, as
 // when the configuration moves all routes elsewhere.
 func TestService_WithoutTraffic(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{0.01, 1} {
 		config := small()
 		config.rate = rate
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -222,8 +222,12 @@
 	return &Tracker{limits: limits, self: self, services: map[string]*rollout{}, entries: 1}
 }
 
-// SetLimits changes the bounds. Without a share nothing is restricted any more.
-func (t *Tracker) SetLimits(limits Limits) { t.limits = limits }
+// SetLimits changes the bounds. Without a share nothing is restricted any more. What was counted is
+// kept.
+func (t *Tracker) SetLimits(limits Limits) {
+	t.limits = limits
+	t.SetEntries(t.entries)
+}
 
 // Active reports whether there is anything to do for roll-outs.
 func (t *Tracker) Active() bool { return len(t.services) > 0 && t.limits.Enabled() }
--- a/process/rollout/traffic_test.go
+++ b/process/rollout/traffic_test.go
@@ -198,3 +198,25 @@
 		assert.Assert(t, len(data) > 0)
 	}
 }
+
+// TestSetLimits_KeepsWhatWasCounted guards against a reload of the settings that grants a bad
+// version the slack once more.
+func TestSetLimits_KeepsWhatWasCounted(t *testing.T) {
+	tracker := trackerAt(Canary)
+	tracker.services[simService].newReplicas = 6
+	for range 100 {
+		tracker.Sent(testNow, simService, "v1")
+		tracker.Sent(testNow, simService, "v2")
+	}
+	tracker.Responded(simService, "v2", "/", Response{Failed: true})
+	before := tracker.Summaries(testNow)[0]
+	limits := simLimits
+	limits.CanarySlack = 60
+	tracker.SetLimits(limits)
+	tracker.SetEntries(1)
+	after := tracker.Summaries(testNow)[0]
+	assert.Equal(t, after.Sent, before.Sent)
+	assert.Equal(t, after.SentNew, before.SentNew)
+	assert.Equal(t, tracker.services[simService].evidence.own["/"][newSide].Failures, 1)
+	assert.DeepEqual(t, firstChoices(tracker, Pin{}, false), []string{"", "v1", "v3"})
+}
