--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberrylane/mulberrylane/connection/detector"
@@ -71,6 +73,7 @@
 	registry  *registry.Registry
 	monitors  map[request.TargetID]*targetMonitor
 	budgets   map[string]*admission.RetryBudget
+	callQueue callQueue
 	bounds    Bounds
 	startedAt time.Time
 	lastCheck time.Time
@@ -157,6 +160,7 @@
 		registry:          registry.New(),
 		monitors:          map[request.TargetID]*targetMonitor{},
 		budgets:           map[string]*admission.RetryBudget{},
+		callQueue:         newCallQueue(),
 		bounds:            g.settings.Bounds,
 		startedAt:         now,
 		lastCheck:         now,
@@ -182,6 +186,7 @@
 		incarnation:       now.UnixNano(),
 		rollouts:          newRollouts(g.settings.Bounds, g.settings.Name),
 	}
+	c.table.SetRandom(rand.New(rand.NewPCG(uint64(c.incarnation), xxhash.Sum64String(g.settings.Name))))
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
 	c.freshness.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
 	return c
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -73,6 +73,10 @@
 	// owns it. placed is set once an attempt was placed; the control goroutine owns it.
 	pin    rollout.Pin
 	placed bool
+	// firstSent estimates when the caller of a call first sent it; the control goroutine owns it.
+	firstSent time.Time
+	// returnAfter is when the caller is to return if the call queue refused it.
+	returnAfter time.Duration
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
 	// bodies holds the bodies of the request and its responses.
