Roll-outs: a version is not suspected without end

rollbackWithin bounds how long a version gets requests after its 50th bad response, but nothing used it. A version that is suspected by more than 40 bad responses for half of that time is rejected (TestEvidence_SuspicionEndsAfterManyBadResponses).

--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -265,21 +265,22 @@
 	return 0
 }
 
-// judge returns why the version is bad, or "", and whether it is suspected.
-func (e *evidence) judge() (string, bool) {
-	suspected := false
+// judge returns why the version is bad, or "", whether it is suspected, and by how many bad
+// responses if so.
+func (e *evidence) judge() (string, bool, float64) {
+	suspected, excess := false, 0.0
 	for route, tests := range e.routes {
-		reason, alarm := tests.judge()
+		reason, alarm, more := tests.judge()
 		if reason != "" {
 			if route == allRoutes {
 				route = "all routes"
 			}
 			reason += " on " + route
-			return strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], ""), true
+			return strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], ""), true, more
 		}
-		suspected = suspected || alarm
+		suspected, excess = suspected || alarm, max(excess, more)
 	}
-	return "", suspected
+	return "", suspected, excess
 }
 
 // testCount is the number of comparisons on one route: failures, and durations above each bucket
@@ -430,12 +431,13 @@
 	t.sums = append(t.sums, next)
 }
 
-// judge returns why the version is bad on the route, or "", and whether it is suspected.
-func (t *routeTests) judge() (string, bool) {
-	suspected := false
+// judge returns why the version is bad on the route, or "", whether it is suspected, and by how
+// many bad responses if so.
+func (t *routeTests) judge() (string, bool, float64) {
+	suspected, excess := false, 0.0
 	last := len(t.sums) - 1
 	if last < 0 {
-		return "", false
+		return "", false, 0
 	}
 	for _, window := range windows {
 		for i := range testCount {
@@ -448,15 +450,17 @@
 				conclusive, alarm, reason = &slowRule, &slowAlarm, "slow responses"
 			}
 			if s.meets(conclusive) || i > 0 && (s.meets(&slowestRule) || s.meets(&unusualRule)) {
-				return reason, true
+				return reason, true, s.excess
+			}
+			if s.meets(alarm) || s.meets(&historicAlarm) || i > 0 && s.meets(&unusualAlarm) {
+				suspected, excess = true, max(excess, s.excess)
 			}
-			suspected = suspected || s.meets(alarm) || s.meets(&historicAlarm) || i > 0 && s.meets(&unusualAlarm)
 		}
 		if last-window < 0 {
 			break
 		}
 	}
-	return "", suspected
+	return "", suspected, excess
 }
 
 // meets reports whether the sums are enough evidence by the rule.
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -41,6 +41,10 @@
 	// lastSuspicion is for how long a version must have been suspected at the time limit to be
 	// rolled back then.
 	lastSuspicion = 2 * time.Second
+	// manyBad is by how many bad responses a version may be suspected for at most half the time
+	// within which it must get no more requests after its 50th. Some of the 50 would have come from
+	// the old version too; the other half of the time is for their reports.
+	manyBad = 40
 	// conflictDelay is how long a change whose condition did not hold is not tried again: changes
 	// of the store are known within two seconds.
 	conflictDelay = 2500 * time.Millisecond
@@ -121,7 +125,7 @@
 		r := t.services[service]
 		r.observe(view.Services[service])
 		r.learnAge(now, wallClock)
-		r.compareVersions(now)
+		r.compareVersions(now, t.limits.RollbackWithin)
 		r.updatePromise(now, t.share(r))
 		if change, ok := t.due(now, wallClock, r, view); ok {
 			changes = append(changes, change)
@@ -173,16 +177,27 @@
 }
 
 // compareVersions ends a slice of time and judges the new version by it.
-func (r *rollout) compareVersions(now time.Time) {
+func (r *rollout) compareVersions(now time.Time, rollbackWithin time.Duration) {
 	if !r.running() || !r.recorded() || r.rejected != "" || now.Before(r.evidence.sliceEnds) {
 		return
 	}
 	r.evidence.sliceEnds = now.Add(sliceTime)
 	r.evidence.endSlice(r.total())
 	before := r.suspected
-	if r.rejected, r.suspected = r.evidence.judge(); r.suspected && !before {
+	var excess float64
+	if r.rejected, r.suspected, excess = r.evidence.judge(); r.suspected && !before {
 		r.suspectedSince = now
 	}
+	if excess < manyBad {
+		r.manyBadSince = time.Time{}
+		return
+	}
+	if r.manyBadSince.IsZero() {
+		r.manyBadSince = now
+	}
+	if r.rejected == "" && rollbackWithin > 0 && now.Sub(r.manyBadSince) >= rollbackWithin/2 {
+		r.rejected = "suspected after many bad responses"
+	}
 }
 
 // updatePromise promises the other entries to send nothing to old versions any more, or takes that
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -194,6 +194,8 @@
 	// suspectedSince.
 	suspected      bool
 	suspectedSince time.Time
+	// manyBadSince is since when it is suspected for more than manyBad responses.
+	manyBadSince time.Time
 	// runningOld counts what runs here on old versions, longest is the longest time for which a
 	// request of the service has run, at any entry.
 	runningOld int
@@ -277,7 +279,7 @@
 func (r *rollout) reset() {
 	r.traffic, r.evidence, r.peers = traffic{}, evidence{}, map[string]peerReport{}
 	r.rejected, r.suspected, r.closed, r.longest, r.write = "", false, false, 0, write{}
-	r.canarySince = time.Time{}
+	r.canarySince, r.manyBadSince = time.Time{}, time.Time{}
 }
 
 // RemoveOrder learns that the key of a service's order was removed, or holds no order any more at
--- a/process/rollout/traffic_test.go
+++ b/process/rollout/traffic_test.go
@@ -220,3 +220,39 @@
 	assert.Equal(t, tracker.services[simService].evidence.own["/"][newSide].Failures, 1)
 	assert.DeepEqual(t, firstChoices(tracker, Pin{}, false), []string{"", "v1", "v3"})
 }
+
+// TestEvidence_SuspicionEndsAfterManyBadResponses guards against a version that stays suspected
+// without being rejected while its bad responses go on.
+func TestEvidence_SuspicionEndsAfterManyBadResponses(t *testing.T) {
+	for _, within := range []time.Duration{0, 5 * time.Second} {
+		limits := simLimits
+		limits.RollbackWithin = within
+		tracker := trackerAt(Canary)
+		tracker.SetLimits(limits)
+		now, suspectedAt, rejectedAt := testNow, 0, 0
+		view := View{Services: map[string]ServiceView{simService: {Replicas: map[string]int{"v1": 1, "v2": 1}}}}
+		for i := 1; i <= 60; i++ {
+			for k := range 100 {
+				tracker.Responded(simService, "v1", "/", Response{Failed: k < 10})
+			}
+			for k := range 50 {
+				tracker.Responded(simService, "v2", "/", Response{Failed: k < 8})
+			}
+			now = now.Add(sliceTime)
+			tracker.Step(now, now, view)
+			r := tracker.services[simService]
+			if r.suspected && suspectedAt == 0 {
+				suspectedAt = i
+			}
+			if r.rejected != "" && rejectedAt == 0 {
+				rejectedAt = i
+			}
+		}
+		assert.Assert(t, suspectedAt > 0)
+		if within == 0 {
+			assert.Equal(t, rejectedAt, 0)
+			continue
+		}
+		assert.Assert(t, rejectedAt > suspectedAt && rejectedAt <= 45, "suspected in slice %d, rejected in slice %d", suspectedAt, rejectedAt)
+	}
+}
