--- a/bench/rollout/harness_test.go
+++ b/bench/rollout/harness_test.go
@@ -21,6 +21,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/command"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/daemon"
 	"github.com/mulberrylane/mulberrylane/process/gateway"
@@ -82,9 +83,9 @@
 
 // entry is an entry process.
 type entry struct {
-	d                *deployment
-	name, settings   string
-	callers, healthy string
+	d                         *deployment
+	name, settings            string
+	callers, healthy, metrics string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -153,7 +154,8 @@
 		assert.NilError(d.t, err)
 		addresses[k] = address
 	}
-	e.callers, e.healthy, e.settings = addresses[0], addresses[1], filepath.Join(d.directory, e.name+".json")
+	e.callers, e.healthy, e.metrics = addresses[0], addresses[1], addresses[2]
+	e.settings = filepath.Join(d.directory, e.name+".json")
 	value, err := json.Marshal(map[string]any{
 		"name": e.name, "failureDomain": failureDomain(i), "callers": addresses[0], "health": addresses[1],
 		"metrics": addresses[2], "peers": addresses[3], "store": strings.TrimPrefix(store.URL, "http://"),
@@ -394,6 +396,21 @@
 	}
 }
 
+// rollouts returns what operators are shown of the roll-outs at all entries.
+func (d *deployment) rollouts() string {
+	d.t.Helper()
+	var out bytes.Buffer
+	root := command.NewRoot()
+	root.SetOut(&out)
+	arguments := []string{"rollouts"}
+	for _, e := range d.entries {
+		arguments = append(arguments, "--process", e.metrics)
+	}
+	root.SetArgs(arguments)
+	assert.NilError(d.t, root.ExecuteContext(untilDone(d.t)))
+	return out.String()
+}
+
 // logFailure prints what entries logged about roll-outs, if the test has failed.
 func (d *deployment) logFailure() {
 	if !d.t.Failed() {
--- a/bench/rollout/rollout_test.go
+++ b/bench/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mulberrylane/mulberrylane/platform"
+	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -110,6 +112,11 @@
 			d.order(calls, duration)
 			d.awaitState(calls, platform.RolloutRolledBack)
 			time.Sleep(2 * time.Second)
+			// All entries show operators the end, and why.
+			shown := d.rollouts()
+			t.Log(shown)
+			assert.Equal(t, strings.Count(shown, rollout.RolledBack.String()+" "), len(d.entries))
+			assert.Assert(t, strings.Contains(shown, "sends nothing to the new version: "))
 			requests := load.stop()
 			d.checkShare(calls)
 			d.checkRolledBackInTime(calls, requests)
