One budget for what callers make a process hold

Cause: heads were not counted at all, though a header field of four bytes takes 167 bytes once parsed and copied for an attempt; bodies up to 16 KiB were not counted either, nor were events that no caller reads, and connections had no limit below that of the descriptors. The health, metrics and operators' addresses had none of the limits for callers, and anybody could make a gateway remember peer updates under any number of names.

Change: connection/quota (core, before process/bodies) decides what is held within a limit of memory and connections: the holder with the greatest product of memory and time without progress yields first. connection/memory applies it, with lock and clock. connection/graceful counts each connection and the head of each request, line by line, before net/http parses it, and refuses one with 503 (not run) or closes it when it has to yield. The gateway counts bodies of any size, whole responses and events for the same budget, a quarter of memoryMB, and callers get half of the descriptors. The next part of a body has 25 s; the body of a refused request is waited for for 3 s. Health, metrics and operators' listeners have a small budget each. mlentry has the same protection (limits.memoryMB; 64 MiB for callers without it). A gateway remembers 16 senders of peer updates that are not registered as entries. Each refusal is counted (mulberrylane_callers_limited_total) and logged at a limited rate.

The records test names limits.memoryMB as unset in the settings file of the earlier build: it is a new, optional field.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -24,6 +24,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberrylane/mulberrylane/connection/keepalive"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
+	"github.com/mulberrylane/mulberrylane/connection/quota"
 )
 
 // acceptQueueTime is how long connections are still accepted that the kernel had queued when
@@ -38,8 +40,12 @@
 // the caller is still there. Other reads ask for more.
 const backgroundReadBytes = 1
 
-// refusalTime is how long the rest of a request is read whose head was refused.
-const refusalTime = 500 * time.Millisecond
+// refusalTime is how long the rest of a request is read whose head was refused, yieldTime how long
+// if it was refused because memory was short.
+const (
+	refusalTime = 500 * time.Millisecond
+	yieldTime   = 50 * time.Millisecond
+)
 
 // lateRequestTime is how long a connection that was closed as idle is still read, so that a
 // request that crossed the close is known. Most callers close their side much sooner.
@@ -69,6 +75,9 @@
 	// stops, only for those with a late request. It must be set before the first connection is
 	// accepted.
 	OnIdleClose func(IdleClose)
+	// Memory limits what callers make the process hold; nil sets no limit. It must be set before
+	// the first connection is accepted.
+	Memory *memory.Memory
 
 	mu     sync.Mutex
 	open   map[*conn]struct{}
@@ -116,21 +125,29 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// StopAccepting set the deadline.
-		_ = l.Close()
-		return nil, net.ErrClosed
-	}
-	if err != nil {
-		return nil, err //nolint:wrapcheck // net.Listener
+	for {
+		accepted, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// StopAccepting set the deadline.
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
+		if err != nil {
+			return nil, err //nolint:wrapcheck // net.Listener
+		}
+		c := &conn{Conn: accepted, listener: l}
+		var ok bool
+		if c.account, ok = l.Memory.Connect(c.yield); !ok {
+			_ = accepted.Close()
+			continue
+		}
+		l.mu.Lock()
+		c.state = keepalive.NewConnection(time.Now(), l.limits)
+		l.open[c] = struct{}{}
+		c.setDeadline()
+		l.mu.Unlock()
+		return c, nil
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := &conn{Conn: accepted, listener: l, state: keepalive.NewConnection(time.Now(), l.limits)}
-	l.open[c] = struct{}{}
-	c.setDeadline()
-	return c, nil
 }
 
 // Close implements net.Listener. Accepted connections stay open.
@@ -161,15 +178,30 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	// The account has a lock of its own, under which that of the listener may be taken.
 	switch state {
 	case http.StateActive:
+		l.mu.Lock()
 		tracked.state.HeadRead()
 		_ = tracked.Conn.SetReadDeadline(time.Time{})
+		l.mu.Unlock()
+		if !tracked.account.SetState(quota.Kept, tracked.yield) {
+			_ = tracked.Conn.Close()
+		}
 	case http.StateIdle:
+		l.mu.Lock()
 		tracked.state.ResponseSent(time.Now(), l.limits)
 		tracked.setDeadline()
+		waitsFor := quota.Idle
+		if tracked.state.Phase() == keepalive.ReadingHead {
+			waitsFor = quota.Receiving
+		}
+		counted := tracked.head.Next()
+		l.mu.Unlock()
+		tracked.count(counted)
+		if !tracked.account.SetState(waitsFor, tracked.yield) {
+			_ = tracked.Conn.Close()
+		}
 	}
 }
 
@@ -206,6 +238,36 @@
 	}
 }
 
+// Account returns the account of the connection of a request, or nil.
+func Account(ctx context.Context) *memory.Account {
+	if tracked, _ := ctx.Value(contextKey{}).(*conn); tracked != nil {
+		return tracked.account
+	}
+	return nil
+}
+
+// Hold begins a phase in which the connection of a request waits for its caller. It is closed if
+// it has to yield.
+func Hold(ctx context.Context, state quota.State) {
+	if tracked, _ := ctx.Value(contextKey{}).(*conn); tracked != nil && !tracked.account.SetState(state, tracked.yield) {
+		_ = tracked.Conn.Close()
+	}
+}
+
+// EndRead ends a read of the body of a request that waits for data.
+func EndRead(ctx context.Context) {
+	if tracked, _ := ctx.Value(contextKey{}).(*conn); tracked != nil {
+		_ = tracked.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Disconnect closes the connection of a request.
+func Disconnect(ctx context.Context) {
+	if tracked, _ := ctx.Value(contextKey{}).(*conn); tracked != nil {
+		_ = tracked.Conn.Close()
+	}
+}
+
 // SetReset sets whether the connection of a request is reset when it is closed, also by the
 // end of the process. A response that ends with its connection looks complete otherwise.
 func SetReset(ctx context.Context, reset bool) {
@@ -287,10 +349,15 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	account  *memory.Account
 
 	// The lock of the listener guards the fields below.
 
 	state keepalive.Connection
+	// head is what is counted for the head of the request.
+	head quota.Head
+	// yielded is set when the connection has to be closed because memory is short.
+	yielded bool
 	// expired is set when the connection is to be closed as idle, closed when it is being
 	// closed.
 	expired, closed bool
@@ -310,19 +377,26 @@
 // setDeadline ends the wait for data when the connection may be closed. It must be called with
 // the lock held.
 func (c *conn) setDeadline() {
-	if c.state.Phase() != keepalive.InUse && !c.closed {
+	if c.state.Phase() != keepalive.InUse && !c.closed && !c.yielded {
 		_ = c.Conn.SetReadDeadline(c.state.Expires(c.listener.limits, c.listener.drainingSince))
 	}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
+	size := len(buffer)
 	for {
 		c.listener.mu.Lock()
 		left, limited := c.state.HeadBytesLeft(c.listener.limits)
+		counted := int64(0)
+		if size != backgroundReadBytes {
+			phase := c.state.Phase()
+			counted = c.head.Reading(size, phase == keepalive.Unused || phase == keepalive.Idle)
+		}
 		c.listener.mu.Unlock()
+		c.count(counted)
 		if limited && left+headSlopBytes <= 0 {
-			c.refuseHead()
+			c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, refusalTime)
 			return 0, io.EOF
 		}
 		if limited {
@@ -330,9 +404,16 @@
 		}
 		n, err := c.Conn.Read(buffer)
 		if n > 0 {
-			c.received(n, len(buffer) == backgroundReadBytes)
+			if !c.received(buffer[:n], size == backgroundReadBytes) {
+				c.refuseYielded(true)
+				return 0, io.EOF
+			}
 			return n, err //nolint:wrapcheck // net.Conn
 		}
+		if c.hasYielded() {
+			c.refuseYielded(false)
+			return 0, io.EOF
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.keepWaiting() {
 			// A caller whose request crossed the close sends it again at once, on another
 			// connection: those that are to be closed at the same time are closed first.
@@ -342,17 +423,63 @@
 	}
 }
 
-func (c *conn) received(count int, inBackground bool) {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	if c.state.Phase() == keepalive.InUse {
+// received records what was received, and reports whether there is memory for it.
+func (c *conn) received(data []byte, inBackground bool) bool {
+	l := c.listener
+	l.mu.Lock()
+	phase := c.state.Phase()
+	cost := c.head.Read(data, phase != keepalive.InUse)
+	if phase == keepalive.InUse {
 		if inBackground {
 			c.state.ReceivedAhead()
 		}
-		return
+		l.mu.Unlock()
+		return true
 	}
-	c.state.Received(time.Now(), count, c.listener.limits)
+	c.state.Received(time.Now(), len(data), l.limits)
 	c.setDeadline()
+	l.mu.Unlock()
+	if phase != keepalive.ReadingHead && !c.account.SetState(quota.Receiving, c.yield) {
+		return false
+	}
+	return c.account.Reserve(cost)
+}
+
+// count changes what is counted for the connection.
+func (c *conn) count(change int64) {
+	if change > 0 {
+		c.account.Force(change)
+	} else {
+		c.account.Release(-change)
+	}
+}
+
+// yield ends what the connection waits for, so that it is closed.
+func (c *conn) yield() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.yielded = true
+	if c.state.Phase() == keepalive.InUse {
+		_ = c.Conn.Close()
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *conn) hasYielded() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.yielded && c.state.Phase() != keepalive.InUse
+}
+
+// refuseYielded refuses a request of which a part has arrived, as not run.
+func (c *conn) refuseYielded(received bool) {
+	c.listener.mu.Lock()
+	begun := received || c.state.Phase() == keepalive.ReadingHead
+	c.listener.mu.Unlock()
+	if begun || c.hasUnreadData() {
+		c.refuseHead(http.StatusServiceUnavailable, yieldTime)
+	}
 }
 
 // keepWaiting reports whether a read whose deadline has passed is to be repeated: the connection
@@ -362,7 +489,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	phase := c.state.Phase()
-	if phase == keepalive.InUse || c.closed {
+	if phase == keepalive.InUse || c.closed || c.yielded {
 		return false
 	}
 	expires := c.state.Expires(l.limits, l.drainingSince)
@@ -377,24 +504,27 @@
 	if phase != keepalive.ReadingHead {
 		c.expired = true
 		// It fails if the caller has reset the connection.
-		_ = c.CloseWrite()
+		_ = c.closeWrite()
 	}
 	return false
 }
 
-// refuseHead responds to a request whose head is too long, and discards the rest for a while:
-// data that is not read when the connection is closed would reset it before the caller has the
-// response.
-func (c *conn) refuseHead() {
+// refuseHead responds to a request whose head is not read to its end, and discards the rest for a
+// while: data that is not read when the connection is closed would reset it before the caller has
+// the response.
+func (c *conn) refuseHead(status int, discardTime time.Duration) {
 	c.listener.mu.Lock()
 	c.closed = true
-	err := c.SetDeadline(time.Now().Add(refusalTime))
+	err := c.SetDeadline(time.Now().Add(discardTime))
 	c.listener.mu.Unlock()
 	if err != nil {
 		return
 	}
-	const code = http.StatusRequestHeaderFieldsTooLarge
-	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", code, http.StatusText(code)); err != nil {
+	more := ""
+	if status == http.StatusServiceUnavailable {
+		more = "Retry-After: 1\r\n"
+	}
+	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s\r\n", status, http.StatusText(status), more); err != nil {
 		return
 	}
 	if c.CloseWrite() == nil {
@@ -422,8 +552,16 @@
 }
 
 // CloseWrite closes the writing side, which http.Server does before it closes a connection
-// whose request was not read whole.
+// whose request was not read whole. It waits half a second then, without the request.
 func (c *conn) CloseWrite() error {
+	c.listener.mu.Lock()
+	counted := c.head.End()
+	c.listener.mu.Unlock()
+	c.count(counted)
+	return c.closeWrite()
+}
+
+func (c *conn) closeWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite() //nolint:wrapcheck // net.TCPConn
 	}
@@ -448,6 +586,7 @@
 	if report && (closed.LateRequest || !closed.Stopping) {
 		c.listener.OnIdleClose(closed)
 	}
+	c.account.Close()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	delete(c.listener.open, c)
--- a/core_test.go
+++ b/core_test.go
@@ -20,7 +20,7 @@
 	"process/admission", "process/membership", "process/callpage", "process/gate", "process/order",
 	"process/gossip",
 	"process/directory", "process/placement", "process/registry", "process/freshness", "process/prompts",
-	"process/shutdown", "process/storesync", "process/quarantine", "process/kvcopies", "process/bodies",
+	"process/shutdown", "process/storesync", "process/quarantine", "process/kvcopies", "connection/quota",
 }
 
 func TestCorePackages_UseNoGoroutinesOrChannels(t *testing.T) {
--- a/process/entry/calls.go
+++ b/process/entry/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/process/callpage"
 	"github.com/mulberrylane/mulberrylane/process/calls"
@@ -127,6 +129,9 @@
 		return call, err
 	}
 	fillCall(&call, *service.Application, profile, now)
+	if c.Request.ContentLength != 0 {
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(call.Deadline)
+	}
 	call.Body, err = readCallBody(c, call.Key.Key, call.MaxReplyBytes)
 	call.Idempotent = service.Application.IsIdempotent(c.Request.Method, c.Param("path"))
 	return call, err
@@ -175,6 +180,12 @@
 	if errors.As(err, &tooLarge) {
 		return body, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, errBodyYielded) || err != nil && graceful.Account(c.Request.Context()).Yielded() {
+		return body, fault.Wrap(fault.Overloaded, err, errBodyYielded.Error())
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return body, fault.New(fault.SlowCaller, "the body did not arrive in time")
+	}
 	if err != nil {
 		return body, fault.Wrap(fault.CallerGone, err, "the body broke off")
 	}
--- a/process/entry/decode.go
+++ b/process/entry/decode.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -71,12 +72,15 @@
 	data, err := io.ReadAll(c.Request.Body)
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !graceful.Account(c.Request.Context()).Yielded() {
 		return nil, fault.New(fault.SlowCaller, "the body did not arrive within %s", bodyReadTimeout)
 	}
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
 	}
+	if errors.Is(err, errBodyYielded) || graceful.Account(c.Request.Context()).Yielded() {
+		return nil, fault.Wrap(fault.Overloaded, err, errBodyYielded.Error())
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.CallerGone, err, "the body broke off")
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -148,6 +148,8 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	e.listener = graceful.NewListener(listener)
+	e.listener.Memory = callerMemory(e.settings.Limits)
+	e.listener.Memory.OnYield = e.observer.RecordYield("callers")
 	e.listener.SetLimits(keepalive.Limits{
 		HeaderBytes:   e.settings.Limits.MaxHeaderBytes,
 		HeaderTimeout: e.settings.Limits.CallerWriteTimeout.Std(),
@@ -221,11 +223,6 @@
 	c.Next()
 }
 
-func (e *Entry) limitBody(c *gin.Context) {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, e.settings.Limits.MaxBodyBytes)
-	c.Next()
-}
-
 // ready responds to a readiness check: 200 if the entry has a configuration, knows a
 // target that is up, and accepts new requests, else 503.
 func (e *Entry) ready(c *gin.Context) {
--- a/process/entry/response.go
+++ b/process/entry/response.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/connection/wire"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -227,6 +228,10 @@
 		seconds := math.Ceil(max(1, outcome.RetryAfter.Seconds()))
 		c.Header("Retry-After", strconv.Itoa(int(seconds)))
 	}
+	if graceful.Account(c.Request.Context()).Yielded() {
+		// Its connection is closed as well.
+		c.Header("Connection", "close")
+	}
 	setOutcomeHeader(c, outcome)
 	c.AbortWithStatusJSON(response.Status, newErrorResponse(err, outcome))
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -424,7 +424,7 @@
 // readBody reads the rest of a response and releases its connection. The body is held until the
 // exchange ends.
 func (a *attempt) readBody(response *http.Response) (*heldBody, error) {
-	body, err := a.exchange.gateway.bodyMemory.read(response.Body, maxResponseBytes, a.conn.Close)
+	body, err := a.exchange.gateway.bodyMemory.readResponse(response.Body, maxResponseBytes, a.conn.Close)
 	if err != nil {
 		a.conn.Close()
 		if errors.Is(err, errBodyTooLong) || errors.Is(err, errBodyYielded) {
--- a/process/gateway/body_memory.go
+++ b/process/gateway/body_memory.go
@@ -7,16 +7,17 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mulberrylane/mulberrylane/process/bodies"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
+	"github.com/mulberrylane/mulberrylane/connection/quota"
 )
 
 const (
-	// smallBodyBytes is the size up to which a body is kept without being counted.
+	// smallBodyBytes is the size up to which the body of a response is received in any case.
 	smallBodyBytes = 16 << 10
-	// bodyMemoryFraction is the part of the process's memory that larger bodies may use,
-	// defaultBodyMemory that memory in bytes if no limit is set.
-	bodyMemoryFraction = 0.2
-	defaultBodyMemory  = 256 << 20
+	// callerMemoryFraction is the part of the process's memory that everything may use that is
+	// held on behalf of callers, defaultCallerMemory that memory in bytes if no limit is set.
+	callerMemoryFraction = 0.25
+	defaultCallerMemory  = 256 << 20
 	// minChunkBytes and maxChunkBytes are the sizes of the pieces in which a body is kept. A
 	// buffer that grew as a whole would need room for two of its sizes each time.
 	minChunkBytes = 1 << 10
@@ -25,61 +26,65 @@
 
 var (
 	errBodyTooLong = errors.New("the body exceeds the size limit")
-	errBodyYielded = errors.New("the bodies in memory use all that they may, and this one was the largest being received")
+	errBodyYielded = errors.New("what is held for callers uses all memory that it may, and this body yields")
 )
 
-// bodyMemory limits the memory of the bodies of requests and responses, from when they are
-// received until they have been sent.
-type bodyMemory struct {
-	mu sync.Mutex
-	// changed is signalled when a body was released or has to yield.
-	changed *sync.Cond
-	budget  *bodies.Budget
-	// interrupts holds what ends the reading of the bodies being received.
-	interrupts map[*bodies.Body]func()
-}
+// bodyMemory keeps the bodies of requests and responses, from when they are received until they
+// have been sent.
+type bodyMemory struct{ memory *memory.Memory }
 
 func newBodyMemory(memoryMB int) *bodyMemory {
-	limit := int64(defaultBodyMemory)
+	bytes := int64(defaultCallerMemory)
 	if memoryMB > 0 {
-		limit = int64(bodyMemoryFraction * float64(memoryMB) * (1 << 20))
+		bytes = int64(callerMemoryFraction * float64(memoryMB) * (1 << 20))
 	}
-	m := &bodyMemory{budget: bodies.NewBudget(limit), interrupts: map[*bodies.Body]func(){}}
-	m.changed = sync.NewCond(&m.mu)
-	return m
+	return &bodyMemory{memory: memory.New(memory.CallerLimits(bytes))}
 }
 
-func (m *bodyMemory) used() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.budget.Used()
-}
+func (m *bodyMemory) used() int64 { return m.memory.Used() }
 
 // heldBody is a whole body in memory.
 type heldBody struct {
-	memory    *bodyMemory
-	counted   bodies.Body
-	interrupt func()
-	chunks    [][]byte
-	length    int
+	account *memory.Account
+	// shared is set if the account is that of a connection. received is called for each part.
+	shared   bool
+	received func()
+	chunks   [][]byte
+	length   int
+	// counted is how many bytes are counted for the body.
+	counted int64
+}
+
+// readResponse reads the body of a response that must not be longer than limit bytes. interrupt
+// ends a read that waits for data. The caller releases the body, unless there is an error.
+func (m *bodyMemory) readResponse(from io.Reader, limit int64, interrupt func()) (*heldBody, error) {
+	body := &heldBody{account: m.memory.Open(quota.Receiving, interrupt)}
+	return body.read(from, limit)
+}
+
+// readRequest reads the body of a request that must not be longer than limit bytes, and counts it
+// for the connection. received is called for each part.
+func (m *bodyMemory) readRequest(connection *memory.Account, from io.Reader, limit int64, interrupt, received func()) (*heldBody, error) {
+	body := &heldBody{account: connection, shared: true, received: received}
+	if connection == nil {
+		body.account, body.shared = m.memory.Open(quota.Receiving, interrupt), false
+	}
+	if !body.account.SetState(quota.Receiving, interrupt) {
+		return nil, errBodyYielded
+	}
+	return body.read(from, limit)
 }
 
-// read reads a body that must not be longer than limit bytes. interrupt ends a read that waits for
-// data. The caller releases the body, unless there is an error.
-func (m *bodyMemory) read(from io.Reader, limit int64, interrupt func()) (*heldBody, error) {
-	body := &heldBody{memory: m, interrupt: interrupt}
-	err := body.receive(from, limit)
-	m.mu.Lock()
-	delete(m.interrupts, &body.counted)
-	if !m.budget.Received(&body.counted) {
+func (b *heldBody) read(from io.Reader, limit int64) (*heldBody, error) {
+	err := b.receive(from, limit)
+	if !b.account.SetState(quota.Kept, nil) {
 		err = errBodyYielded
 	}
-	m.mu.Unlock()
 	if err != nil {
-		body.release()
+		b.release()
 		return nil, err
 	}
-	return body, nil
+	return b, nil
 }
 
 // receive appends what it reads to the body.
@@ -110,43 +115,40 @@
 	}
 }
 
-// grow counts size more bytes if the body is not small, and reports whether it may have them.
+// grow counts size more bytes, and reports whether the body may have them.
 func (b *heldBody) grow(size int) bool {
-	if b.length+size <= smallBodyBytes {
-		return true
+	if b.received != nil {
+		b.received()
 	}
-	m := b.memory
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.interrupts[&b.counted] = b.interrupt
-	for {
-		grant, yielding := m.budget.Add(&b.counted, int64(size))
-		if yielding != nil {
-			m.interrupts[yielding]()
-			m.changed.Broadcast()
-		}
-		if grant != bodies.Wait {
-			return grant == bodies.Granted
-		}
-		m.changed.Wait()
+	b.account.Progress()
+	if !b.shared && b.length+size <= smallBodyBytes {
+		b.account.Force(int64(size))
+	} else if !b.account.Reserve(int64(size)) {
+		return false
 	}
+	b.counted += int64(size)
+	return true
 }
 
 // join returns the body in one piece and keeps no other.
 func (b *heldBody) join() []byte {
 	if len(b.chunks) > 1 {
+		b.account.Force(int64(b.length))
 		b.chunks = [][]byte{slices.Concat(b.chunks...)}
+		b.account.Release(b.counted)
+		b.counted = int64(b.length)
 	}
 	return b.chunks[0]
 }
 
 // release gives the memory of the body back, which must not be used any more.
 func (b *heldBody) release() {
-	m := b.memory
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.budget.Release(&b.counted)
-	m.changed.Broadcast()
+	if b.shared {
+		b.account.Release(b.counted)
+		b.counted = 0
+		return
+	}
+	b.account.Close()
 }
 
 // heldBodies holds the bodies of one exchange until it has ended.
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/quota"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
@@ -37,6 +38,12 @@
 	// defaultTimeout applies to requests on routes without a timeout. The caller can
 	// only shorten it.
 	defaultTimeout = time.Minute
+	// bodyStallTimeout is how long the next part of a body may take to arrive. Callers end their
+	// requests after 25 s at most.
+	bodyStallTimeout = 25 * time.Second
+	// refusedBodyTimeout is how long the body of a refused request is waited for, so that its
+	// connection can be kept.
+	refusedBodyTimeout = 3 * time.Second
 )
 
 // exchange is one request of a caller and its response.
@@ -70,8 +77,10 @@
 	run kvcopies.Number
 	// cutOff is set when a planned stop ended the request.
 	cutOff bool
-	// bodies holds the bodies of the request and its responses.
-	bodies heldBodies
+	// bodies holds the bodies of the request and its responses, bodyRead is set once the former
+	// has been read.
+	bodies   heldBodies
+	bodyRead bool
 	// suspicionChanged receives when the target of a running attempt is suspected, or no longer.
 	suspicionChanged chan struct{}
 }
@@ -155,8 +164,33 @@
 		// It would end the watch for a caller that leaves.
 		return
 	}
-	// It fails if the connection is closed, and ends with the body.
-	_ = http.NewResponseController(e.writer).SetReadDeadline(e.deadline)
+	e.extendReadDeadline(bodyStallTimeout)
+}
+
+// extendReadDeadline gives the next part of the body its time, until the deadline at most.
+func (e *exchange) extendReadDeadline(timeout time.Duration) {
+	until := time.Now().Add(timeout)
+	if e.deadline.Before(until) {
+		until = e.deadline
+	}
+	// It fails if the connection is closed.
+	_ = http.NewResponseController(e.writer).SetReadDeadline(until)
+}
+
+// endUnreadBody limits for how long net/http waits for the body of a refused request, which it
+// reads before it responds.
+func (e *exchange) endUnreadBody() {
+	if e.bodyRead || e.httpRequest.ContentLength == 0 {
+		return
+	}
+	timeout := refusedBodyTimeout
+	if graceful.Account(e.httpRequest.Context()).Yielded() {
+		timeout = 0
+		e.writer.Header().Set("Connection", "close")
+	} else {
+		graceful.Hold(e.httpRequest.Context(), quota.Receiving)
+	}
+	e.extendReadDeadline(timeout)
 }
 
 // readBody reads the body of the request, which may have up to limit bytes, but no longer than
@@ -168,10 +202,22 @@
 	}
 	stop := context.AfterFunc(e.gateway.ending, interrupt)
 	defer stop()
-	body, err := e.gateway.bodyMemory.read(http.MaxBytesReader(e.writer, e.httpRequest.Body, limit), limit, interrupt)
+	received := func() {
+		if e.httpRequest.ContentLength == 0 {
+			return
+		}
+		e.extendReadDeadline(bodyStallTimeout)
+		if e.gateway.ending.Err() != nil {
+			interrupt()
+		}
+	}
+	connection := graceful.Account(e.httpRequest.Context())
+	from := http.MaxBytesReader(e.writer, e.httpRequest.Body, limit)
+	body, err := e.gateway.bodyMemory.readRequest(connection, from, limit, interrupt, received)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		e.bodyRead = true
 		e.bodies.add(body)
 		e.inbound.Body = body.join()
 		return nil
@@ -295,6 +341,7 @@
 		retryAfter = spreadReturn(time.Until(e.quarantinedUntil))
 	}
 	platform.SetRefusalHeader(header, e.inbound.ID, retryAfter)
+	e.endUnreadBody()
 	e.writeHead(response.Status)
 	e.finish(kind, attempts, "status", response.Status, "retryAfter", retryAfter, "error", err.Error())
 }
@@ -330,10 +377,16 @@
 		header.Set("Content-Length", strconv.Itoa(response.body.length))
 	}
 	e.writeHead(response.head.StatusCode)
+	if !response.body.account.SetState(quota.Sending, func() { graceful.Disconnect(e.httpRequest.Context()) }) {
+		return errBodyYielded
+	}
 	for _, part := range response.body.chunks {
 		if err := e.extendWriteDeadline(); err != nil {
 			return err
 		}
+		if !response.body.account.Progress() {
+			return errBodyYielded
+		}
 		if _, err := e.writer.Write(part); err != nil {
 			return errors.WithStack(err)
 		}
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
 	"github.com/mulberrylane/mulberrylane/connection/keepalive"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
 	"github.com/mulberrylane/mulberrylane/version/routes"
 )
 
@@ -59,6 +60,8 @@
 	}
 	i.callerListener = graceful.NewListener(callers)
 	i.callerListener.OnIdleClose = i.gateway.recordIdleClose
+	i.callerListener.Memory = i.gateway.bodyMemory.memory
+	i.callerListener.Memory.OnYield = i.gateway.recordYield("callers")
 	i.applyLimits(routes.DefaultLimits)
 	i.callerServer = &http.Server{
 		Handler:                      http.HandlerFunc(i.gateway.serveCaller),
@@ -71,16 +74,30 @@
 	health.HandleFunc("GET /v1/readyz", i.gateway.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", i.gateway.metrics.handler())
-	i.serveAdmin(i.healthListener, health)
-	i.serveAdmin(i.metricsListener, metrics)
+	i.serveAdmin("health", i.healthListener, health)
+	i.serveAdmin("metrics", i.metricsListener, metrics)
 	return nil
 }
 
 // serveAdmin serves health checks or metrics at a listener of their own.
-func (i *ingress) serveAdmin(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: routes.DefaultLimits.HeaderTimeout}
+func (i *ingress) serveAdmin(name string, inner net.Listener, handler http.Handler) {
+	limits := routes.DefaultLimits
+	listener := graceful.NewAdminListener(inner, keepalive.Limits{
+		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	}, i.gateway.recordYield(name))
+	server := graceful.NewAdminServer(listener, handler)
+	server.ErrorLog = klog.NewStandardLogger("WARNING")
 	i.adminServers = append(i.adminServers, server)
-	go i.runServer(server, listener)
+	go i.runServer(server, callerAcceptor{Listener: listener, gateway: i.gateway})
+}
+
+// recordYield returns a function that logs and counts what had to yield at a listener because
+// memory or connections were used up.
+func (g *Gateway) recordYield(listener string) func(memory.Yield) {
+	return func(y memory.Yield) {
+		g.metrics.countYield(listener, y.State.String(), y.Refused)
+		g.log.Event("caller_limited", "listener", listener, "waitedFor", y.State.String(), "stalled", y.Stalled, "bytes", y.Bytes, "refused", y.Refused)
+	}
 }
 
 func (i *ingress) runServer(server *http.Server, listener net.Listener) {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -32,6 +32,7 @@
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
 	returns           metric.Int64Counter
+	yields            metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -58,6 +59,7 @@
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
+		yields:            b.Counter("mulberrylane.callers.limited", "Connections, requests and responses that were refused or ended because memory or connections for callers were used up"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -107,6 +109,14 @@
 			Name: "mulberrylane.prompt.parts.in_quarantine", Description: "Prompt parts in quarantine now",
 			Read: fromControl(func(c *control, now time.Time) int64 { return int64(len(c.quarantine.Quarantined(now))) }),
 		},
+		{
+			Name: "mulberrylane.callers.memory", Description: "Memory that is counted for callers", Unit: "By",
+			Read: func() int64 { return g.bodyMemory.used() },
+		},
+		{
+			Name: "mulberrylane.callers.connections", Description: "Open connections of callers",
+			Read: func() int64 { return int64(g.bodyMemory.memory.Connections()) },
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
@@ -145,6 +155,13 @@
 		attribute.Bool("late_request", lateRequest), attribute.Bool("stopping", stopping)))
 }
 
+// countYield counts what was refused or ended at a listener because memory or connections for
+// callers were used up, by what it waited for.
+func (m *instruments) countYield(listener, waitedFor string, refused bool) {
+	m.yields.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("listener", listener), attribute.String("waited_for", waitedFor), attribute.Bool("refused", refused)))
+}
+
 // countReturn counts a stream whose caller came back, by what was found of its KV copy.
 func (m *instruments) countReturn(result string) {
 	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -19,6 +19,9 @@
 	// peerTimeoutPeriods times the period of updates if that is longer.
 	minPeerTimeout     = 4 * time.Second
 	peerTimeoutPeriods = 4
+	// maxUnregisteredPeers is how many senders may be known that are not registered as entries.
+	// Those that start just register; anybody else may send datagrams under any number of names.
+	maxUnregisteredPeers = 16
 )
 
 // updatePeriod returns the longest time between two updates of an entry.
@@ -171,6 +174,9 @@
 func (c *control) handlePeerUpdate(update peers.Update) {
 	now := time.Now()
 	_, known := c.peerLastSeen[update.Entry]
+	if !known && c.tooManyUnregistered(update.Entry) {
+		return
+	}
 	if update.Partial {
 		if known && c.peerUpdates[update.Entry].Incarnation == update.Incarnation {
 			c.mergePeerUpdate(now, update)
@@ -214,6 +220,21 @@
 	}
 }
 
+// tooManyUnregistered reports whether a new sender is not registered as an entry, and as many
+// others are not as may be.
+func (c *control) tooManyUnregistered(name string) bool {
+	if _, registered := c.peers[name]; registered {
+		return false
+	}
+	count := 0
+	for known := range c.peerLastSeen {
+		if _, registered := c.peers[known]; !registered {
+			count++
+		}
+	}
+	return count >= maxUnregisteredPeers
+}
+
 // mergePeerUpdate merges an update into what is known of another entry's work at the
 // targets.
 func (c *control) mergePeerUpdate(now time.Time, update peers.Update) {
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -9,6 +9,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
+	"github.com/mulberrylane/mulberrylane/connection/quota"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/admission"
@@ -52,6 +54,8 @@
 	updates  chan attemptUpdate
 	// queued limits the bytes of the events in updates that have not been handled.
 	queued *semaphore.Weighted
+	// eventMemory counts the events that the caller has not read.
+	eventMemory *memory.Account
 	// stopped is cancelled when updates are no longer received.
 	stopped context.Context
 	running map[request.AttemptNumber]*attempt
@@ -106,13 +110,15 @@
 		recovery: request.NewRecovery(request.RecoveryPolicy{
 			Deadline: e.deadline, ResumeTimeout: resumeTimeout, MaxAttempts: limit, ReplaceSuspected: true,
 		}, request.NewOutput(e.inbound.MaxTokens)),
-		updates: make(chan attemptUpdate, updateBuffer),
-		queued:  semaphore.NewWeighted(maxQueuedEventBytes),
-		stopped: stopped,
-		running: map[request.AttemptNumber]*attempt{}, suspected: map[request.AttemptNumber]bool{},
+		updates:     make(chan attemptUpdate, updateBuffer),
+		queued:      semaphore.NewWeighted(maxQueuedEventBytes),
+		eventMemory: e.gateway.bodyMemory.memory.Open(quota.Sending, func() { graceful.Disconnect(ctx) }),
+		stopped:     stopped,
+		running:     map[request.AttemptNumber]*attempt{}, suspected: map[request.AttemptNumber]bool{},
 		timer: time.NewTimer(time.Until(e.deadline)),
 	}
 	defer s.timer.Stop()
+	defer s.eventMemory.Close()
 	s.startRun()
 	s.handleEvent(request.Event{Type: request.EventStart})
 	for !s.done {
@@ -120,6 +126,8 @@
 		case update := <-s.updates:
 			s.handleUpdate(update)
 			s.queued.Release(update.queuedBytes())
+			s.eventMemory.Progress()
+			s.eventMemory.Release(eventCopies * update.eventBytes())
 		case <-s.suspicionChanged:
 			s.handleSuspicions()
 		case <-s.timer.C:
--- a/process/gateway/stream_attempt.go
+++ b/process/gateway/stream_attempt.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
 	"github.com/mulberrylane/mulberrylane/fault"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/request"
@@ -34,12 +37,42 @@
 }
 
 // queuedBytes returns how much of maxQueuedEventBytes the update takes.
-func (u attemptUpdate) queuedBytes() int64 {
+func (u attemptUpdate) queuedBytes() int64 { return min(u.eventBytes(), maxQueuedEventBytes) }
+
+// eventBytes returns the size of the events.
+func (u attemptUpdate) eventBytes() int64 {
 	total := 0
 	for _, event := range u.events {
 		total += len(event.Raw)
 	}
-	return int64(min(total, maxQueuedEventBytes))
+	return int64(total)
+}
+
+// eventCopies is how much memory an event takes for its size: its buffer grows by factors of up
+// to two.
+const eventCopies = 2
+
+// countedEvents counts the events that are read from a response until they have been written to
+// the caller. It waits while there is no memory for them.
+type countedEvents struct {
+	attempt  *attempt
+	account  *memory.Account
+	response io.Reader
+	// unsent is the size of what was read and not sent to the stream.
+	unsent int64
+}
+
+// Read implements io.Reader.
+func (c *countedEvents) Read(buffer []byte) (int, error) {
+	n, err := c.response.Read(buffer)
+	if c.account.Reserve(eventCopies * int64(n)) {
+		c.unsent += int64(n)
+		return n, err //nolint:wrapcheck // io.Reader
+	}
+	// The caller does not read, while memory is short.
+	graceful.Disconnect(c.attempt.exchange.httpRequest.Context())
+	<-c.attempt.ctx.Done()
+	return 0, c.attempt.ctx.Err() //nolint:wrapcheck // of the request
 }
 
 // runStreamAttempt runs one attempt of a stream and sends its updates.
@@ -98,7 +131,7 @@
 		send(a.otherResponseUpdate(response))
 		return
 	}
-	a.forwardEvents(response, send)
+	a.forwardEvents(response, s.eventMemory, send)
 }
 
 // otherResponseUpdate returns the update for an attempt whose response to the request is not
@@ -146,9 +179,11 @@
 }
 
 // forwardEvents sends the events of a stream until it ends or breaks.
-func (a *attempt) forwardEvents(response *http.Response, send func(attemptUpdate) bool) {
+func (a *attempt) forwardEvents(response *http.Response, account *memory.Account, send func(attemptUpdate) bool) {
 	a.startResponse()
-	reader := platform.NewEventReader(response.Body)
+	counted := &countedEvents{attempt: a, account: account, response: response.Body}
+	defer func() { account.Release(eventCopies * counted.unsent) }()
+	reader := platform.NewEventReader(counted)
 	var batch []platform.Event
 	for {
 		event, err := reader.Next()
@@ -165,10 +200,12 @@
 		}
 		if len(batch) > 0 {
 			a.prefillDone()
-			if !send(attemptUpdate{head: response, events: batch}) {
+			update := attemptUpdate{head: response, events: batch}
+			if !send(update) {
 				a.conn.Close()
 				return
 			}
+			counted.unsent -= update.eventBytes()
 			batch = nil
 		}
 		if err == nil {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -27,6 +27,7 @@
 	tokens        metric.Int64Counter
 	refusals      metric.Int64Counter
 	outcomes      metric.Int64Counter
+	limited       metric.Int64Counter
 }
 
 // New returns the instruments of the named process.
@@ -45,6 +46,7 @@
 		tokens:        b.Counter("mulberrylane.tokens", "Tokens delivered to callers"),
 		refusals:      b.Counter("mulberrylane.refusals", "Requests refused or failed, by error kind"),
 		outcomes:      b.Counter("mulberrylane.outcomes", "Requests ended, by whether they were run"),
+		limited:       b.Counter("mulberrylane.callers.limited", "Connections and requests that were refused or ended because memory or connections were used up"),
 	}
 	b.Gauge(meter.Gauge{Name: "mulberrylane.memory", Description: "Memory obtained from the system", Unit: "By", Read: memoryFromSystem})
 	return m, b.Err()
@@ -120,3 +122,12 @@
 		m.refusals.Add(background, 1, metric.WithAttributes(attribute.String("kind", kind.String())))
 	}
 }
+
+// RecordLimited counts what was refused or ended at a listener because memory or connections were
+// used up, by what it waited for.
+func (m *Metrics) RecordLimited(listener, waitedFor string, refused bool) {
+	if m != nil {
+		m.limited.Add(background, 1, metric.WithAttributes(
+			attribute.String("listener", listener), attribute.String("waited_for", waitedFor), attribute.Bool("refused", refused)))
+	}
+}
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -3,19 +3,29 @@
 package observe
 
 import (
+	"time"
+
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberrylane/mulberrylane/connection/memory"
 	"github.com/mulberrylane/mulberrylane/process/meter"
 	"github.com/mulberrylane/mulberrylane/process/metrics"
 	"github.com/mulberrylane/mulberrylane/process/operator"
 	"github.com/mulberrylane/mulberrylane/process/timeline"
 )
 
+// limitedLogInterval is the time between two log lines about what is refused or ended because
+// memory or connections are used up.
+const limitedLogInterval = time.Second
+
 // Observer holds the time line, the metrics and the operators' endpoint of one process.
 type Observer struct {
 	Timeline       *timeline.Recorder
 	Metrics        *metrics.Metrics
 	OperatorServer *operator.Server
+	// limitedLog limits the rate of log lines about what is refused or ended.
+	limitedLog rate.Sometimes
 }
 
 // New returns the observer of the named process. Its endpoint listens on an IP address and
@@ -25,7 +35,9 @@
 	o := &Observer{
 		Timeline:       timeline.NewRecorder(process, timeline.DefaultCapacity),
 		OperatorServer: operator.New(address, digests),
+		limitedLog:     rate.Sometimes{Interval: limitedLogInterval},
 	}
+	o.OperatorServer.OnYield = o.RecordYield("operators")
 	o.OperatorServer.Handle("GET /timeline", o.Timeline.Handler())
 	instruments, err := metrics.New(process)
 	if err != nil {
@@ -46,3 +58,14 @@
 		klog.ErrorS(err, "gauges not registered")
 	}
 }
+
+// RecordYield returns a function that counts what is refused or ended at a listener because memory
+// or connections are used up, and logs it once a second at most.
+func (o *Observer) RecordYield(listener string) func(memory.Yield) {
+	return func(y memory.Yield) {
+		o.Metrics.RecordLimited(listener, y.State.String(), y.Refused)
+		o.limitedLog.Do(func() {
+			klog.InfoS("caller limited", "listener", listener, "waitedFor", y.State.String(), "stalled", y.Stalled, "bytes", y.Bytes, "refused", y.Refused)
+		})
+	}
+}
--- a/process/operator/server.go
+++ b/process/operator/server.go
@@ -12,11 +12,20 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/graceful"
+	"github.com/mulberrylane/mulberrylane/connection/keepalive"
+	"github.com/mulberrylane/mulberrylane/connection/memory"
 	"github.com/mulberrylane/mulberrylane/version"
 )
 
-// readHeaderTimeout bounds the time to read request headers.
-const readHeaderTimeout = 5 * time.Second
+const (
+	// readHeaderTimeout bounds the time to read request headers, idleTimeout that between two
+	// requests: scrapers come once a minute at least.
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// maxHeaderBytes bounds request headers. Those of operators hold a token.
+	maxHeaderBytes = 16 << 10
+)
 
 // Server is the operators' endpoint of one process.
 type Server struct {
@@ -24,7 +33,10 @@
 	digests  []string
 	mux      *http.ServeMux
 	server   *http.Server
-	listener net.Listener
+	listener *graceful.Listener
+	// OnYield, if set, is called for what is refused or ended because too much is held for
+	// operators. It must be set before Start.
+	OnYield func(memory.Yield)
 }
 
 // New returns a server for an IP address and TCP port. If digests is not empty, all paths
@@ -57,9 +69,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	s.listener = listener
-	s.server = &http.Server{Handler: s.mux, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.server.Serve(listener) }()
+	s.listener = graceful.NewAdminListener(listener, keepalive.Limits{
+		HeaderBytes: maxHeaderBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}, s.OnYield)
+	s.server = graceful.NewAdminServer(s.listener, s.mux)
+	go func() { _ = s.server.Serve(s.listener) }()
 	return nil
 }
 
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -28,6 +28,13 @@
 // maxDatagram is the maximum size of an encoded update; larger ones are not sent.
 const maxDatagram = 32 << 10
 
+const (
+	// maxSenders is how many senders are remembered, many times the entries of a deployment.
+	maxSenders = 4096
+	// maxNameBytes limits the name of a sender, as that of a registered entry.
+	maxNameBytes = 200
+)
+
 // Update is a message with the work of one entry at the targets.
 type Update struct {
 	// Full reports whether Work and Runs hold the whole state, and not only changes.
@@ -227,7 +234,7 @@
 			return Update{}, netip.AddrPort{}, errors.Wrap(err, "peers")
 		}
 		var update Update
-		if cbor.Unmarshal(c.buffer[:n], &update) != nil || update.Entry == "" {
+		if cbor.Unmarshal(c.buffer[:n], &update) != nil || update.Entry == "" || len(update.Entry) > maxNameBytes {
 			continue
 		}
 		if update.Question != nil || update.Answer != nil || c.recordIfNewer(update) {
@@ -243,6 +250,12 @@
 	if update.Incarnation < newest.incarnation || update.Incarnation == newest.incarnation && update.Sequence <= newest.sequence {
 		return false
 	}
+	if _, known := c.newest[update.Entry]; !known && len(c.newest) >= maxSenders {
+		for other := range c.newest {
+			delete(c.newest, other)
+			break
+		}
+	}
 	c.newest[update.Entry] = updateID{incarnation: update.Incarnation, sequence: update.Sequence}
 	return true
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -51,6 +51,9 @@
 	IdleTimeout version.Duration `json:"idleTimeout,omitempty"`
 	// CallerWriteTimeout bounds one write to a caller.
 	CallerWriteTimeout version.Duration `json:"slowCaller,omitempty"`
+	// MemoryMB is the memory that the process may use in MiB, of which a part may be held for
+	// callers; zero means the default for that part.
+	MemoryMB int `json:"memoryMB,omitempty"`
 }
 
 // Agent is the settings file of mlagent.
@@ -138,6 +141,9 @@
 	c.checkOperators(e.OperatorAddress, e.OperatorTokenDigests)
 	c.checkKeys(e.Keys)
 	c.checkPlatform(e.Platform)
+	if e.Limits.MemoryMB < 0 {
+		c.Errorf("limits.memoryMB", "must not be negative")
+	}
 	return c.Err()
 }
 
--- a/records_test.go
+++ b/records_test.go
@@ -182,7 +182,7 @@
 // of it.
 func TestSettings_OfEarlierBuild(t *testing.T) {
 	for _, r := range []record{
-		{file: "settings-entry.json", value: &settings.Entry{}},
+		{file: "settings-entry.json", value: &settings.Entry{}, unset: []string{".Limits.MemoryMB"}},
 		{file: "settings-agent-engine.json", value: &settings.Agent{}, unset: []string{".ApplicationURL"}},
 		{file: "settings-agent-application.json", value: &settings.Agent{}, unset: []string{".EngineURL"}},
 		{file: "settings-gateway.json", value: &gateway.Settings{}},
