--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -40,13 +40,16 @@
 // the caller is still there. Other reads ask for more.
 const backgroundReadBytes = 1
 
-// refusalTime is how long the rest of a request is read whose head was refused, yieldTime how long
-// if it was refused because memory was short.
+// refusalTime is how long the rest of a request is read whose head was refused. When memory is
+// short, only what has arrived is read, and yieldTime limits the writing of the refusal.
 const (
 	refusalTime = 500 * time.Millisecond
 	yieldTime   = 50 * time.Millisecond
 )
 
+// maxArrivedBytes limits how much of what has arrived is read then.
+const maxArrivedBytes = 64 << 10
+
 // lateRequestTime is how long a connection that was closed as idle is still read, so that a
 // request that crossed the close is known. Most callers close their side much sooner.
 const lateRequestTime = 500 * time.Millisecond
@@ -396,7 +399,7 @@
 		c.listener.mu.Unlock()
 		c.count(counted)
 		if limited && left+headSlopBytes <= 0 {
-			c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, refusalTime)
+			c.refuseHead()
 			return 0, io.EOF
 		}
 		if limited {
@@ -477,8 +480,8 @@
 	c.listener.mu.Lock()
 	begun := received || c.state.Phase() == keepalive.ReadingHead
 	c.listener.mu.Unlock()
-	if begun || c.hasUnreadData() {
-		c.refuseHead(http.StatusServiceUnavailable, yieldTime)
+	if (begun || c.hasUnreadData()) && c.writeRefusal(http.StatusServiceUnavailable, "Retry-After: 1\r\n", yieldTime) {
+		c.discardArrived()
 	}
 }
 
@@ -509,46 +512,66 @@
 	return false
 }
 
-// refuseHead responds to a request whose head is not read to its end, and discards the rest for a
-// while: data that is not read when the connection is closed would reset it before the caller has
-// the response.
-func (c *conn) refuseHead(status int, discardTime time.Duration) {
+// refuseHead responds to a request whose head is too long, and discards the rest for a while:
+// data that is not read when the connection is closed would reset it before the caller has the
+// response.
+func (c *conn) refuseHead() {
+	if c.writeRefusal(http.StatusRequestHeaderFieldsTooLarge, "", refusalTime) {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+}
+
+// writeRefusal responds to a request whose head is not read to its end, and reports whether that
+// succeeded. What remains to be done with the connection must end within the given time.
+func (c *conn) writeRefusal(status int, fields string, timeout time.Duration) bool {
 	c.listener.mu.Lock()
 	c.closed = true
-	err := c.SetDeadline(time.Now().Add(discardTime))
+	err := c.SetDeadline(time.Now().Add(timeout))
 	c.listener.mu.Unlock()
 	if err != nil {
-		return
-	}
-	more := ""
-	if status == http.StatusServiceUnavailable {
-		more = "Retry-After: 1\r\n"
-	}
-	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s\r\n", status, http.StatusText(status), more); err != nil {
-		return
-	}
-	if c.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, c.Conn)
+		return false
 	}
+	_, err = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n%s\r\n", status, http.StatusText(status), fields)
+	return err == nil && c.CloseWrite() == nil
 }
 
 // hasUnreadData reports whether data has arrived that was not read yet, as happens on a busy
 // host. To close the connection would reset it.
-func (c *conn) hasUnreadData() bool {
+func (c *conn) hasUnreadData() bool { return c.receiveArrived(make([]byte, 1), unix.MSG_PEEK) > 0 }
+
+// discardArrived reads what has arrived without waiting for more.
+func (c *conn) discardArrived() {
+	buffer := make([]byte, 4<<10)
+	for read := 0; read < maxArrivedBytes; {
+		n := c.receiveArrived(buffer, 0)
+		if n <= 0 {
+			return
+		}
+		read += n
+	}
+}
+
+// receiveArrived receives data without waiting for it, and returns how much.
+func (c *conn) receiveArrived(buffer []byte, flags int) int {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := inner.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	unread := false
+	received := 0
 	err = raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
+		n, _, err := unix.Recvfrom(int(fd), buffer, flags|unix.MSG_DONTWAIT)
+		if err == nil {
+			received = n
+		}
 	})
-	return err == nil && unread
+	if err != nil {
+		return 0
+	}
+	return received
 }
 
 // CloseWrite closes the writing side, which http.Server does before it closes a connection
--- a/connection/quota/budget.go
+++ b/connection/quota/budget.go
@@ -62,6 +62,8 @@
 	state       State
 	progress    time.Time
 	yielded     bool
+	// place is one more than the index of the holder in Budget.waiting, 0 if it is not there.
+	place int
 }
 
 // Bytes returns how much memory is counted for the holder.
@@ -81,8 +83,9 @@
 	limits Limits
 	// used is what all holders use, yielding what those use that have to be released.
 	used, yielding usage
-	// waiting holds those that are not kept and have not yielded.
-	waiting map[*Holder]struct{}
+	// waiting holds those that are not kept and have not yielded. All of them are looked at when
+	// one has to yield, which a slice makes cheap.
+	waiting []*Holder
 }
 
 type usage struct {
@@ -92,7 +95,7 @@
 
 // NewBudget returns a budget with the given limits.
 func NewBudget(limits Limits) *Budget {
-	return &Budget{limits: limits, waiting: map[*Holder]struct{}{}}
+	return &Budget{limits: limits}
 }
 
 // Used returns the memory of all holders in bytes.
@@ -151,9 +154,7 @@
 	if h.yielded {
 		return Yield, nil
 	}
-	if h.state != Kept {
-		b.waiting[h] = struct{}{}
-	}
+	b.setWaiting(h, h.state != Kept)
 	if h.bytes == 0 {
 		// It has held nothing so far.
 		h.progress = now
@@ -199,12 +200,13 @@
 func (b *Budget) worst(now time.Time, h *Holder, more usage) *Holder {
 	var worst *Holder
 	highest := 0.0
-	for other := range b.waiting {
+	for _, other := range b.waiting {
 		bytes := other.bytes
 		if other == h {
 			bytes += more.bytes
 		}
-		if bytes == 0 || more.connections > 0 && other != h && other.connections == 0 {
+		if more.connections > 0 && (other == h || other.connections == 0) || bytes == 0 {
+			// A request is on its way on a new connection.
 			continue
 		}
 		stalled := other.Stalled(now)
@@ -226,7 +228,25 @@
 	h.yielded = true
 	b.yielding.bytes += h.bytes
 	b.yielding.connections += h.connections
-	delete(b.waiting, h)
+	b.setWaiting(h, false)
+}
+
+// setWaiting adds a holder to those that wait, or removes it.
+func (b *Budget) setWaiting(h *Holder, waiting bool) {
+	if waiting == (h.place > 0) {
+		return
+	}
+	if waiting {
+		b.waiting = append(b.waiting, h)
+		h.place = len(b.waiting)
+		return
+	}
+	last := len(b.waiting) - 1
+	moved := b.waiting[last]
+	b.waiting[h.place-1], moved.place = moved, h.place
+	b.waiting[last] = nil
+	b.waiting = b.waiting[:last]
+	h.place = 0
 }
 
 // SetState records what a holder waits for from now on, and reports whether it may be kept.
@@ -235,11 +255,7 @@
 		return false
 	}
 	h.state, h.progress = state, now
-	if state == Kept {
-		delete(b.waiting, h)
-	} else {
-		b.waiting[h] = struct{}{}
-	}
+	b.setWaiting(h, state != Kept)
 	return true
 }
 
@@ -263,6 +279,6 @@
 	if h.yielded {
 		b.yielding.connections -= h.connections
 	}
-	delete(b.waiting, h)
+	b.setWaiting(h, false)
 	*h = Holder{}
 }
