Callers: bodies that make no progress end; tests of the gateway's limits

Cause: the time for the next part of a body was counted from the pieces in which it is kept, which grow to 64 KiB: a slow body that goes on was cut off after 25 s. A log that nobody reads kept 2,048 lines whatever their length, which callers set with the IDs that they send.

Change: each KiB of a body counts as progress. The lines that wait for the reader of the log take 2 MiB at most, and a line names 64 parts of a prompt at most.

--- a/process/eventlog/eventlog.go
+++ b/process/eventlog/eventlog.go
@@ -19,6 +19,9 @@
 	lineBurst         = 240
 	// maxBufferedLines bounds the lines that wait for a slow reader of the log.
 	maxBufferedLines = 2048
+	// maxBufferedBytes bounds their memory: a line may hold what a caller sent, such as the ID of a
+	// request.
+	maxBufferedBytes = 2 << 20
 )
 
 // Log writes the events of one process. A nil Log writes nothing.
@@ -95,6 +98,8 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+	// buffered is the size of the lines in the buffer.
+	buffered atomic.Int64
 }
 
 // Write buffers a line, or drops it if the buffer is full. It never blocks or fails.
@@ -104,11 +109,16 @@
 	if s.closed {
 		return len(line), nil
 	}
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
+	size := int64(len(line))
+	if s.buffered.Add(size) <= maxBufferedBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	s.buffered.Add(-size)
+	s.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -126,5 +136,6 @@
 	for line := range s.lines {
 		// An error cannot be reported anywhere, since the log itself cannot be written.
 		_, _ = out.Write(line)
+		s.buffered.Add(-int64(len(line)))
 	}
 }
--- a/process/eventlog/eventlog_test.go
+++ b/process/eventlog/eventlog_test.go
@@ -26,6 +26,22 @@
 	log.Close()
 }
 
+// Lines that hold what callers sent filled the memory while nobody read the log.
+func TestBlockedLogReader_LongLinesAreDropped(t *testing.T) {
+	reader, writer := io.Pipe()
+	log := New(writer)
+	line := []byte(strings.Repeat("x", 16<<10))
+	for range maxBufferedLines {
+		_, err := log.sink.Write(line)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, log.sink.buffered.Load() <= maxBufferedBytes)
+	assert.Assert(t, log.sink.dropped.Load() >= maxBufferedLines-maxBufferedBytes/int64(len(line)))
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	log.Close()
+	assert.Equal(t, log.sink.buffered.Load(), int64(0))
+}
+
 func TestEventsOverRateLimit_AreSuppressedAndCounted(t *testing.T) {
 	var out strings.Builder
 	log := New(&out)
--- a/process/gateway/body_memory.go
+++ b/process/gateway/body_memory.go
@@ -22,6 +22,9 @@
 	// buffer that grew as a whole would need room for two of its sizes each time.
 	minChunkBytes = 1 << 10
 	maxChunkBytes = 64 << 10
+	// progressBytes is how much of a body counts as progress: less would let a caller keep it in
+	// memory by sending a byte at times.
+	progressBytes = 1 << 10
 )
 
 var (
@@ -46,9 +49,11 @@
 // heldBody is a whole body in memory.
 type heldBody struct {
 	account *memory.Account
-	// shared is set if the account is that of a connection. received is called for each part.
+	// shared is set if the account is that of a connection. received is called with each progress.
 	shared   bool
 	received func()
+	// sinceProgress is how much was received since the last progress.
+	sinceProgress int
 	chunks   [][]byte
 	length   int
 	// counted is how many bytes are counted for the body.
@@ -63,7 +68,7 @@
 }
 
 // readRequest reads the body of a request that must not be longer than limit bytes, and counts it
-// for the connection. received is called for each part.
+// for the connection. received is called with each progress.
 func (m *bodyMemory) readRequest(connection *memory.Account, from io.Reader, limit int64, interrupt, received func()) (*heldBody, error) {
 	body := &heldBody{account: connection, shared: true, received: received}
 	if connection == nil {
@@ -104,6 +109,7 @@
 		chunk = chunk[:len(chunk)+n]
 		b.chunks[len(b.chunks)-1] = chunk
 		b.length += n
+		b.progress(n)
 		switch {
 		case int64(b.length) > limit:
 			return errBodyTooLong
@@ -115,12 +121,20 @@
 	}
 }
 
-// grow counts size more bytes, and reports whether the body may have them.
-func (b *heldBody) grow(size int) bool {
+// progress records that n bytes were received.
+func (b *heldBody) progress(n int) {
+	if b.sinceProgress += n; b.sinceProgress < progressBytes {
+		return
+	}
+	b.sinceProgress = 0
+	b.account.Progress()
 	if b.received != nil {
 		b.received()
 	}
-	b.account.Progress()
+}
+
+// grow counts size more bytes, and reports whether the body may have them.
+func (b *heldBody) grow(size int) bool {
 	if !b.shared && b.length+size <= smallBodyBytes {
 		b.account.Force(int64(size))
 	} else if !b.account.Reserve(int64(size)) {
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -119,9 +119,13 @@
 	e.serveCall(r.Context())
 }
 
+// maxLoggedParts limits the parts of a prompt in a line of the log. Prompts share the first ones.
+const maxLoggedParts = 64
+
 // partHashes returns the hashes of the IDs of prompt parts, which show in logs which prompts
 // share parts.
 func partHashes(ids []string) []string {
+	ids = ids[:min(len(ids), maxLoggedParts)]
 	hashes := make([]string, len(ids))
 	for i, id := range ids {
 		hashes[i] = partHash(id)
