Callers: a body that has to yield is not waited for

Cause: a body that had to yield was interrupted by a read deadline in the past. If its handler set the next deadline at the same moment, it was waited for for up to 25 s, and everything that asked for memory waited with it: TestGateway_SmallBodiesOneByteShort got no answer within 20 s.

The gateway also checks with each KiB whether the body may be kept. Nobody waits for memory for more than 5 s. The time for the next part of a body is a field of the gateway, so that its test takes seconds.

TestEndRead_HoldsWhenDeadlineIsExtended guards the cause.

--- a/connection/graceful/listener.go
+++ b/connection/graceful/listener.go
@@ -54,6 +54,9 @@
 // request that crossed the close is known. Most callers close their side much sooner.
 const lateRequestTime = 500 * time.Millisecond
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // defaultLinger is the SetLinger argument with which the operating system sends what is left
 // after a connection was closed.
 const defaultLinger = -1
@@ -186,6 +189,7 @@
 	case http.StateActive:
 		l.mu.Lock()
 		tracked.state.HeadRead()
+		tracked.readEnded = false
 		_ = tracked.Conn.SetReadDeadline(time.Time{})
 		l.mu.Unlock()
 		if !tracked.account.SetState(quota.Kept, tracked.yield) {
@@ -257,11 +261,17 @@
 	}
 }
 
-// EndRead ends a read of the body of a request that waits for data.
+// EndRead ends the reading of the body of a request. A read deadline that is set later does not
+// revive it: the handler may extend that at the same moment.
 func EndRead(ctx context.Context) {
-	if tracked, _ := ctx.Value(contextKey{}).(*conn); tracked != nil {
-		_ = tracked.SetReadDeadline(time.Unix(1, 0))
+	tracked, _ := ctx.Value(contextKey{}).(*conn)
+	if tracked == nil {
+		return
 	}
+	tracked.listener.mu.Lock()
+	defer tracked.listener.mu.Unlock()
+	tracked.readEnded = true
+	_ = tracked.Conn.SetReadDeadline(past)
 }
 
 // Disconnect closes the connection of a request.
@@ -359,8 +369,9 @@
 	state keepalive.Connection
 	// head is what is counted for the head of the request.
 	head quota.Head
-	// yielded is set when the connection has to be closed because memory is short.
-	yielded bool
+	// yielded is set when the connection has to be closed because memory is short, readEnded when
+	// the body of the request must not be read any more.
+	yielded, readEnded bool
 	// expired is set when the connection is to be closed as idle, closed when it is being
 	// closed.
 	expired, closed bool
@@ -374,6 +385,9 @@
 	if c.state.Phase() != keepalive.InUse {
 		return nil
 	}
+	if c.readEnded {
+		t = past
+	}
 	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // net.Conn
 }
 
@@ -466,7 +480,7 @@
 		_ = c.Conn.Close()
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(past)
 }
 
 func (c *conn) hasYielded() bool {
--- a/connection/graceful/memory_test.go
+++ b/connection/graceful/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -134,6 +135,8 @@
 	idle := dial(t, s.Listener)
 	assert.NilError(t, exchange(idle))
 	for range 5 {
+		// The response is sent before the connection counts as idle.
+		waitUntil(t, func() bool { return s.Listener.Connections().InUse == 1 })
 		assert.NilError(t, exchange(dial(t, s.Listener)))
 	}
 	expectClosed(t, unused)
@@ -185,6 +188,30 @@
 	waitUntil(t, func() bool { return s.Memory.Used() == 0 })
 }
 
+// A body that had to yield went on to be waited for when its handler extended the deadline at the
+// same moment, and nothing else could take its memory.
+func TestEndRead_HoldsWhenDeadlineIsExtended(t *testing.T) {
+	inner, err := net.Listen("tcp", network.ProcessAddress())
+	assert.NilError(t, err)
+	l, result := NewListener(inner), make(chan error, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		EndRead(r.Context())
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Hour))
+		_, err := io.ReadAll(r.Body)
+		result <- err
+	})}
+	l.ConfigureServer(server)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c := dial(t, l)
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\na")
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-result, os.ErrDeadlineExceeded)
+	// The connection is not used for another request.
+	expectStatus(t, c, http.StatusOK)
+	waitUntil(t, func() bool { return l.Connections() == Connections{} })
+}
+
 // The server for health checks waited for ever for bodies that it does not read.
 func TestAdminServer_BodyThatStopsEnds(t *testing.T) {
 	inner, err := net.Listen("tcp", network.ProcessAddress())
--- a/connection/memory/memory.go
+++ b/connection/memory/memory.go
@@ -16,6 +16,10 @@
 // that make no progress yield with time.
 const waitInterval = 100 * time.Millisecond
 
+// maxWait is how long is waited for memory. Others yield within some milliseconds, or after a second
+// if their callers do not read; a fault that keeps one from being released must not stop all.
+const maxWait = 5 * time.Second
+
 // Yield is a holder that had to yield.
 type Yield struct {
 	// State is what it waited for, Stalled for how long it had made no progress, and Bytes what it
@@ -134,7 +138,7 @@
 	m := a.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for {
+	for began := time.Now(); ; {
 		if a.closed {
 			return false
 		}
@@ -142,6 +146,10 @@
 		yieldedBefore := a.holder.Yielded()
 		now := time.Now()
 		grant, yielding := request(now)
+		if grant == quota.Wait && now.Sub(began) > maxWait {
+			m.budget.GiveUp(&a.holder)
+			grant = quota.Yield
+		}
 		refused := grant == quota.Yield && !yieldedBefore
 		if refused || len(yielding) > 0 {
 			m.interrupt(now, yielding, a, refused)
--- a/connection/quota/budget.go
+++ b/connection/quota/budget.go
@@ -224,6 +224,13 @@
 	return worst
 }
 
+// GiveUp makes a holder yield that has waited for too long.
+func (b *Budget) GiveUp(h *Holder) {
+	if !h.yielded {
+		b.yield(h)
+	}
+}
+
 func (b *Budget) yield(h *Holder) {
 	h.yielded = true
 	b.yielding.bytes += h.bytes
--- a/process/entry/body_memory.go
+++ b/process/entry/body_memory.go
@@ -19,6 +19,9 @@
 	// defaultCallerMemory that memory in bytes if no limit is set.
 	callerMemoryFraction = 0.25
 	defaultCallerMemory  = 64 << 20
+	// memoryLimitFraction is the part of it that the Go runtime may use before it collects garbage
+	// more often; the rest is for stacks and sockets.
+	memoryLimitFraction = 0.6
 	// bodyCopies is how often a body is kept: as it was received, in a buffer that grows by a
 	// quarter, and as it was decoded.
 	bodyCopies = 3
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +109,9 @@
 
 // Start begins to serve callers and operators and opens links to the targets.
 func (e *Entry) Start(context.Context) error {
+	if memoryMB := e.settings.Limits.MemoryMB; memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryMB) * (1 << 20)))
+	}
 	if err := e.listen(); err != nil {
 		return err
 	}
--- a/process/gateway/body_memory.go
+++ b/process/gateway/body_memory.go
@@ -54,8 +54,8 @@
 	received func()
 	// sinceProgress is how much was received since the last progress.
 	sinceProgress int
-	chunks   [][]byte
-	length   int
+	chunks        [][]byte
+	length        int
 	// counted is how many bytes are counted for the body.
 	counted int64
 }
@@ -109,7 +109,9 @@
 		chunk = chunk[:len(chunk)+n]
 		b.chunks[len(b.chunks)-1] = chunk
 		b.length += n
-		b.progress(n)
+		if !b.progress(n) {
+			return errBodyYielded
+		}
 		switch {
 		case int64(b.length) > limit:
 			return errBodyTooLong
@@ -121,16 +123,16 @@
 	}
 }
 
-// progress records that n bytes were received.
-func (b *heldBody) progress(n int) {
+// progress records that n bytes were received, and reports whether the body may be kept.
+func (b *heldBody) progress(n int) bool {
 	if b.sinceProgress += n; b.sinceProgress < progressBytes {
-		return
+		return true
 	}
 	b.sinceProgress = 0
-	b.account.Progress()
 	if b.received != nil {
 		b.received()
 	}
+	return b.account.Progress()
 }
 
 // grow counts size more bytes, and reports whether the body may have them.
--- a/process/gateway/caller_limits_test.go
+++ b/process/gateway/caller_limits_test.go
@@ -51,6 +51,14 @@
 		refused++
 	}
 	assert.Equal(t, refused, callers/4)
+	metrics, err := http.Get("http://" + g.ingress.metricsListener.Addr().String() + "/metrics")
+	assert.NilError(t, err)
+	text, err := io.ReadAll(metrics.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, metrics.Body.Close())
+	for _, name := range []string{"mulberrylane_callers_limited_total{", "mulberrylane_callers_memory_bytes", "mulberrylane_callers_connections"} {
+		assert.Assert(t, strings.Contains(string(text), "\n"+name), "%s", name)
+	}
 	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
 	assert.Assert(t, g.bodyMemory.used() <= 3<<18)
 	for _, c := range crowd {
@@ -108,11 +116,11 @@
 	d.startApplication("a1", "naxos")
 	d.setTimeouts(2 * time.Minute)
 	g := d.startReadyEntry("entry-1")
+	g.bodyStallTimeout = 3 * time.Second
 	send := func(pauses ...time.Duration) chan int {
 		req := newCallerRequest(http.MethodPost, "/book/7", strings.Repeat("a", 4000))
 		req.DeadlineRemaining = time.Minute
 		encoded, c := encodeRequest(t, g, req), d.dialCaller(g)
-		assert.NilError(t, c.SetDeadline(time.Now().Add(2*bodyStallTimeout)))
 		status := make(chan int, 1)
 		go func() {
 			half := len(encoded) - 2500
@@ -132,7 +140,7 @@
 		}()
 		return status
 	}
-	stops, goesOn := send(), send(bodyStallTimeout*3/5, bodyStallTimeout*3/5)
+	stops, goesOn := send(), send(1800*time.Millisecond, 1800*time.Millisecond)
 	assert.Equal(t, <-stops, http.StatusRequestTimeout)
 	assert.Equal(t, <-goesOn, http.StatusOK)
 }
--- a/process/gateway/exchange.go
+++ b/process/gateway/exchange.go
@@ -38,7 +38,7 @@
 	// defaultTimeout applies to requests on routes without a timeout. The caller can
 	// only shorten it.
 	defaultTimeout = time.Minute
-	// bodyStallTimeout is how long the next part of a body may take to arrive. Callers end their
+	// bodyStallTimeout is how long the next part of a body may take to arrive: callers end their
 	// requests after 25 s at most.
 	bodyStallTimeout = 25 * time.Second
 	// refusedBodyTimeout is how long the body of a refused request is waited for, so that its
@@ -168,7 +168,7 @@
 		// It would end the watch for a caller that leaves.
 		return
 	}
-	e.extendReadDeadline(bodyStallTimeout)
+	e.extendReadDeadline(e.gateway.bodyStallTimeout)
 }
 
 // extendReadDeadline gives the next part of the body its time, until the deadline at most.
@@ -200,19 +200,12 @@
 // readBody reads the body of the request, which may have up to limit bytes, but no longer than
 // until a planned stop ends the requests in progress.
 func (e *exchange) readBody(limit int64) error {
-	interrupt := func() {
-		// It fails if the connection is closed.
-		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now())
-	}
+	interrupt := func() { graceful.EndRead(e.httpRequest.Context()) }
 	stop := context.AfterFunc(e.gateway.ending, interrupt)
 	defer stop()
 	received := func() {
-		if e.httpRequest.ContentLength == 0 {
-			return
-		}
-		e.extendReadDeadline(bodyStallTimeout)
-		if e.gateway.ending.Err() != nil {
-			interrupt()
+		if e.httpRequest.ContentLength != 0 {
+			e.extendReadDeadline(e.gateway.bodyStallTimeout)
 		}
 	}
 	connection := graceful.Account(e.httpRequest.Context())
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -45,7 +45,9 @@
 	peers    *peers.Conn
 	// bodyMemory limits the memory of the bodies of requests and responses.
 	bodyMemory *bodyMemory
-	ingress    *ingress
+	// bodyStallTimeout is how long the next part of a body of a caller may take to arrive.
+	bodyStallTimeout time.Duration
+	ingress          *ingress
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
@@ -98,6 +100,7 @@
 	g.ending, g.endRequests = context.WithCancel(background)
 	g.control = newControl(g)
 	g.bodyMemory = newBodyMemory(s.MemoryMB)
+	g.bodyStallTimeout = bodyStallTimeout
 	g.ingress = newIngress(g)
 	return g
 }
--- a/process/hostile/entry_agent_test.go
+++ b/process/hostile/entry_agent_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/mulberrylane/mulberrylane/connection/keys"
 )
 
 // daemonMB bounds the memory of mlentry and mlagent, which have no setting for it.
@@ -82,3 +89,23 @@
 	})
 	a.check(daemonMB, generalDescriptors)
 }
+
+// Anybody may begin a handshake, which fails without a certificate. Most of the crowd stop before
+// its end.
+func TestAgent_HandshakesWithoutCertificateAtLinks(t *testing.T) {
+	a := startAgent(t, 4096)
+	// A hostile peer checks nothing.
+	config := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{keys.ALPN}}
+	var group sync.WaitGroup
+	for i := range 4 * crowdSize {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%20)*time.Millisecond)
+			defer cancel()
+			if conn, err := quic.DialAddr(ctx, a.links, config, nil); err == nil {
+				_, _ = conn.AcceptStream(ctx)
+			}
+		})
+	}
+	group.Wait()
+	a.check(daemonMB, generalDescriptors)
+}
