--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -38,6 +38,7 @@
 	callsRefused      metric.Int64Counter
 	callPlaces        metric.Int64Counter
 	callPlacements    metric.Int64Counter
+	yields            metric.Int64Counter
 }
 
 func newInstruments(s Settings) (*instruments, error) {
@@ -69,6 +70,7 @@
 		callsRefused:      b.Counter("mulberrylane.calls.refused", "Calls that the call queue refused, by reason"),
 		callPlaces:        b.Counter("mulberrylane.calls.places", "Places at targets that were believed free, by what the target said"),
 		callPlacements:    b.Counter("mulberrylane.calls.placed", "Attempts of calls placed, by whether the target is in the entry's failure domain"),
+		yields:            b.Counter("mulberrylane.callers.limited", "Connections, requests and responses that were refused or ended because memory or connections for callers were used up"),
 		retriesDenied:     b.Counter("mulberrylane.budget.denied", "Repeats that the retry budget did not allow"),
 	}, b.Err()
 }
@@ -147,6 +149,14 @@
 			Name: "mulberrylane.calls.waiting", Description: "Calls that wait for a place at a target",
 			Read: fromControl(func(c *control, _ time.Time) int64 { return int64(c.callQueue.waiting()) }),
 		},
+		{
+			Name: "mulberrylane.callers.memory", Description: "Memory that is counted for callers", Unit: "By",
+			Read: func() int64 { return g.bodyMemory.used() },
+		},
+		{
+			Name: "mulberrylane.callers.connections", Description: "Open connections of callers",
+			Read: func() int64 { return int64(g.bodyMemory.memory.Connections()) },
+		},
 		{
 			Name: "mulberrylane.budget.left", Description: "Repeats left in the present window, of the service that has fewest",
 			Read: fromControl((*control).minRetriesLeft),
@@ -187,6 +197,13 @@
 	m.callPlacements.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("own_domain", ownDomain)))
 }
 
+// countYield counts what was refused or ended at a listener because memory or connections for
+// callers were used up, by what it waited for.
+func (m *instruments) countYield(listener, waitedFor string, refused bool) {
+	m.yields.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("listener", listener), attribute.String("waited_for", waitedFor), attribute.Bool("refused", refused)))
+}
+
 // countReturn counts a stream whose caller came back, by what was found of its KV copy.
 func (m *instruments) countReturn(result string) {
 	m.returns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("copy", result)))
