--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -445,14 +445,10 @@
 			if last-window >= 0 {
 				s.add(&t.sums[last-window][i], -1)
 			}
-			conclusive, alarm, reason := &failureRule, &failureAlarm, "failures"
-			if i > 0 {
-				conclusive, alarm, reason = &slowRule, &slowAlarm, "slow responses"
-			}
-			if s.meets(conclusive) || i > 0 && (s.meets(&slowestRule) || s.meets(&unusualRule)) {
+			switch reason := s.conclusive(i); {
+			case reason != "":
 				return reason, true, s.excess
-			}
-			if s.meets(alarm) || s.meets(&historicAlarm) || i > 0 && s.meets(&unusualAlarm) {
+			case s.alarms(i):
 				suspected, excess = true, max(excess, s.excess)
 			}
 		}
@@ -463,6 +459,26 @@
 	return "", suspected, excess
 }
 
+// conclusive returns why the version is bad by the sums of test i, or "".
+func (s *sums) conclusive(i int) string {
+	switch {
+	case i == 0 && s.meets(&failureRule):
+		return "failures"
+	case i > 0 && (s.meets(&slowRule) || s.meets(&slowestRule) || s.meets(&unusualRule)):
+		return "slow responses"
+	default:
+		return ""
+	}
+}
+
+// alarms reports whether the version is suspected by the sums of test i.
+func (s *sums) alarms(i int) bool {
+	if i == 0 {
+		return s.meets(&failureAlarm) || s.meets(&historicAlarm)
+	}
+	return s.meets(&slowAlarm) || s.meets(&unusualAlarm) || s.meets(&historicAlarm)
+}
+
 // meets reports whether the sums are enough evidence by the rule.
 func (s *sums) meets(r *rule) bool {
 	if s.historic > historicPart*s.slices {
