mlctl where: where a request would go now, and why

Cause: operators wish to learn where a given request would go without sending it.

Change: an entry answers at its metrics address with the route, the rank, what a roll-out allows, the queue and the targets with their costs, by the same predicates by which it places attempts (Pick's are in one function now). Nothing is sent or counted. mlctl where asks entries and shows it.

--- a/command/root.go
+++ b/command/root.go
@@ -21,7 +21,7 @@
 	root.PersistentFlags().AddGoFlagSet(flags)
 	addSettingsFile(root)
 	root.AddCommand(newKeys(), newSchema(), newValidate())
-	root.AddCommand(newPlan(), newApply(), newGet(), newHistory(), newRollback(), newStatus(), newRollouts(), newDrain())
+	root.AddCommand(newPlan(), newApply(), newGet(), newHistory(), newRollback(), newStatus(), newRollouts(), newWhere(), newDrain())
 	root.AddCommand(newStandin(), newDemo(), newTimeline(), newExplain(), newSoak())
 	root.AddCommand(newBench())
 	return root
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -62,7 +62,7 @@
 	c := &call{
 		exchange:     e,
 		retry:        request.RetryState{Idempotent: idempotent, MaxExecutions: e.route.MaxAttempts},
-		requirements: placement.Requirements{Service: e.service, FailureDomain: e.gateway.settings.FailureDomain},
+		requirements: e.callRequirements(),
 		// The buffer lets attempts finish whose results nobody reads.
 		results: make(chan callResult, maxAttempts),
 	}
@@ -96,6 +96,11 @@
 	}
 }
 
+// callRequirements returns what the first attempt of a call requires.
+func (e *exchange) callRequirements() placement.Requirements {
+	return placement.Requirements{Service: e.service, FailureDomain: e.gateway.settings.FailureDomain}
+}
+
 // replaceDelay is how long after no other target could be tried beside a suspected one that
 // is tried again.
 const replaceDelay = 100 * time.Millisecond
--- a/process/gateway/ingress.go
+++ b/process/gateway/ingress.go
@@ -76,6 +76,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", i.gateway.metrics.handler())
 	metrics.HandleFunc("GET "+rollout.SummariesPath, i.gateway.serveRollouts)
+	metrics.HandleFunc("GET "+WherePath, i.gateway.serveWhere)
 	i.serveAdmin("health", i.healthListener, health)
 	i.serveAdmin("metrics", i.metricsListener, metrics)
 	return nil
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -229,28 +229,34 @@
 }
 
 func (s *stream) requirements(avoid []request.TargetID) placement.Requirements {
-	produced := s.recovery.Output().Len() + s.inbound.Position
+	return s.streamRequirements(avoid, s.recovery.Output().Len())
+}
+
+// streamRequirements returns what the next attempt of a stream requires, of which the caller has
+// had produced events beyond those of earlier requests.
+func (e *exchange) streamRequirements(avoid []request.TargetID, produced int) placement.Requirements {
+	position := produced + e.inbound.Position
 	return placement.Requirements{
-		Service: s.service, Avoid: avoid, Session: s.inbound.Session(), Rank: s.priority(), FirstEventWithin: s.firstEventWithin(),
-		PromptTokens: s.inbound.PromptTokens + produced*s.tokensPerEvent(),
-		MemoryTokens: s.inbound.PromptTokens + int(expectedOutputFraction*float64(s.inbound.MaxTokens)),
+		Service: e.service, Avoid: avoid, Session: e.inbound.Session(), Rank: e.priority(), FirstEventWithin: e.firstEventWithin(position),
+		PromptTokens: e.inbound.PromptTokens + position*e.tokensPerEvent(),
+		MemoryTokens: e.inbound.PromptTokens + int(expectedOutputFraction*float64(e.inbound.MaxTokens)),
 	}
 }
 
 // firstEventWithin returns the time that is left until the first event is due, zero if the route has
 // no objective for it or the caller has had events.
-func (s *stream) firstEventWithin() time.Duration {
-	if s.route.LatencyObjective <= 0 || s.inbound.Position > 0 || s.recovery.Output().Len() > 0 {
+func (e *exchange) firstEventWithin(position int) time.Duration {
+	if e.route.LatencyObjective <= 0 || position > 0 {
 		return 0
 	}
-	return max(time.Millisecond, s.route.LatencyObjective-time.Since(s.arrived))
+	return max(time.Millisecond, e.route.LatencyObjective-time.Since(e.arrived))
 }
 
-func (s *stream) tokensPerEvent() int {
-	if s.engine == nil {
+func (e *exchange) tokensPerEvent() int {
+	if e.engine == nil {
 		return 1
 	}
-	return max(1, s.engine.TokensPerEvent)
+	return max(1, e.engine.TokensPerEvent)
 }
 
 // resumeFromCopy returns an attempt at the target that holds the KV copy, or nil.
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -104,13 +104,7 @@
 func (t *Table) pick(now time.Time, requirements Requirements, lastResort bool) (Choice, bool) {
 	candidates := t.candidates[:0]
 	for _, target := range t.allowed(requirements.Service, &requirements.Version) {
-		if target.IsDraining() || target.Down(now) || !target.acceptsAttempt(now) {
-			continue
-		}
-		if !lastResort && (target.AwaitingProbe() || slices.Contains(requirements.Avoid, target.ID)) {
-			continue
-		}
-		if target.AwaitingProbe() && target.InFlight > 0 || t.prefillsTooLong(now, target, requirements) {
+		if t.exclusion(now, target, &requirements, lastResort) != "" {
 			continue
 		}
 		candidates = append(candidates, candidate{target: target, cost: t.cost(now, target, requirements)})
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -266,6 +266,16 @@
 	return names
 }
 
+// Workspace returns the workspace with the given name, or nil.
+func (t *Table) Workspace(name string) *Workspace {
+	for _, workspace := range t.workspaceByKey {
+		if workspace.Name == name {
+			return workspace
+		}
+	}
+	return nil
+}
+
 // Authorize returns the workspace that key belongs to. Requests on anonymous routes,
 // and all requests while no workspace is declared, need no key and have no workspace.
 func (t *Table) Authorize(route *Route, key string) (workspace *Workspace, ok bool) {
