Run the tests of the call queue in parallel

The package takes nearly as long as its limit allows (272 and 308 s of 300 with -race on a machine at a load of 30); these tests wait more than they work.

process/gateway -run CallQueue passes in 3 of 3 runs with -race, in 5 s instead of 10, and -run 'CallQueue|TestCall_' -count=2 passes.

--- a/process/gateway/call_queue_test.go
+++ b/process/gateway/call_queue_test.go
@@ -86,6 +86,7 @@
 // A burst that a replica cannot take at once waits at the entry: it was sent before, and all
 // but the replica's places were rejected.
 func TestCallQueue_BurstWaitsForPlaces(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := d.startFullReplica(4, 8)
 	g := d.startReadyEntry("entry-1")
@@ -102,6 +103,7 @@
 
 // Rejected calls have not run, so they wait for another place instead of being refused.
 func TestCallQueue_RejectedCallsWaitAgain(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	// The replica has less room than it registers slots.
 	r := d.startFullReplica(2, 0)
@@ -127,6 +129,7 @@
 
 // A caller that leaves takes its queued call with it.
 func TestCallQueue_CallOfLeavingCallerIsRemoved(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := d.startFullReplica(1, 1)
 	g := d.startReadyEntry("entry-1")
@@ -168,6 +171,7 @@
 // A call that cannot be served within the time of its caller is refused as not run, and the
 // caller returns while it still has time.
 func TestCallQueue_RefusesWhatCannotBeServedInTime(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := d.startFullReplica(1, 1)
 	g := d.startReadyEntry("entry-1")
@@ -198,6 +202,7 @@
 
 // A planned stop serves the queued calls, or refuses them as not run.
 func TestCallQueue_PlannedStopServesOrRefuses(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := d.startFullReplica(1, 1)
 	settings := d.entrySettings("entry-1")
@@ -224,6 +229,7 @@
 
 // At low load no call waits, not even in a burst of all callers at one of many entries.
 func TestCallQueue_NothingWaitsWhileReplicasHaveRoom(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.startReplica(replica.Config{ID: "a1", Service: "bookings", FailureDomain: "naxos", CallTime: 50 * time.Millisecond, Slots: 6})
 	d.startReplica(replica.Config{ID: "a2", Service: "bookings", FailureDomain: "naxos", CallTime: 50 * time.Millisecond, Slots: 6})
@@ -246,6 +252,7 @@
 // Entries divide the limit by what the others report. Those of the previous build do not report
 // their calls, which are then estimated from their demand.
 func TestCallQueue_KnowsCallsOfPeers(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := d.startFullReplica(2, 8)
 	first, second := d.startEntry("entry-1"), d.startEntry("entry-2")
