Placement: engines cost nothing for recent prompts

Cause: engines that had more recent prompts than the mean cost more, so that fast and slow ones got as many.

Change: that cost is gone; among idle engines of similar cost those with little recent work still go first.

--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -68,9 +68,6 @@
 func (t *Table) Pick(now time.Time, requirements Requirements) (Choice, error) {
 	t.expirePeers(now)
 	t.observeTime(now)
-	if targets := t.services[requirements.Service]; len(targets) > 0 && targets[0].isEngine {
-		t.observeEngines(targets)
-	}
 	for _, lastResort := range []bool{false, true} {
 		if choice, ok := t.pick(now, requirements, lastResort); ok {
 			choice.Target.recordAttempt(now)
--- a/process/placement/engine.go
+++ b/process/placement/engine.go
@@ -16,22 +16,9 @@
 	// calmShare is the part of the time within which the first event is due that prefill of the
 	// prompt itself may take without counting as slow.
 	calmShare = 0.25
-	// evenCostTokens is what an engine costs that had twice the mean work recently, for each
-	// unit of the unevenness of the engines beyond timingNoise, in prompt tokens. With half of
-	// it, the busiest of the uneven engines in uneven_engines_test.go gets 1.25 of the mean while
-	// a third are slow, and 1.16 with this.
-	evenCostTokens = 400_000
-	// maxEvenCostTokens limits that cost: two seconds of prefill, which leaves first events in
-	// time. It falls to nothing while more prompts than evenUpToPending less one to
-	// evenUpToPending are pending at the mean engine, where only the wait counts.
-	maxEvenCostTokens = 16_000
-	evenUpToPending   = 1.25
 	// overflowCostTokens is the cost of an engine whose memory the prompt would exceed, in prompt
 	// tokens: more than the wait at any other, since an engine may crash of it.
 	overflowCostTokens = 400_000
-	// timingNoise is the unevenness up to which engines count as equal: prefill that is timed
-	// over a network differs by as much.
-	timingNoise = 0.05
 	// lessUrgentWeight is how much less urgent prompts count that wait ahead of a more urgent
 	// one: engines admit what waits by rank, but not all that is pending waits.
 	lessUrgentWeight = 0.3
@@ -104,45 +91,10 @@
 	if !t.subsets.owns(target.Address) {
 		cost += outsideSubsetCostTokens
 	}
-	cost += t.evenCost(target, prompt) - relative*float64(requirements.cachedTokens(target))
+	cost -= relative * float64(requirements.cachedTokens(target))
 	return cost + failureCostTokens*t.failureRate(now, target)
 }
 
-// engineMeans are means over the engines of a service.
-type engineMeans struct {
-	// usual is the usual relative time, unevenness the mean deviation from it in relation to it.
-	usual, unevenness float64
-	// recent is the recent work, in the unit of Target.recentTokens, pending the tokens to
-	// prefill.
-	recent, pending float64
-}
-
-// observeEngines takes the means over some engines.
-func (t *Table) observeEngines(engines []*Target) {
-	t.means = engineMeans{}
-	count := float64(len(engines))
-	for _, target := range engines {
-		t.means.usual += target.relativeTime.usualOr1() / count
-		t.means.recent += target.recentTokens / count
-		t.means.pending += float64(t.totalWork(target).PrefillTokens) / count
-	}
-	for _, target := range engines {
-		t.means.unevenness += math.Abs(target.relativeTime.usualOr1()/t.means.usual-1) / count
-	}
-}
-
-// evenCost returns what an engine costs for its recent work, if the engines differ in speed: fast
-// ones are idle more often and would get most prompts, though others serve them in time too.
-func (t *Table) evenCost(target *Target, prompt float64) float64 {
-	unevenness := t.means.unevenness - timingNoise
-	if unevenness <= 0 || t.means.recent == 0 {
-		return 0
-	}
-	limit := maxEvenCostTokens * min(1, max(0, evenUpToPending-t.means.pending/max(minTimedPrefill, prompt)))
-	cost := evenCostTokens * unevenness * (target.recentTokens/t.means.recent - 1)
-	return min(limit, max(-limit, cost))
-}
-
 // chooseEngine returns, among the engines whose cost is within similarCostTokens of the lowest,
 // the one with the highest affinity to the session, but among idle ones one of those that had
 // the least work recently. The runner-up is the one with the lowest cost of the others.
--- a/process/placement/explain.go
+++ b/process/placement/explain.go
@@ -59,9 +59,6 @@
 func (t *Table) Explain(now time.Time, requirements Requirements) []Candidate {
 	allowed := t.allowed(requirements.Service, &requirements.Version)
 	targets := t.services[requirements.Service]
-	if len(targets) > 0 && targets[0].isEngine {
-		t.observeEngines(targets)
-	}
 	candidates := make([]Candidate, 0, len(targets))
 	considered := t.explainAmong(now, &candidates, targets, allowed, requirements, false)
 	if considered == 0 {
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -164,8 +164,6 @@
 	speeds      map[string]*serviceSpeed
 	// recentSince and lastNow convert Target.recentTokens, see recentUnit.
 	recentSince, lastNow time.Time
-	// means are those of the last choice of an engine.
-	means engineMeans
 	// candidates is reused by each choice.
 	candidates []candidate
 	// random is the source by which the table draws among similar targets.
