Roll-outs: no version gets all requests before it has had some

Cause: in services with few requests the canary had some five responses when the ramp began, which no test of the evidence judges: versions of which half failed were completed.

Change: until a version has had 12 responses, or a fifth of all, the canary's share is a quarter within the slack. The ramp does not begin or go on, and the roll-out ends as rolled back at the time limit, unless failures are about as frequent as on the old version, which matters below 100 responses.

--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -22,8 +22,6 @@
 	rolloutReportInterval = 400 * time.Millisecond
 	// minPaceEvents is how many events a stream must have for its pace to be compared.
 	minPaceEvents = 8
-	// paceSuffix is added to the name of a route for the evidence about the pace of its streams.
-	paceSuffix = " pace"
 )
 
 // rollouts is what the control goroutine keeps for version roll-outs.
@@ -173,7 +171,7 @@
 	}
 	if a.complete.Load() && a.streaming && a.eventCount >= minPaceEvents {
 		pace := now.Sub(a.streamingSince) / time.Duration(a.eventCount)
-		c.rollouts.Responded(service, version, a.exchange.route.Name+paceSuffix, rollout.Response{Duration: pace})
+		c.rollouts.Responded(service, version, a.exchange.route.Name+rollout.PaceSuffix, rollout.Response{Duration: pace})
 	}
 }
 
--- a/process/rollout/evidence.go
+++ b/process/rollout/evidence.go
@@ -265,6 +265,52 @@
 	return 0
 }
 
+const (
+	// minClearResponses is how many responses the new version needs before it gets more than the
+	// bound on bad versions allows: of a version of which two fifths fail, 12 have two failures or
+	// more in 98 of 100 cases.
+	minClearResponses = 12
+	// fewResponses is the number of responses from which on the tests of judge find such versions.
+	fewResponses = 100
+	// clearDeviations is by how many standard deviations the failures of a sound version may exceed
+	// those of the old one.
+	clearDeviations = 3
+	// PaceSuffix is added to the name of a route for the evidence about the pace of its streams.
+	PaceSuffix = " pace"
+)
+
+// responses returns the counts of both versions on all routes.
+func (e *evidence) responses() Pair {
+	var sum Pair
+	for route, pair := range e.summed {
+		if !strings.HasSuffix(route, PaceSuffix) {
+			sum = sum.plus(pair)
+		}
+	}
+	return sum
+}
+
+// tooFew reports whether the new version has had too few responses to get all requests. Of a
+// service with few requests, a fifth of the responses is enough.
+func (e *evidence) tooFew() bool {
+	sum := e.responses()
+	newest, old := sum[newSide].Responses, sum[oldSide].Responses
+	return newest < min(minClearResponses, (newest+old)/5)
+}
+
+// clears reports whether the failures of the new version are few enough for it to get all requests,
+// as far as so few responses tell; the tests of judge need more of them.
+func (e *evidence) clears() bool {
+	sum := e.responses()
+	newest, old := sum[newSide], sum[oldSide]
+	if newest.Responses >= fewResponses {
+		return true
+	}
+	rate := float64(old.Failures) / float64(max(1, old.Responses))
+	expected := rate * float64(newest.Responses)
+	return !e.tooFew() && float64(newest.Failures) <= 1+expected+clearDeviations*math.Sqrt(expected*(1-rate))
+}
+
 // judge returns why the version is bad, or "", whether it is suspected, and by how many bad
 // responses if so.
 func (e *evidence) judge() (string, bool, float64) {
--- a/process/rollout/progress.go
+++ b/process/rollout/progress.go
@@ -265,17 +265,18 @@
 		return Change{}, false
 	}
 	times := r.plan()
-	if reason := r.hopeless(now, times); reason != "" {
+	clears := r.record.Stage == Moved || r.evidence.clears()
+	if reason := r.hopeless(now, times, clears); reason != "" {
 		return r.end(RolledBack, reason), true
 	}
-	if r.suspected || r.newReplicas == 0 {
+	if r.suspected || r.newReplicas == 0 || !clears {
 		return Change{}, false
 	}
 	return t.advance(now, times, r, view)
 }
 
 // hopeless returns why the roll-out cannot be completed any more, or "".
-func (r *rollout) hopeless(now time.Time, times plan) string {
+func (r *rollout) hopeless(now time.Time, times plan, clears bool) string {
 	switch {
 	case now.Before(times.limit):
 		return ""
@@ -283,6 +284,8 @@
 		return "no replica of the version at the time limit"
 	case r.suspected && now.Sub(r.suspectedSince) >= lastSuspicion:
 		return "suspected at the time limit"
+	case !clears:
+		return "too few good responses at the time limit"
 	default:
 		return ""
 	}
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // catalogue is the load of calls at the catalogue deployment, licences that at the other one, with
@@ -147,3 +149,32 @@
 		}
 	}
 }
+
+// TestBadVersion_FewRequests guards against the move to a version of which half fails in a service
+// with so few requests that the tests of the evidence say little.
+func TestBadVersion_FewRequests(t *testing.T) {
+	t.Parallel()
+	for _, rate := range []float64{10, 20} {
+		for seed := range uint64(10) {
+			config := catalogue()
+			config.entries, config.rate, config.limit, config.baseErrors = 3, rate, 8500*time.Millisecond, 0
+			config.bad = func(s *simulation, _ *simReplica, _ string) (bool, float64) { return s.random.Float64() < 0.5, 1 }
+			play(t, seed, config).checkBad("half fails")
+		}
+	}
+}
+
+// TestGoodVersion_FewRequests guards against a sound version of such a service that is rolled back.
+func TestGoodVersion_FewRequests(t *testing.T) {
+	t.Parallel()
+	completed := 0
+	for seed := range uint64(10) {
+		config := catalogue()
+		config.entries, config.rate, config.limit, config.baseErrors = 3, 20, 12*time.Second, 0.02
+		s := play(t, seed, config)
+		if s.statuses[len(s.statuses)-1].State == StateCompleted {
+			completed++
+		}
+	}
+	assert.Assert(t, completed >= 9, "%d of 10", completed)
+}
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -17,6 +17,9 @@
 	// What is left covers requests that entries have sent when they learn that a version is bad.
 	startPart = 0.3
 	capPart   = 0.6
+	// fewResponsesShare is the share of the canary until it has had minClearResponses: half of a
+	// minute of a service with few requests would not be enough otherwise. The slack covers it.
+	fewResponsesShare = 0.25
 	// maxCredit is how many requests to the new version an entry may catch up on: those of the time
 	// between two pulses at an entry with some 50 requests a second.
 	maxCredit = 10
@@ -118,6 +121,9 @@
 func (t *Tracker) stageShare(r *rollout) float64 {
 	switch r.record.Stage {
 	case Canary:
+		if r.evidence.tooFew() {
+			return fewResponsesShare
+		}
 		return t.canaryShare()
 	case Ramping:
 		if r.newReplicas == 0 {
