Admission: a longer queue at the targets, and late calls in it

Change: the short queue is two fifths of the latency objective, an entry may go up to 2.5 calls for each slot of the fleet beyond its part, and late calls up to 1.5.

--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -7,8 +7,10 @@
 
 const (
 	// queueShare is the fraction of the latency objective that a request may wait at its
-	// target: it bounds the short queue that is part of the concurrency limit.
-	queueShare = 0.25
+	// target: it bounds the short queue that is part of the concurrency limit. A place in that
+	// queue is free to all entries, one in the queue of an entry only to its own requests, which
+	// leaves slots free where there are more entries than slots.
+	queueShare = 0.4
 	// shrinkFactor scales the limit of an entry after a rejection, at most once in
 	// shrinkInterval, since one full target rejects several requests under way at once.
 	shrinkFactor   = 0.85
@@ -27,10 +29,11 @@
 	// borrowLoad is the load of the fleet, in requests per slot, up to which an entry may
 	// exceed its own part of the limit: a burst at one entry does not wait while others
 	// are idle.
-	borrowLoad = 1.75
+	borrowLoad = 2.5
 	// lateLoad is the load of the fleet, in requests per slot, up to which requests are sent
-	// that can no longer be on time.
-	lateLoad = 1.0
+	// that can no longer be on time. What is known of the peers is old, so that slots are free
+	// at times when as many requests as slots are believed under way.
+	lateLoad = 1.5
 	// startDeviations is how many mean deviations are added to the mean time that targets take
 	// for a request to say when it must start to be on time.
 	startDeviations = 1
