--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -44,5 +44,5 @@
 // PlannedWorkSeeds lists every seed whose run with planned work alone has failed, with the cause.
 var PlannedWorkSeeds = []RegressionSeed{
 	{1, idleLimitCause + "; a registration with negative slots was used; " + lateEvidenceCause}, {8, idleLimitCause + "; " + silenceCause}, {52, silenceCause},
-	{9101, lateEndCause}, {9103, lateEvidenceCause}, {9104, lateEvidenceCause}, {9107, lateEndCause}, {9109, lateEndCause},
+	{9101, lateEndCause}, {9103, lateEvidenceCause}, {9104, lateEvidenceCause}, {9107, lateEndCause}, {9109, lateEndCause}, {52001, lateEvidenceCause}, {52002, lateEvidenceCause},
 }
