Read-through: the name of a query field, and the reason of a share

Cause: WherePrefix named the path of a request as if it were a prefix, and the comment on fewResponsesShare could not be understood without its author.

Change: WhereRequestPath, and the reason in plain words. No behaviour changes.

Result: the tests of mlctl where and of services with few requests pass.

--- a/command/where.go
+++ b/command/where.go
@@ -33,11 +33,11 @@
 	format := addOutputFlag(command)
 	flags := command.Flags()
 	text := map[string]*string{
-		gateway.WhereHost:      flags.String(gateway.WhereHost, "", "host of the request"),
-		gateway.WherePrefix:    flags.String(gateway.WherePrefix, "", "path of the request"),
-		gateway.WhereID:        flags.String(gateway.WhereID, "", "ID of the request"),
-		gateway.WhereWorkspace: flags.String(gateway.WhereWorkspace, "", "name of the workspace whose key it has"),
-		gateway.WhereSession:   flags.String(gateway.WhereSession, "", "ID of the last part of its prompt"),
+		gateway.WhereHost:        flags.String(gateway.WhereHost, "", "host of the request"),
+		gateway.WhereRequestPath: flags.String(gateway.WhereRequestPath, "", "path of the request"),
+		gateway.WhereID:          flags.String(gateway.WhereID, "", "ID of the request"),
+		gateway.WhereWorkspace:   flags.String(gateway.WhereWorkspace, "", "name of the workspace whose key it has"),
+		gateway.WhereSession:     flags.String(gateway.WhereSession, "", "ID of the last part of its prompt"),
 	}
 	numbers := map[string]*int{
 		gateway.WherePrompt: flags.Int(gateway.WherePrompt, 0, "tokens of the prompt"),
--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -19,13 +19,13 @@
 // Names of the query fields of WherePath. Session is the last part of the prompt, Prompt and Output
 // are numbers of tokens.
 const (
-	WhereHost      = "host"
-	WherePrefix    = "path"
-	WhereID        = "id"
-	WhereWorkspace = "workspace"
-	WhereSession   = "session"
-	WherePrompt    = "prompt-tokens"
-	WhereOutput    = "output-tokens"
+	WhereHost        = "host"
+	WhereRequestPath = "path"
+	WhereID          = "id"
+	WhereWorkspace   = "workspace"
+	WhereSession     = "session"
+	WherePrompt      = "prompt-tokens"
+	WhereOutput      = "output-tokens"
 )
 
 // Where says where an entry would send a request now, and why. Nothing is sent, and nothing is
@@ -86,7 +86,7 @@
 // whereExchange returns the request that a question is about.
 func (g *Gateway) whereExchange(query url.Values) (*exchange, error) {
 	e := &exchange{gateway: g, arrived: time.Now()}
-	e.inbound = request.Inbound{ID: request.ID(query.Get(WhereID)), Host: query.Get(WhereHost), Path: query.Get(WherePrefix)}
+	e.inbound = request.Inbound{ID: request.ID(query.Get(WhereID)), Host: query.Get(WhereHost), Path: query.Get(WhereRequestPath)}
 	for name, number := range map[string]*int{WherePrompt: &e.inbound.PromptTokens, WhereOutput: &e.inbound.MaxTokens} {
 		text := query.Get(name)
 		if text == "" {
--- a/process/gateway/where_test.go
+++ b/process/gateway/where_test.go
@@ -34,7 +34,7 @@
 	g := d.startReadyEntry("entry-1")
 
 	stream := ask(t, g, url.Values{
-		WhereHost: {testHost}, WherePrefix: {"/report/7"}, WhereWorkspace: {"crew"}, WherePrompt: {"8000"}, WhereSession: {"s1"},
+		WhereHost: {testHost}, WhereRequestPath: {"/report/7"}, WhereWorkspace: {"crew"}, WherePrompt: {"8000"}, WhereSession: {"s1"},
 	})
 	assert.Equal(t, stream.Refused, "")
 	assert.Equal(t, stream.Service, "writer")
@@ -42,14 +42,14 @@
 	assert.Assert(t, stream.Queue == nil)
 	assert.Equal(t, len(stream.Candidates), 2)
 
-	call := ask(t, g, url.Values{WhereHost: {testHost}, WherePrefix: {"/book/"}, WhereWorkspace: {"crew"}})
+	call := ask(t, g, url.Values{WhereHost: {testHost}, WhereRequestPath: {"/book/"}, WhereWorkspace: {"crew"}})
 	assert.Equal(t, call.Candidates[0].ID, request.TargetID(booking.Config().ID))
 	assert.Assert(t, !call.Queue.Waits && call.Queue.Free > 0)
 
-	assert.Assert(t, ask(t, g, url.Values{WhereHost: {testHost}, WherePrefix: {"/other/"}}).Refused != "")
+	assert.Assert(t, ask(t, g, url.Values{WhereHost: {testHost}, WhereRequestPath: {"/other/"}}).Refused != "")
 	d.register(booking, "draining")
 	d.waitUntil(func() bool {
-		return ask(t, g, url.Values{WhereHost: {testHost}, WherePrefix: {"/book/"}}).Candidates[0].Excluded == "draining"
+		return ask(t, g, url.Values{WhereHost: {testHost}, WhereRequestPath: {"/book/"}}).Candidates[0].Excluded == "draining"
 	})
 	assert.Equal(t, len(d.fleet.ExecutionLog.Executions("")), 0)
 	assert.Equal(t, len(d.storeValues(platform.TargetPrefix)), 3)
--- a/process/rollout/traffic.go
+++ b/process/rollout/traffic.go
@@ -17,8 +17,8 @@
 	// What is left covers requests that entries have sent when they learn that a version is bad.
 	startPart = 0.3
 	capPart   = 0.6
-	// fewResponsesShare is the share of the canary until it has had minClearResponses: half of a
-	// minute of a service with few requests would not be enough otherwise. The slack covers it.
+	// fewResponsesShare is the share of the canary until it has had minClearResponses: the usual one
+	// gives services with few requests too few responses before the ramp. The slack covers it.
 	fewResponsesShare = 0.25
 	// maxCredit is how many requests to the new version an entry may catch up on: those of the time
 	// between two pulses at an entry with some 50 requests a second.
