platform: a configuration that lists no tenants requires keys

Cause: whether requests need a key was derived from the number of workspaces. The decoder turned an empty list of tenants and a configuration without the field into the same document, and the table then authorized every request.

Ruled out: a late or lost configuration (the entry logged `configuration_in_force` for the new version), keys kept by connections (each request is authorized against the active table). Entries of the other front look up workspaces by token and have no such default.

--- a/process/gateway/store_watch_test.go
+++ b/process/gateway/store_watch_test.go
@@ -69,6 +69,20 @@
 	d.waitWithin(applyTimeout, func() bool { return d.send(g, bookingRequest()).status == http.StatusUnauthorized })
 }
 
+// The last key is revoked together with its workspace. The entry then accepted any request.
+func TestAuthorize_LastWorkspaceIsRemoved(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	g := d.startReadyEntry("entry-1")
+	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
+	d.configure(func(config map[string]any) { config["Tenants"] = []any{} })
+	unauthorized := func() bool { return d.send(g, bookingRequest()).status == http.StatusUnauthorized }
+	d.waitWithin(applyTimeout, unauthorized)
+	assert.Equal(t, d.send(g, newCallerRequest(http.MethodGet, "/open/1", "")).status, http.StatusOK)
+	restarted := d.startReadyEntry("entry-2")
+	assert.Equal(t, d.send(restarted, bookingRequest()).status, http.StatusUnauthorized)
+}
+
 // The bound on revoked keys also holds for an entry that cannot reach the store.
 func TestStoreOutage_KeysRejectedWithinRevocationBound(t *testing.T) {
 	for name, faults := range map[string]kv.Faults{"down": {Outage: true}, "silent": {Silent: true}} {
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -145,6 +145,8 @@
 	Services   []Service
 	Limits     Limits
 	Workspaces []Workspace
+	// RequiresKeys is set when requests need an API key, also if no workspace has one.
+	RequiresKeys bool
 }
 
 // Table is a compiled document. It is immutable and safe for concurrent use.
@@ -173,7 +175,7 @@
 		longestPrefix:  map[string]int{},
 		services:       map[string]*Service{},
 		workspaceByKey: map[string]*Workspace{},
-		requiresKey:    len(document.Workspaces) > 0,
+		requiresKey:    document.RequiresKeys || len(document.Workspaces) > 0,
 		routeCount:     len(document.Routes),
 	}
 	for i := range document.Services {
@@ -277,7 +279,7 @@
 }
 
 // Authorize returns the workspace that key belongs to. Requests on anonymous routes,
-// and all requests while no workspace is declared, need no key and have no workspace.
+// and all requests while the document requires no keys, need none and have no workspace.
 func (t *Table) Authorize(route *Route, key string) (workspace *Workspace, ok bool) {
 	if route.Anonymous || !t.requiresKey {
 		return nil, true
--- a/version/routes/routes_test.go
+++ b/version/routes/routes_test.go
@@ -56,6 +56,22 @@
 	assert.Assert(t, ok)
 }
 
+// Without any key that is valid, no request is authorized.
+func TestAuthorize_WithoutWorkspacesRejectsAllKeys(t *testing.T) {
+	anonymous := newRoute("a.example", "/open/")
+	anonymous.Anonymous = true
+	for _, requiresKeys := range []bool{false, true} {
+		compiled, err := Compile(Document{Routes: []Route{newRoute("a.example", "/x/"), anonymous}, RequiresKeys: requiresKeys})
+		assert.NilError(t, err)
+		for _, key := range []string{"", "k"} {
+			_, ok := compiled.Authorize(compiled.Match("a.example", "/x/1"), key)
+			assert.Equal(t, ok, !requiresKeys)
+			_, ok = compiled.Authorize(compiled.Match("a.example", "/open/1"), key)
+			assert.Assert(t, ok)
+		}
+	}
+}
+
 func TestService_DistributesByWeight(t *testing.T) {
 	split := newRoute("a.example", "/x/")
 	split.Backends = []Backend{{Service: "s", Weight: 90}, {Service: "canary", Weight: 10}}
