gateway: an entry whose registration was replaced or removed registers again

After a registration that the store executed late, an entry stayed unregistered until its process ended. It also missed in subsets, in relays and in the count of entries.

Cause: each attempt to register took a new lease. The first write failed at the entry and was executed 3 s later, over the second one, and left the key under the lease of the first attempt. That lease ended after 12 s and the key with it. The entry went on renewing the second lease and ignored the removal of its own key. The same holds for a key that a list does not show, and for one that another writer has replaced with a readable value.

Change: a write that failed is repeated under the same lease, so that it does not matter which one is executed last. What the store shows of the key, in a change or in a list, is compared with the last confirmed write; after a later write or a removal the entry registers again at once (`registration_lost`). Registration moves to a file of its own.

Ruled out: conditions on the write. They keep late writes out as well, but cost two more calls at each restart within a lease, and a removal would still go unnoticed.

Evidence: TestRegistration_OutlivesLateWrite (the key was gone after 16 s) and both cases of TestRegistration_RemovedKeyIsWrittenAgain failed before, and pass; TestRegistrationState covers the comparison, with changes and lists that are older than the write.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -43,6 +43,8 @@
 	pool     *target.Pool
 	store    *platform.Store
 	peers    *peers.Conn
+	// registration is this entry's own key in the store.
+	registration *registrationState
 	// bodyMemory limits the memory of the bodies of requests and responses.
 	bodyMemory *bodyMemory
 	// bodyStallTimeout is how long the next part of a body of a caller may take to arrive.
@@ -51,8 +53,6 @@
 
 	// table is the active configuration; nil until the first one has been read.
 	table atomic.Pointer[routes.Table]
-	// registrationLost is set when another writer has overwritten this entry's registration.
-	registrationLost atomic.Bool
 	// syncAnswers and syncAnnouncements pass messages of other entries to the watch on the
 	// store.
 	syncAnswers       chan peers.SyncAnswer
@@ -98,6 +98,7 @@
 		syncAnswers: make(chan peers.SyncAnswer, syncBuffer), syncAnnouncements: make(chan announcement, syncBuffer),
 	}
 	g.ending, g.endRequests = context.WithCancel(background)
+	g.registration = newRegistrationState()
 	g.control = newControl(g)
 	g.bodyMemory = newBodyMemory(s.MemoryMB)
 	g.bodyStallTimeout = bodyStallTimeout
--- /dev/null
+++ b/process/gateway/registration.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+
+	"github.com/mulberrylane/mulberrylane/platform"
+)
+
+const (
+	// leaseTTL is how long an entry that has crashed stays registered,
+	// keepAliveInterval how often its lease is renewed.
+	leaseTTL          = 12 * time.Second
+	keepAliveInterval = 4 * time.Second
+	// registrationRetryInterval is the pause after a failed attempt to register.
+	registrationRetryInterval = time.Second
+	// maxEntryNameBytes limits the name of an entry and of its failure domain.
+	maxEntryNameBytes = 200
+)
+
+// entryRecord is the value that an entry registers.
+type entryRecord struct {
+	Peers         string `json:"peers"`
+	FailureDomain string `json:"failureDomain,omitempty"`
+}
+
+// decodeEntry decodes the registration of an entry. Other writers may leave anything there; an
+// address that is no IP address would be looked up each time that peers are told something.
+func decodeEntry(name string, value []byte) (entryRecord, error) {
+	var record entryRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		return entryRecord{}, errors.New("the value is not a record")
+	}
+	address, err := netip.ParseAddrPort(record.Peers)
+	switch {
+	case err != nil || address.Port() == 0 || address.Addr().IsMulticast():
+		return entryRecord{}, errors.New("the address is not an IP address and a port from 1 to 65535")
+	case !isEntryName(name):
+		return entryRecord{}, errors.Errorf("the name is not 1 to %d visible bytes", maxEntryNameBytes)
+	case record.FailureDomain != "" && !isEntryName(record.FailureDomain):
+		return entryRecord{}, errors.Errorf("the failure domain is not a name of at most %d visible bytes", maxEntryNameBytes)
+	}
+	return record, nil
+}
+
+// isEntryName reports whether text may name an entry or its failure domain.
+func isEntryName(text string) bool {
+	invisible := func(r rune) bool { return !unicode.IsGraphic(r) || r == utf8.RuneError }
+	return text != "" && len(text) <= maxEntryNameBytes && !strings.ContainsFunc(text, invisible)
+}
+
+// registrationState is what this entry knows of its own registration. The store may execute a
+// write long after the call for it failed, so a response alone does not tell what the key holds:
+// it is compared with what the store then shows.
+type registrationState struct {
+	mu sync.Mutex
+	// lease is the lease of the key, zero if there is none.
+	lease int64
+	// revision is that of the last write that the store confirmed, zero if the entry has to
+	// write its key. confirmedAt is when the response arrived.
+	revision    int64
+	confirmedAt time.Time
+	// lost receives a value when the entry has to register again.
+	lost chan struct{}
+}
+
+func newRegistrationState() *registrationState {
+	return &registrationState{lost: make(chan struct{}, 1)}
+}
+
+// current returns the lease, and whether the key was written under it.
+func (r *registrationState) current() (lease int64, registered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease, r.revision > 0
+}
+
+func (r *registrationState) setLease(lease int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease, r.revision = lease, 0
+}
+
+func (r *registrationState) confirm(revision int64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision, r.confirmedAt = revision, now
+}
+
+// observeChange compares a change of the entry's key with the last write. A later one is by another
+// writer, or an earlier write of this entry that was executed late.
+func (r *registrationState) observeChange(item platform.Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision > 0 && item.Revision > r.revision {
+		r.lose(item.Removed)
+	}
+}
+
+// observeList compares the keys in the store with the last write, if that was confirmed before they
+// were asked for at the given time.
+func (r *registrationState) observeList(asked time.Time, key string, items []platform.Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision == 0 || !asked.After(r.confirmedAt) {
+		return
+	}
+	for _, item := range items {
+		if item.Key == key {
+			if item.Revision != r.revision {
+				r.lose(false)
+			}
+			return
+		}
+	}
+	r.lose(true)
+}
+
+// lose records that the key has to be written again. A lease whose key was removed may have ended.
+func (r *registrationState) lose(removed bool) {
+	r.revision = 0
+	if removed {
+		r.lease = 0
+	}
+	select {
+	case r.lost <- struct{}{}:
+	default:
+	}
+}
+
+// maintainRegistration keeps this entry registered, so that other entries find it.
+func (g *Gateway) maintainRegistration() {
+	for g.background.Err() == nil {
+		wait := keepAliveInterval
+		if err := g.register(); err != nil {
+			g.log.Event("entry_not_registered", "error", err.Error())
+			if _, registered := g.registration.current(); !registered {
+				wait = registrationRetryInterval
+			}
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-g.registration.lost:
+			g.log.Event("registration_lost")
+		case <-g.background.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// register brings the registration up to date: it renews the lease of the key, or writes the key,
+// under a new lease if there is none.
+//
+// A failed write is repeated under the same lease. Under another one, the first write could still
+// be executed and leave the key under a lease that nobody renews.
+func (g *Gateway) register() error {
+	lease, registered := g.registration.current()
+	if registered {
+		err := g.renewLease(lease)
+		if !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		g.registration.setLease(0)
+		lease = 0
+	}
+	if lease == 0 {
+		granted, err := g.grantLease()
+		if err != nil {
+			return err
+		}
+		g.registration.setLease(granted)
+		lease = granted
+	}
+	err := g.writeRegistration(lease)
+	if errors.Is(err, platform.ErrNotFound) {
+		g.registration.setLease(0)
+	}
+	return err
+}
+
+func (g *Gateway) grantLease() (int64, error) {
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	lease, err := g.store.GrantLease(ctx, leaseTTL)
+	g.metrics.countStoreCall("lease", err)
+	return lease, errors.Wrap(err, "register")
+}
+
+func (g *Gateway) writeRegistration(lease int64) error {
+	value, err := json.Marshal(entryRecord{Peers: g.peers.Address(), FailureDomain: g.settings.FailureDomain})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	write := platform.Write{Key: g.registrationKey(), Value: value, Lease: lease}
+	revision, err := g.store.Commit(ctx, nil, []platform.Write{write}, nil)
+	g.metrics.countStoreCall("swap", err)
+	if err != nil {
+		return errors.Wrap(err, "register")
+	}
+	g.registration.confirm(revision, time.Now())
+	return nil
+}
+
+func (g *Gateway) renewLease(lease int64) error {
+	ctx, cancel := g.withTimeout(storeTimeout)
+	defer cancel()
+	err := g.store.KeepAlive(ctx, lease)
+	g.metrics.countStoreCall("keep", err)
+	return errors.Wrap(err, "register")
+}
+
+// registrationKey is the key of this entry in the store.
+func (g *Gateway) registrationKey() string { return platform.EntryPrefix + g.settings.Name }
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/netip"
 	"strings"
 	"time"
-	"unicode"
-	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -48,12 +44,6 @@
 	// only slow.
 	outageTimeout     = 250 * time.Millisecond
 	outageLongTimeout = 900 * time.Millisecond
-	// leaseTTL is how long an entry that has crashed stays registered,
-	// keepAliveInterval how often its lease is renewed.
-	leaseTTL          = 12 * time.Second
-	keepAliveInterval = 4 * time.Second
-	// maxEntryNameBytes limits the name of an entry and of its failure domain.
-	maxEntryNameBytes = 200
 	// maxLoggedFields limits how many fields of a configuration one line names.
 	maxLoggedFields = 8
 )
@@ -158,7 +148,7 @@
 	g := w.gateway
 	ctx, cancel := g.withTimeout(w.timeout())
 	defer cancel()
-	sent := bootClock()
+	sent, listed := bootClock(), time.Now()
 	items, revision, err := g.store.Range(ctx, "")
 	g.metrics.countStoreCall("range", err)
 	if err != nil {
@@ -179,6 +169,7 @@
 		clear(c.peers)
 	})
 	w.applyAll(items)
+	g.registration.observeList(listed, g.registrationKey(), items)
 	g.control.do(func() {
 		g.control.removeRollouts(items, revision)
 		g.control.recordChanges(items, revision, true)
@@ -388,40 +379,12 @@
 	}
 }
 
-// entryRecord is the value that an entry registers.
-type entryRecord struct {
-	Peers         string `json:"peers"`
-	FailureDomain string `json:"failureDomain,omitempty"`
-}
-
-// decodeEntry decodes the registration of an entry. Other writers may leave anything there; an
-// address that is no IP address would be looked up each time that peers are told something.
-func decodeEntry(name string, value []byte) (entryRecord, error) {
-	var record entryRecord
-	if err := json.Unmarshal(value, &record); err != nil {
-		return entryRecord{}, errors.New("the value is not a record")
-	}
-	address, err := netip.ParseAddrPort(record.Peers)
-	switch {
-	case err != nil || address.Port() == 0 || address.Addr().IsMulticast():
-		return entryRecord{}, errors.New("the address is not an IP address and a port from 1 to 65535")
-	case !isEntryName(name):
-		return entryRecord{}, errors.Errorf("the name is not 1 to %d visible bytes", maxEntryNameBytes)
-	case record.FailureDomain != "" && !isEntryName(record.FailureDomain):
-		return entryRecord{}, errors.Errorf("the failure domain is not a name of at most %d visible bytes", maxEntryNameBytes)
-	}
-	return record, nil
-}
-
-// isEntryName reports whether text may name an entry or its failure domain.
-func isEntryName(text string) bool {
-	invisible := func(r rune) bool { return !unicode.IsGraphic(r) || r == utf8.RuneError }
-	return text != "" && len(text) <= maxEntryNameBytes && !strings.ContainsFunc(text, invisible)
-}
-
 func (w *storeWatcher) applyEntry(item platform.Item) {
 	g := w.gateway
 	name := strings.TrimPrefix(item.Key, platform.EntryPrefix)
+	if name == g.settings.Name {
+		g.registration.observeChange(item)
+	}
 	if item.Removed {
 		g.control.do(func() {
 			delete(g.control.peers, name)
@@ -432,9 +395,6 @@
 	record, err := decodeEntry(name, item.Value)
 	if err != nil {
 		g.log.Event("entry_unreadable", "key", item.Key, "error", err.Error())
-		if name == g.settings.Name {
-			g.registrationLost.Store(true)
-		}
 		return
 	}
 	g.control.do(func() {
@@ -442,60 +402,3 @@
 		g.control.peersChanged()
 	})
 }
-
-// maintainRegistration keeps this entry registered, so that other entries find it.
-func (g *Gateway) maintainRegistration() {
-	lease := int64(0)
-	for g.background.Err() == nil {
-		var err error
-		if g.registrationLost.Swap(false) {
-			lease = 0
-		}
-		if lease == 0 {
-			lease, err = g.acquireLease()
-		} else {
-			err = g.renewLease(lease)
-			if errors.Is(err, platform.ErrNotFound) {
-				lease = 0
-				continue
-			}
-		}
-		if err != nil {
-			g.log.Event("entry_not_registered", "error", err.Error())
-		}
-		wait := keepAliveInterval
-		if lease == 0 {
-			wait = time.Second
-		}
-		pause(g.background, wait)
-	}
-}
-
-func (g *Gateway) acquireLease() (int64, error) {
-	ctx, cancel := g.withTimeout(storeTimeout)
-	defer cancel()
-	lease, err := g.store.GrantLease(ctx, leaseTTL)
-	g.metrics.countStoreCall("lease", err)
-	if err != nil {
-		return 0, errors.Wrap(err, "register")
-	}
-	value, err := json.Marshal(entryRecord{Peers: g.peers.Address(), FailureDomain: g.settings.FailureDomain})
-	if err != nil {
-		return 0, errors.WithStack(err)
-	}
-	write := platform.Write{Key: platform.EntryPrefix + g.settings.Name, Value: value, Lease: lease}
-	_, err = g.store.Commit(ctx, nil, []platform.Write{write}, nil)
-	g.metrics.countStoreCall("swap", err)
-	if err != nil {
-		return 0, errors.Wrap(err, "register")
-	}
-	return lease, nil
-}
-
-func (g *Gateway) renewLease(lease int64) error {
-	ctx, cancel := g.withTimeout(storeTimeout)
-	defer cancel()
-	err := g.store.KeepAlive(ctx, lease)
-	g.metrics.countStoreCall("keep", err)
-	return errors.Wrap(err, "register")
-}
