gateway: a copy is used for a returning caller only while all runs are known

Cause: the only known run of a request was taken for the caller's own, but an entry knew only of the runs that it was told of. When a registration ended, the others removed the entry from their list, whether it was running or not, and told it nothing until it had registered again. An entry whose own registration was missing sent nothing to a single other one (`len(peers) > 1` counted itself).

Change: - An entry whose registration ends stays a peer while its updates are heard. - kvcopies.Index is told whether the runs of all others are known. If an entry that is registered is silent, or was within the time that callers take to come back, no copy is used. While this entry is not registered, or for less than the time that others take to find it, the runs that start are ambiguous as well: an equal run may begin and be lost without a word. - `run_knowledge` logs when that changes; `caller_returned` says `incomplete`.

Ruled out: an error in the identity of requests (the requests are equal in all that the callers send); a copy under the name of another run (`resumed_from_copy` names the run that the index chose); lost updates (none were sent: the list of recipients was empty).

The tests of returning callers wait until the entries know each other, two seconds after their registration; what they check is unchanged.

--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -20,6 +20,10 @@
 // earlyQuarantineCause is suspected, not shown: the run was not traced.
 const earlyQuarantineCause = "engines crashed before one had served the first part that all prompts share, and the part was blamed"
 
+// foreignCopyCause is the cause of failures in which a caller that came back was served from the KV
+// copy of an equal request.
+const foreignCopyCause = "entries whose leases had ended during an outage of the store told each other nothing until they registered again"
+
 // Causes of failures of roll-outs of services with few requests, which last.
 const (
 	lateEvidenceCause = "a bad version of streams was completed or got too many requests: with 10 to 20 requests a second there are too few responses to judge it before the ramp"
@@ -31,7 +35,7 @@
 var RegressionSeeds = []RegressionSeed{
 	{202, earlyDisconnectCause}, {215, earlyDisconnectCause + "; " + staleQuarantineCause}, {303, earlyDisconnectCause}, {311, earlyDisconnectCause}, {315, earlyDisconnectCause + "; " + lateEvidenceCause},
 	{1004, staleQuarantineCause + "; " + cutOffCause}, {2001, endlessPauseCause}, {2003, staleQuarantineCause}, {3300, earlyQuarantineCause}, {4009, staleQuarantineCause},
-	{9005, lateEvidenceCause}, {34007, earlyQuarantineCause + "; " + lateEvidenceCause},
+	{9005, lateEvidenceCause}, {34007, earlyQuarantineCause + "; " + lateEvidenceCause}, {2487730830, foreignCopyCause},
 }
 
 // idleLimitCause is the cause of failures in which entries closed idle connections that callers
--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -89,6 +89,8 @@
 	// of other entries to when their last full or delta update was received.
 	peers        map[string]peer
 	peerLastSeen map[string]time.Time
+	// peerSilentUntil is until when callers may come back from an entry whose runs are not known.
+	peerSilentUntil time.Time
 	// kvCopies knows the runs of streams, here and at other entries, and their KV copies.
 	kvCopies *kvcopies.Index
 	// peerUpdates holds the merged updates of each other entry.
@@ -187,6 +189,7 @@
 		rollouts:          newRollouts(g.settings.Bounds, g.settings.Name),
 	}
 	c.table.SetRandom(rand.New(rand.NewPCG(uint64(c.incarnation), xxhash.Sum64String(g.settings.Name))))
+	c.kvCopies.SetKnowledge(kvcopies.Unannounced)
 	c.registry.SetAddressReuse(g.settings.Bounds.AddressReuse.Std())
 	c.freshness.Store(freshness.New(g.settings.Bounds.RevokeWithin.Std()))
 	return c
@@ -283,14 +286,8 @@
 	for _, id := range c.registry.TakeExpired(now) {
 		c.deregister(id, "lapsed")
 	}
-	for name, seen := range c.peerLastSeen {
-		if now.Sub(seen) > c.peerTimeout() {
-			delete(c.peerLastSeen, name)
-			delete(c.peerUpdates, name)
-			c.kvCopies.Lost(now, name, 0, now)
-			c.table.RemovePeer(name)
-		}
-	}
+	c.removeSilentPeers(now)
+	c.updateRunKnowledge(now)
 	for _, m := range c.monitors {
 		c.checkSilence(now, m)
 		c.checkPrefill(now, m)
--- a/process/gateway/harness_test.go
+++ b/process/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylane/mulberrylane/connection/target"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/eventlog"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/standin/caller"
 	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/network"
@@ -188,6 +189,16 @@
 
 func (g *Gateway) callerAddress() string { return g.ingress.callerListener.Addr().String() }
 
+// waitForKnowledge waits until an entry finds its knowledge of the others' runs to be as given.
+func (d *deployment) waitForKnowledge(g *Gateway, want kvcopies.Knowledge) {
+	d.t.Helper()
+	d.waitUntil(func() bool {
+		knowledge := want
+		g.control.do(func() { knowledge = g.control.kvCopies.Knowledge() })
+		return knowledge == want
+	})
+}
+
 // waitUntil waits until a condition holds, for up to 6 s, the longest that any
 // documented bound allows.
 func (d *deployment) waitUntil(condition func() bool) {
--- a/process/gateway/kv_copies.go
+++ b/process/gateway/kv_copies.go
@@ -59,8 +59,9 @@
 	s.run = kvcopies.Number(g.runs.Add(1))
 	result := kvcopies.NotReturning
 	g.control.do(func() {
-		c := g.control
-		s.resumeCopy, result = c.kvCopies.Start(time.Now(), s.run, s.inbound.ID, identity, s.inbound.Position > 0)
+		c, now := g.control, time.Now()
+		c.updateRunKnowledge(now)
+		s.resumeCopy, result = c.kvCopies.Start(now, s.run, s.inbound.ID, identity, s.inbound.Position > 0)
 	})
 	if result != kvcopies.NotReturning {
 		g.metrics.countReturn(result.String())
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrylane/mulberrylane/process/admission"
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/request"
 )
@@ -19,6 +20,9 @@
 	// peerTimeoutPeriods times the period of updates if that is longer.
 	minPeerTimeout     = 4 * time.Second
 	peerTimeoutPeriods = 4
+	// callerReturnTime is how long the callers of an entry that has ended take to come back elsewhere:
+	// they open a new connection at once, and again a second later if that fails.
+	callerReturnTime = 4 * time.Second
 	// maxUnregisteredPeers is how many senders may be known that are not registered as entries.
 	// Those that start just register; anybody else may send datagrams under any number of names.
 	maxUnregisteredPeers = 16
@@ -34,6 +38,75 @@
 	return max(minPeerTimeout, peerTimeoutPeriods*c.updatePeriod())
 }
 
+// registerPeer records the registration of an entry. A new one is told of everything at once: what it
+// does not know yet may be lost with this entry.
+func (c *control) registerPeer(now time.Time, name string, record entryRecord) {
+	known, ok := c.peers[name]
+	if !ok || known.address != record.Peers {
+		known.registeredAt = now
+		c.updateScheduler.ForceFull()
+		c.updatePending = true
+	}
+	c.peers[name] = peer{address: record.Peers, failureDomain: record.FailureDomain, registeredAt: known.registeredAt}
+}
+
+// lapsePeer records that an entry is not registered any more. While it sends updates it is running and
+// has to be told of this entry's work, so it stays known until it falls silent.
+func (c *control) lapsePeer(name string) {
+	p, known := c.peers[name]
+	if _, heard := c.peerLastSeen[name]; known && heard {
+		p.lapsed = true
+		c.peers[name] = p
+		return
+	}
+	delete(c.peers, name)
+}
+
+// removeSilentPeers removes the entries that were not heard for too long.
+func (c *control) removeSilentPeers(now time.Time) {
+	for name, seen := range c.peerLastSeen {
+		if now.Sub(seen) <= c.peerTimeout() {
+			continue
+		}
+		delete(c.peerLastSeen, name)
+		delete(c.peerUpdates, name)
+		c.kvCopies.Lost(now, name, 0, now)
+		c.table.RemovePeer(name)
+		if c.peers[name].lapsed {
+			delete(c.peers, name)
+			c.peersChanged()
+		}
+	}
+}
+
+// updateRunKnowledge determines whether the runs of all other entries are known.
+func (c *control) updateRunKnowledge(now time.Time) {
+	self := c.gateway.settings.Name
+	silent := ""
+	for name, p := range c.peers {
+		if name == self || now.Sub(p.registeredAt) <= peerDiscoveryTime {
+			continue
+		}
+		// After a pause of this process, requests may come before the check that removes silent peers.
+		if seen, heard := c.peerLastSeen[name]; !heard || now.Sub(seen) > c.peerTimeout() {
+			silent = name
+			c.peerSilentUntil = now.Add(callerReturnTime)
+		}
+	}
+	knowledge := kvcopies.Complete
+	own, registered := c.peers[self]
+	switch {
+	case !registered || own.address != c.gateway.peers.Address() || now.Sub(own.registeredAt) < peerDiscoveryTime:
+		knowledge = kvcopies.Unannounced
+	case now.Before(c.peerSilentUntil):
+		knowledge = kvcopies.PeerSilent
+	}
+	if knowledge != c.kvCopies.Knowledge() {
+		c.gateway.log.Event("run_knowledge", "state", knowledge.String(), "silent", silent, "entries", len(c.peers))
+	}
+	c.kvCopies.SetKnowledge(knowledge)
+}
+
 // peersChanged passes the registered entries to the placement.
 func (c *control) peersChanged() {
 	self := c.gateway.settings.Name
@@ -76,7 +149,7 @@
 	for id := range c.table.LocalWork() {
 		update.SetWork(id, c.table.Get(id).ReportedWork())
 	}
-	if len(c.peers) > 1 {
+	if c.hasPeers() {
 		c.send(now, c.updateScheduler.Compose(now, update), slices.Collect(maps.Keys(c.peers)))
 	}
 }
@@ -86,7 +159,7 @@
 func (c *control) sendPartialUpdate() {
 	placed, now := c.newlyPlaced, time.Now()
 	c.newlyPlaced = nil
-	if len(placed) == 0 || len(c.peers) <= 1 || !c.updateScheduler.PartialAllowed(now) {
+	if len(placed) == 0 || !c.hasPeers() || !c.updateScheduler.PartialAllowed(now) {
 		return
 	}
 	update := peers.Update{
@@ -116,6 +189,12 @@
 	c.updateScheduler.RecordSent(now, update, bytes, len(addresses), c.slowestLink())
 }
 
+// hasPeers reports whether another entry is known. This one may be missing among the registered.
+func (c *control) hasPeers() bool {
+	_, self := c.peers[c.gateway.settings.Name]
+	return len(c.peers) > 1 || len(c.peers) == 1 && !self
+}
+
 // addressesOf returns the addresses of entries other than this one.
 func (c *control) addressesOf(entries []string) []string {
 	addresses := make([]string, 0, len(entries))
--- a/process/gateway/returned_stream_test.go
+++ b/process/gateway/returned_stream_test.go
@@ -8,9 +8,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/request"
+	"github.com/mulberrylane/mulberrylane/standin/kv"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
 
@@ -40,12 +42,19 @@
 	for _, name := range entries {
 		d.entries = append(d.entries, d.startReadyEntry(name))
 	}
+	for _, g := range d.entries {
+		d.waitForKnowledge(g, kvcopies.Complete)
+	}
 	return d
 }
 
-// kill ends an entry without a word to the others.
+// kill ends an entry without a word to the others, which know all its runs.
 func (d *returnTest) kill(g *Gateway) {
 	d.waitUntilKnown(g)
+	d.killNow(g)
+}
+
+func (d *returnTest) killNow(g *Gateway) {
 	_ = g.peers.Close()
 	g.ingress.callerListener.StopAccepting()
 	g.ingress.close()
@@ -158,6 +167,92 @@
 	}
 }
 
+// expectEqualRequestsReadAgain sends two requests that are the same to the first two entries and kills
+// the first. Its caller must not be served from the run at the second one.
+func (d *returnTest) expectEqualRequestsReadAgain() {
+	d.t.Helper()
+	first, second := sessionRequest(), sessionRequest()
+	d.read(d.entries[0], first, 5)
+	d.read(d.entries[1], second, 15)
+	d.killNow(d.entries[0])
+	again := first.again(5)
+	d.read(d.entries[1], again, 60)
+	d.expectCopyOf(again, "")
+}
+
+// loseLeases lets the leases of all entries end during an outage of the store.
+func (d *returnTest) loseLeases() {
+	d.store.SetFaults(kv.Faults{Outage: true})
+	time.Sleep(500 * time.Millisecond)
+	d.store.ExpireLeases()
+}
+
+// The leases of the entries ended, and they told each other nothing until they had registered again.
+// A caller was served from the memory of an equal request meanwhile.
+func TestReturn_EqualRequestsAfterLeasesEnded(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	d.loseLeases()
+	d.store.SetFaults(kv.Faults{})
+	time.Sleep(400 * time.Millisecond)
+	d.expectEqualRequestsReadAgain()
+}
+
+// Entries whose leases ended and that cannot register again still tell each other of their runs.
+func TestReturn_RunsOfUnregisteredEntriesAreKnown(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	d.loseLeases()
+	d.store.SetFaults(kv.Faults{WriteLossRate: 1, OnlyKeys: platform.EntryPrefix})
+	for _, g := range d.entries {
+		d.waitForKnowledge(g, kvcopies.Unannounced)
+	}
+	req := sessionRequest()
+	d.read(d.entries[0], req, 15)
+	d.waitUntil(func() bool {
+		known := false
+		d.entries[1].control.do(func() {
+			for _, run := range d.entries[1].control.peerUpdates["entry-1"].Runs {
+				known = known || run.ID == request.ID(req.AttemptID)
+			}
+		})
+		return known
+	})
+	assert.Equal(t, len(d.storeValues(platform.EntryPrefix)), 0)
+	d.killNow(d.entries[0])
+	d.waitUntil(func() bool {
+		known := true
+		d.entries[1].control.do(func() { _, known = d.entries[1].control.peers["entry-1"] })
+		return !known
+	})
+}
+
+// An entry that could not register yet is not told of the runs of others.
+func TestReturn_EqualRequestsAtUnregisteredEntry(t *testing.T) {
+	d := newReturnTest(t, "entry-1")
+	d.store.SetFaults(kv.Faults{WriteLossRate: 1, OnlyKeys: platform.EntryPrefix})
+	d.entries = append(d.entries, d.startReadyEntry("entry-2"))
+	d.expectEqualRequestsReadAgain()
+}
+
+// Two entries are out of touch. Each serves one of two equal requests.
+func TestReturn_EqualRequestsAtEntriesOutOfTouch(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	_ = d.entries[0].peers.Close()
+	d.waitForKnowledge(d.entries[1], kvcopies.PeerSilent)
+	d.expectEqualRequestsReadAgain()
+}
+
+// An entry was paused, and a caller comes back before the entry has looked for silent ones.
+func TestReturn_KnowledgeIsIncompleteAfterPause(t *testing.T) {
+	d := newReturnTest(t, "entry-1", "entry-2")
+	c := d.entries[1].control
+	c.do(func() {
+		now := time.Now()
+		c.peerLastSeen["entry-1"] = now.Add(-c.peerTimeout() - time.Millisecond)
+		c.updateRunKnowledge(now)
+		assert.Check(t, c.kvCopies.Knowledge() == kvcopies.PeerSilent)
+	})
+}
+
 // The end of one stream of a session deleted the copy of another one.
 func TestReturn_CopySurvivesTheEndOfAnotherStreamOfItsSession(t *testing.T) {
 	d := newReturnTest(t, "entry-1", "entry-2")
--- a/process/gateway/stop_test.go
+++ b/process/gateway/stop_test.go
@@ -450,6 +450,7 @@
 func TestStop_CopyIsFoundAfterStoppedEntryRestarted(t *testing.T) {
 	d := newDeployment(t)
 	g := d.startReadyEntry("entry-1")
+	d.waitForKnowledge(g, kvcopies.Complete)
 	c := g.control
 	kvCopy := kvcopies.Copy{RequestID: "request-a", Target: "e1", Incarnation: 1}
 	identity := request.Identity{1}
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -27,6 +27,11 @@
 type peer struct {
 	address       string
 	failureDomain string
+	// registeredAt is when the entry was first found registered at this address.
+	registeredAt time.Time
+	// lapsed is set while the store does not hold the registration of an entry that still sends
+	// updates, as after an outage in which leases ended.
+	lapsed bool
 }
 
 // recordChanges adds changes that are now known to those that other entries may ask for.
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -148,17 +148,21 @@
 	g := w.gateway
 	ctx, cancel := g.withTimeout(w.timeout())
 	defer cancel()
-	sent, listed := bootClock(), time.Now()
+	sent, asked := bootClock(), time.Now()
 	items, revision, err := g.store.Range(ctx, "")
 	g.metrics.countStoreCall("range", err)
 	if err != nil {
 		return errors.Wrap(err, "list")
 	}
 	var ids []request.TargetID
+	entries := map[string]bool{}
 	for _, item := range items {
 		if id, ok := strings.CutPrefix(item.Key, platform.TargetPrefix); ok {
 			ids = append(ids, request.TargetID(id))
 		}
+		if name, ok := strings.CutPrefix(item.Key, platform.EntryPrefix); ok {
+			entries[name] = true
+		}
 	}
 	w.storeAvailable(true)
 	g.control.do(func() {
@@ -166,11 +170,16 @@
 		for _, id := range c.registry.Reconcile(time.Now(), ids) {
 			c.deregister(id, "not registered")
 		}
-		clear(c.peers)
+		for name := range c.peers {
+			if !entries[name] {
+				c.lapsePeer(name)
+			}
+		}
 	})
 	w.applyAll(items)
-	g.registration.observeList(listed, g.registrationKey(), items)
+	g.registration.observeList(asked, g.registrationKey(), items)
 	g.control.do(func() {
+		g.control.peersChanged()
 		g.control.removeRollouts(items, revision)
 		g.control.recordChanges(items, revision, true)
 	})
@@ -387,7 +396,7 @@
 	}
 	if item.Removed {
 		g.control.do(func() {
-			delete(g.control.peers, name)
+			g.control.lapsePeer(name)
 			g.control.peersChanged()
 		})
 		return
@@ -398,7 +407,7 @@
 		return
 	}
 	g.control.do(func() {
-		g.control.peers[name] = peer{address: record.Peers, failureDomain: record.FailureDomain}
+		g.control.registerPeer(time.Now(), name, record)
 		g.control.peersChanged()
 	})
 }
--- a/process/gateway/stream_test.go
+++ b/process/gateway/stream_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/request"
 	"github.com/mulberrylane/mulberrylane/standin/replica"
 )
@@ -153,6 +154,7 @@
 		d.engines = append(d.engines, d.startReplica(config))
 	}
 	d.gateway, d.req = d.startReadyEntry("entry-1"), streamRequest()
+	d.waitForKnowledge(d.gateway, kvcopies.Complete)
 	d.reader = d.openStream(context.Background(), d.gateway, d.req)
 	d.reader.skipTo(t, 5)
 	d.source = d.executingReplica(d.req.AttemptID, d.engines...)
@@ -294,6 +296,8 @@
 		d.startEngine(id, failureDomain)
 	}
 	first, second := d.startReadyEntry("entry-1"), d.startReadyEntry("entry-2")
+	d.waitForKnowledge(first, kvcopies.Complete)
+	d.waitForKnowledge(second, kvcopies.Complete)
 	ctx, disconnect := context.WithCancel(context.Background())
 	defer disconnect()
 	req := streamRequest()
--- a/process/kvcopies/index.go
+++ b/process/kvcopies/index.go
@@ -4,7 +4,8 @@
 // A copy holds the memory of one run of one request. A caller that comes back sends its request
 // again under another ID, so runs are matched by the identity of their request. Requests that
 // are the same in all that identifies them cannot be told apart: then no copy is proof, and the
-// prompt is read again.
+// prompt is read again. That only one run of a request is known is proof only while this entry is
+// told of the runs of all others.
 package kvcopies
 
 import (
@@ -86,6 +87,22 @@
 	lostAt, copiesExpire time.Time
 }
 
+// Knowledge tells whether this entry knows the runs of all others.
+type Knowledge int
+
+const (
+	// Complete means that all other entries tell this one of their runs.
+	Complete Knowledge = iota
+	// PeerSilent means that an entry is out of touch. Its callers may come back while its runs
+	// are not known here.
+	PeerSilent
+	// Unannounced means that the others may not know of this entry. They may run, and lose,
+	// requests equal to those that run here without a word to this entry.
+	Unannounced
+)
+
+func (k Knowledge) String() string { return [...]string{"complete", "peer_silent", "unannounced"}[k] }
+
 // Index knows the runs of this entry and of others.
 type Index struct {
 	own    map[Number]*ownRun
@@ -95,6 +112,7 @@
 	// conflicts holds runs of other entries that cannot be told from others, for entries that
 	// have started since and do not know the others.
 	conflicts map[RunRef]struct{}
+	knowledge Knowledge
 }
 
 // New returns an empty index.
@@ -120,10 +138,12 @@
 	Unknown
 	// Ambiguous means that the run cannot be told from that of another request.
 	Ambiguous
+	// Incomplete means that runs of other entries may not be known.
+	Incomplete
 )
 
 func (r Result) String() string {
-	return [...]string{"not_returning", "found", "no_copy", "unknown", "ambiguous"}[r]
+	return [...]string{"not_returning", "found", "no_copy", "unknown", "ambiguous", "incomplete"}[r]
 }
 
 // candidate is a known run that a caller may come back for.
@@ -136,6 +156,12 @@
 	copyExpired bool
 }
 
+// Knowledge returns whether the runs of all other entries are known.
+func (i *Index) Knowledge() Knowledge { return i.knowledge }
+
+// SetKnowledge records whether the runs of all other entries are known.
+func (i *Index) SetKnowledge(k Knowledge) { i.knowledge = k }
+
 // Start records a new run of this entry. For a caller that comes back it returns the copy of the
 // run that it comes back for, if that can be told.
 func (i *Index) Start(now time.Time, number Number, id request.ID, identity request.Identity, returning bool) (Copy, Result) {
@@ -145,12 +171,12 @@
 	switch {
 	case result == Found || result == NoCopy:
 		run.Resumed = candidates[0].ID
-	case result == Unknown:
+	case result == Unknown || result == Incomplete || len(candidates) > 0:
 		// Others with the same identity may have been forgotten with the run of this caller.
 		run.Ambiguous = true
-	case len(candidates) > 0:
-		run.Ambiguous = true
 		i.markAmbiguous(candidates)
+	case i.knowledge == Unannounced:
+		run.Ambiguous = true
 	}
 	i.own[number] = run
 	i.known[identity]++
@@ -162,6 +188,8 @@
 	switch {
 	case !returning:
 		return Copy{}, NotReturning
+	case i.knowledge != Complete:
+		return Copy{}, Incomplete
 	case len(candidates) == 0:
 		return Copy{}, Unknown
 	case len(candidates) > 1 || candidates[0].Ambiguous || i.sharesName(candidates[0].Run):
--- a/process/kvcopies/index_test.go
+++ b/process/kvcopies/index_test.go
@@ -170,6 +170,36 @@
 	expectReturn(t, i, later, copyOf("a"), Found)
 }
 
+// An entry is out of touch. Its caller must not be served from the run of an equal request, which may be
+// used again when all entries are known.
+func TestIndex_SilentEntryMayHaveRuns(t *testing.T) {
+	i := New()
+	i.SetKnowledge(PeerSilent)
+	startOwn(i, 1, "a", identity)
+	assert.Assert(t, !i.Own(start)[1].Ambiguous)
+	i.SetKnowledge(Complete)
+	expectReturn(t, i, start, copyOf("a"), Found)
+
+	i = New()
+	startOwn(i, 1, "a", identity)
+	i.SetKnowledge(PeerSilent)
+	expectReturn(t, i, start, Copy{}, Incomplete)
+	assert.Assert(t, i.Own(start)[1].Ambiguous)
+	assert.Assert(t, i.Own(start)[100].Ambiguous)
+}
+
+// An entry that the others do not know was not told of an equal run, which has ended since.
+func TestIndex_RunOfUnannouncedEntryIsNotUsed(t *testing.T) {
+	i := New()
+	i.SetKnowledge(Unannounced)
+	startOwn(i, 1, "a", identity)
+	startOwn(i, 2, "b", request.Identity{2})
+	i.SetKnowledge(Complete)
+	expectReturn(t, i, start, Copy{}, Ambiguous)
+	_, result := i.Start(start, 101, "b.2", request.Identity{2}, true)
+	assert.Equal(t, result, Ambiguous)
+}
+
 // modelCaller is a caller in TestIndex_RandomHistories and its latest run.
 type modelCaller struct {
 	name     string
