soak: count variants of faults under the lock

The race detector found the plan of faults and the roll-out of a run writing the same map of counts: odd registrations were counted without the lock of the schedule. All writes now go through the schedule.

--- a/bench/soak/connectionfaults.go
+++ b/bench/soak/connectionfaults.go
@@ -217,7 +217,7 @@
 			d.addFailure("entries connected %d times to the target of an odd registration: %s", connections, chosen.name)
 		}
 	})
-	p.schedule.counts["odd registration, "+chosen.name]++
+	p.schedule.count("odd registration, " + chosen.name)
 	d.mu.Lock()
 	d.lastIncarnation++
 	key := fmt.Sprintf("%sodd-%d", platform.TargetPrefix, d.lastIncarnation)
--- a/bench/soak/faultplan.go
+++ b/bench/soak/faultplan.go
@@ -63,6 +63,13 @@
 	s.log = append(s.log, fmt.Sprintf("%.2f %s for %.2f", time.Since(s.start).Seconds(), name, duration.Seconds()))
 }
 
+// count counts a variant of a fault.
+func (s *schedule) count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[name]++
+}
+
 type pendingAction struct {
 	at     time.Time
 	action func()
