--- a/bench/soak/seeds.go
+++ b/bench/soak/seeds.go
@@ -49,4 +49,5 @@
 var PlannedWorkSeeds = []RegressionSeed{
 	{1, idleLimitCause + "; a registration with negative slots was used; " + lateEvidenceCause}, {8, idleLimitCause + "; " + silenceCause}, {52, silenceCause},
 	{9101, lateEndCause}, {9103, lateEvidenceCause}, {9104, lateEvidenceCause}, {9107, lateEndCause}, {9109, lateEndCause}, {52001, lateEvidenceCause}, {52002, lateEvidenceCause},
+	{451002, lateEvidenceCause}, {451007, lateEndCause}, {451009, lateEndCause},
 }
