gateway: what a read of the store cost, and why another entry's answer was not used

Cause of this change: the logs had store_away alone, so that a response that arrived too slowly, a store that was slow, small processors and lost announcements looked the same.

Change: connection/transfer measures each exchange with the store (bytes, time to the head, time to the end, complete or not); questions to other entries are counted and timed by result; configuration_applied tells what decoding and compiling cost. No decision changes.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -108,6 +108,7 @@
 	g.registration = newRegistrationState()
 	g.eras = newStoreEras(g)
 	store.SetEras(g.eras)
+	store.SetObserver(g.observeExchange)
 	g.knowledgeLearned = make(chan struct{}, maxAskedEntries)
 	g.control = newControl(g)
 	g.bodyMemory = newBodyMemory(s.MemoryMB)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -24,6 +24,9 @@
 	longestPause      metric.Float64Histogram
 	eras, eraProblems metric.Int64Counter
 	storeCalls        metric.Int64Counter
+	storeBytes        metric.Int64Counter
+	storeQuestions    metric.Int64Counter
+	storeQuestionTime metric.Float64Histogram
 	probes            metric.Int64Counter
 	targetsLost       metric.Int64Counter
 	targetsDraining   metric.Int64Counter
@@ -59,6 +62,9 @@
 		eras:              b.Counter("mulberrylane.store.eras", "Times that the store was found to have come back from an older copy"),
 		eraProblems:       b.Counter("mulberrylane.store.era_problems", "Responses of the store whose era is an earlier one, or none"),
 		storeCalls:        b.Counter("mulberrylane.store.calls", "Calls to the store, by call and result"),
+		storeBytes:        b.Counter("mulberrylane.store.received_bytes", "Bytes of the bodies of the store's responses, by call and whether the body was complete"),
+		storeQuestions:    b.Counter("mulberrylane.store.questions", "Questions to other entries about changes of the store, by result"),
+		storeQuestionTime: b.LatencyHistogram("mulberrylane.store.question.latency", "Time from a question to another entry about changes of the store until its answer"),
 		probes:            b.Counter("mulberrylane.probes", "Probes of targets"),
 		targetsLost:       b.Counter("mulberrylane.targets.lost", "Targets given up after silence or a refused connection"),
 		targetsDraining:   b.Counter("mulberrylane.targets.leaving", "Targets that announced in a response that they drain, other entries' reports included"),
@@ -184,6 +190,18 @@
 		attribute.String("call", call), attribute.String("result", result)))
 }
 
+// recordStoreBytes counts the bytes of a response of the store.
+func (m *instruments) recordStoreBytes(call string, bytes int, complete bool) {
+	m.storeBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(
+		attribute.String("call", call), attribute.Bool("complete", complete)))
+}
+
+// recordQuestion records the result of a question to another entry about changes of the store.
+func (m *instruments) recordQuestion(result string, took time.Duration) {
+	m.storeQuestions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+	m.storeQuestionTime.Record(context.Background(), took.Seconds())
+}
+
 func (m *instruments) countRequest(kind, outcome string) {
 	m.requests.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("route", kind), attribute.String("outcome", outcome)))
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -160,6 +160,18 @@
 
 // ask asks another entry for changes of the store and applies them.
 func (w *storeWatcher) ask(name string) answerKind {
+	g := w.gateway
+	asked := time.Now()
+	kind, result := w.question(name)
+	g.metrics.recordQuestion(result, time.Since(asked))
+	if kind == unanswered {
+		g.log.Event("store_question_failed", "entry", name, "reason", result, "after", time.Since(asked), "position", w.position.String())
+	}
+	return kind
+}
+
+// question asks another entry, and returns what became of it for decisions and for logs.
+func (w *storeWatcher) question(name string) (kind answerKind, result string) {
 	g := w.gateway
 	address, maxAge := "", time.Duration(0)
 	question := &peers.SyncQuestion{Revision: w.position.Revision, Era: w.position.Era}
@@ -177,7 +189,7 @@
 	})
 	asked := bootClock()
 	if _, err := g.peers.Send(peers.Update{Entry: g.settings.Name, Partial: true, Question: question}, []string{address}); err != nil {
-		return unanswered
+		return unanswered, "not_sent"
 	}
 	timeout := time.NewTimer(questionTimeout)
 	defer timeout.Stop()
@@ -188,19 +200,25 @@
 			case answer.ID != question.ID:
 				continue
 			case answer.Era > 0 && answer.Era < max(g.eras.Current(), w.position.Era):
-				return behind
+				return behind, "behind"
 			case answer.Lost:
 				w.relist = true
-				return unanswered
-			case answer.Era < w.position.Era || !answer.Usable(maxAge) || !w.continues(answer.Answer):
-				return unanswered
+				return unanswered, "lost"
+			case answer.Era < w.position.Era:
+				return unanswered, "earlier_era"
+			}
+			if reason := answer.Reason(maxAge); reason != "" {
+				return unanswered, reason
+			}
+			if !w.continues(answer.Answer) {
+				return unanswered, "gap"
 			}
 			w.applyAnswer(answer.Answer, asked)
-			return answered
+			return answered, "answered"
 		case <-timeout.C:
-			return unanswered
+			return unanswered, "timeout"
 		case <-g.background.Done():
-			return unanswered
+			return unanswered, "stopping"
 		}
 	}
 }
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mulberrylane/mulberrylane/connection/transfer"
 	"github.com/mulberrylane/mulberrylane/platform"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/registry"
@@ -45,6 +46,8 @@
 	// only slow.
 	outageTimeout     = 250 * time.Millisecond
 	outageLongTimeout = 900 * time.Millisecond
+	// minLoggedTransfer is the size from which transfers are logged: more than some hundred registrations.
+	minLoggedTransfer = 64 << 10
 	// maxLoggedFields limits how many fields of a configuration one line names.
 	maxLoggedFields = 8
 )
@@ -311,6 +314,15 @@
 	g.store.Reconnect()
 }
 
+// observeExchange records what a call to the store cost. Large responses are logged: how long they take
+// grows with the load of the link.
+func (g *Gateway) observeExchange(e transfer.Exchange) {
+	g.metrics.recordStoreBytes(e.Path, e.Bytes, e.Complete)
+	if e.Bytes >= minLoggedTransfer {
+		g.log.Event("store_transfer", "call", e.Path, "bytes", e.Bytes, "toHead", e.ToHead, "toEnd", e.ToEnd, "complete", e.Complete)
+	}
+}
+
 // configurationAge returns the age of the configuration for logs.
 func (g *Gateway) configurationAge() string {
 	freshness := g.control.currentFreshness()
@@ -361,12 +373,15 @@
 
 func (w *storeWatcher) applyConfiguration(item platform.Item) {
 	g := w.gateway
+	started := time.Now()
 	document, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
 		g.log.Event("configuration_unreadable", "revision", item.Revision, "error", err.Error())
 		return
 	}
-	g.adoptConfiguration(document, item.Value, item.Revision)
+	if g.adoptConfiguration(document, item.Value, item.Revision) {
+		g.log.Event("configuration_applied", "version", document.Version, "bytes", len(item.Value), "took", time.Since(started))
+	}
 }
 
 // adoptConfiguration makes a configuration the one in force, unless it is older than that, or invalid.
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -232,8 +232,20 @@
 }
 
 // Usable reports whether an answer brings the asking entry up to date.
-func (a *Answer) Usable(maxAge time.Duration) bool {
-	return !a.Incomplete && !a.Unavailable && a.Age >= 0 && a.Age < maxAge
+func (a *Answer) Usable(maxAge time.Duration) bool { return a.Reason(maxAge) == "" }
+
+// Reason returns why an answer does not bring the asking entry up to date, or "" if it does.
+func (a *Answer) Reason(maxAge time.Duration) string {
+	switch {
+	case a.Unavailable:
+		return "unavailable"
+	case a.Age < 0 || a.Age >= maxAge:
+		return "too_old"
+	case a.Incomplete:
+		return "incomplete"
+	default:
+		return ""
+	}
 }
 
 // ConfirmedAt returns when the store confirmed the knowledge in an answer to a question that
