--- a/standin/network/tcp.go
+++ b/standin/network/tcp.go
@@ -1,12 +1,14 @@
 package network
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 )
 
 // TCPFaults selects the faults of a TCP relay. They apply to open connections as well.
@@ -18,11 +20,17 @@
 	HoldBothDirections bool
 	// HoldResponses forwards the data of callers and holds the server's responses.
 	HoldResponses bool
+	// BytesPerSecond limits the data of the server's responses over all connections together, as the
+	// link of the caller's host does; zero sets no limit.
+	BytesPerSecond int
 	// SpareOpen spares connections that were opened before the faults, SpareNew those that are
 	// opened since.
 	SpareOpen, SpareNew bool
 }
 
+// chunkBytes is the most that is forwarded at once.
+const chunkBytes = 32 << 10
+
 // TCPRelay forwards connections to a server, which can be replaced.
 type TCPRelay struct {
 	address string
@@ -31,6 +39,8 @@
 	listener net.Listener
 	upstream string
 	faults   TCPFaults
+	// bandwidth paces responses, nil for no limit.
+	bandwidth *rate.Limiter
 	// faultsChanged is closed and replaced when the faults change, changes counts how often.
 	faultsChanged chan struct{}
 	changes       int
@@ -88,6 +98,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults = faults
+	r.bandwidth = nil
+	if faults.BytesPerSecond > 0 {
+		r.bandwidth = rate.NewLimiter(rate.Limit(faults.BytesPerSecond), chunkBytes)
+	}
 	r.changes++
 	close(r.faultsChanged)
 	r.faultsChanged = make(chan struct{})
@@ -164,11 +178,14 @@
 		_ = to.Close()
 		_ = from.Close()
 	}()
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			r.applyFaults(openedIn, response)
+			if response {
+				r.pace(n)
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -183,6 +200,16 @@
 	}
 }
 
+// pace waits until the link has carried n bytes more.
+func (r *TCPRelay) pace(n int) {
+	r.mu.Lock()
+	bandwidth := r.bandwidth
+	r.mu.Unlock()
+	if bandwidth != nil {
+		_ = bandwidth.WaitN(context.Background(), n)
+	}
+}
+
 // applyFaults blocks while the direction is held, then waits for the delay.
 func (r *TCPRelay) applyFaults(openedIn int, response bool) {
 	for {
--- a/standin/network/tcp_test.go
+++ b/standin/network/tcp_test.go
@@ -68,3 +68,27 @@
 		})
 	}
 }
+
+func TestTCPRelay_LimitsResponsesOfAllConnections(t *testing.T) {
+	relay, err := NewTCPRelay(startTCPEchoServer(t))
+	assert.NilError(t, err)
+	defer relay.Close()
+	const perSecond = 1 << 20
+	relay.SetFaults(TCPFaults{BytesPerSecond: perSecond})
+	start := time.Now()
+	done := make(chan error, 2)
+	for range cap(done) {
+		conn, err := net.Dial("tcp", relay.Address())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		go func() { _, _ = conn.Write(make([]byte, perSecond/4)) }()
+		go func() {
+			_, err := io.CopyN(io.Discard, conn, perSecond/4)
+			done <- err
+		}()
+	}
+	for range cap(done) {
+		assert.NilError(t, <-done)
+	}
+	assert.Assert(t, time.Since(start) > 400*time.Millisecond, "took %s", time.Since(start))
+}
