storesync: reads of the store are limited by their progress

Cause: a read of the store had a fixed time (600 ms, 250 or 900 ms after a failure), whatever its size. What had arrived was thrown away, and the next read of the same bytes loaded the link again and had less time.

Change: storesync.TransferTime decides how long an exchange may have taken by the bytes that have arrived; connection/transfer applies it. The fixed times now limit how long the response may take to begin, so the end of an outage is seen as before. Calls with small responses keep theirs.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberrylane/mulberrylane/connection/detector"
+	"github.com/mulberrylane/mulberrylane/connection/transfer"
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
@@ -416,7 +417,14 @@
 	return admission.Charge{}, false
 }
 
-// withTimeout returns a context that is cancelled when the process stops or after d.
-func (g *Gateway) withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(g.background, d)
+// withAllowance returns a context for reads of the store that ends when the process stops. A response must
+// begin within toBegin, and then make progress.
+func (g *Gateway) withAllowance(toBegin time.Duration) context.Context {
+	return transfer.WithAllowance(g.background, func(bytes int) time.Duration { return storesync.TransferTime(toBegin, bytes) })
+}
+
+// withStoreTimeout returns a context for a call with a small response. It is cancelled when the process
+// stops or after storeTimeout.
+func (g *Gateway) withStoreTimeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(g.background, storeTimeout)
 }
--- a/process/gateway/large_configuration_test.go
+++ b/process/gateway/large_configuration_test.go
@@ -159,3 +159,15 @@
 	d.waitWithin(applyTimeout, func() bool { return int(other.configurationVersion()) == d.version })
 	assert.Equal(t, d.send(other, bookingRequest()).status, http.StatusOK)
 }
+
+// The response of the store takes longer than its other calls may, but arrives all the while.
+func TestLargeConfiguration_SlowTransferIsNoOutage(t *testing.T) {
+	d := newDeployment(t)
+	d.startApplication("a1", "naxos")
+	g := d.startEntryBehindLink("entry-1", slowLink)
+	d.waitUntil(g.ready)
+	time.Sleep(longPollPeriod)
+	d.addRoutes(5500)
+	d.waitWithin(applyTimeout+storeTimeout, func() bool { return int(g.configurationVersion()) == d.version })
+	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
+}
--- a/process/gateway/quarantine_store.go
+++ b/process/gateway/quarantine_store.go
@@ -70,7 +70,7 @@
 }
 
 func (g *Gateway) tryStoreQuarantine(r quarantine.Record) error {
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
 	g.metrics.countStoreCall("lease", err)
@@ -93,7 +93,7 @@
 // record ends with its lease, and an engine that survives the part releases it again.
 func (g *Gateway) removeQuarantine(part quarantine.Part) {
 	g.retryStore("quarantine_not_removed", part, false, func() error {
-		ctx, cancel := g.withTimeout(storeTimeout)
+		ctx, cancel := g.withStoreTimeout()
 		defer cancel()
 		_, err := g.store.Commit(ctx, 0, nil, nil, []string{quarantineKey(part)})
 		g.metrics.countStoreCall("swap", err)
@@ -181,7 +181,7 @@
 // rewriteTrial writes again that this entry has claimed the trial of a part. Another one may have
 // claimed it since.
 func (g *Gateway) rewriteTrial(part quarantine.Part, until time.Time) {
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, min(time.Until(until), maxQuarantineLease))
 	g.metrics.countStoreCall("lease", err)
@@ -229,7 +229,7 @@
 // request with the part. The part may have been released since, and without a trial no request
 // would show that it is sound. An entry claims it when it has such requests.
 func (g *Gateway) claimTrial(r quarantine.Record) {
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, min(time.Until(r.Until), maxQuarantineLease))
 	g.metrics.countStoreCall("lease", err)
--- a/process/gateway/registration.go
+++ b/process/gateway/registration.go
@@ -241,7 +241,7 @@
 }
 
 func (g *Gateway) grantLease() (platform.Lease, error) {
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	lease, err := g.store.GrantLease(ctx, leaseTTL)
 	g.metrics.countStoreCall("lease", err)
@@ -253,7 +253,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	write := platform.Write{Key: g.registrationKey(), Value: value, Lease: lease}
 	position, err := g.store.Commit(ctx, lease.Era, nil, []platform.Write{write}, nil)
@@ -266,7 +266,7 @@
 }
 
 func (g *Gateway) renewLease(lease platform.Lease) error {
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	err := g.store.KeepAlive(ctx, lease)
 	g.metrics.countStoreCall("keep", err)
--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -349,7 +349,7 @@
 	// The record is last: where each write of a transaction has a revision of its own, the one that
 	// the store returns is that of the last.
 	writes = append(writes, platform.Write{Key: recordKey, Value: record})
-	ctx, cancel := g.withTimeout(storeTimeout)
+	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	position, err := g.store.Commit(ctx, change.Era, conditions, writes, nil)
 	g.metrics.countStoreCall("swap", err)
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -27,8 +27,8 @@
 	longPollPeriod = 6 * time.Second
 	// longPollWait is how long the store may hold one such call.
 	longPollWait = 500 * time.Millisecond
-	// storeTimeout is how long the store may take for a call, not counting
-	// longPollWait.
+	// storeTimeout is how long the store may take until its response to a call begins, not
+	// counting longPollWait.
 	storeTimeout = 600 * time.Millisecond
 	// batchDelay is the pause between long polls, so that one call returns several
 	// changes.
@@ -41,9 +41,9 @@
 	// it doubles with each failure, maxRetryDoublings times at most.
 	maxRetryInterval  = 4 * time.Second
 	maxRetryDoublings = 4
-	// outageTimeout is how long most calls may take during an outage, so that its end
-	// is seen soon. Every third call may take outageLongTimeout, in case the store is
-	// only slow.
+	// outageTimeout is how long the response to most calls may take to begin during an outage, so
+	// that its end is seen soon. Every third call may take outageLongTimeout, in case the store
+	// is only slow.
 	outageTimeout     = 250 * time.Millisecond
 	outageLongTimeout = 900 * time.Millisecond
 	// minLoggedTransfer is the size from which transfers are logged: more than some hundred registrations.
@@ -96,8 +96,8 @@
 	outageSuspected bool
 }
 
-// timeout returns how long the store may take for a call, not counting the wait of a
-// long poll.
+// timeout returns how long the store may take until the response to a call begins, not counting the
+// wait of a long poll.
 func (w *storeWatcher) timeout() time.Duration {
 	switch {
 	case w.failures == 0 && !w.outageSuspected:
@@ -163,8 +163,7 @@
 // list reads all keys and reconciles the registrations with them.
 func (w *storeWatcher) list() error {
 	g := w.gateway
-	ctx, cancel := g.withTimeout(w.timeout())
-	defer cancel()
+	ctx := g.withAllowance(w.timeout())
 	sent, asked := bootClock(), time.Now()
 	items, position, err := g.store.Range(ctx, "")
 	g.metrics.countStoreCall("range", err)
@@ -233,8 +232,7 @@
 	if longPoll {
 		wait = longPollWait
 	}
-	ctx, cancel := g.withTimeout(wait + w.timeout())
-	defer cancel()
+	ctx := g.withAllowance(wait + w.timeout())
 	sent := bootClock()
 	items, position, err := g.store.Watch(ctx, "", w.position, wait)
 	g.metrics.countStoreCall("watch", err)
