storesync, peers: changes of any size are passed on between entries

Cause: an answer about the store had to fit a datagram of 32 kB, and all that was kept for others 256 kB, both less than one configuration of 1,400 routes (290 kB). Answers were "incomplete" and led to own reads; an entry whose reader was still reading found it "too_old" and read as well. Ruled out: lost announcements.

Change: answers hold the last value of each key only, packed with the asking entry's configuration as a dictionary (zstd), so that they cost what is new. What does not fit a datagram is asked for over a connection at the same address, limited by its progress. The history drops superseded values before others. An entry says that a response of the store is arriving, and its knowledge may then be a second older before others read the store. Packing runs outside the control loop, once for all that ask for the same. Entries of earlier builds get what they got.

Two tests of the history wrote one key over and over to fill it, which now supersedes; they write as many different keys, and check the same.

Why it works: a change costs the store one read, whatever the number of entries.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberrylane/mulberrylane/connection/detector"
-	"github.com/mulberrylane/mulberrylane/connection/transfer"
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
@@ -417,12 +416,6 @@
 	return admission.Charge{}, false
 }
 
-// withAllowance returns a context for reads of the store that ends when the process stops. A response must
-// begin within toBegin, and then make progress.
-func (g *Gateway) withAllowance(toBegin time.Duration) context.Context {
-	return transfer.WithAllowance(g.background, func(bytes int) time.Duration { return storesync.TransferTime(toBegin, bytes) })
-}
-
 // withStoreTimeout returns a context for a call with a small response. It is cancelled when the process
 // stops or after storeTimeout.
 func (g *Gateway) withStoreTimeout() (context.Context, context.CancelFunc) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// configuration is its value in the store. configurationMu is held while it is replaced.
 	configuration   atomic.Pointer[[]byte]
 	configurationMu sync.Mutex
+	storeAnswers    *storeAnswers
+	// reading is set while a response of the store is arriving or being applied.
+	reading atomic.Bool
 	// knowledgeLearned receives a value when another entry has told what it knows beside the store.
 	knowledgeLearned chan struct{}
 	// syncAnswers and syncAnnouncements pass messages of other entries to the watch on the
@@ -109,6 +112,7 @@
 	g.eras = newStoreEras(g)
 	store.SetEras(g.eras)
 	store.SetObserver(g.observeExchange)
+	g.storeAnswers = newStoreAnswers()
 	g.knowledgeLearned = make(chan struct{}, maxAskedEntries)
 	g.control = newControl(g)
 	g.bodyMemory = newBodyMemory(s.MemoryMB)
@@ -134,7 +138,7 @@
 	}
 	g.peers = conn
 	for _, loop := range []func(){
-		g.control.run, g.watchStore, g.maintainRegistration, g.receivePeerUpdates, g.reloadSettings, g.ingress.serve,
+		g.control.run, g.watchStore, g.maintainRegistration, g.receivePeerUpdates, g.serveTransfers, g.reloadSettings, g.ingress.serve,
 		g.discoverCachedPrompts,
 	} {
 		g.done.Go(loop)
--- a/process/gateway/large_configuration_test.go
+++ b/process/gateway/large_configuration_test.go
@@ -171,3 +171,27 @@
 	d.waitWithin(applyTimeout+storeTimeout, func() bool { return int(g.configurationVersion()) == d.version })
 	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
 }
+
+// Every entry read a change that does not fit a datagram from the store itself.
+func TestLargeConfiguration_IsReadFromTheStoreOnce(t *testing.T) {
+	for name, routes := range map[string]int{"packed in a datagram": 1000, "over a connection": 4000} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.startApplication("a1", "naxos")
+			entries := d.startEntries("entry-1", "entry-2", "entry-3", "entry-4")
+			time.Sleep(longPollPeriod)
+			before, start := d.store.Calls(), time.Now()
+			d.addRoutes(routes)
+			for _, g := range entries {
+				d.waitWithin(applyTimeout, func() bool { return int(g.configurationVersion()) == d.version })
+			}
+			d.addRoutes(1)
+			for _, g := range entries {
+				d.waitWithin(applyTimeout, func() bool { return int(g.configurationVersion()) == d.version })
+			}
+			calls := d.store.Calls()
+			reads := calls.Watches + calls.Ranges - before.Watches - before.Ranges
+			assert.Assert(t, reads <= int64(time.Since(start)/pollInterval)+1, "%d reads in %s", reads, time.Since(start))
+		})
+	}
+}
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +18,9 @@
 	// questionTimeout is how long another entry may take to answer: the slowest link between
 	// failure domains and some delay on a busy processor.
 	questionTimeout = 150 * time.Millisecond
+	// transferTimeout is how long an answer over a connection may take to begin: the setup of the
+	// connection, and the packing of changes on a busy processor.
+	transferTimeout = 600 * time.Millisecond
 	// peerDiscoveryTime is how long after its start an entry has heard from all others that
 	// are running.
 	peerDiscoveryTime = 2 * time.Second
@@ -64,35 +66,6 @@
 	return view.ReadsStore()
 }
 
-// answerQuestion answers another entry's question about the store.
-func (c *control) answerQuestion(question peers.SyncQuestion, entry string, from netip.AddrPort) {
-	freshness := c.currentFreshness()
-	position := c.storeHistory.Position()
-	answer := peers.SyncAnswer{ID: question.ID}
-	answer.Revision, answer.Era = position.Revision, position.Era
-	changes, bridged, complete := c.storeHistory.Since(question.Position())
-	answer.Changes, answer.Bridged, answer.Incomplete = changes, bridged, !complete
-	answer.Lost = c.storeHistory.Lost(question.Position())
-	answer.Age = freshness.Age(bootClock())
-	answer.Unavailable = c.registry.StoreUnavailable() || !freshness.HasConfiguration() || c.lastReadFailed && c.readsStore()
-	if question.Knowledge != nil {
-		answer.Knowledge = c.knowledgeFor(*question.Knowledge)
-		if c.isPeerAt(entry, from) {
-			c.learn(*question.Knowledge, from)
-		}
-	}
-	if question.LatestEra > c.gateway.eras.Current() {
-		c.gateway.notifyWatch(announcement{entry: entry, position: storesync.Position{Era: question.LatestEra}})
-	}
-	message := peers.Update{Entry: c.gateway.settings.Name, Partial: true, Answer: &answer}
-	if _, err := c.gateway.peers.Send(message, []string{from.String()}); err != nil {
-		answer.Changes, answer.Incomplete, answer.Knowledge = nil, true, nil
-		if _, err := c.gateway.peers.Send(message, []string{from.String()}); err != nil {
-			c.gateway.log.Event("peers_not_told", "error", err.Error())
-		}
-	}
-}
-
 // announceChanges tells the entries that ask this one that there are changes.
 func (c *control) announceChanges() {
 	view := c.syncView()
@@ -174,7 +147,7 @@
 func (w *storeWatcher) question(name string) (kind answerKind, result string) {
 	g := w.gateway
 	address, maxAge := "", time.Duration(0)
-	question := &peers.SyncQuestion{Revision: w.position.Revision, Era: w.position.Era}
+	question := &peers.SyncQuestion{Revision: w.position.Revision, Era: w.position.Era, Packed: true, Dictionary: g.storeAnswers.dictionary()}
 	if latest := max(g.eras.Current(), w.hintedEra); latest > w.position.Era {
 		question.LatestEra = latest
 	}
@@ -187,42 +160,79 @@
 			question.Knowledge = c.ownKnowledge()
 		}
 	})
+	message := peers.Update{Entry: g.settings.Name, Partial: true, Question: question}
 	asked := bootClock()
-	if _, err := g.peers.Send(peers.Update{Entry: g.settings.Name, Partial: true, Question: question}, []string{address}); err != nil {
+	if _, err := g.peers.Send(message, []string{address}); err != nil {
 		return unanswered, "not_sent"
 	}
+	answer, result := w.awaitAnswer(question.ID)
+	if answer == nil {
+		return unanswered, result
+	}
+	if answer.TooLong {
+		if asked, answer = bootClock(), w.fetch(address, message); answer == nil {
+			return unanswered, "transfer_failed"
+		}
+	}
+	return w.useAnswer(*answer, asked, maxAge)
+}
+
+// awaitAnswer waits for the answer to a question, or returns why there is none.
+func (w *storeWatcher) awaitAnswer(id uint64) (*peers.SyncAnswer, string) {
 	timeout := time.NewTimer(questionTimeout)
 	defer timeout.Stop()
 	for {
 		select {
-		case answer := <-g.syncAnswers:
-			switch {
-			case answer.ID != question.ID:
-				continue
-			case answer.Era > 0 && answer.Era < max(g.eras.Current(), w.position.Era):
-				return behind, "behind"
-			case answer.Lost:
-				w.relist = true
-				return unanswered, "lost"
-			case answer.Era < w.position.Era:
-				return unanswered, "earlier_era"
+		case answer := <-w.gateway.syncAnswers:
+			if answer.ID == id {
+				return &answer, ""
 			}
-			if reason := answer.Reason(maxAge); reason != "" {
-				return unanswered, reason
-			}
-			if !w.continues(answer.Answer) {
-				return unanswered, "gap"
-			}
-			w.applyAnswer(answer.Answer, asked)
-			return answered, "answered"
 		case <-timeout.C:
-			return unanswered, "timeout"
-		case <-g.background.Done():
-			return unanswered, "stopping"
+			return nil, "timeout"
+		case <-w.gateway.background.Done():
+			return nil, "stopping"
 		}
 	}
 }
 
+// fetch asks a question again over a connection, since the answer does not fit a datagram. It returns nil if
+// that fails.
+func (w *storeWatcher) fetch(address string, message peers.Update) *peers.SyncAnswer {
+	g := w.gateway
+	response, err := g.peers.Ask(g.withAllowance(transferTimeout, nil), address, message)
+	if err != nil {
+		g.log.Event("transfer_failed", "address", address, "error", err.Error())
+		return nil
+	}
+	return response.Answer
+}
+
+// useAnswer applies the answer to a question that was sent at the given time, if it is of use.
+func (w *storeWatcher) useAnswer(answer peers.SyncAnswer, asked, maxAge time.Duration) (kind answerKind, result string) {
+	g := w.gateway
+	switch {
+	case answer.Era > 0 && answer.Era < max(g.eras.Current(), w.position.Era):
+		return behind, "behind"
+	case answer.Lost:
+		w.relist = true
+		return unanswered, "lost"
+	case answer.Era < w.position.Era:
+		return unanswered, "earlier_era"
+	}
+	if reason := answer.Reason(maxAge); reason != "" {
+		return unanswered, reason
+	}
+	if !w.continues(answer.Answer) {
+		return unanswered, "gap"
+	}
+	if err := g.storeAnswers.unpack(&answer); err != nil {
+		g.log.Event("store_answer_unreadable", "error", err.Error())
+		return unanswered, "unreadable"
+	}
+	w.applyAnswer(answer.Answer, asked)
+	return answered, "answered"
+}
+
 // continues reports whether an answer leads on from the known position.
 func (w *storeWatcher) continues(answer storesync.Answer) bool {
 	return answer.Era == w.position.Era || answer.Bridged
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -163,7 +163,8 @@
 // list reads all keys and reconciles the registrations with them.
 func (w *storeWatcher) list() error {
 	g := w.gateway
-	ctx := g.withAllowance(w.timeout())
+	ctx := g.withAllowance(w.timeout(), g.beginReading)
+	defer g.endReading()
 	sent, asked := bootClock(), time.Now()
 	items, position, err := g.store.Range(ctx, "")
 	g.metrics.countStoreCall("range", err)
@@ -232,7 +233,23 @@
 	if longPoll {
 		wait = longPollWait
 	}
-	ctx := g.withAllowance(wait + w.timeout())
+	if err := w.readChanges(wait); err != nil || w.relist {
+		return err
+	}
+	if longPoll {
+		w.pause(batchDelay)
+	} else {
+		w.pauseUntilAnnounced(pollInterval)
+	}
+	return nil
+}
+
+// readChanges reads and applies what changed since the known position, or finds that everything has to be
+// listed. The store may wait for changes.
+func (w *storeWatcher) readChanges(wait time.Duration) error {
+	g := w.gateway
+	ctx := g.withAllowance(wait+w.timeout(), g.beginReading)
+	defer g.endReading()
 	sent := bootClock()
 	items, position, err := g.store.Watch(ctx, "", w.position, wait)
 	g.metrics.countStoreCall("watch", err)
@@ -254,11 +271,6 @@
 	w.advance(position)
 	w.recordChanges(items)
 	w.confirmFreshness(sent)
-	if longPoll {
-		w.pause(batchDelay)
-	} else {
-		w.pauseUntilAnnounced(pollInterval)
-	}
 	return nil
 }
 
@@ -312,6 +324,22 @@
 	g.store.Reconnect()
 }
 
+// withAllowance returns a context for reads that ends when the process stops. A response must begin within
+// toBegin, and then make progress. onProgress is called as it does, unless it is nil.
+func (g *Gateway) withAllowance(toBegin time.Duration, onProgress func()) context.Context {
+	return transfer.WithAllowance(g.background, func(bytes int) time.Duration {
+		if bytes > 0 && onProgress != nil {
+			onProgress()
+		}
+		return storesync.TransferTime(toBegin, bytes)
+	})
+}
+
+// beginReading records that a response of the store is arriving. It is applied when endReading is called.
+func (g *Gateway) beginReading() { g.reading.Store(true) }
+
+func (g *Gateway) endReading() { g.reading.Store(false) }
+
 // observeExchange records what a call to the store cost. Large responses are logged: how long they take
 // grows with the load of the link.
 func (g *Gateway) observeExchange(e transfer.Exchange) {
@@ -400,6 +428,7 @@
 	}
 	g.table.Store(table)
 	g.configuration.Store(&value)
+	g.storeAnswers.addDocument(value)
 	g.ingress.applyLimits(table.Limits())
 	g.control.do(func() { g.control.setServices(table) })
 	if names := table.OutOfBounds(); len(names) > 0 {
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -6,12 +6,14 @@
 //
 // It uses datagrams rather than links because an update needs neither ordering nor
 // retransmission, and a handshake with each of many entries would cost a starting process
-// more than all the updates that it sends.
+// more than all the updates that it sends. Only changes of the store that are too long for a datagram
+// are asked for over a connection.
 package peers
 
 import (
 	"math"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -30,6 +32,9 @@
 // maxDatagram is the maximum size of an encoded update; larger ones are not sent.
 const maxDatagram = 32 << 10
 
+// ErrTooLong means that an update does not fit a datagram.
+var ErrTooLong = errors.New("too long for a datagram")
+
 // maxNameBytes limits the name of a sender, as that of a registered entry.
 const maxNameBytes = 200
 
@@ -201,9 +206,12 @@
 	return state
 }
 
-// Conn sends and receives updates.
+// Conn sends and receives updates, and questions and answers that are too long for a datagram.
 type Conn struct {
 	conn *net.UDPConn
+	// listener accepts the connections of entries that ask, client opens those of this one.
+	listener net.Listener
+	client   *http.Client
 	// buffer receives datagrams. A new one for each would make up most of what an idle
 	// entry allocates.
 	buffer []byte
@@ -212,17 +220,15 @@
 	senders senders
 }
 
-// Listen opens a UDP socket at an IP address and port.
+// Listen opens a UDP socket and a TCP listener at an IP address and port.
 func Listen(address string) (*Conn, error) {
-	local, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "peers")
-	}
-	conn, err := net.ListenUDP("udp", local)
+	conn, listener, err := listenBoth(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	return &Conn{conn: conn, buffer: make([]byte, maxDatagram), senders: senders{}}, nil
+	return &Conn{
+		conn: conn, listener: listener, client: newTransferClient(), buffer: make([]byte, maxDatagram), senders: senders{},
+	}, nil
 }
 
 // Address returns the IP address and port that the socket receives at.
@@ -239,7 +245,7 @@
 		return 0, errors.Wrap(err, "peers")
 	}
 	if len(data) > maxDatagram {
-		return 0, errors.Errorf("peer update of %d bytes is too long for a datagram", len(data))
+		return 0, errors.Wrapf(ErrTooLong, "peer update of %d bytes", len(data))
 	}
 	var first error
 	for _, address := range addresses {
@@ -279,5 +285,11 @@
 	return c.senders.accept(time.Now(), update)
 }
 
-// Close closes the socket.
-func (c *Conn) Close() error { return errors.WithStack(c.conn.Close()) }
+// Close closes the socket and the listener.
+func (c *Conn) Close() error {
+	err := c.listener.Close()
+	if closeErr := c.conn.Close(); closeErr != nil {
+		err = closeErr
+	}
+	return errors.WithStack(err)
+}
--- a/process/peers/sync.go
+++ b/process/peers/sync.go
@@ -19,6 +19,10 @@
 	// Knowledge is what the sender knows beside the store, if the answer is to hold what the other
 	// entry knows so.
 	Knowledge *Knowledge `cbor:"5,keyasint,omitempty"`
+	// Packed is set if the sender reads packed changes. Dictionary is the hash of a value that it has
+	// and that the changes may replace.
+	Packed     bool   `cbor:"6,keyasint,omitempty"`
+	Dictionary uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Position returns the position up to which the sender knows all changes.
@@ -32,6 +36,12 @@
 	ID               uint64 `cbor:"1,keyasint,omitempty"`
 	storesync.Answer `cbor:"2,keyasint"`
 	Knowledge        *Knowledge `cbor:"3,keyasint,omitempty"`
+	// Packed holds the changes in place of Changes, as PackChanges returns them. Dictionary is the hash of
+	// the dictionary, zero for none.
+	Packed     []byte `cbor:"4,keyasint,omitempty"`
+	Dictionary uint64 `cbor:"5,keyasint,omitempty"`
+	// TooLong means that the changes are known, and do not fit a datagram.
+	TooLong bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Knowledge is what an entry knows that the store may not hold any more, since it came back from an older
--- a/process/storesync/history.go
+++ b/process/storesync/history.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// maxKeptChanges and maxKeptBytes limit the changes that are kept for other entries.
-	maxKeptChanges = 1000
-	maxKeptBytes   = 256 << 10
+	// maxKeptChanges and maxKeptBytes limit the changes that are kept for other entries: those of 1,600
+	// targets that come back twice, and of a few of the largest values that a store takes (1 MB).
+	maxKeptChanges = 4000
+	maxKeptBytes   = 4 << 20
 	// maxSpans limits the spans of earlier positions that are kept: two eras and two lists.
 	maxSpans = 4
 )
@@ -55,9 +56,9 @@
 // entries that know less. When the store is listed anew, in the same era or in a new one, the
 // difference is kept as a bridge, so that the others need not list it too.
 //
-// Invariants: changes holds every change after start up to position, in order, and bridge the state at
-// start of every key that differs between there and any position in spans. All of them are in the era
-// of position.
+// Invariants: changes holds the last change of every key after start up to position, in order, and may
+// hold earlier ones; bridge holds the state at start of every key that differs between there and any
+// position in spans. All of them are in the era of position.
 type History struct {
 	start, position Position
 	keys            map[string]keyState
@@ -121,10 +122,7 @@
 	for _, change := range different {
 		h.record(&change)
 	}
-	h.bytes = 0
-	for _, change := range h.bridge {
-		h.bytes += change.size()
-	}
+	h.bytes = Size(h.bridge)
 	h.limit()
 }
 
@@ -175,29 +173,58 @@
 	h.limit()
 }
 
-// limit drops the oldest changes that are too many. The bridge leads to start, so it goes first.
+// limit drops what is too much: changes that a later one of the same key supersedes, then the bridge, which
+// leads to start, then the oldest changes. It makes room for more than one, since it looks at all.
 func (h *History) limit() {
+	if len(h.bridge)+len(h.changes) <= maxKeptChanges && h.bytes <= maxKeptBytes {
+		return
+	}
+	h.changes = latest(h.changes)
+	h.bytes = Size(h.bridge) + Size(h.changes)
 	if len(h.bridge)+len(h.changes) > maxKeptChanges || h.bytes > maxKeptBytes {
-		for _, change := range h.bridge {
-			h.bytes -= change.size()
-		}
 		h.bridge, h.spans = nil, nil
+		h.bytes = Size(h.changes)
 	}
 	drop := 0
-	for len(h.changes)-drop > maxKeptChanges || h.bytes > maxKeptBytes {
+	for len(h.changes)-drop > maxKeptChanges-maxKeptChanges/4 || h.bytes > maxKeptBytes {
 		h.start = h.changes[drop].Position()
 		h.bytes -= h.changes[drop].size()
 		drop++
 	}
-	h.changes = h.changes[drop:]
+	h.changes = slices.Clone(h.changes[drop:])
+}
+
+// Size returns the size of changes in bytes, not counting what encodes them.
+func Size(changes []Change) int {
+	size := 0
+	for _, change := range changes {
+		size += change.size()
+	}
+	return size
+}
+
+// latest returns the last change of each key, in order. An entry that applies them holds what one does that
+// applies all changes: of a key that changes often, and is large, the earlier values are not worth their bytes.
+func latest(changes []Change) []Change {
+	seen := make(map[string]struct{}, len(changes))
+	var kept []Change
+	for _, change := range slices.Backward(changes) {
+		if _, ok := seen[change.Key]; !ok {
+			seen[change.Key] = struct{}{}
+			kept = append(kept, change)
+		}
+	}
+	slices.Reverse(kept)
+	return kept
 }
 
 // Lost reports whether an entry at a position may know what the store does not hold any more, since it went
 // back without a new era.
 func (h *History) Lost(p Position) bool { return !h.lost.to.IsZero() && h.lost.contains(p) }
 
-// Since returns all changes after a position. complete is false if they are not known. Bridged is set
-// if the changes are the states of keys at the known position, and not each change since.
+// Since returns the last change after a position of each key that changed. complete is false if they are not
+// known. Bridged is set if no sequence of changes leads on from there: the changes are then the states of
+// all keys that may differ, at the known position.
 func (h *History) Since(p Position) (changes []Change, bridged, complete bool) {
 	switch {
 	case h.position.IsZero() || h.Lost(p):
@@ -205,7 +232,7 @@
 	case p.Era == h.position.Era && !h.start.After(p):
 		for i, change := range h.changes {
 			if change.Position().After(p) {
-				return h.changes[i:], false, true
+				return latest(h.changes[i:]), false, true
 			}
 		}
 		return nil, false, true
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -16,6 +16,10 @@
 	maxReaderAge = 1250 * time.Millisecond
 	maxRelayAge  = 1700 * time.Millisecond
 	maxAgeShare  = 0.4
+	// maxReadingTime is how much older the knowledge of an entry may be to which a response of the store is
+	// arriving: the time that the largest value takes over a slow link. If all that wait for it read the
+	// store instead, they would load their own links and that of the store with the same bytes.
+	maxReadingTime = time.Second
 	// maxAsksAfterFailure is how many usable answers of other entries follow a failed read of
 	// the store before the next one.
 	maxAsksAfterFailure = 4
@@ -217,6 +221,8 @@
 	Bridged bool `cbor:"7,keyasint,omitempty"`
 	// Lost means that the store, which has no eras, has gone back since the asking entry read it.
 	Lost bool `cbor:"8,keyasint,omitempty"`
+	// Reading means that a response of the store is arriving or being applied.
+	Reading bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Position returns the position up to which the answering entry knows all changes.
@@ -239,7 +245,7 @@
 	switch {
 	case a.Unavailable:
 		return "unavailable"
-	case a.Age < 0 || a.Age >= maxAge:
+	case a.Age < 0 || a.Age >= maxAge && !a.Reading || a.Age >= maxAge+maxReadingTime:
 		return "too_old"
 	case a.Incomplete:
 		return "incomplete"
--- a/process/storesync/storesync_test.go
+++ b/process/storesync/storesync_test.go
@@ -18,7 +18,7 @@
 	assert.Assert(t, !complete, "an empty history knows nothing")
 	h.List(nil, at(10))
 	for revision := int64(11); revision <= 10+2*maxKeptChanges; revision++ {
-		h.Append([]Change{{Key: "k", Revision: revision, Era: 1}}, at(revision))
+		h.Append([]Change{{Key: fmt.Sprint(revision), Revision: revision, Era: 1}}, at(revision))
 	}
 	_, _, complete = h.Since(at(10))
 	assert.Assert(t, !complete, "changes were dropped")
@@ -47,13 +47,30 @@
 	var h History
 	h.List(nil, at(1))
 	for revision := int64(2); revision < 12; revision++ {
-		h.Append([]Change{{Key: "k", Value: make([]byte, maxKeptBytes/4), Revision: revision, Era: 1}}, at(revision))
+		h.Append([]Change{{Key: fmt.Sprint(revision), Value: make([]byte, maxKeptBytes/4), Revision: revision, Era: 1}}, at(revision))
 	}
 	assert.Assert(t, h.bytes <= maxKeptBytes)
 	_, _, complete := h.Since(at(1))
 	assert.Assert(t, !complete)
 }
 
+// A configuration changes several times a second. Its earlier values must neither displace the changes of
+// targets nor be sent.
+func TestHistory_SupersededValuesAreDroppedFirst(t *testing.T) {
+	var h History
+	h.List(nil, at(1))
+	h.Append([]Change{{Key: "target", Value: []byte("leaving"), Revision: 2, Era: 1}}, at(2))
+	for revision := int64(3); revision < 60; revision++ {
+		h.Append([]Change{{Key: "configuration", Value: make([]byte, maxKeptBytes/4), Revision: revision, Era: 1}}, at(revision))
+	}
+	assert.Assert(t, h.bytes <= maxKeptBytes)
+	changes, bridged, complete := h.Since(at(1))
+	assert.Assert(t, complete && !bridged)
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].Key, "target")
+	assert.Equal(t, changes[1].Revision, int64(59))
+}
+
 // fleet returns the entries of failure domains by domain.
 func fleet(domains, perDomain int) map[string][]string {
 	entries := map[string][]string{}
--- a/records_test.go
+++ b/records_test.go
@@ -25,8 +25,8 @@
 
 // The files in testdata/records were written by the build of commit 6bb7fae, with a value
 // in every field but those listed as unset, and with distinct texts and numbers;
-// peers-quarantine-update.cbor, peers-runs-update.cbor, peers-speeds-update.cbor and peers-era-*.cbor by the
-// builds that brought their fields.
+// peers-quarantine-update.cbor, peers-runs-update.cbor, peers-speeds-update.cbor, peers-era-*.cbor and
+// peers-packed-*.cbor by the builds that brought their fields.
 
 // record is a file and the type that it is decoded as.
 type record struct {
@@ -128,10 +128,12 @@
 			".Partial", ".LinkMbps", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".Draining", ".CachedPrompts",
 			".FailureRates", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
 		}},
-		{file: "peers-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question.Era", ".Question.LatestEra", ".Question.Knowledge", ".Answer")},
-		{file: "peers-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes.Era", ".Answer.Answer.Era", ".Answer.Answer.Bridged", ".Answer.Answer.Lost", ".Answer.Knowledge")},
-		{file: "peers-era-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Answer")},
-		{file: "peers-era-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes.Era")},
+		{file: "peers-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question.Era", ".Question.LatestEra", ".Question.Knowledge", ".Question.Packed", ".Question.Dictionary", ".Answer")},
+		{file: "peers-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes.Era", ".Answer.Answer.Era", ".Answer.Answer.Bridged", ".Answer.Answer.Lost", ".Answer.Answer.Reading", ".Answer.Knowledge", ".Answer.Packed", ".Answer.Dictionary", ".Answer.TooLong")},
+		{file: "peers-era-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question.Packed", ".Question.Dictionary", ".Answer")},
+		{file: "peers-era-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes.Era", ".Answer.Answer.Reading", ".Answer.Packed", ".Answer.Dictionary", ".Answer.TooLong")},
+		{file: "peers-packed-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question.Knowledge", ".Answer")},
+		{file: "peers-packed-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes", ".Answer.Knowledge")},
 	} {
 		t.Run(r.file, func(t *testing.T) {
 			data := readRecord(t, r.file)
