storesync: entries with slow links neither read the store nor pass changes on

Cause: the entry that reads the store, and the relays, were chosen by a hash of their names alone.

Change: entries register the bandwidth of their links. Relays and the reader are the first by the hash among those whose links are at least half as fast as the best one; links beyond 100 Mbit/s count as equal. Where all are alike, or unknown, the choice is what it was. A registration with a negative bandwidth is no entry.

--- a/process/gateway/odd_entries_test.go
+++ b/process/gateway/odd_entries_test.go
@@ -304,6 +304,7 @@
 		"o-port": `{"peers":"127.0.0.1:70000"}`, "o-zero": `{"peers":"127.0.0.1:0"}`, "o-negative": `{"peers":"127.0.0.1:-4"}`,
 		"o-many": `{"peers":"224.0.0.1:9"}`, "o-long": `{"peers":"127.0.0.1:9","failureDomain":"` + strings.Repeat("z", 1<<20) + `"}`,
 		"o-utf8": "{\"peers\":\"127.0.0.1:9\",\"failureDomain\":\"\xff\"}", "o\tname": `{"peers":"127.0.0.1:9"}`, "": `{"peers":"127.0.0.1:9"}`,
+		"o-link": `{"peers":"127.0.0.1:9","linkMbps":-1}`, "o-link-text": `{"peers":"127.0.0.1:9","linkMbps":"fast"}`,
 		strings.Repeat("o", 300): `{"peers":"127.0.0.1:9"}`,
 	}
 	for name, value := range odd {
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -51,7 +51,9 @@
 		c.updateScheduler.ForceFull()
 		c.updatePending = true
 	}
-	c.peers[name] = peer{address: record.Peers, failureDomain: record.FailureDomain, registeredAt: known.registeredAt}
+	c.peers[name] = peer{
+		address: record.Peers, failureDomain: record.FailureDomain, linkMbps: record.LinkMbps, registeredAt: known.registeredAt,
+	}
 }
 
 // lapsePeer records that an entry is not registered any more. While it sends updates it is running and
--- a/process/gateway/registration.go
+++ b/process/gateway/registration.go
@@ -31,6 +31,8 @@
 type entryRecord struct {
 	Peers         string `json:"peers"`
 	FailureDomain string `json:"failureDomain,omitempty"`
+	// LinkMbps is the bandwidth of the host's link in megabits a second, zero if it is not known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
 // decodeEntry decodes the registration of an entry. Other writers may leave anything there; an
@@ -48,6 +50,8 @@
 		return entryRecord{}, errors.Errorf("the name is not 1 to %d visible bytes", maxEntryNameBytes)
 	case record.FailureDomain != "" && !isEntryName(record.FailureDomain):
 		return entryRecord{}, errors.Errorf("the failure domain is not a name of at most %d visible bytes", maxEntryNameBytes)
+	case record.LinkMbps < 0:
+		return entryRecord{}, errors.New("the bandwidth is negative")
 	}
 	return record, nil
 }
@@ -249,7 +253,9 @@
 }
 
 func (g *Gateway) writeRegistration(lease platform.Lease) error {
-	value, err := json.Marshal(entryRecord{Peers: g.peers.Address(), FailureDomain: g.settings.FailureDomain})
+	value, err := json.Marshal(entryRecord{
+		Peers: g.peers.Address(), FailureDomain: g.settings.FailureDomain, LinkMbps: g.settings.LinkMbps,
+	})
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -36,6 +36,8 @@
 type peer struct {
 	address       string
 	failureDomain string
+	// linkMbps is the bandwidth of its link in megabits a second, zero if it is not known.
+	linkMbps float64
 	// registeredAt is when the entry was first found registered at this address.
 	registeredAt time.Time
 	// missing is set while the registration is not in the copy from which the store came back, and the
@@ -52,12 +54,14 @@
 	self := c.gateway.settings
 	starting := time.Since(c.startedAt) < peerDiscoveryTime
 	domains := map[string][]string{self.FailureDomain: {self.Name}}
+	links := storesync.Links{self.Name: self.LinkMbps}
 	for name, p := range c.peers {
 		if _, live := c.peerLastSeen[name]; (live || starting) && name != self.Name {
 			domains[p.failureDomain] = append(domains[p.failureDomain], name)
+			links[name] = p.linkMbps
 		}
 	}
-	return storesync.NewView(self.Name, self.FailureDomain, domains)
+	return storesync.NewView(self.Name, self.FailureDomain, domains, links)
 }
 
 // readsStore reports whether this entry reads the store for the others.
@@ -246,11 +250,7 @@
 		w.beginEra(position)
 	}
 	w.storeAvailable(false)
-	changes := answer.History()
-	items := make([]platform.Item, len(changes))
-	for i, change := range changes {
-		items[i] = platform.Item(change)
-	}
+	items := itemsOf(answer.History())
 	if answer.Bridged {
 		w.applyBridge(items, position)
 	} else {
@@ -286,6 +286,15 @@
 	return changes
 }
 
+// itemsOf returns changes as items.
+func itemsOf(changes []storesync.Change) []platform.Item {
+	items := make([]platform.Item, len(changes))
+	for i, change := range changes {
+		items[i] = platform.Item(change)
+	}
+	return items
+}
+
 // recordChanges records the changes up to the current revision for other entries. They must be
 // recorded before their confirmation: an answer that names the age of the confirmation has to
 // hold all changes before it.
--- a/process/gateway/store_sync_test.go
+++ b/process/gateway/store_sync_test.go
@@ -141,7 +141,7 @@
 	var entries []*Gateway
 	for _, name := range names {
 		d.address = direct
-		if v := storesync.NewView(name, "naxos", map[string][]string{"naxos": names}); v.ReadsStore() {
+		if v := storesync.NewView(name, "naxos", map[string][]string{"naxos": names}, nil); v.ReadsStore() {
 			d.address = strings.TrimPrefix(proxy.URL, "http://")
 		}
 		entries = append(entries, d.startEntry(name))
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -66,7 +66,7 @@
 		}
 		for domain, entries := range domains {
 			for _, self := range entries {
-				v := storesync.NewView(self, domain, domains)
+				v := storesync.NewView(self, domain, domains, nil)
 				// The targets return within 40 s, ten for each host.
 				busiest[hosts] = max(busiest[hosts], len(v.Downstream())*bytes(hosts*10/3)/40)
 			}
--- a/process/storesync/position_test.go
+++ b/process/storesync/position_test.go
@@ -46,7 +46,7 @@
 	domains := fleet(3, 4)
 	for domain, entries := range domains {
 		for _, self := range entries {
-			v := NewView(self, domain, domains)
+			v := NewView(self, domain, domains, nil)
 			if v.ReadsStore() {
 				continue
 			}
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -37,14 +37,45 @@
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 }
 
-// relaysOf returns the relays of a failure domain: the entries that rendezvous hashing ranks first.
-// The loss of another entry does not change the choice.
-func relaysOf(entries []string) []string {
+const (
+	// ampleLinkMbps is the bandwidth, in megabits a second, beyond which links count as equal: it carries the
+	// largest value that a store takes, a megabyte, in a tenth of a second.
+	ampleLinkMbps = 100
+	// slowerLinkFactor is how many times faster the best link must be for an entry not to be preferred.
+	slowerLinkFactor = 2
+)
+
+// Links maps entries to the bandwidth of their hosts' links in megabits a second. It may lack some, or all.
+type Links map[string]float64
+
+// Preferred returns the entries with links that are not much slower than the best one. What a relay
+// passes on, and what the reader reads, is many times what another entry receives.
+func (l Links) Preferred(entries []string) []string {
+	best := 0.0
+	for _, entry := range entries {
+		best = max(best, min(l[entry], ampleLinkMbps))
+	}
+	return slices.DeleteFunc(slices.Clone(entries), func(entry string) bool { return slowerLinkFactor*l[entry] < best })
+}
+
+// relaysOf returns the relays of a failure domain: the entries that rendezvous hashing ranks first, among
+// those with preferred links while there are enough of these. The loss of another entry does not change the
+// choice, unless it had the best link.
+func relaysOf(entries []string, links Links) []string {
 	count := (len(entries) + entriesPerRelay - 1) / entriesPerRelay
+	preferred := links.Preferred(entries)
 	if count == 1 {
-		return []string{slices.MinFunc(entries, compareRanks)}
+		return []string{slices.MinFunc(preferred, compareRanks)}
+	}
+	ranked := slices.SortedFunc(slices.Values(preferred), compareRanks)
+	if len(ranked) < count {
+		for _, entry := range slices.SortedFunc(slices.Values(entries), compareRanks) {
+			if !slices.Contains(preferred, entry) {
+				ranked = append(ranked, entry)
+			}
+		}
 	}
-	return slices.SortedFunc(slices.Values(entries), compareRanks)[:count]
+	return ranked[:count]
 }
 
 // relayFor returns the relay that an entry asks. The loss of another relay does not change it.
@@ -57,7 +88,7 @@
 
 // View is what an entry knows of the entries that pass on changes. Each failure domain has a
 // relay for each entriesPerRelay entries. One of the relays reads the store, and the others ask
-// it.
+// it. Both are chosen by their links first.
 type View struct {
 	self string
 	// upstream is the entry to ask, or self for the entry that reads the store.
@@ -72,15 +103,15 @@
 
 // NewView returns the view of the entry self. domains maps failure domains to their entries;
 // the one of self includes self.
-func NewView(self, domain string, domains map[string][]string) View {
-	own := relaysOf(domains[domain])
+func NewView(self, domain string, domains map[string][]string, links Links) View {
+	own := relaysOf(domains[domain], links)
 	v := View{self: self, isRelay: slices.Contains(own, self)}
 	if !v.isRelay {
 		v.upstream = relayFor(self, own)
 	}
 	for _, other := range slices.Sorted(maps.Keys(domains)) {
 		if other != domain && len(domains[other]) > 0 {
-			v.otherRelays = append(v.otherRelays, relaysOf(domains[other])...)
+			v.otherRelays = append(v.otherRelays, relaysOf(domains[other], links)...)
 		}
 	}
 	for _, relay := range own {
@@ -96,7 +127,7 @@
 			v.downstream = append(v.downstream, entry)
 		}
 	}
-	v.upstream = slices.MinFunc(append([]string{self}, v.otherRelays...), compareRanks)
+	v.upstream = slices.MinFunc(links.Preferred(append([]string{self}, v.otherRelays...)), compareRanks)
 	if v.ReadsStore() {
 		v.downstream = append(v.downstream, v.otherRelays...)
 	}
--- a/process/storesync/storesync_test.go
+++ b/process/storesync/storesync_test.go
@@ -90,7 +90,7 @@
 		asks, told := map[string]string{}, map[string]string{}
 		for domain, entries := range domains {
 			for _, self := range entries {
-				v := NewView(self, domain, domains)
+				v := NewView(self, domain, domains, nil)
 				if v.ReadsStore() {
 					readers++
 				}
@@ -100,7 +100,7 @@
 					asks[self] = v.upstream
 				}
 				for _, entry := range v.Downstream() {
-					if slices.Contains(entries, entry) && !slices.Contains(relaysOf(entries), entry) {
+					if slices.Contains(entries, entry) && !slices.Contains(relaysOf(entries, nil), entry) {
 						told[entry] = self
 					}
 				}
@@ -119,8 +119,8 @@
 		domains := fleet(3, perDomain)
 		most := 0
 		for domain, entries := range domains {
-			for _, self := range relaysOf(entries) {
-				v := NewView(self, domain, domains)
+			for _, self := range relaysOf(entries, nil) {
+				v := NewView(self, domain, domains, nil)
 				most = max(most, len(v.Downstream()))
 			}
 		}
@@ -132,9 +132,9 @@
 
 func TestSchedule_FailedRelayIsReplacedByAnotherThenByTheStore(t *testing.T) {
 	domains := fleet(3, 4)
-	relay := relaysOf(domains["d0"])[0]
+	relay := relaysOf(domains["d0"], nil)[0]
 	self := domains["d0"][(slices.Index(domains["d0"], relay)+1)%4]
-	v := NewView(self, "d0", domains)
+	v := NewView(self, "d0", domains, nil)
 	var s Schedule
 	assert.Equal(t, s.Next(v), relay)
 	s.RecordNoAnswer()
@@ -149,7 +149,7 @@
 func TestSchedule_RelayWithoutAnswerReadsTheStoreAtOnce(t *testing.T) {
 	domains := fleet(3, 4)
 	for domain := range domains {
-		v := NewView(relaysOf(domains[domain])[0], domain, domains)
+		v := NewView(relaysOf(domains[domain], nil)[0], domain, domains, nil)
 		if v.ReadsStore() {
 			continue
 		}
@@ -163,9 +163,9 @@
 // The store turns one host away and serves all others.
 func TestSchedule_EntryTurnedAwayAsksRelays(t *testing.T) {
 	domains := fleet(3, 4)
-	relay := relaysOf(domains["d0"])[0]
-	v := NewView(domains["d0"][(slices.Index(domains["d0"], relay)+1)%4], "d0", domains)
-	only := NewView(v.self, "d0", map[string][]string{"d0": domains["d0"]})
+	relay := relaysOf(domains["d0"], nil)[0]
+	v := NewView(domains["d0"][(slices.Index(domains["d0"], relay)+1)%4], "d0", domains, nil)
+	only := NewView(v.self, "d0", map[string][]string{"d0": domains["d0"]}, nil)
 	single := Schedule{}
 	single.RecordRead(false)
 	assert.Equal(t, single.Next(only), relay, "the only failure domain")
@@ -190,7 +190,7 @@
 	domains := fleet(2, 3)
 	for domain, entries := range domains {
 		for _, self := range entries {
-			v := NewView(self, domain, domains)
+			v := NewView(self, domain, domains, nil)
 			a := Answer{Age: 900 * time.Millisecond}
 			assert.Assert(t, a.Usable(v.MaxAge(0)))
 			assert.Assert(t, a.Usable(v.MaxAge(5*time.Second)))
@@ -200,3 +200,65 @@
 		}
 	}
 }
+
+// The relays and the reader of the incident had links of 10 megabits a second, beside entries with 200.
+func TestView_SlowLinksNeitherReadNorRelay(t *testing.T) {
+	domains, links := fleet(4, 6), Links{}
+	for _, entries := range domains {
+		for i, entry := range entries {
+			links[entry] = 10
+			if i%3 == 0 {
+				links[entry] = 200
+			}
+		}
+	}
+	readers := 0
+	for domain, entries := range domains {
+		for _, self := range entries {
+			v := NewView(self, domain, domains, links)
+			if v.ReadsStore() {
+				readers++
+			}
+			assert.Equal(t, links[v.upstream], 200.0)
+			assert.Assert(t, !v.isRelay || links[self] == 200)
+		}
+	}
+	assert.Equal(t, readers, 1)
+}
+
+// With a fleet of slow links, of ample ones or of unknown ones the choice is that of the hash alone, and a domain
+// that has only slow links keeps a relay.
+func TestView_LinksThatAreMuchAlikeDoNotCount(t *testing.T) {
+	domains := fleet(3, 90)
+	for name, links := range map[string]Links{"unknown": {}, "slow": {}, "ample": {}, "one domain": {}} {
+		for domain, entries := range domains {
+			for i, entry := range entries {
+				switch name {
+				case "slow":
+					links[entry] = float64(10 + i%10)
+				case "ample":
+					links[entry] = float64(ampleLinkMbps * (1 + i%5))
+				case "one domain":
+					if links[entry] = 10; domain != "d0" {
+						links[entry] = 200
+					}
+				}
+			}
+		}
+		for domain, entries := range domains {
+			assert.DeepEqual(t, relaysOf(entries, links), relaysOf(entries, nil))
+			assert.Equal(t, len(relaysOf(entries, links)), 3)
+			v := NewView(entries[0], domain, domains, links)
+			if name == "one domain" {
+				assert.Assert(t, domain == "d0" || !slices.Contains(domains["d0"], v.upstream), "a relay with a slow link reads the store")
+				continue
+			}
+			assert.Equal(t, v.upstream, NewView(entries[0], domain, domains, nil).upstream)
+		}
+	}
+	// Fewer fast links than relays.
+	links := Links{domains["d1"][5]: 200}
+	relays := relaysOf(domains["d1"], links)
+	assert.Equal(t, len(relays), 3)
+	assert.Equal(t, relays[0], domains["d1"][5])
+}
