gateway: configurations that are superseded in the same response are not applied

Cause: a response of the watch holds each value since the last one, and all were applied in turn: four versions of 2,800 routes took the better part of a second (race detector) or of a small host's time.

Change: only the last change of each key is applied, as entries do that are told by others.

--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -266,6 +266,7 @@
 		w.relist, w.wentBackAt = true, time.Now()
 		return nil
 	}
+	items = itemsOf(storesync.Latest(changesOf(items)))
 	w.storeAvailable(true)
 	w.applyAll(items)
 	w.advance(position)
--- a/process/storesync/history.go
+++ b/process/storesync/history.go
@@ -179,7 +179,7 @@
 	if len(h.bridge)+len(h.changes) <= maxKeptChanges && h.bytes <= maxKeptBytes {
 		return
 	}
-	h.changes = latest(h.changes)
+	h.changes = Latest(h.changes)
 	h.bytes = Size(h.bridge) + Size(h.changes)
 	if len(h.bridge)+len(h.changes) > maxKeptChanges || h.bytes > maxKeptBytes {
 		h.bridge, h.spans = nil, nil
@@ -203,9 +203,9 @@
 	return size
 }
 
-// latest returns the last change of each key, in order. An entry that applies them holds what one does that
+// Latest returns the last change of each key, in order. An entry that applies them holds what one does that
 // applies all changes: of a key that changes often, and is large, the earlier values are not worth their bytes.
-func latest(changes []Change) []Change {
+func Latest(changes []Change) []Change {
 	seen := make(map[string]struct{}, len(changes))
 	var kept []Change
 	for _, change := range slices.Backward(changes) {
@@ -232,7 +232,7 @@
 	case p.Era == h.position.Era && !h.start.After(p):
 		for i, change := range h.changes {
 			if change.Position().After(p) {
-				return latest(h.changes[i:]), false, true
+				return Latest(h.changes[i:]), false, true
 			}
 		}
 		return nil, false, true
