storesync: over slow links targets are read apart, and of a series of configurations the last one

Cause: one response of the watch holds all changes, and each configuration whole. A target that left waited for configurations written before it, and three versions of 387 kB a second are more than a link of 10 Mbit/s carries.

Change: storesync.Reads decides by the size of the configuration and the link. Where it takes more than 0.2 s over half of the link, the changes of targets are read in calls of their own, before the others and while those arrive, and passed on at once; they count as known when the others are. After a configuration everything is listed until it has not changed in between. Reads are then 0.45 s apart, counted from their starts.

The bound of the test of configurations is that of the deployments with such links, 3 s; it was that of those with 1,000 Mbit/s by mistake.

--- a/process/gateway/large_configuration_test.go
+++ b/process/gateway/large_configuration_test.go
@@ -17,8 +17,10 @@
 	// slowLink is the bandwidth of a slow link in megabits a second, fastLink that of a fast one.
 	slowLink, fastLink = 10, 200
 	bitsPerByte        = 8
-	// revokeWithin is the bound on revocations of the deployments.
+	// revokeWithin is the bound on revocations of the deployments that have slow links, applyWithin that on
+	// bringing a configuration into force there.
 	revokeWithin = 5 * time.Second
+	applyWithin  = 3 * time.Second
 )
 
 // startEntryBehindLink starts an entry whose link to the store has the given bandwidth in megabits a second.
@@ -59,7 +61,7 @@
 	overdue := func() {
 		for _, g := range entries {
 			active := int(g.configurationVersion())
-			if at, ok := written[active+1]; ok && time.Since(at) > applyTimeout {
+			if at, ok := written[active+1]; ok && time.Since(at) > applyWithin {
 				d.t.Fatalf("%s has version %d %s after version %d was written", g.settings.Name, active, time.Since(at), active+1)
 			}
 			assert.Assert(d.t, g.ready(), "%s is not ready with version %d", g.settings.Name, active)
@@ -73,7 +75,7 @@
 		change()
 		written[d.version] = time.Now()
 	}
-	for time.Since(written[first+len(changes)]) < applyTimeout+100*time.Millisecond {
+	for time.Since(written[first+len(changes)]) < applyWithin+100*time.Millisecond {
 		overdue()
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -116,7 +118,7 @@
 			d := newDeployment(t)
 			d.startApplication("a1", "naxos")
 			entries := d.startFleetBehindLinks(links...)
-			d.bringIntoForce(entries, repeated(func() { d.addRoutes(1400) }, 2), 3*time.Second)
+			d.bringIntoForce(entries, repeated(func() { d.addRoutes(1400) }, 2), applyWithin)
 			d.bringIntoForce(entries, repeated(func() { d.addRoutes(1) }, 12), 330*time.Millisecond)
 		})
 	}
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -81,7 +81,7 @@
 func (c *control) announceAvailability() { c.announce(slices.Collect(maps.Keys(c.peers))) }
 
 func (c *control) announce(entries []string) {
-	position := c.storeHistory.Position()
+	position := c.storeHistory.Newest()
 	answer := peers.SyncAnswer{Answer: storesync.Answer{
 		Revision: position.Revision, Era: position.Era, Unavailable: c.registry.StoreUnavailable(),
 	}}
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -22,6 +22,11 @@
 	// once a second leaves another second within the bounds on applying a configuration
 	// and on sending no more work to a draining target.
 	pollInterval = 900 * time.Millisecond
+	// slowLinkPollInterval takes the place of pollInterval where a configuration takes long over the link:
+	// fewer versions of it gather in one response.
+	slowLinkPollInterval = pollInterval / 2
+	// minPollPause is the least pause between two reads: a read may take longer than pollInterval.
+	minPollPause = 100 * time.Millisecond
 	// longPollPeriod is how long after its start an entry uses long polling instead, so
 	// that it serves as soon as it can.
 	longPollPeriod = 6 * time.Second
@@ -85,8 +90,11 @@
 	failures    int
 	// synced is set once a configuration and the targets have been read.
 	synced bool
-	// schedule decides where the next changes come from.
+	// schedule decides where the next changes come from, reads how they are read from the store.
 	schedule storesync.Schedule
+	reads    storesync.Reads
+	// targetsApart is set while the changes of targets are read apart from all changes.
+	targetsApart bool
 	// readsStore is set while this entry reads the store for all others.
 	readsStore bool
 	// announcer is the entry that last announced changes, until it has been asked for them.
@@ -150,23 +158,55 @@
 			return nil
 		}
 	}
-	read := w.poll
-	if w.mustList() {
-		read = w.list
-	}
-	err := read()
+	err := w.read()
 	w.outageSuspected = false
 	w.schedule.RecordRead(err == nil)
 	return err
 }
 
+// read reads the store, and waits until it is to be read again.
+func (w *storeWatcher) read() error {
+	if w.mustList() {
+		return w.list()
+	}
+	start := time.Now()
+	var list bool
+	w.targetsApart, list = w.reads.Next(w.gateway.configurationSize(), w.gateway.settings.LinkMbps)
+	if w.targetsApart {
+		if err := w.readTargets(); err != nil {
+			return err
+		}
+	}
+	interval := pollInterval
+	if w.targetsApart {
+		interval = slowLinkPollInterval
+	}
+	before := w.gateway.configurationVersion()
+	defer func() { w.reads.RecordRead(w.gateway.configurationVersion() != before) }()
+	if !list {
+		return w.poll(start, interval)
+	}
+	if err := w.list(); err != nil {
+		return err
+	}
+	w.pauseUntilAnnounced(pollPause(start, interval))
+	return nil
+}
+
+// pollPause returns the pause after a read that began at the given time.
+func pollPause(start time.Time, interval time.Duration) time.Duration {
+	return max(minPollPause, interval-time.Since(start))
+}
+
 // list reads all keys and reconciles the registrations with them.
 func (w *storeWatcher) list() error {
 	g := w.gateway
 	ctx := g.withAllowance(w.timeout(), g.beginReading)
 	defer g.endReading()
 	sent, asked := bootClock(), time.Now()
-	items, position, err := g.store.Range(ctx, "")
+	var items []platform.Item
+	var position storesync.Position
+	err := w.call("list", func() (err error) { items, position, err = g.store.Range(ctx, ""); return err })
 	g.metrics.countStoreCall("range", err)
 	if err != nil {
 		return errors.Wrap(err, "list")
@@ -225,8 +265,52 @@
 	}
 }
 
-// poll reads and applies what changed since the known position.
-func (w *storeWatcher) poll() error {
+// call makes a call to the store. Where a configuration takes long over the link, the changes of targets are
+// read all the while.
+func (w *storeWatcher) call(what string, call func() error) error {
+	if !w.targetsApart {
+		return call()
+	}
+	result := make(chan error, 1)
+	go func() {
+		err := errors.New("panic")
+		defer func() { result <- err }()
+		w.gateway.protect(what, func() { err = call() })
+	}()
+	ticker := time.NewTicker(slowLinkPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-result:
+			return err
+		case <-ticker.C:
+			// If this fails, so does the other call, or it makes progress.
+			_ = w.readTargets()
+		}
+	}
+}
+
+// readTargets reads and applies the changes of targets ahead of all others. They count as known only once the
+// others are. What keeps the changes from being read shows in the read of all.
+func (w *storeWatcher) readTargets() error {
+	g := w.gateway
+	items, _, err := g.store.Watch(g.withAllowance(w.timeout(), nil), platform.TargetPrefix, w.position, time.Millisecond)
+	g.metrics.countStoreCall("watch", err)
+	switch {
+	case errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLong) || errors.Is(err, platform.ErrOtherEra):
+		return nil
+	case err != nil:
+		return errors.Wrap(err, "watch targets")
+	}
+	w.storeAvailable(true)
+	items = itemsOf(storesync.Latest(changesOf(items)))
+	w.applyAll(items)
+	w.recordChanges(items)
+	return nil
+}
+
+// poll reads and applies what changed since the known position, in a read that began at the given time.
+func (w *storeWatcher) poll(start time.Time, interval time.Duration) error {
 	g := w.gateway
 	longPoll := time.Since(g.control.startedAt) < longPollPeriod && !w.unavailable && w.readsStore && !g.settings.FirstStart
 	wait := time.Millisecond
@@ -239,7 +323,7 @@
 	if longPoll {
 		w.pause(batchDelay)
 	} else {
-		w.pauseUntilAnnounced(pollInterval)
+		w.pauseUntilAnnounced(pollPause(start, interval))
 	}
 	return nil
 }
@@ -251,7 +335,9 @@
 	ctx := g.withAllowance(wait+w.timeout(), g.beginReading)
 	defer g.endReading()
 	sent := bootClock()
-	items, position, err := g.store.Watch(ctx, "", w.position, wait)
+	var items []platform.Item
+	var position storesync.Position
+	err := w.call("watch", func() (err error) { items, position, err = g.store.Watch(ctx, "", w.position, wait); return err })
 	g.metrics.countStoreCall("watch", err)
 	switch {
 	case errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLong) || errors.Is(err, platform.ErrOtherEra):
@@ -440,6 +526,14 @@
 	return true
 }
 
+// configurationSize returns the size of the configuration in force in bytes.
+func (g *Gateway) configurationSize() int {
+	if value := g.configuration.Load(); value != nil {
+		return len(*value)
+	}
+	return 0
+}
+
 // setServices passes the services and the KV capacity of their engines to the placement table.
 func (c *control) setServices(table *routes.Table) {
 	for _, name := range table.Services() {
--- a/process/storesync/history.go
+++ b/process/storesync/history.go
@@ -157,7 +157,17 @@
 	h.keys[change.Key] = stateOf(change)
 }
 
-// Append adds all changes after the known position up to the given one of the same era.
+// Newest returns the position of the newest change that is known; it may be ahead of Position.
+func (h *History) Newest() Position {
+	newest := h.position
+	if n := len(h.changes); n > 0 && h.changes[n-1].Position().After(newest) {
+		newest = h.changes[n-1].Position()
+	}
+	return newest
+}
+
+// Append adds all changes after the known position up to the given one of the same era. Some after that
+// may be among them: they count as known once the position has passed them.
 func (h *History) Append(changes []Change, position Position) {
 	for _, change := range changes {
 		if !change.Position().After(h.position) {
@@ -170,6 +180,10 @@
 	if position.After(h.position) {
 		h.position = position
 	}
+	byPosition := func(a, b Change) int { return a.Position().Compare(b.Position()) }
+	if !slices.IsSortedFunc(h.changes, byPosition) {
+		slices.SortStableFunc(h.changes, byPosition)
+	}
 	h.limit()
 }
 
