gateway: after a drill a configuration of any size is learned from another entry

Callers of an entry that started after the store had come back from an older copy were refused, without an end, until the operator wrote again: the entry knew that the others had a later configuration and could not get it.

What entries tell each other after a drill had to fit a datagram, and a configuration of more than 20 KiB compressed was left out; one of 2,800 routes has about 75.

Change: an entry that is told of a later version without the configuration asks for it over a connection, once for all that told it, and limited by progress. Compressing for that runs outside the control loop.

TestEra_StartWaitsForLongConfiguration had the limit for its case: the entry with the configuration now has its connections in use, and the checks are the same (no key is served for 1.5 s, then the written one counts).

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -63,6 +63,8 @@
 	reading atomic.Bool
 	// knowledgeLearned receives a value when another entry has told what it knows beside the store.
 	knowledgeLearned chan struct{}
+	// documentMu is held while a configuration is asked for over a connection.
+	documentMu sync.Mutex
 	// syncAnswers and syncAnnouncements pass messages of other entries to the watch on the
 	// store.
 	syncAnswers       chan peers.SyncAnswer
--- a/process/gateway/knowledge.go
+++ b/process/gateway/knowledge.go
@@ -30,6 +30,8 @@
 	// message holds.
 	maxKnownTargets  = 64
 	maxDocumentBytes = 20 << 10
+	// maxPackedDocument is the size of a configuration that does not compress to maxDocumentBytes.
+	maxPackedDocument = 10 * maxDocumentBytes
 	// maxConfigurationBytes limits a configuration that is received from another entry.
 	maxConfigurationBytes = 16 << 20
 )
@@ -71,27 +73,37 @@
 	return knowledge
 }
 
-// knowledgeFor returns what this entry knows beside the store, for one that knows what is given.
+// knowledgeFor returns what this entry knows beside the store, for one that knows what is given. A
+// configuration that is too long for a datagram is left out: the other entry finds a later version and asks
+// for it over a connection.
 func (c *control) knowledgeFor(other peers.Knowledge) *peers.Knowledge {
 	knowledge := c.ownKnowledge()
-	value := c.gateway.configuration.Load()
-	if knowledge.Version <= other.Version || value == nil {
+	if knowledge.Version <= other.Version || c.gateway.configurationSize() > maxPackedDocument {
 		return knowledge
 	}
+	if document, err := c.gateway.compressedConfiguration(); err == nil && len(document) <= maxDocumentBytes {
+		knowledge.Document = document
+	}
+	return knowledge
+}
+
+// compressedConfiguration returns the configuration in force, compressed.
+func (g *Gateway) compressedConfiguration() ([]byte, error) {
+	value := g.configuration.Load()
+	if value == nil {
+		return nil, nil
+	}
 	var compressed bytes.Buffer
 	w := gzip.NewWriter(&compressed)
 	_, err := w.Write(*value)
 	if err == nil {
 		err = w.Close()
 	}
-	if err == nil && compressed.Len() <= maxDocumentBytes {
-		knowledge.Document = compressed.Bytes()
-	}
-	return knowledge
+	return compressed.Bytes(), errors.WithStack(err)
 }
 
-// handleKnowledge learns from the answer to a question of this entry.
-func (c *control) handleKnowledge(question uint64, k peers.Knowledge) {
+// handleKnowledge learns from the answer of an entry to a question of this one.
+func (c *control) handleKnowledge(question uint64, k peers.Knowledge, from netip.AddrPort) {
 	if _, asked := c.questions[question]; !asked {
 		return
 	}
@@ -104,15 +116,43 @@
 			default:
 			}
 		}()
-		if k.Version <= g.configurationVersion() || len(k.Document) == 0 {
+		if k.Version <= g.configurationVersion() {
 			return
 		}
-		if err := g.adoptDocument(k.Document); err != nil {
+		document := k.Document
+		if len(document) == 0 {
+			document = g.fetchDocument(k.Version, from)
+		}
+		if len(document) == 0 {
+			return
+		}
+		if err := g.adoptDocument(document); err != nil {
 			g.log.Event("configuration_unreadable", "version", k.Version, "error", err.Error())
 		}
 	})
 }
 
+// fetchDocument asks another entry for its configuration over a connection, one at a time: after a drill, many
+// have it. It returns nil if that fails, or a later version was learned meanwhile.
+func (g *Gateway) fetchDocument(version int64, from netip.AddrPort) []byte {
+	g.documentMu.Lock()
+	defer g.documentMu.Unlock()
+	if version <= g.configurationVersion() {
+		return nil
+	}
+	question := &peers.SyncQuestion{ID: 1, Knowledge: &peers.Knowledge{Version: g.configurationVersion()}, Packed: true}
+	message := peers.Update{Entry: g.settings.Name, Partial: true, Question: question}
+	response, err := g.peers.Ask(g.withAllowance(transferTimeout, nil), from.String(), message)
+	switch {
+	case err != nil:
+		g.log.Event("transfer_failed", "address", from.String(), "error", err.Error())
+		return nil
+	case response.Answer == nil || response.Answer.Knowledge == nil:
+		return nil
+	}
+	return response.Answer.Knowledge.Document
+}
+
 // adoptDocument makes a configuration of another entry the one in force.
 func (g *Gateway) adoptDocument(compressed []byte) error {
 	r, err := gzip.NewReader(bytes.NewReader(compressed))
--- a/process/gateway/large_configuration_test.go
+++ b/process/gateway/large_configuration_test.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// The document that an entry lacks after the store came back from a copy does not fit a datagram.
+// The configuration that an entry lacks after the store came back from a copy does not fit a datagram. It
+// refused all keys until the configuration was written again.
 func TestLargeConfiguration_IsLearnedFromAnotherEntry(t *testing.T) {
 	d := newDeployment(t)
 	d.startApplication("a1", "naxos")
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -277,7 +277,7 @@
 		case update.Question != nil:
 			g.control.post(func() { g.control.answerQuestion(*update.Question, update.Entry, from) })
 		case update.Answer != nil:
-			g.handleSyncAnswer(update.Entry, *update.Answer)
+			g.handleSyncAnswer(update.Entry, *update.Answer, from)
 		default:
 			g.control.post(func() { g.control.handlePeerUpdate(update) })
 		}
--- a/process/gateway/store_answers.go
+++ b/process/gateway/store_answers.go
@@ -194,5 +194,13 @@
 			return peers.Update{}, false
 		}
 	}
+	if k := answer.Knowledge; k != nil && k.Version > question.Knowledge.Version && len(k.Document) == 0 {
+		document, err := g.compressedConfiguration()
+		if err != nil {
+			g.log.Event("store_answer_failed", "error", err.Error())
+			return peers.Update{}, false
+		}
+		k.Document = document
+	}
 	return peers.Update{Entry: g.settings.Name, Partial: true, Answer: &answer}, true
 }
--- a/process/gateway/store_era_test.go
+++ b/process/gateway/store_era_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -327,8 +328,8 @@
 	assert.Equal(t, d.send(g, bookingRequest()).status, http.StatusOK)
 }
 
-// The configuration that the copy lacks is too long for a message between entries. One that starts serves
-// no key until the configuration has been written again.
+// The configuration that the copy lacks is too long for a datagram, and the connections of the entry that has it
+// are in use. One that starts serves no key until the configuration has been written again.
 func TestEra_StartWaitsForLongConfiguration(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
@@ -348,6 +349,11 @@
 	d.waitUntil(func() bool { return d.send(first, bookingRequest()).status == http.StatusUnauthorized })
 	written := d.store.Items(platform.ConfigurationKey)[platform.ConfigurationKey]
 	d.store.GoBack(older)
+	for range 256 {
+		conn, err := net.Dial("tcp", first.peers.Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
 	starting := d.startEntry("entry-2")
 	for deadline := time.Now().Add(1500 * time.Millisecond); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		assert.Equal(t, d.send(starting, bookingRequest()).status, http.StatusServiceUnavailable)
--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -109,13 +110,13 @@
 }
 
 // handleSyncAnswer passes an answer or an announcement to the watch on the store.
-func (g *Gateway) handleSyncAnswer(entry string, answer peers.SyncAnswer) {
+func (g *Gateway) handleSyncAnswer(entry string, answer peers.SyncAnswer, from netip.AddrPort) {
 	if answer.ID == 0 {
 		g.notifyWatch(announcement{entry: entry, position: answer.Position(), unavailable: answer.Unavailable})
 		return
 	}
 	if answer.Knowledge != nil {
-		g.control.post(func() { g.control.handleKnowledge(answer.ID, *answer.Knowledge) })
+		g.control.post(func() { g.control.handleKnowledge(answer.ID, *answer.Knowledge, from) })
 	}
 	select {
 	case g.syncAnswers <- answer:
