gateway: a stream stays with the software version that began it

Cause: the version of a stream was kept only in roll-outs on order, and only within a response. No entry knew the version of a stream that another had carried, and nothing read the ID that a caller names.

Change: process/origins decides with which version a stream goes on: the one that wrote its first event, known by the attempt that brought it. Entries tell each other while several versions may have streams, and each keeps the same in the store, in one write a second at most (less often in large fleets, a tenth of the store's writes for all). A take-up whose version cannot be told goes on only if one version alone was in service for as long as streams last; otherwise it is refused at once as not run. One pin serves responses, roll-outs and returns.

Why it works: a stream is placed at one version only, and what an entry does not know it does not guess.

With one version nothing is told or written.

--- a/process/gateway/control.go
+++ b/process/gateway/control.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/freshness"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
+	"github.com/mulberrylane/mulberrylane/process/origins"
 	"github.com/mulberrylane/mulberrylane/process/peers"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
@@ -107,6 +108,8 @@
 	departed map[string]time.Time
 	// kvCopies knows the runs of streams, here and at other entries, and their KV copies.
 	kvCopies *kvcopies.Index
+	// origins knows which versions of services began streams.
+	origins *origins.Index
 	// peerUpdates holds the merged updates of each other entry.
 	peerUpdates map[string]peers.Update
 	// recentlyDown maps targets that this entry marked down to the time when it did so.
@@ -172,20 +175,20 @@
 func newControl(g *Gateway) *control {
 	now := time.Now()
 	c := &control{
-		gateway:           g,
-		commands:          make(chan func(), commandBuffer),
-		stopped:           make(chan struct{}),
-		table:             placement.NewTable(),
-		registry:          registry.New(),
-		monitors:          map[request.TargetID]*targetMonitor{},
-		budgets:           map[string]*admission.RetryBudget{},
-		callQueue:         newCallQueue(),
-		bounds:            g.settings.Bounds,
-		startedAt:         now,
-		lastCheck:         now,
-		peers:             map[string]peer{},
-		peerLastSeen:      map[string]time.Time{},
-		kvCopies:          kvcopies.New(),
+		gateway:      g,
+		commands:     make(chan func(), commandBuffer),
+		stopped:      make(chan struct{}),
+		table:        placement.NewTable(),
+		registry:     registry.New(),
+		monitors:     map[request.TargetID]*targetMonitor{},
+		budgets:      map[string]*admission.RetryBudget{},
+		callQueue:    newCallQueue(),
+		bounds:       g.settings.Bounds,
+		startedAt:    now,
+		lastCheck:    now,
+		peers:        map[string]peer{},
+		peerLastSeen: map[string]time.Time{},
+		kvCopies:     kvcopies.New(), origins: origins.New(),
 		peerUpdates:       map[string]peers.Update{},
 		recentlyDown:      map[request.TargetID]time.Time{},
 		recentlyReplaced:  map[request.TargetID]time.Time{},
@@ -323,6 +326,7 @@
 	}
 	c.promptIndex.RemoveExpired(now)
 	c.kvCopies.RemoveExpired(now)
+	c.checkOrigins(now)
 	c.evaluateCrashes(now)
 	c.forgetEndedQuarantines(now)
 	c.stepRollouts(now)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -141,7 +141,7 @@
 	g.peers = conn
 	for _, loop := range []func(){
 		g.control.run, g.watchStore, g.maintainRegistration, g.receivePeerUpdates, g.serveTransfers, g.reloadSettings, g.ingress.serve,
-		g.discoverCachedPrompts,
+		g.discoverCachedPrompts, g.writeOrigins,
 	} {
 		g.done.Go(loop)
 	}
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -38,6 +38,7 @@
 	stopping          metric.Int64Counter
 	idleCloses        metric.Int64Counter
 	returns           metric.Int64Counter
+	takeUps           metric.Int64Counter
 	rolloutsRejected  metric.Int64Counter
 	callWait          metric.Float64Histogram
 	callsRefused      metric.Int64Counter
@@ -75,6 +76,7 @@
 		stopping:          b.Counter("mulberrylane.stop.requests", "Requests while the entry stopped, by result"),
 		idleCloses:        b.Counter("mulberrylane.idle_connections.closed", "Connections of callers that the entry closed as idle"),
 		returns:           b.Counter("mulberrylane.streams.returned", "Streams whose callers came back for the rest, by what was found of their KV copies"),
+		takeUps:           b.Counter("mulberrylane.streams.taken_up", "Streams whose callers came back for the rest, by what was known of the version that began them"),
 		rolloutsRejected:  b.Counter("mulberrylane.rollouts.rejected", "Versions that were found to be bad during a roll-out, by the evidence of this or another entry"),
 		callWait:          b.LatencyHistogram("mulberrylane.calls.wait", "Time that attempts of calls waited for a place at a target"),
 		callsRefused:      b.Counter("mulberrylane.calls.refused", "Calls that the call queue refused, by reason"),
@@ -190,6 +192,11 @@
 		attribute.String("call", call), attribute.String("result", result)))
 }
 
+// countOrigin counts a stream that its caller took up again.
+func (m *instruments) countOrigin(verdict string) {
+	m.takeUps.Add(context.Background(), 1, metric.WithAttributes(attribute.String("origin", verdict)))
+}
+
 // recordStoreBytes counts the bytes of a response of the store.
 func (m *instruments) recordStoreBytes(call string, bytes int, complete bool) {
 	m.storeBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(
--- a/process/gateway/peer_updates.go
+++ b/process/gateway/peer_updates.go
@@ -166,6 +166,7 @@
 	}
 	update.CallsInFlight = c.callQueue.inFlight()
 	update.AmbiguousRuns = c.kvCopies.Conflicts()
+	update.Origins = c.origins.Own(now)
 	update.Down = recent(now, c.recentlyDown)
 	update.Replaced = recent(now, c.recentlyReplaced)
 	update.Draining = recent(now, c.recentlyDraining)
@@ -309,6 +310,7 @@
 	delete(c.departed, update.Entry)
 	c.mergePeerUpdate(now, update)
 	c.kvCopies.Update(now, update.Entry, update.Incarnation, c.peerUpdates[update.Entry].Runs)
+	c.origins.Learn(now, update.Origins)
 	for _, ref := range update.AmbiguousRuns {
 		if ref.Entry == c.gateway.settings.Name && ref.Incarnation == c.incarnation {
 			c.kvCopies.MarkAmbiguous(ref.Number)
--- a/process/gateway/rollout.go
+++ b/process/gateway/rollout.go
@@ -122,6 +122,7 @@
 func (c *control) pickTarget(now time.Time, e *exchange, requirements placement.Requirements) (placement.Choice, error) {
 	filters := c.rollouts.Assign(now, e.service, e.pin, e.placed)
 	if len(filters) == 0 {
+		requirements.Version = pinned(e.pin)
 		return c.table.Pick(now, requirements) //nolint:wrapcheck // a fault
 	}
 	var choice placement.Choice
@@ -138,12 +139,12 @@
 // mayResumeAt reports whether a request may resume from a KV copy at a target: the version that
 // produced the copy is that of the target.
 func (c *control) mayResumeAt(e *exchange, t *placement.Target) bool {
-	if !c.rollouts.Known(e.service) {
-		return true
-	}
 	if e.pin.Set {
 		return e.pin.Version == t.Version
 	}
+	if !c.rollouts.Known(e.service) {
+		return true
+	}
 	return c.rollouts.MayResume(e.service, t.Version)
 }
 
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -88,6 +89,8 @@
 	// row.
 	unavailable bool
 	failures    int
+	// listed is set once everything has been listed.
+	listed bool
 	// synced is set once a configuration and the targets have been read.
 	synced bool
 	// schedule decides where the next changes come from, reads how they are read from the store.
@@ -224,7 +227,7 @@
 		g.control.removeRollouts(items, position)
 		g.control.storeHistory.List(changesOf(items), position)
 	})
-	w.position, w.relist = position, false
+	w.position, w.relist, w.listed = position, false, true
 	if wentBack {
 		w.eraRead()
 	}
@@ -355,6 +358,7 @@
 	items = itemsOf(storesync.Latest(changesOf(items)))
 	w.storeAvailable(true)
 	w.applyAll(items)
+	items = slices.DeleteFunc(items, isOrigin)
 	w.advance(position)
 	w.recordChanges(items)
 	w.confirmFreshness(sent)
@@ -475,6 +479,8 @@
 		w.applyTarget(item)
 	case strings.HasPrefix(item.Key, platform.EntryPrefix):
 		w.applyEntry(item)
+	case isOrigin(item):
+		w.applyOrigins(item)
 	case strings.HasPrefix(item.Key, platform.QuarantinePrefix):
 		if !item.Removed {
 			w.applyQuarantine(item)
--- a/process/gateway/stream.go
+++ b/process/gateway/stream.go
@@ -16,7 +16,6 @@
 	"github.com/mulberrylane/mulberrylane/process/admission"
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
 	"github.com/mulberrylane/mulberrylane/process/placement"
-	"github.com/mulberrylane/mulberrylane/process/rollout"
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
@@ -122,6 +121,10 @@
 	}
 	defer s.timer.Stop()
 	defer s.eventMemory.Close()
+	if err := e.pinReturned(); err != nil {
+		e.refuse(err, 0)
+		return
+	}
 	s.startRun()
 	s.handleEvent(request.Event{Type: request.EventStart})
 	for !s.done {
@@ -379,6 +382,12 @@
 	if len(events) == 0 {
 		return
 	}
+	if s.pin.Set && update.attempt.target.Version != s.pin.Version {
+		// It was placed beside the attempt that began the stream.
+		update.attempt.cancel()
+		s.handleEvent(request.Event{Type: request.EventFailed, Attempt: update.number, Kind: fault.Crossed})
+		return
+	}
 	s.head = update.head
 	first := events[0].ID
 	tokens := make([]request.TokenID, len(events))
@@ -396,7 +405,7 @@
 		Type: request.EventTokens, Attempt: update.number, Position: first - s.inbound.Position - 1, Tokens: tokens,
 	})
 	if !s.pin.Set && s.recovery.Output().Len() > 0 {
-		s.pin = rollout.Pin{Version: update.attempt.target.Version, Set: true}
+		s.recordOrigin(update.attempt.target.Version)
 	}
 	if s.suspected[update.number] && update.attempt.suspected.Load() {
 		// The recovery trusts an attempt whose tokens it accepts, also late ones.
@@ -488,6 +497,7 @@
 // finish ends the response to the caller.
 func (s *stream) finish() {
 	s.endRun()
+	s.endOrigin()
 	s.endInterruption()
 	for _, a := range s.running {
 		a.cancel()
--- a/process/gateway/target_state.go
+++ b/process/gateway/target_state.go
@@ -84,6 +84,9 @@
 // hopeless reports whether to refuse the stream instead of waiting for a target: nothing of
 // it has run, and no target wants requests.
 func (s *stream) hopeless() bool {
+	if s.versionGone() {
+		return true
+	}
 	if s.recovery.WasRun() != request.RunNo {
 		return false
 	}
--- a/process/peers/peers.go
+++ b/process/peers/peers.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mulberrylane/mulberrylane/process/kvcopies"
+	"github.com/mulberrylane/mulberrylane/process/origins"
 	"github.com/mulberrylane/mulberrylane/process/placement"
 	"github.com/mulberrylane/mulberrylane/process/prompts"
 	"github.com/mulberrylane/mulberrylane/process/quarantine"
@@ -90,6 +91,8 @@
 	Runs map[kvcopies.Number]kvcopies.Run `cbor:"22,keyasint,omitempty"`
 	// AmbiguousRuns lists runs of other entries that the sender cannot tell from others.
 	AmbiguousRuns []kvcopies.RunRef `cbor:"23,keyasint,omitempty"`
+	// Origins holds the sender's streams by the version that began them, of services with several.
+	Origins origins.Streams `cbor:"29,keyasint,omitempty"`
 	// Crashes lists engines that crashed lately, Survivals requests with suspected parts that
 	// an engine survived, and Quarantined the parts that are not sent to engines.
 	Crashes     []Crash           `cbor:"18,keyasint,omitempty"`
--- a/records_test.go
+++ b/records_test.go
@@ -26,7 +26,7 @@
 // The files in testdata/records were written by the build of commit 6bb7fae, with a value
 // in every field but those listed as unset, and with distinct texts and numbers;
 // peers-quarantine-update.cbor, peers-runs-update.cbor, peers-speeds-update.cbor, peers-era-*.cbor and
-// peers-packed-*.cbor by the builds that brought their fields.
+// peers-packed-*.cbor and peers-origins-update.cbor by the builds that brought their fields.
 
 // record is a file and the type that it is decoded as.
 type record struct {
@@ -96,7 +96,7 @@
 // zeroUpdateFields are the fields that are not set in a message about the store.
 var zeroUpdateFields = []string{
 	".Full", ".LinkMbps", ".Incarnation", ".Sequence", ".Work", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors",
-	".Draining", ".CachedPrompts", ".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined",
+	".Draining", ".CachedPrompts", ".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Origins", ".Crashes", ".Survivals", ".Quarantined",
 	".Rollouts",
 }
 
@@ -105,28 +105,32 @@
 func TestPeerUpdates_OfEarlierBuild(t *testing.T) {
 	for _, r := range []record{
 		{file: "peers-update.cbor", value: &peers.Update{}, unset: []string{
-			".CallsInFlight", ".Draining", ".Speeds", ".Deferred", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
+			".CallsInFlight", ".Draining", ".Speeds", ".Deferred", ".Runs", ".AmbiguousRuns", ".Origins", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-quarantine-update.cbor", value: &peers.Update{}, unset: []string{
 			".Partial", ".LinkMbps", ".Work", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".CachedPrompts",
-			".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Rollouts", ".Question", ".Answer",
+			".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Origins", ".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-brief-update.cbor", value: &peers.Update{}, unset: []string{
 			".Full", ".LinkMbps", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".Draining",
-			".CachedPrompts", ".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined",
+			".CachedPrompts", ".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Origins", ".Crashes", ".Survivals", ".Quarantined",
 			".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-runs-update.cbor", value: &peers.Update{}, unset: []string{
 			".Partial", ".LinkMbps", ".Work", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".Draining", ".CachedPrompts",
-			".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
+			".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Origins", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
+		}},
+		{file: "peers-origins-update.cbor", value: &peers.Update{}, unset: []string{
+			".Partial", ".LinkMbps", ".Work", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".Draining", ".CachedPrompts",
+			".FailureRates", ".Speeds", ".Deferred", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-calls-update.cbor", value: &peers.Update{}, unset: []string{
 			".Full", ".Partial", ".LinkMbps", ".Work", ".Down", ".Replaced", ".Successors", ".Draining", ".CachedPrompts",
-			".FailureRates", ".Speeds", ".Deferred", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
+			".FailureRates", ".Speeds", ".Deferred", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Origins", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-speeds-update.cbor", value: &peers.Update{}, unset: []string{
 			".Partial", ".LinkMbps", ".Usage", ".CallsInFlight", ".Down", ".Replaced", ".Successors", ".Draining", ".CachedPrompts",
-			".FailureRates", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
+			".FailureRates", ".Ready", ".SessionCopies", ".Runs", ".AmbiguousRuns", ".Origins", ".Crashes", ".Survivals", ".Quarantined", ".Rollouts", ".Question", ".Answer",
 		}},
 		{file: "peers-question.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question.Era", ".Question.LatestEra", ".Question.Knowledge", ".Question.Packed", ".Question.Dictionary", ".Answer")},
 		{file: "peers-answer.cbor", value: &peers.Update{}, unset: append(zeroUpdateFields, ".Question", ".Answer.Answer.Changes.Era", ".Answer.Answer.Era", ".Answer.Answer.Bridged", ".Answer.Answer.Lost", ".Answer.Answer.Reading", ".Answer.Knowledge", ".Answer.Packed", ".Answer.Dictionary", ".Answer.TooLong")},
--- a/request/inbound.go
+++ b/request/inbound.go
@@ -17,7 +17,10 @@
 	TimeLeft time.Duration
 	// Position is the id of the last event of this response that the caller received.
 	Position int
-	Model    string
+	// Resumed is the ID of the attempt that brought the first event of this response, if the caller takes the
+	// response up again and says so.
+	Resumed ID
+	Model   string
 	// PromptTokens and MaxTokens give the size of a generation; zero means unknown.
 	PromptTokens int
 	MaxTokens    int
