target: a response without a length is whole only if its connection was closed in order

Callers got part of a response as a complete one when a target answered a long upload early, without a length, and its connection ended or was reset while the upload was being written (MIXED).

Cause: the system reports a reset once. If the writer of the request met it, the reader saw the end of the connection, which ends such a response. Ruled out: responses with a length or chunks, and resets after a whole upload, which were told apart.

Change: the end of such a response counts if the request was written whole, without an error, and the connection is not in the state that a reset leaves. Otherwise the response is broken off, as with any other.

--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -152,7 +152,7 @@
 	go c.send(httpRequest)
 	response, err := c.readResponse(r, previousID, httpRequest)
 	if err == nil {
-		return response, nil
+		return c.withEnd(response), nil
 	}
 	c.Close()
 	<-c.sendDone
