target: a status outside 100 to 599 is no response

Cause: a status counted as final from 200 on, and as interim below.

Change: any other than 100 to 599 ends the exchange with an error, as a response that is none (RFC 9110, section 15). The caller gets a 502, as the request may have run.

--- a/connection/target/conn.go
+++ b/connection/target/conn.go
@@ -33,6 +33,8 @@
 	readBufferSize    = 4096
 	// maxHeadBytes limits the head of a response, interim responses before it included.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 	// maxLateCopyBytes limits the body of a late response that is discarded.
 	maxLateCopyBytes = 64 << 10
 	// maxInterimResponses limits the interim responses before a response.
@@ -42,6 +44,9 @@
 // ErrHeadTooLong means that the head of a response exceeds its limit.
 var ErrHeadTooLong = errors.New("the head of the response exceeds the size limit")
 
+// ErrStatus means that a response has a status that HTTP does not define.
+var ErrStatus = errors.New("the status is not between 100 and 599")
+
 // ErrNotSent means that no part of the request was written to the connection.
 var ErrNotSent = errors.New("no part of the request was sent")
 
@@ -196,6 +201,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, errors.Wrapf(ErrStatus, "status %s", response.Status)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
