storesync: entries with old knowledge ask again sooner

Cause: the path of a change was never added up. An entry accepted knowledge of up to 1.7 s from its relay, and then waited 0.45 s as usual before it asked again: 2.23 s until it learned of a change, with a bound of 2 s.

Change: after an answer that is older than the store is usually read, an entry asks again after 150 ms; knowledge from a relay counts for 1.5 s, which such questions keep it below while nothing fails. In ordinary times as many questions are sent as before.

--- a/process/gateway/store_sync.go
+++ b/process/gateway/store_sync.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// questionInterval is how often an entry asks another one for changes, unless it is told
-	// of some. A relay that fails delays them by one interval.
-	questionInterval = 450 * time.Millisecond
 	// questionTimeout is how long another entry may take to answer: the slowest link between
 	// failure domains and some delay on a busy processor.
 	questionTimeout = 150 * time.Millisecond
@@ -235,6 +232,7 @@
 		return unanswered, "unreadable"
 	}
 	w.applyAnswer(answer.Answer, asked)
+	w.nextQuestion = answer.NextQuestion()
 	return answered, "answered"
 }
 
--- a/process/gateway/store_sync_test.go
+++ b/process/gateway/store_sync_test.go
@@ -117,7 +117,7 @@
 	for _, g := range entries {
 		d.waitWithin(applyTimeout, func() bool { return !g.knowsTarget("a2") })
 	}
-	assert.Assert(t, time.Since(start) < pollInterval+questionInterval, "took %s", time.Since(start))
+	assert.Assert(t, time.Since(start) < pollInterval+storesync.QuestionInterval, "took %s", time.Since(start))
 }
 
 // The store turns away the entry that reads it. Others may answer that entry, but it must not
@@ -163,7 +163,7 @@
 	stranger, err := peers.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = stranger.Close() }()
-	time.Sleep(pollInterval + questionInterval)
+	time.Sleep(pollInterval + storesync.QuestionInterval)
 	for id := range uint64(10) {
 		question := peers.Update{Entry: "stranger", Question: &peers.SyncQuestion{ID: id + 1, Revision: 1}}
 		_, err = stranger.Send(question, []string{readerEntry.peers.Address()})
--- a/process/gateway/store_watch.go
+++ b/process/gateway/store_watch.go
@@ -100,6 +100,8 @@
 	targetsApart bool
 	// readsStore is set while this entry reads the store for all others.
 	readsStore bool
+	// nextQuestion is the pause after the last usable answer.
+	nextQuestion time.Duration
 	// announcer is the entry that last announced changes, until it has been asked for them.
 	announcer string
 	// outageSuspected is set when another entry announced that it does not reach the store,
@@ -151,7 +153,7 @@
 			switch w.ask(name) {
 			case answered:
 				w.schedule.RecordAnswer()
-				w.pauseUntilAnnounced(questionInterval)
+				w.pauseUntilAnnounced(w.nextQuestion)
 			case behind:
 				w.schedule.RecordBehind()
 				w.pauseUntilAnnounced(behindInterval)
--- a/process/storesync/schedule.go
+++ b/process/storesync/schedule.go
@@ -14,8 +14,13 @@
 	// reads the store about once a second; maxRelayAge is that of the knowledge of a relay, which
 	// asks twice a second. maxAgeShare limits both to a fraction of a short bound on revocations.
 	maxReaderAge = 1250 * time.Millisecond
-	maxRelayAge  = 1700 * time.Millisecond
+	maxRelayAge  = 1500 * time.Millisecond
 	maxAgeShare  = 0.4
+	// usualAge is the age that knowledge has before the reader reads the store again. An entry whose knowledge
+	// is older asks again after hastyInterval: its source may be slow or out of touch, and what it does not
+	// tell may be a target that left.
+	usualAge      = time.Second
+	hastyInterval = 150 * time.Millisecond
 	// maxReadingTime is how much older the knowledge of an entry may be to which a response of the store is
 	// arriving: the time that the largest value takes over a slow link. If all that wait for it read the
 	// store instead, they would load their own links and that of the store with the same bytes.
@@ -28,6 +33,10 @@
 	maxAnswersBehind = 2
 )
 
+// QuestionInterval is how often an entry asks another one for changes, unless it is told of some. A
+// relay that fails delays them by one interval.
+const QuestionInterval = 450 * time.Millisecond
+
 // entriesPerRelay is how many entries of a failure domain have one relay. A relay sends each change
 // to all of its entries: with one for 100 entries, the return of a failure domain with 1,000
 // targets takes it several times what all peer updates do.
@@ -268,6 +277,14 @@
 	return changes
 }
 
+// NextQuestion returns when to ask again after a usable answer.
+func (a *Answer) NextQuestion() time.Duration {
+	if a.Age > usualAge {
+		return hastyInterval
+	}
+	return QuestionInterval
+}
+
 // Usable reports whether an answer brings the asking entry up to date.
 func (a *Answer) Usable(maxAge time.Duration) bool { return a.Reason(maxAge) == "" }
 
