--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -39,7 +39,9 @@
 	callerAddress string
 	healthAddress string
 	// storeRelay is the relay between this entry and the store.
-	storeRelay  *network.TCPRelay
+	storeRelay *network.TCPRelay
+	// linkMbps is the bandwidth of its link in megabits a second, zero for no limit.
+	linkMbps    int
 	disruptions disruptions
 
 	mu      sync.Mutex
@@ -255,11 +257,12 @@
 	}
 	p := &process{
 		name: fmt.Sprintf("entry-%d", i), callerAddress: addresses[0], healthAddress: addresses[1], storeRelay: relay,
-		settingsPath: filepath.Join(d.options.Directory, fmt.Sprintf("entry-%d.json", i)),
+		settingsPath: filepath.Join(d.options.Directory, fmt.Sprintf("entry-%d.json", i)), linkMbps: d.options.linkOf(i),
 	}
+	p.setStoreFaults(network.TCPFaults{})
 	data, err := json.MarshalIndent(map[string]any{
 		"name": p.name, "failureDomain": failureDomain(i), "callers": p.callerAddress, "health": p.healthAddress,
-		"metrics": addresses[2], "peers": addresses[3], "store": relay.Address(), "memoryMB": 256,
+		"metrics": addresses[2], "peers": addresses[3], "store": relay.Address(), "memoryMB": 256, "linkMbps": p.linkMbps,
 		"bounds": map[string]any{
 			"revokeWithin": revokeTimeout.String(), "grace": gracePeriod.String(), "retryRatio": 0.8, "retrySlack": 150,
 			"retryWindow": "10s", "canaryShare": canaryShare, "canarySlack": canarySlack, "rollbackWithin": rollbackWithin.String(),
--- a/bench/soak/faultplan.go
+++ b/bench/soak/faultplan.go
@@ -260,9 +260,9 @@
 
 func cutStore(e *process, f network.TCPFaults) func() {
 	end := e.disruptions.begin(storeCut)
-	e.storeRelay.SetFaults(f)
+	e.setStoreFaults(f)
 	return func() {
-		e.storeRelay.SetFaults(network.TCPFaults{})
+		e.setStoreFaults(network.TCPFaults{})
 		end()
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -70,6 +70,18 @@
 	assert.Assert(t, played >= 3, "%d drills", played)
 }
 
+// The configuration grows by many routes and changes in series, behind slow links to the store, beside all
+// other faults, and beside planned work alone.
+func TestGrowth(t *testing.T) {
+	gateway := buildGateway(t)
+	for seed, planned := range map[uint64]bool{520001: false, 520002: false, 520003: true} {
+		options := DefaultOptions()
+		options.GatewayPath, options.Directory, options.Seed, options.FaultDuration = gateway, t.TempDir(), seed, 8*time.Second
+		options.Growth, options.PlannedOnly = true, planned
+		assert.Equal(t, runSoak(t, options).Faults["grow"], 2)
+	}
+}
+
 func TestPlannedWork_BreaksOffNoRequest(t *testing.T) {
 	gateway := buildGateway(t)
 	runSeeds(t, PlannedWorkSeeds, func(t *testing.T, seed uint64) {
--- a/command/soak.go
+++ b/command/soak.go
@@ -44,6 +44,7 @@
 	flags.DurationVar(&options.RecoveryTime, "calm", options.RecoveryTime, "how long the system has to recover")
 	flags.BoolVar(&options.PlannedOnly, "planned", false, "only planned work, beside which every request must get a response")
 	flags.BoolVar(&options.Drills, "drills", true, "the store comes back from an older copy once or twice")
+	flags.BoolVar(&options.Growth, "growth", false, "the configuration grows by many routes and changes in series, behind slow links")
 	flags.IntVar(&options.Entries, "entries", options.Entries, "gateway processes")
 	flags.IntVar(&options.Engines, "engines", options.Engines, "model engines")
 	flags.IntVar(&options.Applications, "applications", options.Applications, "application replicas")
--- a/process/gateway/origins_test.go
+++ b/process/gateway/origins_test.go
@@ -59,6 +59,7 @@
 
 // A stream whose target is lost went on at a target of another version.
 func TestOrigin_StreamEndsWithTheLastTargetOfItsVersion(t *testing.T) {
+	t.Parallel()
 	d := newOriginsDeployment(t)
 	engines := map[string]*replica.Replica{"v1": d.startEngineOf("e1", "v1"), "v2": d.startEngineOf("e2", "v2")}
 	g := d.startReadyEntry("entry-1")
@@ -85,6 +86,7 @@
 
 // Callers took up their streams at another entry, and the text was joined from two versions.
 func TestOrigin_TakeUpsStayWithTheirVersion(t *testing.T) {
+	t.Parallel()
 	d := newOriginsDeployment(t)
 	for i := range 4 {
 		d.startEngineOf(fmt.Sprint("e", i), fmt.Sprint("v", 1+i%2))
@@ -121,8 +123,10 @@
 // All entries were killed at once and came back, also just after the old version had left. Callers took up
 // their streams, and the text was joined from two versions.
 func TestOrigin_AllEntriesLost(t *testing.T) {
+	t.Parallel()
 	for _, oldLeaves := range []bool{false, true} {
 		t.Run(fmt.Sprint("old version leaves=", oldLeaves), func(t *testing.T) {
+			t.Parallel()
 			d := newOriginsDeployment(t)
 			var old []*replica.Replica
 			for i := range 4 {
