gateway: records of streams keep their lease, and an entry that ends answers no transfer

Cause: the lease of the record of a stream's version was renewed only in a second without a change, so that the key could be missing for a second after a minute of changes. An entry whose control loop has ended answered a question over a connection with a zero answer, which a store without eras makes look fresh. What strangers claim of streams had no limit.

Change: the lease is renewed before the record is written; a question is answered by a running control loop or not at all; an entry knows 100,000 streams of others at most.

No test shows the first two faults, which need a minute of changes and a question at the end of a process.

--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -191,26 +191,11 @@
 	ctx, cancel := g.withStoreTimeout()
 	defer cancel()
 	var err error
-	switch {
-	case own == nil:
+	if own == nil {
 		_, err = g.store.Commit(ctx, record.lease.Era, nil, nil, []string{g.originsKey()})
-	case record.lease == platform.NoLease:
-		asked := time.Now()
-		record.lease, err = g.store.GrantLease(ctx, originsTTL)
-		record.written, record.renewedAt = nil, asked
-		if err != nil {
-			record.lease = platform.NoLease
-			return errors.Wrap(err, "lease")
-		}
-		err = g.commitOrigins(ctx, own, record.lease)
-	case !own.Equal(record.written):
+		g.metrics.countStoreCall("swap", err)
+	} else if err = g.holdOriginsLease(ctx, record); err == nil && !own.Equal(record.written) {
 		err = g.commitOrigins(ctx, own, record.lease)
-	case time.Since(record.renewedAt) > originsTTL/3:
-		asked := time.Now()
-		if err = g.store.KeepAlive(ctx, record.lease); err == nil {
-			record.renewedAt = asked
-		}
-		g.metrics.countStoreCall("keep", err)
 	}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
@@ -218,6 +203,30 @@
 	case err == nil:
 		record.written = own
 	}
+	return err
+}
+
+// holdOriginsLease renews the lease of the record in time, or grants one if there is none.
+func (g *Gateway) holdOriginsLease(ctx context.Context, record *originsRecord) error {
+	asked := time.Now()
+	var err error
+	switch {
+	case record.lease == platform.NoLease:
+		var lease platform.Lease
+		lease, err = g.store.GrantLease(ctx, originsTTL)
+		g.metrics.countStoreCall("lease", err)
+		if err == nil {
+			record.lease, record.written = lease, nil
+		}
+	case asked.Sub(record.renewedAt) > originsTTL/3:
+		err = g.store.KeepAlive(ctx, record.lease)
+		g.metrics.countStoreCall("keep", err)
+	default:
+		return nil
+	}
+	if err == nil {
+		record.renewedAt = asked
+	}
 	return errors.WithStack(err)
 }
 
--- a/process/gateway/store_answers.go
+++ b/process/gateway/store_answers.go
@@ -187,7 +187,9 @@
 	}
 	question := *update.Question
 	var answer peers.SyncAnswer
-	g.control.do(func() { answer = g.control.answerTo(question) })
+	if !g.control.do(func() { answer = g.control.answerTo(question) }) {
+		return peers.Update{}, false
+	}
 	if question.Packed && len(answer.Changes) > 0 {
 		if err := g.storeAnswers.pack(question, &answer); err != nil {
 			g.log.Event("store_answer_failed", "error", err.Error())
--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -18,6 +18,10 @@
 	"github.com/mulberrylane/mulberrylane/request"
 )
 
+// maxStreams limits the streams of other entries that are known: those of a minute at the peak of the largest
+// deployment. Anybody may send datagrams.
+const maxStreams = 100_000
+
 // Hash identifies a stream by the ID of the caller's attempt that brought its first event.
 type Hash uint64
 
@@ -109,6 +113,9 @@
 
 func (i *Index) learn(now time.Time, hash Hash, service, version string, own bool) {
 	s := i.streams[hash]
+	if s == nil && !own && len(i.streams) >= maxStreams {
+		return
+	}
 	if s == nil {
 		i.streams[hash] = &stream{service: service, version: version, own: own, knownAt: now}
 		return
