gateway: records of the versions of streams are written up to three times a second

Cause: the record in the store is all that is left then, and it was up to a second old. In a burst a second holds a third of the streams that are under way. Ruled out for these: leases that had ended, conflicting IDs.

TestOrigin_* pass with the race detector.

--- a/process/gateway/origins.go
+++ b/process/gateway/origins.go
@@ -20,8 +20,9 @@
 
 const (
 	// originsInterval is how often an entry writes which versions began its streams, while several may be in
-	// service. Callers of streams that began since are refused if all entries are lost.
-	originsInterval = time.Second
+	// service. Callers of streams that began since are refused if all entries are lost: in a burst, a second
+	// holds a third of the streams that are under way.
+	originsInterval = 300 * time.Millisecond
 	// originsTTL is how long the record of an entry that was lost stays: callers come back within the time limit
 	// of their streams, which can be a minute, and entries may be lost again before.
 	originsTTL = maxStreamTime
